Add design, value types, ports and checks

Value types and ports come first so that the areas can be built independently. make test runs formatter, linter, mypy and behave.

--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Behaviour tests."""
--- /dev/null
+++ b/features/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Step definitions."""
--- /dev/null
+++ b/features/values.feature
@@ -0,0 +1,29 @@
+Feature: Values that callers carry
+  A malformed token or request id must be told from a valid one, since a token
+  read wrongly gives a stale read and an id read wrongly runs a request twice.
+
+  Scenario Outline: text forms survive a round trip or are refused
+    When the <kind> "<text>" is parsed
+    Then the parsed text is "<expected>"
+
+    Examples:
+      | kind       | text                             | expected                       |
+      | token      | forge-a:3:1042                   | forge-a:3:1042                 |
+      | token      | forge-a:3                        | none                           |
+      | token      | forge-a:-1:2                     | none                           |
+      | token      | :1:2                             | none                           |
+      | request id | 1764830000000.abcdefghijklmnop   | 1764830000000.abcdefghijklmnop |
+      | request id | 1764830000000.short              | none                           |
+      | request id | abcdefghijklmnop                 | none                           |
+
+  Scenario Outline: a log contains an entry only at the entry's own term
+    Given a log with terms "1:1 3:11" up to position 15
+    Then the entry of term <term> at <position> is <verdict>
+
+    Examples:
+      | term | position | verdict   |
+      | 1    | 10       | contained |
+      | 1    | 11       | missing   |
+      | 3    | 15       | contained |
+      | 3    | 16       | missing   |
+      | 2    | 10       | missing   |
--- /dev/null
+++ b/loadtool/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool: runs deployments, workloads and measures."""
--- /dev/null
+++ b/mimosapond/__init__.py
@@ -0,0 +1,1 @@
+"""A database proxy with session consistency."""
--- /dev/null
+++ b/mimosapond/codec.py
@@ -0,0 +1,71 @@
+"""JSON structure of the project's data classes.
+
+cattrs checks types; unknown fields are refused, so a misspelt limit is never
+silently ignored.
+"""
+
+import json
+from collections.abc import Mapping
+from typing import Any, Final, TypeVar, cast
+
+import cattrs
+
+_Model = TypeVar('_Model')
+
+CONVERTER: Final = cattrs.Converter(forbid_extra_keys=True)
+
+
+def _structure_scalar(raw: object, _type: object) -> Any:
+    if raw is None or isinstance(raw, (str, int, float)):
+        return raw
+    raise TypeError(f'expected a string, number or null, got {raw!r}')
+
+
+def _structure_int(raw: object, _type: object) -> int:
+    if isinstance(raw, int) and not isinstance(raw, bool):
+        return raw
+    raise TypeError(f'expected an integer, got {raw!r}')
+
+
+def _structure_text(raw: object, _type: object) -> str:
+    if isinstance(raw, str):
+        return raw
+    raise TypeError(f'expected a string, got {raw!r}')
+
+
+def _structure_flag(raw: object, _type: object) -> bool:
+    if isinstance(raw, bool):
+        return raw
+    raise TypeError(f'expected true or false, got {raw!r}')
+
+
+CONVERTER.register_structure_hook(int, _structure_int)
+CONVERTER.register_structure_hook(str, _structure_text)
+CONVERTER.register_structure_hook(bool, _structure_flag)
+CONVERTER.register_structure_hook(str | int | float | None, _structure_scalar)
+
+
+def decode(model: type[_Model], payload: object) -> _Model:
+    """Build ``model`` from parsed JSON.
+
+    Raises
+    ------
+    cattrs.BaseValidationError
+        When a field is missing, unknown or of another type.
+    """
+    return CONVERTER.structure(payload, model)
+
+
+def encode(instance: object) -> dict[str, Any]:
+    """Return the JSON structure of a data class instance."""
+    return cast(dict[str, Any], CONVERTER.unstructure(instance))
+
+
+def describe_errors(error: BaseException) -> list[str]:
+    """Return one line per faulty field: path and problem."""
+    return cattrs.transform_error(error)
+
+
+def dump_json(payload: Mapping[str, Any]) -> str:
+    """Serialize a JSON object compactly."""
+    return json.dumps(payload, separators=(',', ':'))
--- /dev/null
+++ b/mimosapond/group_views.py
@@ -0,0 +1,54 @@
+"""What this host knows of the primary and holder of each group."""
+
+import asyncio
+from typing import final
+
+from mimosapond.group_view import GroupView
+
+
+@final
+class GroupViews:
+    """Newest known view per group; views are applied only upwards."""
+
+    def __init__(self) -> None:
+        """Start without any view."""
+        self._views: dict[str, GroupView] = {}
+        self._changed = asyncio.Condition()
+
+    def get(self, group: str) -> GroupView | None:
+        """Return the newest known view of ``group``."""
+        return self._views.get(group)
+
+    def all(self) -> tuple[GroupView, ...]:
+        """Return the newest views of all groups."""
+        return tuple(self._views.values())
+
+    async def merge(self, view: GroupView) -> bool:
+        """Apply ``view`` if its term is newer; tell whether it was."""
+        known = self._views.get(view.group)
+        if known is not None and known.term >= view.term:
+            return False
+        self._views[view.group] = view
+        async with self._changed:
+            self._changed.notify_all()
+        return True
+
+    async def wait_newer(
+        self,
+        group: str,
+        term: int,
+        timeout_s: float,
+    ) -> GroupView | None:
+        """Wait for a view of ``group`` with a term above ``term``."""
+        try:
+            async with asyncio.timeout(timeout_s), self._changed:
+                await self._changed.wait_for(
+                    lambda: self._term_of(group) > term,
+                )
+        except TimeoutError:
+            return None
+        return self._views[group]
+
+    def _term_of(self, group: str) -> int:
+        view = self._views.get(group)
+        return 0 if view is None else view.term
--- /dev/null
+++ b/mimosapond/standing.py
@@ -0,0 +1,68 @@
+"""A member's term, role and log position, as the member reports it."""
+
+from typing import Final, final
+
+import attrs
+
+PRIMARY_ROLE: Final = 'primary'
+REPLICA_ROLE: Final = 'replica'
+
+
+@final
+@attrs.frozen
+class Standing:
+    """Replication state of one member at one moment.
+
+    Attributes
+    ----------
+    member, group
+        Names from the service document.
+    role
+        ``primary`` or ``replica``.
+    term
+        Highest term the member adopted.
+    granted_to
+        Host id that was granted ``term``, or None.
+    position
+        Position of the last log entry.
+    last_term
+        Term of the last log entry.
+    matched_position
+        The log is known to equal that of the current term's primary up to
+        here.
+    history
+        Pairs of term and the first log position of that term, ascending.
+    """
+
+    member: str
+    group: str
+    role: str
+    term: int
+    granted_to: str | None
+    position: int
+    last_term: int
+    matched_position: int
+    history: tuple[tuple[int, int], ...] = ()
+
+    @property
+    def is_primary(self) -> bool:
+        """Whether the member believes that it leads its term."""
+        return self.role == PRIMARY_ROLE
+
+    def term_at(self, position: int) -> int:
+        """Return the term of the log entry at ``position``, 0 if unknown."""
+        covering = 0
+        for term, first_position in self.history:
+            if first_position <= position:
+                covering = term
+        return covering
+
+    def contains(self, term: int, position: int) -> bool:
+        """Tell whether the log holds the entry (``term``, ``position``).
+
+        An entry whose position belongs to another term in this log was lost
+        in a change of primary.
+        """
+        if position == 0:
+            return True
+        return position <= self.position and self.term_at(position) == term
--- /dev/null
+++ b/mimosapond/target_connection.py
@@ -0,0 +1,54 @@
+"""Port: one stateful data connection to a target."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from mimosapond.statement import Statement
+from mimosapond.target_results import TargetResult
+
+
+class TargetConnection(Protocol):
+    """One data connection; it takes one call at a time.
+
+    A call that times out leaves the connection in an unknown state: the
+    connection closes itself and ``is_open`` turns false.
+    """
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection may be used again."""
+
+    async def read(
+        self,
+        statements: Sequence[Statement],
+        timeout_s: float,
+    ) -> TargetResult:
+        """Run statements that only read, on committed data."""
+
+    async def begin(
+        self,
+        term: int,
+        statements: Sequence[Statement],
+        timeout_s: float,
+    ) -> TargetResult:
+        """Start a transaction at ``term`` and run its first statements."""
+
+    async def execute(
+        self,
+        statements: Sequence[Statement],
+        timeout_s: float,
+    ) -> TargetResult:
+        """Run statements in the open transaction."""
+
+    async def commit(
+        self,
+        statements: Sequence[Statement],
+        timeout_s: float,
+    ) -> TargetResult:
+        """Run last statements and commit the open transaction."""
+
+    async def rollback(self, timeout_s: float) -> TargetResult:
+        """Roll the open transaction back."""
+
+    def close(self) -> None:
+        """Close the connection; the target rolls back what is open."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that mimosapond serves and uses."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts for developing the project."""
--- /dev/null
+++ b/tools/run_behave.py
@@ -0,0 +1,79 @@
+"""Runs behave and computes the verdict from behave's own report.
+
+Known failures are listed in KNOWN-RED.txt, one scenario per entry on a line
+that starts with ``scenario:``. They are run, printed and counted as skipped;
+any other scenario that does not pass fails the run.
+"""
+
+import collections
+import json
+import pathlib
+import sys
+import tempfile
+from collections.abc import Iterator
+from typing import Any, Final
+
+from behave.__main__ import main as run_behave
+
+_KNOWN_RED: Final = pathlib.Path('KNOWN-RED.txt')
+_PREFIX: Final = 'scenario:'
+_SCENARIO_TYPES: Final = ('scenario', 'scenario_outline')
+
+
+def _known_failures() -> frozenset[str]:
+    if not _KNOWN_RED.exists():
+        return frozenset()
+    lines = _KNOWN_RED.read_text(encoding='utf-8').splitlines()
+    return frozenset(
+        line.removeprefix(_PREFIX).strip()
+        for line in lines
+        if line.startswith(_PREFIX)
+    )
+
+
+def _scenarios(report: list[dict[str, Any]]) -> Iterator[tuple[str, str]]:
+    for feature in report:
+        for element in feature.get('elements', ()):
+            if element['type'] in _SCENARIO_TYPES:
+                yield element['name'], element['status']
+
+
+def _verdict(report: list[dict[str, Any]]) -> int:
+    known = _known_failures()
+    counts: collections.Counter[str] = collections.Counter()
+    for name, status in _scenarios(report):
+        if status == 'passed' or status == 'skipped':
+            counts[status] += 1
+        elif name in known:
+            sys.stdout.write(f'known failure ({status}): {name}\n')
+            counts['skipped'] += 1
+        else:
+            sys.stdout.write(f'{status}: {name}\n')
+            counts['failed'] += 1
+    passed, failed = counts['passed'], counts['failed']
+    skipped = counts['skipped']
+    sys.stdout.write(f'{passed} passed, {failed} failed, {skipped} skipped\n')
+    return int(failed > 0 or passed == 0)
+
+
+def main(arguments: list[str]) -> int:
+    """Run the features and return the exit code."""
+    with tempfile.TemporaryDirectory() as folder:
+        report_path = pathlib.Path(folder) / 'report.json'
+        behave_code = run_behave(
+            [
+                *('--format', 'json', '--outfile', str(report_path)),
+                *('--format', 'progress', '--no-capture', '--no-color'),
+                *(arguments or ['features']),
+            ]
+        )
+        report = json.loads(report_path.read_text(encoding='utf-8') or '[]')
+    code = _verdict(report)
+    if behave_code and not code and not _known_failures():
+        sys.stdout.write('behave failed outside of scenarios\n')
+        return 1
+    return code
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
