--- /dev/null
+++ b/mimosapond/link_cache.py
@@ -0,0 +1,93 @@
+"""Keeps one open link per address and replaces those that closed."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Mapping
+from typing import Any, final
+
+from mimosapond.json_link import JsonLink
+from mimosapond.peer_results import PeerResult, PeerSilent
+
+
+@final
+class LinkCache:
+    """Opens links on first use; calls to one address share its link."""
+
+    def __init__(
+        self,
+        path: str,
+        headers: Mapping[str, str],
+        connect_timeout_s: float,
+    ) -> None:
+        """Set where links lead.
+
+        Parameters
+        ----------
+        path
+            Path of the WebSocket at each address.
+        headers
+            Sent with each upgrade request.
+        connect_timeout_s
+            Limit for opening a link.
+        """
+        self._path = path
+        self._headers = headers
+        self._connect_timeout_s = connect_timeout_s
+        self._links: dict[str, JsonLink] = {}
+        self._locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
+
+    async def call(
+        self,
+        address: str,
+        operation: str,
+        body: Mapping[str, Any],
+        timeout_s: float,
+        *,
+        fresh: bool = False,
+    ) -> PeerResult:
+        """Make a call on the link to ``address``.
+
+        With ``fresh`` a new link is opened first; the old one closes when
+        its pending calls have ended.
+        """
+        link = await self._link(address, timeout_s, fresh=fresh)
+        if isinstance(link, PeerSilent):
+            return link
+        return await link.call(operation, body, timeout_s)
+
+    def disconnect(self, address: str) -> None:
+        """Close the link to ``address``."""
+        link = self._links.pop(address, None)
+        if link is not None:
+            link.close()
+
+    def close(self) -> None:
+        """Close all links."""
+        for address in tuple(self._links):
+            self.disconnect(address)
+
+    async def _link(
+        self,
+        address: str,
+        timeout_s: float,
+        *,
+        fresh: bool,
+    ) -> JsonLink | PeerSilent:
+        async with self._locks[address]:
+            link = self._links.get(address)
+            if link is not None and link.is_open and not fresh:
+                return link
+            opened = await JsonLink.open(
+                f'ws://{address}{self._path}',
+                self._headers,
+                min(timeout_s, self._connect_timeout_s),
+            )
+            if isinstance(opened, JsonLink):
+                self._replace(address, opened)
+            return opened
+
+    def _replace(self, address: str, opened: JsonLink) -> None:
+        replaced = self._links.get(address)
+        if replaced is not None:
+            replaced.retire()
+        self._links[address] = opened
--- /dev/null
+++ b/mimosapond/websocket_target.py
@@ -0,0 +1,126 @@
+"""Adapter of the target port: members that speak JSON over WebSocket."""
+
+from collections.abc import Mapping
+from typing import Any, Final, final
+
+from mimosapond import codec
+from mimosapond.clock import MS_PER_S
+from mimosapond.json_link import PING_OPERATION, JsonLink
+from mimosapond.link_cache import LinkCache
+from mimosapond.member_address import MemberAddress
+from mimosapond.peer_results import PeerAnswered, PeerRejected, PeerSilent
+from mimosapond.standing import Standing
+from mimosapond.target_results import ControlResult, TargetSilent
+from mimosapond.websocket_connection import (
+    WebsocketConnection,
+    decode_rejection,
+)
+
+# Leaves the member time to answer that the wait ended.
+_AWAIT_MARGIN_S: Final = 0.1
+
+
+@final
+class WebsocketTarget:
+    """Opens data connections and keeps one control link per member."""
+
+    def __init__(self, connect_timeout_s: float) -> None:
+        """Set the limit for opening a control link."""
+        self._control = LinkCache('/control', {}, connect_timeout_s)
+
+    async def connect(
+        self,
+        member: MemberAddress,
+        timeout_s: float,
+    ) -> WebsocketConnection | TargetSilent:
+        """Open a data connection and check that the target accepted it."""
+        url = f'ws://{member.address}/data'
+        link = await JsonLink.open(url, {}, timeout_s)
+        if isinstance(link, PeerSilent):
+            return TargetSilent(link.problem, sent=False)
+        answer = await link.call(PING_OPERATION, {}, timeout_s)
+        if isinstance(answer, PeerSilent):
+            problem = f'{answer.problem}, close code {link.close_code}'
+            link.close()
+            return TargetSilent(problem, sent=False)
+        return WebsocketConnection(link)
+
+    async def status(
+        self,
+        member: MemberAddress,
+        timeout_s: float,
+        *,
+        fresh: bool = False,
+    ) -> ControlResult:
+        """Ask for the member's standing."""
+        return await self._call(member, 'status', {}, timeout_s, fresh=fresh)
+
+    async def adopt(
+        self,
+        member: MemberAddress,
+        term: int,
+        asker: str,
+        timeout_s: float,
+    ) -> ControlResult:
+        """Ask the member to adopt ``term`` and grant it to ``asker``."""
+        body = {'term': term, 'asker': asker}
+        return await self._call(member, 'adopt', body, timeout_s)
+
+    async def promote(
+        self,
+        member: MemberAddress,
+        term: int,
+        asker: str,
+        timeout_s: float,
+    ) -> ControlResult:
+        """Make the member the primary of a term granted to ``asker``."""
+        body = {'term': term, 'asker': asker}
+        return await self._call(member, 'promote', body, timeout_s)
+
+    async def await_position(
+        self,
+        member: MemberAddress,
+        term: int,
+        position: int,
+        timeout_s: float,
+    ) -> ControlResult:
+        """Wait until the member holds ``position`` of ``term``'s primary."""
+        body = {
+            'term': term,
+            'position': position,
+            'timeout_ms': int(timeout_s * MS_PER_S),
+        }
+        limit_s = timeout_s + _AWAIT_MARGIN_S
+        return await self._call(member, 'await_position', body, limit_s)
+
+    def disconnect(self, member: MemberAddress) -> None:
+        """Close the kept control connection."""
+        self._control.disconnect(member.address)
+
+    def close(self) -> None:
+        """Close all control connections."""
+        self._control.close()
+
+    async def _call(
+        self,
+        member: MemberAddress,
+        operation: str,
+        body: Mapping[str, Any],
+        timeout_s: float,
+        *,
+        fresh: bool = False,
+    ) -> ControlResult:
+        answer = await self._control.call(
+            member.address,
+            operation,
+            body,
+            timeout_s,
+            fresh=fresh,
+        )
+        match answer:
+            case PeerAnswered(body=answer_body):
+                return codec.decode(Standing, answer_body['standing'])
+            case PeerRejected(body=answer_body):
+                return decode_rejection(answer_body)
+            case PeerSilent(problem, sent):
+                return TargetSilent(problem, sent)
