--- /dev/null
+++ b/mimosapond/caller_handler.py
@@ -0,0 +1,112 @@
+"""HTTP handler of the callers' listener.
+
+A body over the limit is read and discarded, so that the caller gets a typed
+answer and may go on using its connection.
+"""
+
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, TypeAlias, final
+
+import cattrs
+from tornado.web import RequestHandler, stream_request_body
+
+from mimosapond import codec
+from mimosapond.errors import refuse
+from mimosapond.outcome import Outcome
+from mimosapond.refusal_reason import RefusalReason
+from mimosapond.refused import Refused
+from mimosapond.unknown import Unknown
+
+CallerOperation: TypeAlias = Callable[[Any, str], Awaitable[Outcome]]
+
+_OK: Final = 200
+_BAD_REQUEST: Final = 400
+_TOO_LARGE: Final = 413
+_UNAVAILABLE: Final = 503
+_GATEWAY_TIMEOUT: Final = 504
+_BAD_INPUT: Final = frozenset(
+    (
+        RefusalReason.BAD_FIELD,
+        RefusalReason.BAD_TOKEN,
+        RefusalReason.UNKNOWN_SERVICE,
+        RefusalReason.UNKNOWN_WORKSPACE,
+        RefusalReason.REQUEST_EXPIRED,
+        RefusalReason.SQL_ERROR,
+    )
+)
+
+
+@final
+@stream_request_body
+class CallerHandler(RequestHandler):
+    """Decodes a body, runs one operation and writes its outcome."""
+
+    def initialize(
+        self,
+        model: type,
+        operation: CallerOperation,
+        limit_bytes: int,
+    ) -> None:
+        """Take the body's data class and the operation to run."""
+        self._model = model
+        self._operation = operation
+        self._limit_bytes = limit_bytes
+        self._received_bytes = 0
+        self._chunks: list[bytes] = []
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keep the body up to the limit and drop what exceeds it."""
+        self._received_bytes += len(chunk)
+        if self._received_bytes <= self._limit_bytes:
+            self._chunks.append(chunk)
+        else:
+            self._chunks.clear()
+
+    async def post(self, path: str = '') -> None:
+        """Run the operation."""
+        body = self._decode()
+        if isinstance(body, Refused):
+            self._answer(body)
+            return
+        self._answer(await self._operation(body, path))
+
+    def _decode(self) -> Any:
+        if self._received_bytes > self._limit_bytes:
+            return refuse(
+                RefusalReason.BODY_TOO_LARGE,
+                limit_bytes=self._limit_bytes,
+            )
+        try:
+            payload = json.loads(b''.join(self._chunks))
+        except ValueError as error:
+            return _bad_body(f'not JSON: {error}')
+        if not isinstance(payload, dict):
+            return _bad_body('expected a JSON object')
+        try:
+            return codec.decode(self._model, payload)
+        except cattrs.BaseValidationError as error:
+            return _bad_body('; '.join(codec.describe_errors(error)))
+
+    def _answer(self, outcome: Outcome) -> None:
+        self.set_status(_status(outcome))
+        self.set_header('Content-Type', 'application/json')
+        self.finish(codec.dump_json(codec.encode(outcome)))
+
+
+def _bad_body(problem: str) -> Refused:
+    return refuse(RefusalReason.BAD_FIELD, field='body', problem=problem)
+
+
+def _status(outcome: Outcome) -> int:
+    match outcome:
+        case Refused(reason=RefusalReason.BODY_TOO_LARGE):
+            return _TOO_LARGE
+        case Refused(reason=reason) if reason in _BAD_INPUT:
+            return _BAD_REQUEST
+        case Refused():
+            return _UNAVAILABLE
+        case Unknown():
+            return _GATEWAY_TIMEOUT
+        case _:
+            return _OK
--- a/mimosapond/codec.py
+++ b/mimosapond/codec.py
@@ -10,6 +10,8 @@
 
 import cattrs
 
+from mimosapond.outcome import Outcome
+
 _Model = TypeVar('_Model')
 
 CONVERTER: Final = cattrs.Converter(forbid_extra_keys=True)
@@ -69,3 +71,8 @@
 def dump_json(payload: Mapping[str, Any]) -> str:
     """Serialize a JSON object compactly."""
     return json.dumps(payload, separators=(',', ':'))
+
+
+def decode_outcome(payload: object) -> Outcome:
+    """Build one of the three outcomes from its tagged JSON structure."""
+    return cast(Outcome, CONVERTER.structure(payload, cast(Any, Outcome)))
--- /dev/null
+++ b/mimosapond/entry_services.py
@@ -0,0 +1,33 @@
+"""What the routers of an entry host share."""
+
+from typing import final
+
+import attrs
+
+from mimosapond.attempt_gate import AttemptGate
+from mimosapond.clock import Clock
+from mimosapond.cluster_map import Hosts, Leaving, Owners
+from mimosapond.decision_log import DecisionLog
+from mimosapond.degraded_paths import DegradedPaths
+from mimosapond.group_views import GroupViews
+from mimosapond.host_caller import HostCaller
+from mimosapond.metrics import Metrics
+from mimosapond.retry_budget import RetryBudget
+
+
+@final
+@attrs.frozen
+class EntryServices:
+    """Wired once by the composition root."""
+
+    hosts: Hosts
+    owners: Owners
+    leaving: Leaving
+    views: GroupViews
+    caller: HostCaller
+    budget: RetryBudget
+    gate: AttemptGate
+    clock: Clock
+    decisions: DecisionLog
+    metrics: Metrics
+    degraded: DegradedPaths
--- /dev/null
+++ b/mimosapond/request_validator.py
@@ -0,0 +1,87 @@
+"""Checks of caller input that types alone don't express."""
+
+from collections.abc import Iterator
+from typing import Final, final
+
+from mimosapond.access_mode import AccessMode
+from mimosapond.clock import Clock
+from mimosapond.errors import refuse
+from mimosapond.refusal_reason import RefusalReason
+from mimosapond.refused import Refused
+from mimosapond.request_id import RequestId
+from mimosapond.statement_request import StatementRequest
+from mimosapond.token import Token
+
+DEADLINE_LIMIT_MS: Final = 24 * 60 * 60 * 1000
+STATEMENT_LIMIT_COUNT: Final = 1000
+NAME_LIMIT_CHARS: Final = 200
+
+
+@final
+class RequestValidator:
+    """Refuses requests before any part of them can run."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Take the clock that dates request ids."""
+        self._clock = clock
+
+    def check(self, request: StatementRequest) -> Refused | None:
+        """Return the first fault of ``request``, None if it has none."""
+        return next(self._faults(request), None)
+
+    def check_request_id(self, text: str) -> Refused | None:
+        """Return the fault of a request id, None if it has none."""
+        request_id = RequestId.parse(text)
+        if request_id is None:
+            return refuse(
+                RefusalReason.BAD_FIELD,
+                field='request_id',
+                problem=(
+                    'expected <unix milliseconds>.<16 to 64 url-safe '
+                    f'characters>, got {text!r}'
+                ),
+            )
+        now_unix_ms = self._clock.unix_ms()
+        if request_id.is_expired(now_unix_ms):
+            return refuse(
+                RefusalReason.REQUEST_EXPIRED,
+                problem='older than the retention of 24 h',
+            )
+        if request_id.is_ahead(now_unix_ms):
+            return refuse(
+                RefusalReason.REQUEST_EXPIRED,
+                problem='more than 5 min in the future',
+            )
+        return None
+
+    def _faults(self, request: StatementRequest) -> Iterator[Refused]:
+        id_fault = self.check_request_id(request.request_id)
+        if id_fault is not None:
+            yield id_fault
+        yield from _range_faults(request)
+        if request.token is not None and Token.parse(request.token) is None:
+            yield refuse(
+                RefusalReason.BAD_TOKEN,
+                problem='expected <group>:<term>:<position>',
+            )
+
+
+def _range_faults(request: StatementRequest) -> Iterator[Refused]:
+    deadline_ms = request.deadline_ms
+    if deadline_ms is not None and not 0 < deadline_ms <= DEADLINE_LIMIT_MS:
+        yield _bad('deadline_ms', f'expected 1 to {DEADLINE_LIMIT_MS}')
+    if request.max_age_ms is not None and request.max_age_ms < 0:
+        yield _bad('max_age_ms', 'expected 0 or more')
+    if len(request.statements) > STATEMENT_LIMIT_COUNT:
+        yield _bad('statements', f'expected at most {STATEMENT_LIMIT_COUNT}')
+    session_id = request.session_id
+    if session_id is not None and not 0 < len(session_id) <= NAME_LIMIT_CHARS:
+        yield _bad('session_id', f'expected 1 to {NAME_LIMIT_CHARS} characters')
+    if request.mode is AccessMode.READ and request.durability is not None:
+        yield _bad('durability', 'applies to writes only')
+    if request.mode is AccessMode.WRITE and request.max_age_ms is not None:
+        yield _bad('max_age_ms', 'applies to reads only')
+
+
+def _bad(field: str, problem: str) -> Refused:
+    return refuse(RefusalReason.BAD_FIELD, field=field, problem=problem)
--- /dev/null
+++ b/mimosapond/write_router.py
@@ -0,0 +1,194 @@
+"""Sends writes to the holder of the group's newest term.
+
+Retries are made here only. A resend is safe at any time, since the request id
+is recorded in the same target transaction as the effect.
+"""
+
+from typing import Final, final
+
+import attrs
+
+from mimosapond.attempt_log import AttemptLog
+from mimosapond.clock import MS_PER_S
+from mimosapond.degraded_path import DegradedPath
+from mimosapond.entry_services import EntryServices
+from mimosapond.errors import refuse
+from mimosapond.holder_route import HolderRoute, find_holder
+from mimosapond.outcome import Outcome
+from mimosapond.peer_results import PeerRejected, PeerSilent
+from mimosapond.peer_run import PeerRun
+from mimosapond.refusal_reason import RefusalReason
+from mimosapond.refused import Refused
+from mimosapond.routed_request import RoutedRequest
+from mimosapond.unknown import Unknown
+
+RETRY_AFTER_MS: Final = 250
+# Lets the holder's own answer at the deadline arrive first.
+_ANSWER_MARGIN_S: Final = 0.05
+_RETRYABLE: Final = frozenset(
+    (
+        RefusalReason.NOT_OWNER,
+        RefusalReason.NO_PRIMARY,
+        RefusalReason.NO_TARGET,
+        RefusalReason.HOST_LEAVING,
+    )
+)
+_RUN: Final = 'run'
+
+
+@final
+class WriteRouter:
+    """One call per request; the caller's task runs it to its outcome."""
+
+    def __init__(self, services: EntryServices) -> None:
+        """Take the shared parts of the entry host."""
+        self._services = services
+
+    async def run(
+        self, routed: RoutedRequest, operation: str = _RUN
+    ) -> Outcome:
+        """Send the request until it is settled or its deadline passes.
+
+        Parameters
+        ----------
+        routed
+            The resolved request.
+        operation
+            ``run``, or ``begin`` for an interactive transaction.
+        """
+        attempts = AttemptLog(routed.request.request_id)
+        outcome: Outcome = _no_primary(routed, 'no holder is known')
+        is_retry = False
+        while True:
+            route = await self._next_route(routed)
+            if route is None:
+                return attempts.settle(outcome)
+            if is_retry and not self._services.budget.spend():
+                return attempts.settle(self._budget_spent(outcome))
+            outcome = await self._attempt(routed, route, operation, attempts)
+            if not self._wants_retry(routed, outcome):
+                return attempts.settle(outcome)
+            is_retry = True
+
+    async def _next_route(self, routed: RoutedRequest) -> HolderRoute | None:
+        name = routed.group.name
+        route = await find_holder(self._services, name, routed.deadline_s)
+        if route is None:
+            self._services.degraded.enter(
+                DegradedPath.WRITES_REFUSED,
+                name,
+                'no holder answered before the deadline',
+            )
+        return route
+
+    async def _attempt(
+        self,
+        routed: RoutedRequest,
+        route: HolderRoute,
+        operation: str,
+        attempts: AttemptLog,
+    ) -> Outcome:
+        self._record(routed, route)
+        left_s = routed.deadline_s - self._services.clock.monotonic_s()
+        answer = await self._services.caller.run(
+            route.host,
+            operation,
+            _peer_run(routed, route, left_s),
+            left_s + _ANSWER_MARGIN_S,
+        )
+        match answer:
+            case PeerSilent(problem, sent):
+                if sent:
+                    attempts.note_unsettled(problem)
+                return self._hold(routed, route, problem)
+            case PeerRejected(message=problem):
+                return self._hold(routed, route, problem)
+            case Unknown(message=problem):
+                attempts.note_unsettled(problem)
+                return self._judge(routed, route, answer)
+            case _:
+                return self._judge(routed, route, answer)
+
+    def _judge(
+        self,
+        routed: RoutedRequest,
+        route: HolderRoute,
+        outcome: Outcome,
+    ) -> Outcome:
+        if isinstance(outcome, Refused) and outcome.reason in _RETRYABLE:
+            return self._hold(routed, route, outcome.message)
+        name = routed.group.name
+        self._services.gate.open(name)
+        self._services.degraded.clear(DegradedPath.WRITES_REFUSED, name)
+        return outcome
+
+    def _hold(
+        self,
+        routed: RoutedRequest,
+        route: HolderRoute,
+        problem: str,
+    ) -> Refused:
+        self._services.gate.hold(routed.group.name, route.view.term)
+        return _no_primary(routed, problem)
+
+    def _wants_retry(self, routed: RoutedRequest, outcome: Outcome) -> bool:
+        if self._services.clock.monotonic_s() >= routed.deadline_s:
+            return False
+        match outcome:
+            case Unknown():
+                return True
+            case Refused(reason=reason):
+                return reason in _RETRYABLE
+            case _:
+                return False
+
+    def _budget_spent(self, outcome: Outcome) -> Outcome:
+        self._services.degraded.enter(
+            DegradedPath.RETRY_BUDGET_SPENT,
+            '',
+            'more than one retry per ten requests',
+        )
+        if isinstance(outcome, Refused):
+            return refuse(
+                RefusalReason.RETRY_BUDGET_SPENT,
+                retry_after_ms=RETRY_AFTER_MS,
+                problem=outcome.message,
+            )
+        return outcome
+
+    def _record(self, routed: RoutedRequest, route: HolderRoute) -> None:
+        self._services.metrics.count('route.write')
+        self._services.decisions.record(
+            'route_write',
+            'holder of the newest known term',
+            request_id=routed.request.request_id,
+            group=routed.group.name,
+            member=route.view.primary,
+            term=route.view.term,
+            holder=route.host.host_id,
+        )
+
+
+def _peer_run(
+    routed: RoutedRequest,
+    route: HolderRoute,
+    left_s: float,
+) -> PeerRun:
+    return PeerRun(
+        request=attrs.evolve(
+            routed.request,
+            deadline_ms=max(1, int(left_s * MS_PER_S)),
+        ),
+        group=routed.group.name,
+        member=route.view.primary,
+        connection_limit_count=routed.workspace.connection_limit_count,
+    )
+
+
+def _no_primary(routed: RoutedRequest, problem: str) -> Refused:
+    return refuse(
+        RefusalReason.NO_PRIMARY,
+        retry_after_ms=RETRY_AFTER_MS,
+        group=routed.group.name,
+        problem=problem,
+    )
