--- /dev/null
+++ b/loadtool/caller_client.py
@@ -0,0 +1,113 @@
+"""Callers' side of the HTTP interface, with kept connections."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any, Final, Self, final
+
+import aiohttp
+
+from mimosapond import codec
+from mimosapond.clock import MS_PER_S
+from mimosapond.errors import unknown
+from mimosapond.outcome import Outcome
+from mimosapond.outcome_query import OutcomeQuery
+from mimosapond.statement_request import StatementRequest
+from mimosapond.transaction_call import TransactionCall
+
+# Lets the host's own answer at the deadline arrive first.
+_ANSWER_MARGIN_S: Final = 1
+_DEFAULT_TIMEOUT_S: Final = 10
+
+
+@final
+class CallerClient:
+    """Sends requests; a connection that breaks ends as unknown.
+
+    The broken request may have run, so only ``unknown`` is honest here.
+    """
+
+    def __init__(self, connection_limit_count: int = 0) -> None:
+        """Create the session; 0 means no limit of connections."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=connection_limit_count),
+        )
+
+    async def __aenter__(self) -> Self:
+        """Return the client."""
+        return self
+
+    async def __aexit__(self, *_error: object) -> None:
+        """Close all connections."""
+        await self.close()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def run(self, address: str, request: StatementRequest) -> Outcome:
+        """Run one request at the host listening on ``address``."""
+        return await self._post(
+            f'http://{address}/v1/statements',
+            _without_none(request),
+            request.request_id,
+            request.deadline_ms,
+        )
+
+    async def begin(self, address: str, request: StatementRequest) -> Outcome:
+        """Begin an interactive transaction."""
+        return await self._post(
+            f'http://{address}/v1/transactions',
+            _without_none(request),
+            request.request_id,
+            request.deadline_ms,
+        )
+
+    async def transact(
+        self,
+        address: str,
+        transaction_id: str,
+        operation: str,
+        call: TransactionCall,
+    ) -> Outcome:
+        """Call ``statements``, ``commit`` or ``rollback``."""
+        return await self._post(
+            f'http://{address}/v1/transactions/{transaction_id}/{operation}',
+            codec.encode(call),
+            call.request_id,
+            call.deadline_ms,
+        )
+
+    async def settle(self, address: str, query: OutcomeQuery) -> Outcome:
+        """Ask for the outcome of an earlier request."""
+        return await self._post(
+            f'http://{address}/v1/outcomes',
+            codec.encode(query),
+            query.request_id,
+            query.deadline_ms,
+        )
+
+    async def _post(
+        self,
+        url: str,
+        body: Mapping[str, Any],
+        request_id: str,
+        deadline_ms: int | None,
+    ) -> Outcome:
+        limit_s = _DEFAULT_TIMEOUT_S
+        if deadline_ms is not None:
+            limit_s = deadline_ms // MS_PER_S + _ANSWER_MARGIN_S
+        timeout = aiohttp.ClientTimeout(total=limit_s)
+        try:
+            async with self._session.post(
+                url,
+                json=body,
+                timeout=timeout,
+            ) as answer:
+                return codec.decode_outcome(await answer.json())
+        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
+            return unknown(request_id, repr(error))
+
+
+def _without_none(request: StatementRequest) -> dict[str, Any]:
+    encoded = codec.encode(request)
+    return {name: field for name, field in encoded.items() if field is not None}
--- /dev/null
+++ b/mimosapond/owner_operations.py
@@ -0,0 +1,166 @@
+"""Peer operations of the owner side: the work of members and terms.
+
+Each operation answers an encoded outcome; a host that doesn't own what it is
+asked about says so, and the entry host looks for the current owner.
+"""
+
+from collections.abc import Mapping
+from typing import Any, Final, Protocol, final
+
+import attrs
+
+from mimosapond import codec
+from mimosapond.access_mode import AccessMode
+from mimosapond.clock import MS_PER_S, Clock
+from mimosapond.errors import refuse
+from mimosapond.group_views import GroupViews
+from mimosapond.member_reader import MemberReader
+from mimosapond.outcome import Outcome
+from mimosapond.peer_port import PeerOperation
+from mimosapond.peer_run import PeerRun
+from mimosapond.refusal_reason import RefusalReason
+from mimosapond.rejected_call_error import RejectedCallError
+from mimosapond.statement import Statement
+from mimosapond.term_holder import TermHolder
+from mimosapond.term_registry import TermRegistry
+
+_NOT_HOLDER: Final = 'not_holder'
+
+
+class Keepers(Protocol):
+    """Group keepers that run at this host."""
+
+    async def opinion(self, group: str, term: int) -> bool:
+        """Tell whether this host can reach the group's primary."""
+
+
+@final
+@attrs.frozen
+class OwnerOperations:
+    """Offered to peers and to this host's own router."""
+
+    reader: MemberReader
+    holders: TermRegistry
+    keepers: Keepers
+    views: GroupViews
+    clock: Clock
+
+    def operations(self) -> Mapping[str, PeerOperation]:
+        """Return the operations by name."""
+        return {
+            'run': self.run,
+            'begin': self.begin,
+            'execute': self.execute,
+            'commit': self.commit,
+            'rollback': self.rollback,
+            'settle': self.settle,
+            'floor': self.floor,
+            'beacon': self.beacon,
+            'opinion': self.opinion,
+            'handover': self.handover,
+        }
+
+    async def run(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Run one request at a member."""
+        run = codec.decode(PeerRun, body)
+        if run.request.mode is AccessMode.READ:
+            return codec.encode(await self.reader.read(run))
+        holder = self.holders.holder(run.group)
+        if holder is None:
+            return codec.encode(_not_owner(run.group))
+        return codec.encode(await holder.write(run))
+
+    async def begin(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Begin an interactive transaction."""
+        run = codec.decode(PeerRun, body)
+        holder = self.holders.holder(run.group)
+        if holder is None:
+            return codec.encode(_not_owner(run.group))
+        return codec.encode(await holder.begin(run))
+
+    async def execute(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Run statements in an interactive transaction."""
+        holder = self._holder(body)
+        statements = tuple(
+            codec.decode(Statement, raw) for raw in body['statements']
+        )
+        outcome = await holder.execute(
+            body['transaction_id'],
+            statements,
+            body['deadline_ms'],
+        )
+        return codec.encode(outcome)
+
+    async def commit(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Commit an interactive transaction."""
+        holder = self._holder(body)
+        outcome = await holder.commit(
+            body['transaction_id'],
+            body['deadline_ms'],
+        )
+        return codec.encode(outcome)
+
+    async def rollback(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Roll an interactive transaction back."""
+        holder = self._holder(body)
+        outcome = await holder.rollback(
+            body['transaction_id'],
+            body['deadline_ms'],
+        )
+        return codec.encode(outcome)
+
+    async def settle(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Settle the outcome of an earlier request."""
+        holder = self._holder(body)
+        outcome = await holder.settle(body['request_id'], body['deadline_ms'])
+        return codec.encode(outcome)
+
+    async def floor(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Return the floor of a session, confirmed by a majority."""
+        holder = self._holder(body)
+        floor = await holder.floor(body['session_id'], self._deadline_s(body))
+        if floor is None:
+            raise self._not_holder(body['group'])
+        return codec.encode(floor)
+
+    async def beacon(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Return the primary's position, confirmed by a majority."""
+        holder = self._holder(body)
+        beacon = await holder.beacon(self._deadline_s(body))
+        if beacon is None:
+            raise self._not_holder(body['group'])
+        return codec.encode(beacon)
+
+    async def opinion(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Tell whether this host can reach a primary."""
+        reachable = await self.keepers.opinion(body['group'], body['term'])
+        return {'reachable': reachable}
+
+    async def handover(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Finish open work and give up a term."""
+        holder = self._holder(body)
+        if holder.view.term != body['term']:
+            raise self._not_holder(body['group'])
+        released = await holder.release(body['timeout_ms'] / MS_PER_S)
+        return {'released': released}
+
+    def _holder(self, body: Mapping[str, Any]) -> TermHolder:
+        holder = self.holders.holder(body['group'])
+        if holder is None:
+            raise self._not_holder(body['group'])
+        return holder
+
+    def _not_holder(self, group: str) -> RejectedCallError:
+        view = self.views.get(group)
+        return RejectedCallError(
+            _NOT_HOLDER,
+            f'this host does not hold the term of {group}',
+            view=None if view is None else codec.encode(view),
+        )
+
+    def _deadline_s(self, body: Mapping[str, Any]) -> float:
+        return self.clock.monotonic_s() + body['timeout_ms'] / MS_PER_S
+
+
+def _not_owner(group: str) -> Outcome:
+    return refuse(RefusalReason.NOT_OWNER, member=f'the primary of {group}')
--- a/mimosapond/router.py
+++ b/mimosapond/router.py
@@ -1,9 +1,8 @@
 """The entry side: every call of a caller passes here."""
 
+import dataclasses
 from typing import Final, final
 
-import attrs
-
 from mimosapond.access_mode import AccessMode
 from mimosapond.clock import MS_PER_S, Clock
 from mimosapond.completed import Completed
@@ -72,7 +71,7 @@
         outcome = await self._writes.run(routed, _BEGIN)
         if isinstance(outcome, Completed):
             name = f'{routed.group.name}/{outcome.transaction_id}'
-            return attrs.evolve(outcome, transaction_id=name)
+            return dataclasses.replace(outcome, transaction_id=name)
         return outcome
 
     async def transact(
--- a/mimosapond/websocket_target.py
+++ b/mimosapond/websocket_target.py
@@ -119,7 +119,7 @@
         )
         match answer:
             case PeerAnswered(body=answer_body):
-                return codec.decode(Standing, answer_body['standing'])
+                return codec.decode(Standing, answer_body)
             case PeerRejected(body=answer_body):
                 return decode_rejection(answer_body)
             case PeerSilent(problem, sent):
