--- a/mimosapond/decision_log.py
+++ b/mimosapond/decision_log.py
@@ -22,9 +22,8 @@
 
     def record(self, decision: str, reason: str, **figures: Any) -> None:
         """Write one line for ``decision``."""
-        self._logger.bind(decision=decision, reason=reason, **figures).info(
-            decision,
-        )
+        # The event is the decision; a field of its own would repeat it.
+        self._logger.bind(reason=reason, **figures).info(decision)
 
 
 @final
--- a/mimosapond/document_checks.py
+++ b/mimosapond/document_checks.py
@@ -113,7 +113,7 @@
         entry.report(
             'group',
             f'there is no group {name}.',
-            f'Use one of the declared groups: {known or "none yet"}.',
+            f'Use a declared group ({known}).',
         )
     return group
 
--- /dev/null
+++ b/mimosapond/log_setup.py
@@ -0,0 +1,112 @@
+"""Log output of the daemon: one flat JSON object per line on standard output.
+
+A custom sink writes compact lines. ``python -m loadtool.log_bench`` compares it
+with loguru's ``serialize=True``; docs/logs.md has the figures and the reason.
+"""
+
+import functools
+import json
+import sys
+import traceback
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from typing import Any, Final, TextIO, final
+
+from loguru import logger
+
+from mimosapond.options import Options
+
+_RESERVED: Final = frozenset(('time', 'level', 'event', 'exception'))
+_SECRET_WORDS: Final = ('secret', 'password')
+_NAME_CACHE_COUNT: Final = 512
+_HIDDEN: Final = '***'
+_ENCODE: Final[Callable[[object], str]] = json.JSONEncoder(
+    separators=(',', ':'),
+    default=str,
+).encode
+
+
+@final
+class JsonLineSink:
+    """Writes loguru messages as JSON lines, without secrets.
+
+    Parameters
+    ----------
+    stream
+        Each line is flushed, so a crash loses none.
+    secrets
+        Texts to hide wherever they occur in a line.
+    """
+
+    def __init__(self, stream: TextIO, secrets: Sequence[str]) -> None:
+        """Prepare the JSON forms of the secrets."""
+        self._stream = stream
+        self._secrets = tuple(_ENCODE(text)[1:-1] for text in secrets if text)
+
+    def __call__(self, message: Any) -> None:
+        """Write one line."""
+        line = _ENCODE(flat_record(message.record))
+        for secret in self._secrets:
+            line = line.replace(secret, _HIDDEN)
+        self._stream.write(f'{line}\n')
+        self._stream.flush()
+
+
+def set_up_logging(options: Options, stream: TextIO = sys.stdout) -> None:
+    """Replace loguru's handlers with the JSON lines of this product."""
+    secrets = (options.peer_secret, options.operator_secret)
+    logger.remove()
+    # Backtraces with values (diagnose) would show secrets in variables.
+    logger.add(
+        JsonLineSink(stream, secrets),
+        level=options.log_level,
+        format='',
+        backtrace=False,
+        diagnose=False,
+    )
+
+
+def flat_record(record: Mapping[str, Any]) -> dict[str, Any]:
+    """Return the fields of a line.
+
+    A bound field that has the name of a fixed one gets the prefix ``field_``;
+    a bound mapping becomes one field for each key, joined by dots.
+    """
+    fields: dict[str, Any] = {
+        'time': record['time'].isoformat(timespec='milliseconds'),
+        'level': record['level'].name,
+        'event': record['message'],
+    }
+    for name, bound in record['extra'].items():
+        safe_name = _safe_name(name)
+        if isinstance(bound, Mapping):
+            fields.update(_flat_fields(safe_name, bound))
+        else:
+            fields[safe_name] = _HIDDEN if _is_secret(name) else bound
+    if record['exception'] is not None:
+        fields['exception'] = ''.join(
+            traceback.format_exception(*record['exception'])
+        )
+    return fields
+
+
+def _flat_fields(
+    name: str,
+    bound: Mapping[str, object],
+) -> Iterator[tuple[str, object]]:
+    for key, inner in bound.items():
+        if isinstance(inner, Mapping):
+            yield from _flat_fields(f'{name}.{key}', inner)
+        else:
+            hidden = _is_secret(name) or _is_secret(str(key))
+            yield f'{name}.{key}', _HIDDEN if hidden else inner
+
+
+# Field names are few and repeat on every line.
+@functools.lru_cache(maxsize=_NAME_CACHE_COUNT)
+def _is_secret(name: str) -> bool:
+    return any(word in name for word in _SECRET_WORDS)
+
+
+@functools.lru_cache(maxsize=_NAME_CACHE_COUNT)
+def _safe_name(name: str) -> str:
+    return f'field_{name}' if name in _RESERVED else name
