Add the operator interface and the command-line tool

Commands run only after Fire understood all arguments: Fire calls a command before it finds left-over arguments.

--- /dev/null
+++ b/mimosapond/cli.py
@@ -0,0 +1,291 @@
+"""Command-line tool for operators.
+
+``main`` is the entry point ``mimosapond``. Commands are parsed by Fire, and run
+only after all arguments were understood.
+"""
+
+import pathlib
+import sys
+from collections.abc import Mapping, Sequence
+from typing import Any, Final, final
+
+import fire
+
+from mimosapond.cli_connection import CliConnection, url_path
+from mimosapond.cli_report import (
+    CliReport,
+    Deferred,
+    bad_usage,
+    done,
+    invalid,
+    pretty_json,
+    report_outcome,
+    run_deferred,
+)
+from mimosapond.clock import MS_PER_S, SystemClock
+from mimosapond.codec import decode
+from mimosapond.document_commands import DocumentCommands
+from mimosapond.exit_code import ExitCode
+from mimosapond.file_problem import InvalidFile
+from mimosapond.host_status import HostStatus
+from mimosapond.settings_loader import load_settings
+from mimosapond.statement_body import BadOptionError, statement_body
+from mimosapond.status_tables import status_text
+from mimosapond.text_arguments import text_arguments
+
+_POST: Final = 'POST'
+# Time for the host to answer after the deadline of a statement.
+_ANSWER_MARGIN_S: Final = 2
+
+
+@final
+class SettingsCommands:
+    """Check settings files."""
+
+    @text_arguments
+    def validate(self, path: str) -> Deferred:
+        """Check a settings file without starting a host."""
+        return Deferred(lambda: _validate_settings(path))
+
+
+@final
+class TargetCommands:
+    """Stop and resume new work for targets."""
+
+    def __init__(self, connection: CliConnection) -> None:
+        """Take the shared options."""
+        self._connection = connection
+
+    @text_arguments
+    def drain(self, name: str) -> Deferred:
+        """Send no new work to a target."""
+        return self._set(name, 'drain')
+
+    @text_arguments
+    def undrain(self, name: str) -> Deferred:
+        """Send work to a target again."""
+        return self._set(name, 'undrain')
+
+    def _set(self, name: str, action: str) -> Deferred:
+        path = url_path('targets', name, action)
+        return Deferred(
+            lambda: self._connection.operate(_POST, path, {}, _show_target)
+        )
+
+
+@final
+class GroupCommands:
+    """Change the primary of a group."""
+
+    def __init__(self, connection: CliConnection) -> None:
+        """Take the shared options."""
+        self._connection = connection
+
+    @text_arguments
+    def promote(self, group: str, member: str) -> Deferred:
+        """Make a member the primary of its group."""
+        path = url_path('groups', group, 'promote')
+        return Deferred(
+            lambda: self._connection.operate(
+                _POST, path, {'member': member}, _show_view
+            )
+        )
+
+
+@final
+class HostCommands:
+    """Stop hosts gracefully."""
+
+    def __init__(self, connection: CliConnection) -> None:
+        """Take the shared options."""
+        self._connection = connection
+
+    def drain(self) -> Deferred:
+        """Start the graceful shutdown of the host at --host."""
+        return Deferred(
+            lambda: self._connection.operate(
+                _POST, url_path('drain'), {}, _show_host_drain
+            )
+        )
+
+
+@final
+class Mimosapond:
+    """Operate mimosapond. docs/cli.md describes commands and exit codes.
+
+    Parameters
+    ----------
+    host
+        ip:port of the operator listener.
+    caller
+        ip:port of the caller listener, for outcome and statement.
+    secret_file
+        File with the operator secret; otherwise the environment variable
+        MIMOSAPOND_OPERATOR_SECRET is used.
+    timeout_s
+        Longest wait for an answer, in seconds.
+    """
+
+    def __init__(
+        self,
+        host: str = '127.0.0.1:17003',
+        caller: str = '127.0.0.1:17001',
+        secret_file: str = '',
+        timeout_s: float = 10,
+    ) -> None:
+        """Build the groups of commands."""
+        self._connection = CliConnection(
+            str(host), str(caller), str(secret_file), float(timeout_s)
+        )
+        self.document = DocumentCommands(self._connection)
+        self.settings = SettingsCommands()
+        self.target = TargetCommands(self._connection)
+        self.group = GroupCommands(self._connection)
+        self.host = HostCommands(self._connection)
+
+    def status(self, *, json: bool = False) -> Deferred:
+        """Show hosts, groups, owned members, documents and degraded paths."""
+        show = pretty_json if json else _show_status
+        return Deferred(
+            lambda: self._connection.operate(
+                'GET', url_path('status'), None, show
+            )
+        )
+
+    @text_arguments
+    def outcome(
+        self, service: str, workspace: str, request_id: str
+    ) -> Deferred:
+        """Settle the outcome of an earlier request.
+
+        A request that has not run is cancelled and never will run.
+        """
+        body = {
+            'service': service,
+            'workspace': workspace,
+            'request_id': request_id,
+        }
+        return Deferred(lambda: self._ask('outcomes', body))
+
+    @text_arguments
+    def statement(
+        self,
+        service: str,
+        workspace: str,
+        sql: str,
+        **options: str,
+    ) -> Deferred:
+        """Run one statement, for trying things out.
+
+        Options are the fields of POST /v1/statements, such as --mode write,
+        --parameters '[1, "a"]', --deadline_ms 500 or --repeatable.
+        """
+        target = {'service': service, 'workspace': workspace}
+        return Deferred(lambda: self._run_statement(target, sql, options))
+
+    def _run_statement(
+        self,
+        target: Mapping[str, str],
+        sql: str,
+        options: Mapping[str, str],
+    ) -> CliReport:
+        now_unix_ms = SystemClock().unix_ms()
+        try:
+            body = statement_body(target, sql, options, now_unix_ms)
+        except BadOptionError as error:
+            return bad_usage(f'{error}.', 'See mimosapond statement --help.')
+        return self._ask('statements', body)
+
+    def _ask(self, name: str, body: Mapping[str, Any]) -> CliReport:
+        deadline_s = body.get('deadline_ms', 0) / MS_PER_S
+        timeout_s = max(
+            self._connection.timeout_s, deadline_s + _ANSWER_MARGIN_S
+        )
+        answer = self._connection.ask(url_path(name), body, timeout_s)
+        if isinstance(answer, CliReport):
+            report = answer
+        else:
+            report = report_outcome(answer, pretty_json)
+        if report.exit_code is ExitCode.UNKNOWN_OUTCOME:
+            return _name_request(report, body)
+        return report
+
+
+def main() -> None:
+    """Run the command of the process's arguments."""
+    sys.exit(run(sys.argv[1:]))
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Run one command and return its exit code."""
+    try:
+        command = fire.Fire(
+            Mimosapond,
+            command=list(arguments),
+            name='mimosapond',
+            serialize=_hide_deferred,
+        )
+    except fire.core.FireExit as error:
+        return int(error.code)
+    except ValueError as error:
+        # A conversion in the constructor, such as --timeout_s abc.
+        command = Deferred(_usage_report(error))
+    if not isinstance(command, Deferred):
+        return int(ExitCode.BAD_USAGE)
+    report = run_deferred(command)
+    _print(report)
+    return int(report.exit_code)
+
+
+def _usage_report(error: ValueError) -> Any:
+    report = bad_usage(f'{error}.', 'See mimosapond --help.')
+    return lambda: report
+
+
+def _print(report: CliReport) -> None:
+    if report.output:
+        sys.stdout.write(f'{report.output}\n')
+    if report.error:
+        sys.stderr.write(f'{report.error}\n')
+
+
+def _hide_deferred(component: object) -> object:
+    return None if isinstance(component, Deferred) else component
+
+
+def _validate_settings(path: str) -> CliReport:
+    found = load_settings(pathlib.Path(path))
+    if isinstance(found, InvalidFile):
+        return invalid(path, found)
+    return done(f'the settings of {found.host_name} are valid')
+
+
+def _name_request(report: CliReport, body: Mapping[str, Any]) -> CliReport:
+    names = ' '.join(
+        str(body[name]) for name in ('service', 'workspace', 'request_id')
+    )
+    return CliReport(
+        report.exit_code,
+        error=f'{report.error}\nto settle it: mimosapond outcome {names}',
+    )
+
+
+def _show_status(body: Mapping[str, Any]) -> str:
+    fields = {name: body[name] for name in body if name != 'outcome'}
+    return status_text(decode(HostStatus, fields))
+
+
+def _show_target(body: Mapping[str, Any]) -> str:
+    state = 'is leaving' if body['is_leaving'] else 'takes work again'
+    return f'{body["member"]} {state}'
+
+
+def _show_view(body: Mapping[str, Any]) -> str:
+    return (
+        f'{body["group"]} has the primary {body["primary"]} '
+        f'at term {body["term"]}'
+    )
+
+
+def _show_host_drain(body: Mapping[str, Any]) -> str:
+    return f'host {body["host_id"]} is shutting down'
--- /dev/null
+++ b/mimosapond/cli_report.py
@@ -0,0 +1,97 @@
+"""What a command of the command-line tool prints, and its exit code."""
+
+import json
+from collections.abc import Callable, Mapping
+from typing import Any, final
+
+import attrs
+
+from mimosapond.exit_code import ExitCode
+from mimosapond.file_problem import InvalidFile
+
+
+@final
+@attrs.frozen
+class CliReport:
+    """Texts for standard output and standard error."""
+
+    exit_code: ExitCode
+    output: str = ''
+    error: str = ''
+
+
+@final
+@attrs.frozen
+class Deferred:
+    """A command that was parsed but has not run.
+
+    Fire calls a command before it finds that arguments are left over. Running
+    it afterwards means that bad usage changes nothing.
+    """
+
+    _action: Callable[[], CliReport]
+
+    def __str__(self) -> str:
+        """Return a text that Fire may show."""
+        return 'command'
+
+
+def run_deferred(deferred: Deferred) -> CliReport:
+    """Run a parsed command."""
+    return deferred._action()
+
+
+def done(output: str) -> CliReport:
+    """Report success."""
+    return CliReport(ExitCode.DONE, output)
+
+
+def failed(exit_code: ExitCode, message: str, remedy: str) -> CliReport:
+    """Report an error with its remedy."""
+    return CliReport(exit_code, error=f'error: {message}\nremedy: {remedy}')
+
+
+def bad_usage(message: str, remedy: str) -> CliReport:
+    """Report arguments that can't be used."""
+    return failed(ExitCode.BAD_USAGE, message, remedy)
+
+
+def invalid(path: str, invalid_file: InvalidFile) -> CliReport:
+    """Report every fault of a file."""
+    faults = '\n'.join(f'{path}: {each}' for each in invalid_file.problems)
+    return CliReport(ExitCode.BAD_USAGE, error=faults)
+
+
+def report_outcome(
+    body: Mapping[str, Any],
+    show: Callable[[Mapping[str, Any]], str],
+) -> CliReport:
+    """Report the tagged answer of a host.
+
+    Parameters
+    ----------
+    body
+        The answer.
+    show
+        Formats a completed answer.
+    """
+    match body.get('outcome'):
+        case 'completed':
+            return done(show(body))
+        case 'refused':
+            return failed(
+                ExitCode.REFUSED,
+                f'{body.get("message")} ({body.get("reason")})',
+                str(body.get('remedy')),
+            )
+        case _:
+            return failed(
+                ExitCode.UNKNOWN_OUTCOME,
+                str(body.get('message', 'the answer has no known form.')),
+                'Check the state with mimosapond status before you repeat it.',
+            )
+
+
+def pretty_json(body: Mapping[str, Any]) -> str:
+    """Return JSON for people."""
+    return json.dumps(body, indent=2)
--- a/mimosapond/errors.py
+++ b/mimosapond/errors.py
@@ -118,6 +118,18 @@
             'The platform did not answer: {problem}',
             'Nothing was changed. Send the request again after the given time.',
         ),
+        Reason.UNKNOWN_TARGET: (
+            'No document declares target {member}.',
+            'Check the name; mimosapond document show lists the members.',
+        ),
+        Reason.UNKNOWN_GROUP: (
+            'No document declares group {group}.',
+            'Check the name; mimosapond status lists the groups.',
+        ),
+        Reason.PROMOTION_FAILED: (
+            'Group {group} did not promote {member}: {problem}',
+            'Check that a majority of its members is reachable; try again.',
+        ),
         Reason.UNAUTHORIZED: (
             'The secret is missing or wrong.',
             'Send the secret of the settings in X-Mimosapond-Secret.',
--- /dev/null
+++ b/mimosapond/host_status.py
@@ -0,0 +1,66 @@
+"""What one host reports to operators."""
+
+from collections.abc import Mapping
+from typing import final
+
+import attrs
+
+from mimosapond.group_view import GroupView
+from mimosapond.host_record import HostRecord
+
+
+@final
+@attrs.frozen
+class MemberStatus:
+    """A member that the reporting host owns.
+
+    Attributes
+    ----------
+    queue_length_count
+        Requests that wait for a slot.
+    is_leaving
+        Whether the member takes no new work.
+    """
+
+    name: str
+    group: str
+    queue_length_count: int
+    is_leaving: bool = False
+
+
+@final
+@attrs.frozen
+class DocumentStatus:
+    """Revision of a document that is in force at the reporting host."""
+
+    service: str
+    revision: int
+
+
+@final
+@attrs.frozen
+class HostStatus:
+    """Answer of ``GET /v1/status``.
+
+    Attributes
+    ----------
+    host
+        The reporting host.
+    hosts
+        All hosts that it knows, with their states.
+    groups
+        Term, primary and holder of each group, as far as it knows.
+    members
+        The members that it owns.
+    documents
+        Documents in force.
+    degraded
+        Problem for each degraded path, by ``path/subject``.
+    """
+
+    host: HostRecord
+    hosts: tuple[HostRecord, ...]
+    groups: tuple[GroupView, ...]
+    members: tuple[MemberStatus, ...]
+    documents: tuple[DocumentStatus, ...]
+    degraded: Mapping[str, str]
--- a/mimosapond/refusal_reason.py
+++ b/mimosapond/refusal_reason.py
@@ -34,4 +34,7 @@
     DOCUMENT_CONFLICT = 'document_conflict'
     DOCUMENT_INVALID = 'document_invalid'
     PLATFORM_UNAVAILABLE = 'platform_unavailable'
+    UNKNOWN_TARGET = 'unknown_target'
+    UNKNOWN_GROUP = 'unknown_group'
+    PROMOTION_FAILED = 'promotion_failed'
     UNAUTHORIZED = 'unauthorized'
--- /dev/null
+++ b/mimosapond/status_tables.py
@@ -0,0 +1,78 @@
+"""Tables of ``mimosapond status``."""
+
+from collections.abc import Iterable, Sequence
+from typing import Final, TypeAlias
+
+from mimosapond.host_status import HostStatus
+
+Row: TypeAlias = Sequence[object]
+_NONE: Final = '(none)'
+
+
+def status_text(status: HostStatus) -> str:
+    """Return all tables for a host's status."""
+    host = status.host
+    sections = (
+        f'host {host.host_id} in {host.data_centre}: {host.state}',
+        _section(
+            'hosts',
+            ('host', 'data centre', 'address', 'state'),
+            (
+                (each.host_id, each.data_centre, each.address, each.state)
+                for each in status.hosts
+            ),
+        ),
+        _section(
+            'groups',
+            ('group', 'term', 'primary', 'holder'),
+            (
+                (each.group, each.term, each.primary, each.holder)
+                for each in status.groups
+            ),
+        ),
+        _members(status),
+        _section(
+            'documents',
+            ('service', 'revision'),
+            ((each.service, each.revision) for each in status.documents),
+        ),
+        _section(
+            'degraded paths', ('path', 'problem'), status.degraded.items()
+        ),
+    )
+    return '\n\n'.join(sections)
+
+
+def table(header: Row, rows: Iterable[Row]) -> str:
+    """Return rows in columns of equal width."""
+    cells = [[str(cell) for cell in row] for row in (header, *rows)]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    lines = (
+        '  '.join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in cells
+    )
+    return '\n'.join(lines)
+
+
+def _members(status: HostStatus) -> str:
+    return _section(
+        'owned members',
+        ('member', 'group', 'queue length', 'leaving'),
+        (
+            (
+                each.name,
+                each.group,
+                each.queue_length_count,
+                'yes' if each.is_leaving else 'no',
+            )
+            for each in status.members
+        ),
+    )
+
+
+def _section(title: str, header: Row, rows: Iterable[Row]) -> str:
+    listed = tuple(rows)
+    body = table(header, listed) if listed else _NONE
+    return f'{title}\n{body}'
--- a/mimosapond/yaml_mapping.py
+++ b/mimosapond/yaml_mapping.py
@@ -17,6 +17,12 @@
 
 # PyYAML quotes parts of the file in its messages; they may hold a secret.
 _QUOTED: Final = re.compile("'[^']{2,}'")
+_UNREADABLE: Final = FileProblem(
+    1,
+    '',
+    'the file has a control character, or is nested too deeply.',
+    'Remove it.',
+)
 
 
 @final
@@ -181,12 +187,8 @@
     except yaml.MarkedYAMLError as error:
         problems.append(_syntax_problem(error))
         return None
-    except yaml.YAMLError:
-        problems.append(
-            FileProblem(
-                1, '', 'the file has a control character.', 'Remove it.'
-            )
-        )
+    except (yaml.YAMLError, RecursionError):
+        problems.append(_UNREADABLE)
         return None
     if isinstance(node, yaml.MappingNode):
         return YamlMapping(node, '', problems)
