--- /dev/null
+++ b/features/product_builders.py
@@ -0,0 +1,68 @@
+"""Builders of files and statuses for the operator areas."""
+
+import pathlib
+from typing import Final
+
+from mimosapond.document_loader import parse_document
+from mimosapond.file_problem import InvalidFile
+from mimosapond.group_view import GroupView
+from mimosapond.host_record import HostRecord
+from mimosapond.host_status import DocumentStatus, HostStatus, MemberStatus
+from mimosapond.service_document import ServiceDocument
+
+ROOT: Final = pathlib.Path(__file__).parent.parent
+FORGE_DOCUMENT: Final = ROOT / 'examples' / 'forge' / 'service.yaml'
+OPERATOR_SECRET: Final = 'operator-secret-for-tests'
+PEER_SECRET: Final = 'peer-secret-for-tests'
+_SETTINGS: Final = (
+    'host_name: kigali-a-1',
+    'data_centre: kigali-a',
+    'caller_address: 127.0.0.1:17001',
+    'peer_address: 127.0.0.1:17002',
+    'operator_address: 127.0.0.1:17003',
+    'platform_address: 127.0.0.1:17090',
+    f'peer_secret: {PEER_SECRET}',
+    f'operator_secret: {OPERATOR_SECRET}',
+)
+
+
+def build_settings_text(change: str) -> str:
+    """Build valid settings with one line replaced, added or removed.
+
+    Parameters
+    ----------
+    change
+        ``name: value``, or ``-name`` to remove a line.
+    """
+    name = change.removeprefix('-').partition(':')[0]
+    lines = [line for line in _SETTINGS if not line.startswith(f'{name}:')]
+    if not change.startswith('-'):
+        lines.append(change)
+    return '\n'.join(lines)
+
+
+def build_document(revision: int = 0) -> ServiceDocument:
+    """Build the document of the forge example at a revision."""
+    text = FORGE_DOCUMENT.read_text(encoding='utf-8')
+    found = parse_document(text)
+    assert not isinstance(found, InvalidFile), found
+    return ServiceDocument(
+        found.service,
+        found.groups,
+        found.workspaces,
+        found.promises,
+        revision,
+    )
+
+
+def build_status() -> HostStatus:
+    """Build the status of a host with one degraded path."""
+    host = HostRecord('kigali-a-1.4f2a', '127.0.0.1:17002', 'kigali-a')
+    return HostStatus(
+        host=host,
+        hosts=(host,),
+        groups=(GroupView('forge-a', 3, 'forge-a-1', host.host_id),),
+        members=(MemberStatus('forge-a-1', 'forge-a', 17),),
+        documents=(DocumentStatus('forge-ledger', 4),),
+        degraded={'platform_unreachable/table': 'no answer in 1000 ms'},
+    )
--- /dev/null
+++ b/features/steps/operator_api_steps.py
@@ -0,0 +1,107 @@
+"""Steps of operator_api.feature."""
+
+import asyncio
+import json
+from typing import Any
+
+from behave import given, then, when
+from tornado.httpclient import AsyncHTTPClient
+
+from features.operator_fakes import FakeOperatorActions, serve
+from features.product_builders import OPERATOR_SECRET, build_document
+from mimosapond.document_body import document_body
+from mimosapond.json_link_server import SECRET_HEADER
+from mimosapond.operator_handlers import operator_application
+
+
+async def fetch(context: Any, method: str, path: str, **options: Any) -> None:
+    """Send one request and keep status and body."""
+    client = AsyncHTTPClient(force_instance=True)
+    response = await client.fetch(
+        f'http://{context.operator_address}{path}',
+        method=method,
+        raise_error=False,
+        **options,
+    )
+    client.close()
+    context.status = response.code
+    context.answer = json.loads(response.body)
+
+
+def start_listener(context: Any, secret: str) -> None:
+    """Serve the operator interface until the scenario ends."""
+    context.actions = FakeOperatorActions()
+    listener = serve(operator_application(context.actions, secret))
+    context.operator_address = listener.__enter__()
+    context.add_cleanup(listener.__exit__, None, None, None)
+
+
+def build_body(text: str) -> str | None:
+    """Build the body that a table cell names."""
+    fields = document_body(build_document())
+    if text.startswith('revision '):
+        revision = int(text.removeprefix('revision '))
+        return json.dumps({'expected_revision': revision, 'document': fields})
+    if text == 'faulty document':
+        fields['workspaces'][0]['group'] = 'absent'
+        return json.dumps({'expected_revision': 4, 'document': fields})
+    return text or None
+
+
+@given('an operator listener')
+def start_usual(context: Any) -> None:
+    """Serve with the usual secret."""
+    start_listener(context, OPERATOR_SECRET)
+
+
+@given('an operator listener without a secret')
+def start_open(context: Any) -> None:
+    """Serve with an empty secret."""
+    start_listener(context, '')
+
+
+@when('the operator sends {method} "{path}" with body "{body}"')
+def send(context: Any, method: str, path: str, body: str) -> None:
+    """Send a request with the secret."""
+    headers = {SECRET_HEADER: OPERATOR_SECRET}
+    sent = build_body(body)
+    asyncio.run(fetch(context, method, path, headers=headers, body=sent))
+
+
+@when('the operator sends {method} "{path}" with body ""')
+def send_empty(context: Any, method: str, path: str) -> None:
+    """Send a request without a body."""
+    send(context, method, path, '')
+
+
+@when('a stranger sends {method} "{path}" with the operator secret "{secret}"')
+def send_stranger(context: Any, method: str, path: str, secret: str) -> None:
+    """Send a request with another secret."""
+    headers = {SECRET_HEADER: secret} if secret else {}
+    sent = '{}' if method == 'POST' else None
+    asyncio.run(fetch(context, method, path, headers=headers, body=sent))
+
+
+@when('a stranger sends {method} "{path}" with the operator secret ""')
+def send_anonymous(context: Any, method: str, path: str) -> None:
+    """Send a request without a secret."""
+    send_stranger(context, method, path, '')
+
+
+@then(
+    'the operator answer is {status:d} "{tag}" and the actions were "{actions}"'
+)
+def check_answer(context: Any, status: int, tag: str, actions: str) -> None:
+    """Compare status, tag and the calls of the port."""
+    found = context.answer.get('reason', context.answer['outcome'])
+    assert (context.status, found) == (status, tag), context.answer
+    expected = [actions] if actions else []
+    assert context.actions.calls == expected, context.actions.calls
+    if 'reason' in context.answer:
+        assert context.answer['remedy'], context.answer
+
+
+@then('the operator answer is {status:d} "{tag}" and the actions were ""')
+def check_no_action(context: Any, status: int, tag: str) -> None:
+    """Compare status and tag; no call of the port is allowed."""
+    check_answer(context, status, tag, '')
--- a/mimosapond/document_checks.py
+++ b/mimosapond/document_checks.py
@@ -33,9 +33,9 @@
     _check_promises(mapping)
     for entry in groups:
         _check_members(entry)
-    if not groups and mapping.has('groups'):
+    if not groups and mapping.is_list('groups'):
         mapping.report('groups', 'there is no group.', 'Declare one.')
-    if not workspaces and mapping.has('workspaces'):
+    if not workspaces and mapping.is_list('workspaces'):
         mapping.report('workspaces', 'there is no workspace.', 'Declare one.')
     for specification, entry in zip(
         document.workspaces, workspaces, strict=True
@@ -87,7 +87,7 @@
     _check_unique('work_class', entries)
     promised = {word for _, word in entries}
     missing = [word for word in WorkClass if word not in promised]
-    if missing and mapping.has('promises'):
+    if missing and mapping.is_list('promises'):
         words = ', '.join(missing)
         mapping.report(
             'promises',
@@ -98,7 +98,7 @@
 
 def _check_members(entry: YamlMapping) -> None:
     members = tuple(entry.mappings('members'))
-    if not members and entry.has('members'):
+    if not members and entry.is_list('members'):
         entry.report('members', 'the group has no member.', 'Declare one.')
 
 
--- a/mimosapond/operator_handlers.py
+++ b/mimosapond/operator_handlers.py
@@ -15,7 +15,7 @@
 import attrs
 import cattrs
 from loguru import logger
-from tornado.web import Application, RequestHandler
+from tornado.web import Application, HTTPError, RequestHandler
 
 from mimosapond.clock import MS_PER_S
 from mimosapond.codec import decode, describe_errors, dump_json, encode
@@ -113,7 +113,9 @@
         self._finish_json(status_code, body)
 
     def log_exception(self, *error: Any) -> None:
-        """Log faults of this program with their traceback."""
+        """Log faults of this program; the request's line has the others."""
+        if isinstance(error[1], HTTPError):
+            return
         logger.opt(exception=error).bind(path=self.request.path).error(
             'operator_request_failed',
         )
--- a/mimosapond/yaml_mapping.py
+++ b/mimosapond/yaml_mapping.py
@@ -57,6 +57,11 @@
         self._known.add(name)
         return name in self._fields
 
+    def is_list(self, name: str) -> bool:
+        """Tell whether the field is there and a list."""
+        is_there = self.has(name)
+        return is_there and isinstance(self._fields[name], yaml.SequenceNode)
+
     def line_of(self, name: str) -> int:
         """Return the line of a field, or of the mapping without it."""
         node = self._fields.get(name)
