--- a/features/cli.feature
+++ b/features/cli.feature
@@ -44,6 +44,8 @@
       | document apply FORGE --expected-revision four              | 2    |        | remedy: Give a whole number |                          |
       | status --secret_file absent                                | 2    |        | could not be read          |                           |
       | status --timeout_s soon                                    | 2    |        | remedy: See                |                           |
+      | host drain --timeout_s 0                                   | 2    |        | remedy: See                |                           |
+      | host drain --timeout_s nan                                 | 2    |        | remedy: See                |                           |
       | statement forge-ledger w SELECT --dedline_ms 5             | 2    |        | no option --dedline_ms     |                           |
       | statement forge-ledger w SELECT --deadline_ms soon         | 2    |        | --deadline_ms              |                           |
 
--- a/mimosapond/cli.py
+++ b/mimosapond/cli.py
@@ -36,6 +36,7 @@
 _POST: Final = 'POST'
 # Time for the host to answer after the deadline of a statement.
 _ANSWER_MARGIN_S: Final = 2
+_MAX_TIMEOUT_S: Final = 3600
 
 
 @final
@@ -135,7 +136,7 @@
     ) -> None:
         """Build the groups of commands."""
         self._connection = CliConnection(
-            str(host), str(caller), str(secret_file), float(timeout_s)
+            str(host), str(caller), str(secret_file), _positive_s(timeout_s)
         )
         self.document = DocumentCommands(self._connection)
         self.settings = SettingsCommands()
@@ -237,6 +238,13 @@
     return int(report.exit_code)
 
 
+def _positive_s(given: object) -> float:
+    timeout_s = float(str(given))
+    if 0 < timeout_s <= _MAX_TIMEOUT_S:
+        return timeout_s
+    raise ValueError(f'--timeout_s {given} is not from 0 to {_MAX_TIMEOUT_S}')
+
+
 def _usage_report(error: ValueError) -> Any:
     report = bad_usage(f'{error}.', 'See mimosapond --help.')
     return lambda: report
--- a/mimosapond/cli_report.py
+++ b/mimosapond/cli_report.py
@@ -31,10 +31,6 @@
 
     _action: Callable[[], CliReport]
 
-    def __str__(self) -> str:
-        """Return a text that Fire may show."""
-        return 'command'
-
 
 def run_deferred(deferred: Deferred) -> CliReport:
     """Run a parsed command."""
