Add the database group member stand-in

Log shipping follows Raft's consistency check; a replica with a divergent tail truncates it and rebuilds its data from the log. Members exchange entries on the control endpoint with the operation append. The data endpoint has its own handler, since JsonLinkHandler has no state for each connection, no close hook and no limit.

--- /dev/null
+++ b/standins/log_entry.py
@@ -0,0 +1,19 @@
+"""One entry of a member's replicated log."""
+
+from typing import final
+
+import attrs
+
+from mimosapond.statement import Statement
+
+
+@final
+@attrs.frozen
+class LogEntry:
+    """The statements of one transaction; none in a start-of-term entry.
+
+    The position of an entry is its index in the log plus 1.
+    """
+
+    term: int
+    statements: tuple[Statement, ...] = ()
--- /dev/null
+++ b/standins/member.py
@@ -0,0 +1,33 @@
+"""Entry point of a database group member that stands in for a real one.
+
+``python -m standins.member --name=forge-a-1 --group=forge-a
+--address=127.0.0.1:7001 --peers='["127.0.0.1:7002"]' --primary``
+"""
+
+import asyncio
+import sys
+from typing import Any
+
+import fire
+from loguru import logger
+
+from mimosapond.codec import decode
+from standins.member_application import MemberApplication
+from standins.member_settings import MemberSettings
+
+
+async def _serve(settings: MemberSettings) -> None:
+    MemberApplication(settings).start()
+    logger.info('member {} listens on {}', settings.name, settings.address)
+    await asyncio.Event().wait()
+
+
+def run(**flags: Any) -> None:
+    """Run a member; the flags are the fields of ``MemberSettings``."""
+    logger.remove()
+    logger.add(sys.stderr, level='INFO', serialize=True)
+    asyncio.run(_serve(decode(MemberSettings, flags)))
+
+
+if __name__ == '__main__':
+    fire.Fire(run)
--- /dev/null
+++ b/standins/member_control.py
@@ -0,0 +1,77 @@
+"""The calls of a control connection to a member."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any, Final, TypeAlias, final
+
+import cattrs
+
+from mimosapond.clock import MS_PER_S
+from mimosapond.codec import decode, encode
+from mimosapond.peer_port import PeerOperation
+from mimosapond.rejected_call_error import RejectedCallError
+from standins.append_call import AppendCall
+from standins.member_state import MemberState
+
+APPEND_OPERATION: Final = 'append'
+_Body: TypeAlias = Mapping[str, Any]
+
+
+@final
+class MemberControl:
+    """Term operations, and log shipping between members."""
+
+    def __init__(self, state: MemberState) -> None:
+        """Take the state that the calls act on."""
+        self.operations: Final[Mapping[str, PeerOperation]] = {
+            'status': self._status,
+            'adopt': self._adopt,
+            'promote': self._promote,
+            'await_position': self._await_position,
+            APPEND_OPERATION: self._append,
+        }
+        self._state = state
+
+    async def _status(self, _body: _Body) -> _Body:
+        return encode(self._state.standing())
+
+    async def _adopt(self, body: _Body) -> _Body:
+        self._state.adopt(int(body['term']), str(body['asker']))
+        return encode(self._state.standing())
+
+    async def _promote(self, body: _Body) -> _Body:
+        self._state.promote(int(body['term']), str(body['asker']))
+        return encode(self._state.standing())
+
+    async def _append(self, body: _Body) -> _Body:
+        try:
+            call = decode(AppendCall, body)
+        except cattrs.BaseValidationError as error:
+            raise RejectedCallError('bad_request', repr(error)) from error
+        self._state.receive(call)
+        return encode(self._state.standing())
+
+    async def _await_position(self, body: _Body) -> _Body:
+        timeout_s = body['timeout_ms'] / MS_PER_S
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._wait(body['term'], body['position'])
+        except TimeoutError as error:
+            raise self._state.rejection(
+                'timeout',
+                'the position was not reached in time',
+            ) from error
+        return encode(self._state.standing())
+
+    async def _wait(self, term: int, position: int) -> None:
+        state = self._state
+        while not self._has_reached(term, position):
+            await state.changed.wait()
+
+    def _has_reached(self, term: int, position: int) -> bool:
+        state = self._state
+        if state.term > term:
+            message = f'the term is {state.term}'
+            raise state.rejection('term_changed', message)
+        matched_position = state.standing().matched_position
+        return state.term == term and matched_position >= position
--- /dev/null
+++ b/standins/member_data_handler.py
@@ -0,0 +1,130 @@
+"""WebSocket endpoint of a member for data connections.
+
+It differs from the product's link server: a connection has a session, carries
+one call at a time, counts against a limit and rolls back when it closes.
+"""
+
+import asyncio
+import json
+from collections.abc import Mapping
+from typing import Any, Final, final
+
+from loguru import logger
+from tornado.websocket import WebSocketClosedError, WebSocketHandler
+
+from mimosapond.clock import MS_PER_S
+from mimosapond.codec import dump_json
+from mimosapond.json_link import PING_OPERATION, STATUS_OK
+from mimosapond.json_link_server import STATUS_REJECTED
+from mimosapond.rejected_call_error import RejectedCallError
+from standins.member_server import MemberServer
+from standins.member_session import MemberSession
+
+CLOSE_LIMIT_REACHED: Final = 4001
+_PINGS_PER_LIMIT: Final = 4
+
+
+@final
+class MemberDataHandler(WebSocketHandler):
+    """One data connection."""
+
+    def initialize(self, server: MemberServer) -> None:
+        """Take the parts that all connections of the member share."""
+        settings = server.settings
+        self._server = server
+        self._session = MemberSession(
+            server.state,
+            server.slots,
+            settings.lock_timeout_ms,
+        )
+        self._silence_limit_s = settings.silence_limit_ms / MS_PER_S
+        self._connect_delay_s = settings.connect_delay_ms / MS_PER_S
+        self._is_counted = False
+        self._call: asyncio.Task[None] | None = None
+        self._watch: asyncio.Task[None] | None = None
+
+    def open(self, *_args: str, **_kwargs: str) -> None:
+        """Count the connection or refuse it."""
+        self._opened_s = asyncio.get_running_loop().time()
+        self._heard_s = self._opened_s
+        if not self._server.count_connection():
+            self.close(CLOSE_LIMIT_REACHED, 'connection limit reached')
+            return
+        self._is_counted = True
+        self._watch = asyncio.create_task(self._watch_silence())
+
+    def on_message(self, message: str | bytes) -> None:
+        """Answer a ping at once; run a call if none is running."""
+        self._heard_s = asyncio.get_running_loop().time()
+        if not self._is_counted:
+            return
+        call = json.loads(message)
+        if call['op'] == PING_OPERATION:
+            self._send(call, STATUS_OK, {})
+        elif self._call is None or self._call.done():
+            self._call = asyncio.create_task(self._serve(call))
+        else:
+            error = RejectedCallError('bad_request', 'a call is running')
+            self._send(call, STATUS_REJECTED, error.body)
+
+    def on_pong(self, data: bytes) -> None:  # noqa: WPS110 # tornado's name
+        """Note that the client is reachable."""
+        self._heard_s = asyncio.get_running_loop().time()
+
+    def on_close(self) -> None:
+        """End the session."""
+        if self._watch is not None:
+            self._watch.cancel()
+        self._end()
+
+    def _end(self) -> None:
+        if not self._is_counted:
+            return
+        self._is_counted = False
+        self._server.release_connection()
+        if self._call is not None:
+            self._call.cancel()
+        self._session.close()
+
+    async def _serve(self, call: Mapping[str, Any]) -> None:
+        loop_s = asyncio.get_running_loop().time()
+        # Opening a real connection costs the target a process or a login.
+        await asyncio.sleep(self._opened_s + self._connect_delay_s - loop_s)
+        try:
+            answer = await self._run(call)
+        except RejectedCallError as error:
+            self._send(call, STATUS_REJECTED, error.body)
+        else:
+            self._send(call, STATUS_OK, answer)
+
+    async def _run(self, call: Mapping[str, Any]) -> Mapping[str, Any]:
+        operation = self._session.operations.get(call['op'])
+        if operation is None:
+            raise RejectedCallError('bad_request', f'no op {call["op"]}')
+        return await operation(call['body'])
+
+    def _send(
+        self,
+        call: Mapping[str, Any],
+        status: str,
+        body: Mapping[str, Any],
+    ) -> None:
+        answer = {'call_id': call['call_id'], 'status': status, 'body': body}
+        try:
+            self.write_message(dump_json(answer))
+        except WebSocketClosedError:
+            logger.debug('answer dropped, the client closed the connection')
+
+    async def _watch_silence(self) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() - self._heard_s < self._silence_limit_s:
+            await asyncio.sleep(self._silence_limit_s / _PINGS_PER_LIMIT)
+            self._send_ping()
+        self._end()
+        self.close()
+
+    def _send_ping(self) -> None:
+        try:
+            self.ping()
+        except WebSocketClosedError:
+            logger.debug('the client closed the connection')
