--- /dev/null
+++ b/standins/child_process.py
@@ -0,0 +1,145 @@
+"""One child process of a test or a demo."""
+
+import asyncio
+import ctypes
+import pathlib
+import signal
+import sys
+from collections.abc import Sequence
+from typing import Final, Self, final
+
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
+
+# prctl option of Linux: signal sent to a process when its parent ends.
+_PARENT_DEATH_SIGNAL: Final = 1
+_LIBC: Final = ctypes.CDLL(None)
+_POLL_INTERVAL_S: Final = 0.05
+_POLL_TIMEOUT_S: Final = 1.0
+_TAIL_BYTES: Final = 2000
+
+
+def _end_with_parent() -> None:
+    _LIBC.prctl(_PARENT_DEATH_SIGNAL, signal.SIGKILL)
+
+
+async def _answers(url: str) -> bool:
+    client = AsyncHTTPClient()
+    try:
+        # Any status shows that the process listens.
+        await client.fetch(
+            url,
+            raise_error=False,
+            request_timeout=_POLL_TIMEOUT_S,
+        )
+    except (OSError, HTTPClientError):
+        return False
+    return True
+
+
+@final
+class ChildProcess:
+    """A Python module that runs as a child until it is stopped."""
+
+    def __init__(
+        self,
+        name: str,
+        process: asyncio.subprocess.Process,
+        output: pathlib.Path,
+    ) -> None:
+        """Take a started process; use ``start``."""
+        self.name: Final = name
+        self.output: Final = output
+        self._process = process
+
+    @classmethod
+    async def start(
+        cls,
+        name: str,
+        module: str,
+        arguments: Sequence[str],
+        folder: pathlib.Path,
+    ) -> Self:
+        """Start ``python -m module``; its output goes to ``folder``."""
+        output = folder / f'{name}.log'
+        with output.open('ab') as sink:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                module,
+                *arguments,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=sink,
+                stderr=sink,
+                preexec_fn=_end_with_parent,
+            )
+        return cls(name, process, output)
+
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code, None while the process runs."""
+        return self._process.returncode
+
+    @property
+    def process_id(self) -> int:
+        """Id of the process."""
+        return self._process.pid
+
+    async def wait_ready(self, url: str, timeout_s: float) -> None:
+        """Poll ``url`` until it answers.
+
+        Raises
+        ------
+        RuntimeError
+            When the process ends first or the time is over; the message holds
+            the last output.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._poll(url)
+        except TimeoutError as error:
+            raise self._failure(f'not ready after {timeout_s} s') from error
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Signal the process if it still runs."""
+        if self.exit_code is None:
+            self._process.send_signal(number)
+
+    def pause(self) -> None:
+        """Stop the process from running until ``resume``."""
+        self.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process run."""
+        self.send_signal(signal.SIGCONT)
+
+    async def kill(self) -> None:
+        """End the process without any chance to clean up."""
+        self.send_signal(signal.SIGKILL)
+        await self._process.wait()
+
+    async def stop(self, timeout_s: float) -> int:
+        """Ask the process to end, kill it after ``timeout_s``.
+
+        Returns
+        -------
+        int
+            Exit code; negative is the number of the signal that ended it.
+        """
+        self.send_signal(signal.SIGTERM)
+        self.resume()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._process.wait()
+        except TimeoutError:
+            await self.kill()
+        return await self._process.wait()
+
+    async def _poll(self, url: str) -> None:
+        while not await _answers(url):
+            if self.exit_code is not None:
+                raise self._failure(f'ended with {self.exit_code}')
+            await asyncio.sleep(_POLL_INTERVAL_S)
+
+    def _failure(self, problem: str) -> RuntimeError:
+        tail = self.output.read_bytes()[-_TAIL_BYTES:].decode(errors='replace')
+        return RuntimeError(f'{self.name}: {problem}\n{tail}')
--- /dev/null
+++ b/standins/fault_proxy_connection.py
@@ -0,0 +1,85 @@
+"""One forwarded connection."""
+
+import asyncio
+import socket
+import struct
+from typing import Final, TypeAlias, final
+
+from mimosapond.clock import MS_PER_S
+from standins.fault_proxy_direction import ProxyDirection
+from standins.fault_proxy_faults import LinkFaults
+
+# SO_LINGER with a time of 0 makes close send a reset.
+_RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
+Side: TypeAlias = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection at once with a TCP reset."""
+    if writer.transport.is_closing():
+        return
+    tcp_socket: socket.socket = writer.get_extra_info('socket')
+    tcp_socket.setsockopt(
+        socket.SOL_SOCKET,
+        socket.SO_LINGER,
+        _RESET_ON_CLOSE,
+    )
+    writer.transport.abort()
+
+
+@final
+class ProxyConnection:
+    """Both directions of one connection under the current faults."""
+
+    def __init__(self, client: Side, target: Side, faults: LinkFaults) -> None:
+        """Take the two open sides."""
+        self._writers = (client[1], target[1])
+        self._to_target = ProxyDirection(client[0], target[1])
+        self._to_client = ProxyDirection(target[0], client[1])
+        self._is_silent = False
+        self.apply_faults(faults)
+
+    async def run(self) -> None:
+        """Copy until one side closes, then close the other.
+
+        A silent connection ends only when both sides have closed: the close
+        of one side reaches the other as little as its bytes do.
+        """
+        copies = [
+            asyncio.create_task(direction.run())
+            for direction in (self._to_target, self._to_client)
+        ]
+        try:
+            await self._wait(copies)
+        finally:
+            for copy in copies:
+                copy.cancel()
+            self._close()
+
+    def apply_faults(self, faults: LinkFaults) -> None:
+        """Put faults into force; the reset of a cut is separate."""
+        for direction in (self._to_target, self._to_client):
+            direction.delay_s = faults.delay_ms / MS_PER_S
+        self._to_target.hold(is_held=faults.cut_to_target)
+        self._to_client.hold(is_held=faults.cut_to_client)
+        self._to_client.limit_bytes = faults.truncate_after_bytes or None
+
+    def silence(self) -> None:
+        """Drop all further bytes in both directions, for good."""
+        self._is_silent = True
+        self._to_target.is_silent = True
+        self._to_client.is_silent = True
+
+    def reset(self) -> None:
+        """Reset both sides."""
+        for writer in self._writers:
+            reset(writer)
+
+    async def _wait(self, copies: list[asyncio.Task[None]]) -> None:
+        await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
+        if self._is_silent:
+            await asyncio.wait(copies)
+
+    def _close(self) -> None:
+        for writer in self._writers:
+            writer.close()
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,124 @@
+"""Starts stand-ins and other modules as child processes and ends them.
+
+Integration tests and the demo use it as an asynchronous context manager, so
+that whatever was started ends with the block, also after an error. All calls
+of one object are made in one event loop: asyncio kills the children of a loop
+when it closes.
+"""
+
+import asyncio
+import pathlib
+import socket
+import tempfile
+from collections.abc import Mapping, Sequence
+from typing import Any, Final, Self, final
+
+from mimosapond.codec import encode
+from standins.child_process import ChildProcess
+from standins.member_settings import MemberSettings
+
+# Importing the modules takes seconds on a loaded machine.
+_READY_TIMEOUT_S: Final = 30.0
+_STOP_TIMEOUT_S: Final = 5.0
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return loopback addresses with ports that were free just now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        return [_bind(open_socket) for open_socket in sockets]
+    finally:
+        for open_socket in sockets:
+            open_socket.close()
+
+
+def _bind(open_socket: socket.socket) -> str:
+    open_socket.bind(('127.0.0.1', 0))
+    host, port = open_socket.getsockname()
+    return f'{host}:{port}'
+
+
+def _flags(values: Mapping[str, Any]) -> list[str]:
+    # fire reads flag values as Python literals.
+    return [f'--{name}={value!r}' for name, value in values.items()]
+
+
+@final
+class Processes:
+    """The child processes of one test or demo, by name."""
+
+    def __init__(self, folder: pathlib.Path | None = None) -> None:
+        """Take the folder for the output, by default a temporary one."""
+        self.children: Final[dict[str, ChildProcess]] = {}
+        self._temporary: tempfile.TemporaryDirectory[str] | None = None
+        if folder is None:
+            self._temporary = tempfile.TemporaryDirectory()
+            folder = pathlib.Path(self._temporary.name)
+        self.folder: Final = folder
+
+    async def __aenter__(self) -> Self:
+        """Start nothing yet."""
+        return self
+
+    async def __aexit__(self, *_error: object) -> None:
+        """End all children."""
+        await self.close()
+
+    async def start(
+        self,
+        name: str,
+        module: str,
+        arguments: Sequence[str],
+        ready_url: str,
+    ) -> ChildProcess:
+        """Start ``python -m module`` and wait until ``ready_url`` answers."""
+        earlier = self.children.get(name)
+        if earlier is not None and earlier.exit_code is None:
+            raise ValueError(f'{name} runs already')
+        child = await ChildProcess.start(name, module, arguments, self.folder)
+        self.children[name] = child
+        await child.wait_ready(ready_url, _READY_TIMEOUT_S)
+        return child
+
+    async def start_member(self, settings: MemberSettings) -> ChildProcess:
+        """Start a database group member."""
+        return await self.start(
+            settings.name,
+            'standins.member',
+            _flags(encode(settings)),
+            f'http://{settings.address}/admin/log',
+        )
+
+    async def start_platform(self, address: str) -> ChildProcess:
+        """Start the platform's services."""
+        return await self.start(
+            'platform',
+            'standins.platform',
+            _flags({'address': address}),
+            f'http://{address}/admin/counters',
+        )
+
+    async def start_fault_proxy(
+        self,
+        admin: str,
+        links: Mapping[str, tuple[str, str]],
+    ) -> ChildProcess:
+        """Start a fault proxy; ``links`` maps names to listen and target."""
+        pairs = {name: '='.join(pair) for name, pair in links.items()}
+        return await self.start(
+            'fault_proxy',
+            'standins.fault_proxy',
+            _flags({'admin': admin, 'links': pairs}),
+            f'http://{admin}/faults',
+        )
+
+    async def close(self) -> None:
+        """End all children at the same time and wait for them."""
+        children = tuple(self.children.values())
+        try:
+            await asyncio.gather(
+                *(child.stop(_STOP_TIMEOUT_S) for child in children),
+            )
+        finally:
+            if self._temporary is not None:
+                self._temporary.cleanup()
