--- /dev/null
+++ b/mimosapond/anti_entropy.py
@@ -0,0 +1,131 @@
+"""Slow full exchange of the state, so that no change is lost for good.
+
+Two hosts compare a hash per bucket of their state and exchange only the
+buckets that differ, so the cost in the normal case does not grow with the
+number of hosts.
+"""
+
+import hashlib
+import json
+import zlib
+from collections.abc import Iterable, Mapping
+from typing import Any, Final, final
+
+import attrs
+
+from mimosapond.clock import MS_PER_S, Clock
+from mimosapond.gossip_change import GossipChange, change_key, encode_change
+from mimosapond.gossip_state import GossipState
+from mimosapond.host_record import HostRecord
+from mimosapond.host_state import HostState
+from mimosapond.options import Options
+from mimosapond.peer_contacts import PeerContacts
+from mimosapond.peer_results import PeerAnswered
+
+_BUCKET_COUNT: Final = 32
+_HASH_BYTES: Final = 4
+_INTERVAL_S: Final = 30
+_JOIN_INTERVAL_S: Final = 1
+_TIMEOUT_INTERVAL_COUNT: Final = 4
+
+
+def _bucket(change: GossipChange) -> int:
+    return zlib.crc32(':'.join(change_key(change)).encode()) % _BUCKET_COUNT
+
+
+def _hashed(change: GossipChange) -> int:
+    if isinstance(change, HostRecord):
+        if change.state is HostState.DEAD:
+            # Deaths are forgotten at different times on each host.
+            return 0
+        if change.state is HostState.SUSPECT:
+            change = attrs.evolve(change, state=HostState.ALIVE)
+    text = json.dumps(encode_change(change)).encode()
+    digest = hashlib.blake2b(text, digest_size=_HASH_BYTES).digest()
+    return int.from_bytes(digest, 'big')
+
+
+def _hash_buckets(changes: Iterable[GossipChange]) -> list[int]:
+    hashes = [0 for _ in range(_BUCKET_COUNT)]
+    for change in changes:
+        hashes[_bucket(change)] ^= _hashed(change)
+    return hashes
+
+
+@final
+class AntiEntropy:
+    """Compares the state with one random peer per interval."""
+
+    def __init__(
+        self,
+        gossip: GossipState,
+        contacts: PeerContacts,
+        clock: Clock,
+        options: Options,
+    ) -> None:
+        """Take the state and the peers."""
+        self._gossip = gossip
+        self._contacts = contacts
+        self._clock = clock
+        interval_s = options.probe_interval_ms / MS_PER_S
+        self._timeout_s = interval_s * _TIMEOUT_INTERVAL_COUNT
+
+    async def run(self) -> None:
+        """Exchange for ever, at a short interval until a peer is known."""
+        while True:
+            await self.step()
+            interval_s: float = _JOIN_INTERVAL_S
+            if self._contacts.membership.peers():
+                # Spread out, so that hosts started together don't meet.
+                interval_s = _INTERVAL_S * self._contacts.rng.uniform(0.5, 1.5)
+            await self._clock.sleep(interval_s)
+
+    async def step(self) -> None:
+        """Exchange with a known peer and with a lost one, if any."""
+        self._gossip.retain_targets()
+        known = [record.address for record in self._contacts.membership.peers()]
+        for addresses in (known, self._contacts.lost()):
+            if addresses:
+                await self.exchange(self._contacts.rng.choice(addresses))
+
+    async def exchange(self, address: str) -> None:
+        """Compare the state with one peer."""
+        body = self._gossip.envelope([])
+        body['buckets'] = _hash_buckets(self._gossip.changes())
+        result = await self._contacts.call(
+            address,
+            'gossip',
+            body,
+            self._timeout_s,
+        )
+        if not isinstance(result, PeerAnswered):
+            return
+        await self._gossip.absorb(result.body)
+        mine = self._select(result.body.get('differing', ()))
+        if mine:
+            await self._contacts.call(
+                address,
+                'gossip',
+                self._gossip.envelope(mine),
+                self._timeout_s,
+            )
+
+    def serve(self, buckets: list[int]) -> Mapping[str, Any]:
+        """Answer a comparison with the entries of differing buckets."""
+        own = _hash_buckets(self._gossip.changes())
+        differing = [
+            index
+            for index, hashed in enumerate(own)
+            if index < len(buckets) and buckets[index] != hashed
+        ]
+        answer = self._gossip.envelope(self._select(differing))
+        answer['differing'] = differing
+        return answer
+
+    def _select(self, buckets: Iterable[int]) -> list[list[Any]]:
+        chosen = frozenset(buckets)
+        return [
+            encode_change(change)
+            for change in self._gossip.changes()
+            if _bucket(change) in chosen
+        ]
--- /dev/null
+++ b/mimosapond/document_spreader.py
@@ -0,0 +1,235 @@
+"""Brings every accepted document into force on this host and its peers.
+
+Three independent ways lead to the same store: offers pushed by peers, pulls
+after a digest mismatch, and polls of the platform. Any one of them suffices.
+"""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from typing import Any, Final, final
+
+from mimosapond.clock import MS_PER_S, Clock
+from mimosapond.degraded_path import DegradedPath
+from mimosapond.degraded_paths import DegradedPaths
+from mimosapond.document_rows import (
+    DOCUMENT_PREFIX,
+    document_payload,
+    parse_document,
+    parse_row,
+)
+from mimosapond.document_store import DocumentStore
+from mimosapond.options import Options
+from mimosapond.peer_contacts import FANOUT_COUNT, PeerContacts
+from mimosapond.peer_results import PeerAnswered
+from mimosapond.platform_port import PlatformPort
+from mimosapond.platform_results import PlatformSilent
+
+_TABLE: Final = 'table'
+_DOCUMENTS: Final = 'documents'
+_OPERATION: Final = 'documents'
+_CATCH_UP_INTERVAL_S: Final = 0.25
+_TIMEOUT_S: Final = 1
+# Peers may miss the newest revision for a moment, so several are asked.
+_CATCH_UP_PEER_COUNT: Final = 5
+
+
+@final
+class DocumentSpreader:
+    """Pushes, pulls and polls documents."""
+
+    def __init__(
+        self,
+        store: DocumentStore,
+        platform: PlatformPort,
+        contacts: PeerContacts,
+        degraded: DegradedPaths,
+        clock: Clock,
+        options: Options,
+    ) -> None:
+        """Take the store to fill and the sources."""
+        self.store = store
+        self._platform = platform
+        self._contacts = contacts
+        self._degraded = degraded
+        self._clock = clock
+        self._poll_interval_s = options.platform_poll_interval_ms / MS_PER_S
+        self._platform_timeout_s = options.platform_timeout_ms / MS_PER_S
+        self._pushed: dict[str, int] = {}
+        self._mismatched: set[str] = set()
+        self._mismatch_event = asyncio.Event()
+
+    async def run(self) -> None:
+        """Catch up, then keep the store current for ever."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._run_push())
+            group.create_task(self._run_pull())
+            group.create_task(self._run_poll())
+
+    def member_names(self) -> frozenset[str]:
+        """Return the names of all declared members."""
+        return frozenset(member.name for member in self.store.members())
+
+    def note_digest(self, address: str, digest: str) -> None:
+        """Remember to pull from a peer whose digest differs."""
+        if digest != self.store.digest():
+            self._mismatched.add(address)
+            self._mismatch_event.set()
+
+    async def catch_up(self) -> None:
+        """Ask the platform and peers once, at the same time."""
+        await asyncio.gather(self.poll(), self._pull_some())
+
+    async def poll(self) -> bool:
+        """Read the platform's table; tell whether it answered."""
+        rows = await self._platform.list_rows(
+            DOCUMENT_PREFIX,
+            self._platform_timeout_s,
+        )
+        if isinstance(rows, PlatformSilent):
+            self._degraded.enter(
+                DegradedPath.PLATFORM_UNREACHABLE,
+                _TABLE,
+                rows.problem,
+            )
+            return False
+        self._degraded.clear(DegradedPath.PLATFORM_UNREACHABLE, _TABLE)
+        for row in rows:
+            document = parse_row(row)
+            if document is not None:
+                self.store.apply(document)
+        self._confirm()
+        return True
+
+    async def confirm(self) -> None:
+        """Poll the platform, and ask peers instead while it is silent."""
+        if await self.poll() or await self._pull_some():
+            return
+        if self.store.is_ready:
+            self._degraded.enter(
+                DegradedPath.DOCUMENTS_UNCONFIRMED,
+                _DOCUMENTS,
+                'neither the platform nor a peer answers',
+            )
+
+    async def push(self) -> None:
+        """Offer the revisions that are new since the last push."""
+        revisions = self.store.revisions()
+        fresh = {
+            service: revision
+            for service, revision in revisions.items()
+            if revision > self._pushed.get(service, 0)
+        }
+        self._pushed = dict(revisions)
+        if fresh:
+            addresses = self._contacts.sample(FANOUT_COUNT)
+            offers = [self._offer(address, fresh) for address in addresses]
+            await asyncio.gather(*offers)
+
+    async def pull_mismatched(self) -> None:
+        """Pull from the peers whose digest differed."""
+        addresses = tuple(sorted(self._mismatched))
+        self._mismatched.clear()
+        self._mismatch_event.clear()
+        if addresses:
+            # All differ by the same revision as a rule, so one is enough;
+            # the next probe reports what is still missing.
+            await self.pull(self._contacts.rng.choice(addresses))
+
+    async def pull(self, address: str) -> bool:
+        """Fetch newer documents; tell whether a ready peer answered."""
+        result = await self._contacts.call(
+            address,
+            _OPERATION,
+            {'known': self.store.revisions()},
+            _TIMEOUT_S,
+        )
+        if not isinstance(result, PeerAnswered):
+            return False
+        self._apply(result.body['documents'])
+        if result.body['is_ready']:
+            self._confirm()
+        return bool(result.body['is_ready'])
+
+    async def serve(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Answer the peer operation ``documents``.
+
+        ``offered`` is answered with the services wanted, ``documents`` are
+        applied, and ``known`` is answered with newer documents.
+        """
+        answer: dict[str, Any] = {'is_ready': self.store.is_ready}
+        match body:
+            case {'offered': offered}:
+                answer['wanted'] = [
+                    service
+                    for service, revision in offered.items()
+                    if revision > self.store.revision(service)
+                ]
+            case {'known': known}:
+                answer['documents'] = self._newer_than(known)
+            case {'documents': documents}:
+                self._apply(documents)
+        return answer
+
+    async def _run_push(self) -> None:
+        seen = ''
+        while True:
+            seen = await self.store.wait_change(seen)
+            await self.push()
+
+    async def _run_pull(self) -> None:
+        while True:
+            await self._mismatch_event.wait()
+            await self.pull_mismatched()
+            # Bounds the cost while a change is spreading.
+            await self._clock.sleep(_CATCH_UP_INTERVAL_S)
+
+    async def _run_poll(self) -> None:
+        while not self.store.is_ready:
+            await self.catch_up()
+            await self._clock.sleep(_CATCH_UP_INTERVAL_S)
+        while True:
+            await self._clock.sleep(self._poll_interval_s)
+            await self.confirm()
+
+    async def _pull_some(self) -> bool:
+        addresses = self._contacts.sample(_CATCH_UP_PEER_COUNT)
+        pulls = [self.pull(address) for address in addresses]
+        return any(await asyncio.gather(*pulls))
+
+    async def _offer(self, address: str, fresh: Mapping[str, int]) -> None:
+        result = await self._contacts.call(
+            address,
+            _OPERATION,
+            {'offered': fresh},
+            _TIMEOUT_S,
+        )
+        if not isinstance(result, PeerAnswered) or not result.body['wanted']:
+            return
+        documents = [
+            document_payload(document)
+            for document in map(self.store.current, result.body['wanted'])
+            if document is not None
+        ]
+        await self._contacts.call(
+            address,
+            _OPERATION,
+            {'documents': documents},
+            _TIMEOUT_S,
+        )
+
+    def _newer_than(self, known: Mapping[str, int]) -> list[dict[str, Any]]:
+        return [
+            document_payload(document)
+            for document in self.store.all()
+            if document.revision > known.get(document.service, 0)
+        ]
+
+    def _apply(self, payloads: Sequence[Mapping[str, Any]]) -> None:
+        for payload in payloads:
+            document = parse_document(payload)
+            if document is not None:
+                self.store.apply(document)
+
+    def _confirm(self) -> None:
+        self.store.is_ready = True
+        self._degraded.clear(DegradedPath.DOCUMENTS_UNCONFIRMED, _DOCUMENTS)
--- /dev/null
+++ b/mimosapond/gossip_change.py
@@ -0,0 +1,55 @@
+"""Wire form of the changes that hosts tell each other.
+
+Changes are JSON lists that start with a letter for the kind, since field names
+would take half of the size that a probe may have.
+"""
+
+from collections.abc import Sequence
+from typing import Any, Final, TypeAlias
+
+from mimosapond.group_view import GroupView
+from mimosapond.host_record import HostRecord
+from mimosapond.host_state import HostState
+from mimosapond.leaving_target import LeavingTarget
+
+GossipChange: TypeAlias = HostRecord | GroupView | LeavingTarget
+
+_HOST: Final = 'h'
+_VIEW: Final = 'v'
+_TARGET: Final = 't'
+
+
+def encode_change(change: GossipChange) -> list[Any]:
+    """Return the JSON list of ``change``."""
+    match change:
+        case HostRecord(host_id, address, data_centre, state, incarnation):
+            place = (address, data_centre)
+            return [_HOST, host_id, *place, state.value, incarnation]
+        case GroupView(group, term, primary, holder):
+            return [_VIEW, group, term, primary, holder]
+        case LeavingTarget(name):
+            return [_TARGET, name]
+
+
+def decode_change(raw: Sequence[Any]) -> GossipChange | None:
+    """Return the change in ``raw``; None for an unknown kind."""
+    match raw:
+        case ['h', host_id, address, data_centre, state, int(incarnation)]:
+            place = (address, data_centre)
+            return HostRecord(host_id, *place, HostState(state), incarnation)
+        case ['v', group, int(term), primary, holder]:
+            return GroupView(group, term, primary, holder)
+        case ['t', name]:
+            return LeavingTarget(name)
+    return None
+
+
+def change_key(change: GossipChange) -> tuple[str, str]:
+    """Return what identifies the subject of ``change``."""
+    match change:
+        case HostRecord():
+            return _HOST, change.host_id
+        case GroupView():
+            return _VIEW, change.group
+        case LeavingTarget():
+            return _TARGET, change.name
--- a/mimosapond/group_views.py
+++ b/mimosapond/group_views.py
@@ -1,6 +1,7 @@
 """What this host knows of the primary and holder of each group."""
 
 import asyncio
+from collections.abc import Callable
 from typing import final
 
 from mimosapond.group_view import GroupView
@@ -14,6 +15,11 @@
         """Start without any view."""
         self._views: dict[str, GroupView] = {}
         self._changed = asyncio.Condition()
+        self._listeners: list[Callable[[GroupView], None]] = []
+
+    def subscribe(self, listener: Callable[[GroupView], None]) -> None:
+        """Call ``listener`` with each view that is applied."""
+        self._listeners.append(listener)
 
     def get(self, group: str) -> GroupView | None:
         """Return the newest known view of ``group``."""
@@ -29,6 +35,8 @@
         if known is not None and known.term >= view.term:
             return False
         self._views[view.group] = view
+        for listener in self._listeners:
+            listener(view)
         async with self._changed:
             self._changed.notify_all()
         return True
--- /dev/null
+++ b/mimosapond/http_platform.py
@@ -0,0 +1,172 @@
+"""Adapter of the platform port for the platform's HTTP interface.
+
+Every failure to get a usable answer is silence, since callers must treat a
+broken answer like a lost one: a write may have taken effect.
+"""
+
+import json
+from collections.abc import Mapping
+from typing import Any, Final, final
+from urllib.parse import quote
+
+import cattrs
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
+
+from mimosapond.codec import decode, dump_json, encode
+from mimosapond.listed_host import ListedHost
+from mimosapond.platform_results import (
+    JsonValue,
+    PlatformSilent,
+    ReadRowResult,
+    Row,
+    RowConflict,
+    RowWritten,
+    WriteRowResult,
+)
+
+_OK: Final = 200
+_NOT_FOUND: Final = 404
+_CONFLICT: Final = 409
+_MAX_CLIENT_COUNT: Final = 16
+_UNUSABLE_ANSWER: Final = (
+    KeyError,
+    TypeError,
+    ValueError,
+    cattrs.BaseValidationError,
+)
+
+
+def _parse_row(raw: Mapping[str, Any]) -> Row:
+    return Row(str(raw['key']), int(raw['revision']), raw['value'])
+
+
+def _parse_rows(raw: Any) -> tuple[Row, ...]:
+    # The answer is a list of rows, or an object that holds it.
+    rows = raw['rows'] if isinstance(raw, dict) else raw
+    return tuple(_parse_row(row) for row in rows)
+
+
+def _parse_hosts(raw: Any) -> tuple[ListedHost, ...]:
+    return tuple(decode(ListedHost, entry) for entry in raw)
+
+
+@final
+class HttpPlatform:
+    """Client of the table service and the host list."""
+
+    def __init__(self, address: str) -> None:
+        """Take ``ip:port`` of the platform."""
+        self._base_url = f'http://{address}'
+        # A client of its own, so that others can't use up its connections.
+        self._client = AsyncHTTPClient(
+            force_instance=True,
+            max_clients=_MAX_CLIENT_COUNT,
+        )
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    async def read_row(self, key: str, timeout_s: float) -> ReadRowResult:
+        """Read one row; an absent row has revision 0."""
+        answer = await self._call('GET', f'/table/{quote(key)}', timeout_s)
+        if isinstance(answer, PlatformSilent):
+            return answer
+        code, raw = answer
+        if code == _NOT_FOUND:
+            return Row(key, 0, None)
+        try:
+            return _parse_row(raw)
+        except _UNUSABLE_ANSWER as error:
+            return PlatformSilent(f'unusable answer: {error!r}')
+
+    async def compare_and_set(
+        self,
+        key: str,
+        expected_revision: int,
+        payload: Mapping[str, JsonValue],
+        timeout_s: float,
+    ) -> WriteRowResult:
+        """Write a row if its revision is still the expected one."""
+        answer = await self._call(
+            'PUT',
+            f'/table/{quote(key)}',
+            timeout_s,
+            {'expected_revision': expected_revision, 'value': payload},
+        )
+        if isinstance(answer, PlatformSilent):
+            return answer
+        code, raw = answer
+        try:
+            if code == _CONFLICT:
+                return RowConflict(_parse_row(raw))
+            return RowWritten(int(raw['revision']))
+        except _UNUSABLE_ANSWER as error:
+            return PlatformSilent(f'unusable answer: {error!r}')
+
+    async def list_rows(
+        self,
+        prefix: str,
+        timeout_s: float,
+    ) -> tuple[Row, ...] | PlatformSilent:
+        """Read all rows whose key starts with ``prefix``."""
+        path = f'/table?prefix={quote(prefix, safe="")}'
+        answer = await self._call('GET', path, timeout_s)
+        if isinstance(answer, PlatformSilent):
+            return answer
+        try:
+            return _parse_rows(answer[1])
+        except _UNUSABLE_ANSWER as error:
+            return PlatformSilent(f'unusable answer: {error!r}')
+
+    async def list_hosts(
+        self,
+        timeout_s: float,
+    ) -> tuple[ListedHost, ...] | PlatformSilent:
+        """Read the host list."""
+        answer = await self._call('GET', '/hosts', timeout_s)
+        if isinstance(answer, PlatformSilent):
+            return answer
+        try:
+            return _parse_hosts(answer[1])
+        except _UNUSABLE_ANSWER as error:
+            return PlatformSilent(f'unusable answer: {error!r}')
+
+    async def register_host(
+        self,
+        host: ListedHost,
+        timeout_s: float,
+    ) -> PlatformSilent | None:
+        """Add or change this host's own entry in the list."""
+        path = f'/hosts/{quote(host.host_id, safe="")}'
+        answer = await self._call('PUT', path, timeout_s, encode(host))
+        if isinstance(answer, PlatformSilent):
+            return answer
+        if answer[0] != _OK:
+            return PlatformSilent(f'status {answer[0]} from {path}')
+        return None
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        body: Mapping[str, Any] | None = None,
+    ) -> tuple[int, Any] | PlatformSilent:
+        request = HTTPRequest(
+            f'{self._base_url}{path}',
+            method=method,
+            body=None if body is None else dump_json(body),
+            connect_timeout=timeout_s,
+            request_timeout=timeout_s,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (HTTPError, OSError) as error:
+            return PlatformSilent(f'no answer from {path}: {error!r}')
+        if response.code not in {_OK, _NOT_FOUND, _CONFLICT}:
+            return PlatformSilent(f'status {response.code} from {path}')
+        try:
+            return response.code, json.loads(response.body)
+        except ValueError as error:
+            return PlatformSilent(f'unusable answer from {path}: {error!r}')
--- /dev/null
+++ b/mimosapond/peer_contacts.py
@@ -0,0 +1,94 @@
+"""Choice of the peers to talk to, and calls to them."""
+
+import asyncio
+import random
+from collections.abc import Iterable, Mapping
+from typing import Any, Final, final
+
+from mimosapond.host_record import HostRecord
+from mimosapond.membership import Membership
+from mimosapond.peer_port import PeerPort
+from mimosapond.peer_results import PeerAnswered, PeerResult
+from mimosapond.seed_addresses import SeedAddresses
+
+FANOUT_COUNT: Final = 3
+
+
+@final
+class PeerContacts:
+    """Random peers of the membership, or seeds while it knows none."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        seeds: SeedAddresses,
+        peers: PeerPort,
+        rng: random.Random,
+    ) -> None:
+        """Take the sources of addresses and of randomness."""
+        self.membership = membership
+        self.seeds = seeds
+        self.rng = rng
+        self._peers = peers
+
+    def sample(self, count: int) -> tuple[str, ...]:
+        """Return up to ``count`` random peer addresses."""
+        known = [record.address for record in self.membership.peers()]
+        candidates = known or self.lost()
+        return tuple(
+            self.rng.sample(candidates, min(count, len(candidates))),
+        )
+
+    def sample_hosts(self, count: int, excluded: str) -> list[HostRecord]:
+        """Return up to ``count`` random peers other than ``excluded``."""
+        candidates = [
+            record
+            for record in self.membership.peers()
+            if record.host_id != excluded
+        ]
+        return self.rng.sample(candidates, min(count, len(candidates)))
+
+    def lost(self) -> list[str]:
+        """Return addresses at which a peer may run unknown to this host.
+
+        After a partition both sides hold each other dead, so only contact
+        with such addresses joins them again.
+        """
+        dead = {record.address for record in self.membership.dead()}
+        known = {record.address for record in self.membership.hosts()}
+        return sorted((dead | self.seeds.all()) - known)
+
+    async def call(
+        self,
+        address: str,
+        operation: str,
+        body: Mapping[str, Any],
+        timeout_s: float,
+        *,
+        fresh: bool = False,
+    ) -> PeerResult:
+        """Call one peer."""
+        return await self._peers.call(
+            address,
+            operation,
+            body,
+            timeout_s,
+            fresh=fresh,
+        )
+
+    async def call_all(
+        self,
+        addresses: Iterable[str],
+        operation: str,
+        body: Mapping[str, Any],
+        timeout_s: float,
+    ) -> list[PeerAnswered]:
+        """Call several peers at once and return the answers."""
+        calls = [
+            self._peers.call(address, operation, body, timeout_s)
+            for address in addresses
+        ]
+        results = await asyncio.gather(*calls)
+        return [
+            result for result in results if isinstance(result, PeerAnswered)
+        ]
--- /dev/null
+++ b/mimosapond/spread_operations.py
@@ -0,0 +1,76 @@
+"""Server side of the peer operations that spread state between hosts."""
+
+from collections.abc import Mapping
+from typing import Any, final
+
+from mimosapond.anti_entropy import AntiEntropy
+from mimosapond.clock import MS_PER_S
+from mimosapond.document_spreader import DocumentSpreader
+from mimosapond.gossip_state import GossipState
+from mimosapond.peer_contacts import PeerContacts
+from mimosapond.peer_port import PeerOperation
+from mimosapond.peer_results import PeerAnswered
+
+
+@final
+class SpreadOperations:
+    """Operations ``probe``, ``probe_indirect``, ``gossip``, ``documents``."""
+
+    def __init__(
+        self,
+        gossip: GossipState,
+        anti_entropy: AntiEntropy,
+        contacts: PeerContacts,
+        documents: DocumentSpreader,
+    ) -> None:
+        """Take the parts that answer."""
+        self._gossip = gossip
+        self._anti_entropy = anti_entropy
+        self._contacts = contacts
+        self._documents = documents
+
+    def mapping(self) -> Mapping[str, PeerOperation]:
+        """Return the operations by name."""
+        return {
+            'probe': self.probe,
+            'probe_indirect': self.probe_indirect,
+            'gossip': self.gossip,
+            'documents': self._documents.serve,
+        }
+
+    async def probe(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Answer a probe with this host's recent changes."""
+        sender = await self._gossip.absorb(body)
+        return self._gossip.compose('' if sender is None else sender.host_id)
+
+    async def probe_indirect(
+        self,
+        body: Mapping[str, Any],
+    ) -> Mapping[str, Any]:
+        """Probe another host for the sender."""
+        await self._gossip.absorb(body)
+        is_reached = await self._reach(body['target'], body['timeout_ms'])
+        return {**self._gossip.compose(), 'reached': is_reached}
+
+    async def gossip(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Apply pushed changes, or compare the whole state."""
+        await self._gossip.absorb(body)
+        match body:
+            case {'buckets': buckets}:
+                return self._anti_entropy.serve(buckets)
+        return self._gossip.envelope([])
+
+    async def _reach(self, host_id: str, timeout_ms: int) -> bool:
+        target = self._contacts.membership.host(host_id)
+        if target is None:
+            return False
+        result = await self._contacts.call(
+            target.address,
+            'probe',
+            self._gossip.compose(host_id),
+            timeout_ms / MS_PER_S,
+        )
+        if not isinstance(result, PeerAnswered):
+            return False
+        sender = await self._gossip.absorb(result.body)
+        return sender is not None and sender.host_id == host_id
