Test the spread area and measure its traffic

Found by the tests and corrected: a forgotten leaving target came back from peers that had not seen the newest document, and suspicions expired at once after a pause of the suspecting process.

Ruled out: polling the platform at a fixed interval, since a poll returns the whole table and host list, so its size grows with the number of hosts.

--- /dev/null
+++ b/features/steps/documents_steps.py
@@ -0,0 +1,340 @@
+"""Steps of documents.feature."""
+
+import asyncio
+import contextlib
+from typing import Any
+
+from behave import given, then, when
+from hypothesis import given as hypothesis_given
+from hypothesis import settings
+from hypothesis import strategies as st
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from features.spread_builders import build_document
+from features.spread_fakes import SpreadFleet
+from mimosapond.codec import encode
+from mimosapond.decision_log import NullDecisionLog
+from mimosapond.document_editor import EditResult
+from mimosapond.document_rows import document_key
+from mimosapond.document_store import DocumentStore
+from mimosapond.document_accepted import DocumentAccepted
+from mimosapond.document_unsettled import DocumentUnsettled
+from mimosapond.http_platform import HttpPlatform
+from mimosapond.listed_host import ListedHost
+from mimosapond.platform_results import Row
+from mimosapond.refused import Refused
+
+_KEY = document_key('orders')
+_MANY = 100
+_TIMEOUT_S = 5
+
+
+def _verdict(result: EditResult) -> str:
+    match result:
+        case Refused():
+            return str(result.reason)
+        case DocumentAccepted() | DocumentUnsettled():
+            return result.outcome
+
+
+@given('a documents fleet of {count:d} hosts')
+def start_fleet(context: Any, count: int) -> None:
+    """Start hosts that know each other and are ready."""
+    context.fleet = SpreadFleet(count)
+    context.add_cleanup(context.fleet.runner.close)
+    context.fleet.compare()
+    context.fleet.run_periods(20)
+    for name in context.fleet.hosts:
+        confirm(context, name)
+
+
+@when('the documents platform has the fault {fault}')
+def set_fault(context: Any, fault: str) -> None:
+    """Prepare the fault."""
+    platform = context.fleet.around.platform
+    platform.is_down = fault == 'outage'
+    if 'lost answer' in fault:
+        platform.lost_answer_count = 2 if fault.startswith('2') else 1
+    if 'delayed' in fault:
+        platform.delayed_write_count = 1
+    if 'all lost' in fault:
+        platform.silent_read_count = _MANY
+    elif 'reads lost' in fault:
+        platform.silent_read_count = 2
+
+
+@when('the documents platform recovers')
+def recover(context: Any) -> None:
+    """End the outage."""
+    context.fleet.around.platform.is_down = False
+
+
+@when('document editor {name} applies an edit at revision {revision:d}')
+def apply_edit(context: Any, name: str, revision: int) -> None:
+    """Apply an edit; delayed writes take effect afterwards."""
+    editor = context.fleet.hosts[name].editor
+    context.result = context.fleet.run(editor.apply(build_document(), revision))
+    context.fleet.around.platform.release_writes()
+
+
+@when('document editors host-1 and host-2 apply an edit at revision 0')
+def race(context: Any) -> None:
+    """Let both read before either writes."""
+    context.results = context.fleet.run(_race(context.fleet))
+
+
+async def _race(fleet: SpreadFleet) -> list[EditResult]:
+    fleet.around.platform.read_barrier = asyncio.Barrier(2)
+    edits = [
+        fleet.hosts[name].editor.apply(build_document(), 0)
+        for name in ('host-1', 'host-2')
+    ]
+    results = await asyncio.gather(*edits)
+    fleet.around.platform.read_barrier = None
+    return list(results)
+
+
+@then('one document edit is accepted and one conflicts with revision 1')
+def check_race(context: Any) -> None:
+    """Compare both results."""
+    verdicts = sorted(map(_verdict, context.results))
+    assert verdicts == ['accepted', 'document_conflict'], verdicts
+    for result in context.results:
+        if isinstance(result, Refused):
+            assert 'revision 1' in result.message, result
+
+
+@when('document editor {name} begins an edit whose write is {fate}')
+def begin_edit(context: Any, name: str, fate: str) -> None:
+    """Send the write, and leave the editor waiting to read back."""
+    platform = context.fleet.around.platform
+    if fate == 'delayed':
+        platform.delayed_write_count = 1
+    else:
+        platform.lost_answer_count = 1
+    editor = context.fleet.hosts[name].editor
+    context.edit = context.fleet.runner.run(_begin(context.fleet, editor))
+
+
+async def _begin(fleet: SpreadFleet, editor: Any) -> asyncio.Task[EditResult]:
+    task = asyncio.create_task(editor.apply(build_document(), 0))
+    await fleet.around.clock.settle()
+    assert not task.done()
+    return task
+
+
+@when('another document editor brings the platform to revision {revision:d}')
+def write_directly(context: Any, revision: int) -> None:
+    """Write the row as an editor elsewhere does."""
+    payload = encode(build_document(revision, f'other-{revision}'))
+    row = Row(_KEY, revision, payload)
+    context.fleet.around.platform.rows[_KEY] = row
+
+
+@when('the document editor host-1 finishes')
+def finish_edit(context: Any) -> None:
+    """Advance until the edit has a result."""
+    context.result = context.fleet.run(_finish(context.edit))
+
+
+async def _finish(task: asyncio.Task[EditResult]) -> EditResult:
+    return await task
+
+
+@then('the document edit is {expected}')
+def check_edit(context: Any, expected: str) -> None:
+    """Compare the verdict."""
+    assert _verdict(context.result) == expected, context.result
+
+
+@then('the document edit answer names revision {revision:d}')
+def check_named(context: Any, revision: int) -> None:
+    """Look for the newer revision in the message."""
+    assert f'revision {revision}' in context.result.message, context.result
+
+
+@then('the documents platform holds revision {revision:d}')
+def check_platform(context: Any, revision: int) -> None:
+    """Compare the row."""
+    row = context.fleet.around.platform.rows.get(_KEY)
+    found = 0 if row is None else row.revision
+    assert found == revision, row
+
+
+@when('the documents fleet spreads by {way}')
+def spread(context: Any, way: str) -> None:
+    """Use one of the ways alone, so that each suffices."""
+    fleet = context.fleet
+    if way == 'pushes':
+        fleet.push()
+    elif way == 'polls':
+        for name in fleet.hosts:
+            confirm(context, name)
+    else:
+        # The pushes are lost; only digests in probes lead to the document.
+        fleet.isolate('host-1')
+        fleet.push()
+        fleet.heal()
+        fleet.run_periods(6)
+
+
+@when('document host {name} restarts with peers {peers}')
+def restart(context: Any, name: str, peers: str) -> None:
+    """Start a new process and let it catch up once."""
+    if peers == 'cut off':
+        context.fleet.isolate(name)
+    host = context.fleet.start(name)
+    context.fleet.run(host.documents.catch_up())
+
+
+@when('document host {name} is lost')
+def lose(context: Any, name: str) -> None:
+    """End a host."""
+    context.fleet.stop(name)
+
+
+@when('document host {name} confirms its documents')
+def confirm(context: Any, name: str) -> None:
+    """Poll once."""
+    context.fleet.run(context.fleet.hosts[name].documents.confirm())
+
+
+@when('the documents platform holds an unreadable row')
+def write_bad_row(context: Any) -> None:
+    """Store a document of another shape."""
+    key = document_key('broken')
+    row = Row(key, 1, {'service': 'broken', 'groups': 3})
+    context.fleet.around.platform.rows[key] = row
+
+
+@when('document host tasks run while another editor writes revision 1')
+def run_tasks(context: Any) -> None:
+    """Run the real task loops on the manual clock."""
+    context.fleet.runner.run(_run_tasks(context))
+
+
+async def _run_tasks(context: Any) -> None:
+    hosts = context.fleet.hosts.values()
+    tasks = [asyncio.create_task(host.documents.run()) for host in hosts]
+    await context.fleet.around.clock.advance(1)
+    write_directly(context, 1)
+    await context.fleet.around.clock.advance(5)
+    for task in tasks:
+        assert not task.done()
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+
+@then('each document host has revision {revision:d}')
+def check_all(context: Any, revision: int) -> None:
+    """Compare all hosts."""
+    for name in context.fleet.hosts:
+        check_host(context, name, revision)
+
+
+@then('document host {name} has revision {revision:d}')
+def check_host(context: Any, name: str, revision: int) -> None:
+    """Compare what is in force."""
+    found = context.fleet.hosts[name].store.revision('orders')
+    assert found == revision, (name, found)
+
+
+@then('document host {name} counts as {readiness}')
+def check_ready(context: Any, name: str, readiness: str) -> None:
+    """Compare the readiness."""
+    is_ready = context.fleet.hosts[name].store.is_ready
+    assert is_ready == (readiness == 'ready')
+
+
+@then('document host {name} is degraded by "{paths}"')
+def check_degraded(context: Any, name: str, paths: str) -> None:
+    """Compare the degraded paths."""
+    found = context.fleet.hosts[name].degraded.snapshot()
+    assert set(found) == set(paths.split()), found
+
+
+@then('document host {name} is degraded by ""')
+def check_healthy(context: Any, name: str) -> None:
+    """Expect no degraded path."""
+    check_degraded(context, name, '')
+
+
+@then('document revisions applied in any order end at the highest')
+def check_revisions(context: Any) -> None:
+    """Apply revisions in any order."""
+    _check_revisions()
+
+
+@settings(derandomize=True, deadline=None)
+@hypothesis_given(st.lists(st.integers(1, 9), min_size=1))
+def _check_revisions(revisions: list[int]) -> None:
+    store = DocumentStore(NullDecisionLog())
+    highest = 0
+    for revision in revisions:
+        digest = store.digest()
+        assert store.apply(build_document(revision)) == (revision > highest)
+        assert (store.digest() != digest) == (revision > highest)
+        highest = max(highest, revision)
+        assert store.revision('orders') == highest
+
+
+class _Fixed(RequestHandler):
+    """Gives one answer to every request."""
+
+    def initialize(self, status: int, body: str) -> None:
+        """Take the answer."""
+        self._answer = (status, body)
+
+    def get(self) -> None:
+        """Answer."""
+        self.set_status(self._answer[0])
+        self.finish(self._answer[1])
+
+    put = get
+
+
+@given('a document platform that answers {status} with "{body}"')
+def set_answer(context: Any, status: str, body: str) -> None:
+    """Keep the answer; quotes are simple to fit the table."""
+    context.answer = None
+    if status != 'none':
+        context.answer = (int(status), body.replace("'", '"'))
+
+
+@then('the document platform call {call} gives {expected}')
+def check_call(context: Any, call: str, expected: str) -> None:
+    """Compare the start of the result's text form."""
+    found = asyncio.run(_call_platform(context.answer, call))
+    assert repr(found).startswith(expected), found
+
+
+async def _call_platform(answer: tuple[int, str] | None, call: str) -> Any:
+    sockets = bind_sockets(0, '127.0.0.1')
+    port = sockets[0].getsockname()[1]
+    if answer is None:
+        sockets[0].close()
+        return await _call(HttpPlatform(f'127.0.0.1:{port}'), call)
+    options = {'status': answer[0], 'body': answer[1]}
+    server = HTTPServer(Application([('.*', _Fixed, options)]))
+    server.add_sockets(sockets)
+    platform = HttpPlatform(f'127.0.0.1:{port}')
+    found = await _call(platform, call)
+    platform.close()
+    server.stop()
+    return found
+
+
+async def _call(platform: HttpPlatform, name: str) -> Any:
+    key = 'documents/a'
+    host = ListedHost('a', 'b', 'c')
+    calls = {
+        'read': lambda: platform.read_row(key, _TIMEOUT_S),
+        'write': lambda: platform.compare_and_set(key, 0, {}, _TIMEOUT_S),
+        'list': lambda: platform.list_rows('documents/', _TIMEOUT_S),
+        'hosts': lambda: platform.list_hosts(_TIMEOUT_S),
+        'register': lambda: platform.register_host(host, _TIMEOUT_S),
+    }
+    return await calls[name]()
--- /dev/null
+++ b/loadtool/spread_instance.py
@@ -0,0 +1,122 @@
+"""The spread parts of one host, wired to in-memory ports."""
+
+import random
+from typing import final
+
+from loadtool.memory_peers import MemoryPeers
+from loadtool.spread_options import PERIOD_S, build_options
+from loadtool.surroundings import Surroundings
+from mimosapond.anti_entropy import AntiEntropy
+from mimosapond.decision_log import NullDecisionLog
+from mimosapond.degraded_paths import DegradedPaths
+from mimosapond.document_editor import DocumentEditor
+from mimosapond.document_spreader import DocumentSpreader
+from mimosapond.document_store import DocumentStore
+from mimosapond.draining import LeavingTargets
+from mimosapond.gossip_pusher import GossipPusher
+from mimosapond.gossip_state import GossipState
+from mimosapond.group_views import GroupViews
+from mimosapond.host_leave import HostLeave
+from mimosapond.host_list_poller import HostListPoller
+from mimosapond.host_record import HostRecord
+from mimosapond.membership import Membership
+from mimosapond.metrics import NullMetrics
+from mimosapond.peer_contacts import PeerContacts
+from mimosapond.prober import Prober
+from mimosapond.rendezvous import Placement
+from mimosapond.seed_addresses import SeedAddresses
+from mimosapond.spread_operations import SpreadOperations
+
+
+@final
+class SpreadInstance:
+    """One host; its parts are driven by the caller or by their own tasks."""
+
+    def __init__(
+        self,
+        own: HostRecord,
+        surroundings: Surroundings,
+        rng: random.Random,
+        seeds: tuple[str, ...] = (),
+        known: tuple[HostRecord, ...] = (),
+        views: GroupViews | None = None,
+    ) -> None:
+        """Wire the parts and attach them to the network.
+
+        Parameters
+        ----------
+        own, surroundings, rng, seeds
+            Place of the instance.
+        known, views
+            What it learned long ago and does not gossip about.
+        """
+        platform = surroundings.platform
+        clock = surroundings.clock
+        options = build_options(own)
+        decisions = NullDecisionLog()
+        self.degraded = DegradedPaths(NullMetrics())
+        self.membership = Membership(own, clock, decisions, PERIOD_S)
+        for record in known:
+            self.membership.merge(record)
+        self.views = views or GroupViews()
+        self.leaving = LeavingTargets(decisions)
+        self.store = DocumentStore(decisions)
+        self.contacts = PeerContacts(
+            self.membership,
+            SeedAddresses(seeds),
+            MemoryPeers(surroundings.network, own.address),
+            rng,
+        )
+        self.documents = DocumentSpreader(
+            self.store,
+            platform,
+            self.contacts,
+            self.degraded,
+            clock,
+            options,
+        )
+        self.editor = DocumentEditor(self.store, platform, clock, rng, options)
+        self.gossip = GossipState(
+            self.membership,
+            self.views,
+            self.leaving,
+            self.documents,
+        )
+        self.pusher = GossipPusher(self.gossip, self.contacts, options)
+        self.anti_entropy = AntiEntropy(
+            self.gossip,
+            self.contacts,
+            clock,
+            options,
+        )
+        self.prober = Prober(self.gossip, self.contacts, clock, options)
+        self.host_list = HostListPoller(
+            platform,
+            self.contacts,
+            self.leaving,
+            self.store,
+            self.degraded,
+            clock,
+            options,
+        )
+        self.leave = HostLeave(self.membership, self.pusher, self.host_list)
+        self.placement = Placement(self.membership, decisions)
+        operations = SpreadOperations(
+            self.gossip,
+            self.anti_entropy,
+            self.contacts,
+            self.documents,
+        )
+        network = surroundings.network
+        network.attach(own.address, operations.mapping())
+
+    async def push(self) -> None:
+        """Run the tasks that changes wake at once."""
+        await self.pusher.push()
+        await self.documents.push()
+        await self.documents.pull_mismatched()
+
+    async def run_period(self) -> None:
+        """Do what the tasks do in one probe period."""
+        await self.prober.step()
+        await self.push()
--- /dev/null
+++ b/loadtool/surroundings.py
@@ -0,0 +1,19 @@
+"""What the instances of one process share."""
+
+from typing import final
+
+import attrs
+
+from loadtool.manual_clock import ManualClock
+from loadtool.memory_network import MemoryNetwork
+from loadtool.memory_platform import MemoryPlatform
+
+
+@final
+@attrs.frozen
+class Surroundings:
+    """Network, platform and clock of a fleet."""
+
+    network: MemoryNetwork = attrs.field(factory=MemoryNetwork)
+    platform: MemoryPlatform = attrs.field(factory=MemoryPlatform)
+    clock: ManualClock = attrs.field(factory=ManualClock)
--- a/mimosapond/anti_entropy.py
+++ b/mimosapond/anti_entropy.py
@@ -5,6 +5,7 @@
 number of hosts.
 """
 
+import functools
 import hashlib
 import json
 import zlib
@@ -24,15 +25,20 @@
 
 _BUCKET_COUNT: Final = 32
 _HASH_BYTES: Final = 4
+# Holds the hosts and groups of the two-year target; without the cache an
+# exchange hashes the whole state anew.
+_CACHE_COUNT: Final = 4096
 _INTERVAL_S: Final = 30
 _JOIN_INTERVAL_S: Final = 1
 _TIMEOUT_INTERVAL_COUNT: Final = 4
 
 
+@functools.lru_cache(maxsize=_CACHE_COUNT)
 def _bucket(change: GossipChange) -> int:
     return zlib.crc32(':'.join(change_key(change)).encode()) % _BUCKET_COUNT
 
 
+@functools.lru_cache(maxsize=_CACHE_COUNT)
 def _hashed(change: GossipChange) -> int:
     if isinstance(change, HostRecord):
         if change.state is HostState.DEAD:
--- a/mimosapond/document_spreader.py
+++ b/mimosapond/document_spreader.py
@@ -23,6 +23,7 @@
 from mimosapond.peer_results import PeerAnswered
 from mimosapond.platform_port import PlatformPort
 from mimosapond.platform_results import PlatformSilent
+from mimosapond.poll_delay import poll_delay_s
 
 _TABLE: Final = 'table'
 _DOCUMENTS: Final = 'documents'
@@ -69,6 +70,10 @@
         """Return the names of all declared members."""
         return frozenset(member.name for member in self.store.members())
 
+    def may_declare(self, member_name: str) -> bool:
+        """Tell whether the member is declared, as far as is known."""
+        return not self.store.is_ready or member_name in self.member_names()
+
     def note_digest(self, address: str, digest: str) -> None:
         """Remember to pull from a peer whose digest differs."""
         if digest != self.store.digest():
@@ -188,7 +193,9 @@
             await self.catch_up()
             await self._clock.sleep(_CATCH_UP_INTERVAL_S)
         while True:
-            await self._clock.sleep(self._poll_interval_s)
+            await self._clock.sleep(
+                poll_delay_s(self._poll_interval_s, self._contacts),
+            )
             await self.confirm()
 
     async def _pull_some(self) -> bool:
--- a/mimosapond/gossip_pusher.py
+++ b/mimosapond/gossip_pusher.py
@@ -45,11 +45,9 @@
         peer_count = len(self._contacts.membership.peers())
         if is_local and peer_count < _BROADCAST_HOST_COUNT:
             count = peer_count
-        answers = await self._contacts.call_all(
+        await self._contacts.call_all(
             self._contacts.sample(count),
             'gossip',
             self._gossip.envelope(changes),
             self._timeout_s,
         )
-        for answer in answers:
-            await self._gossip.absorb(answer.body)
--- a/mimosapond/gossip_state.py
+++ b/mimosapond/gossip_state.py
@@ -28,10 +28,11 @@
 from mimosapond.membership import Membership
 from mimosapond.queued_change import QueuedChange
 
-# Four messages of this size per second and host stay under 3 KB/s.
-MESSAGE_LIMIT_BYTES: Final = 600
+# Each probe period has four messages per host; at a period of 1 s this leaves
+# room for pushes under the limit of 3 KB/s.
+MESSAGE_LIMIT_BYTES: Final = 540
 # Room for the call envelope and the fields that an operation adds.
-_ENVELOPE_BYTES: Final = 120
+_ENVELOPE_BYTES: Final = 60
 _SEND_FACTOR: Final = 3
 # A longer batch is a catch-up with old news, which peers know already.
 _BULK_COUNT: Final = 32
@@ -169,7 +170,10 @@
             case GroupView():
                 await self._views.merge(change)
             case LeavingTarget(name):
-                self._leaving.merge((name,))
+                # A peer that has not seen the newest document yet must not
+                # bring a forgotten target back.
+                if self._documents.may_declare(name):
+                    self._leaving.merge((name,))
 
     def _note(self, change: GossipChange) -> None:
         if change in self._bulk:
--- a/mimosapond/host_list_poller.py
+++ b/mimosapond/host_list_poller.py
@@ -18,6 +18,7 @@
 from mimosapond.peer_contacts import PeerContacts
 from mimosapond.platform_port import PlatformPort
 from mimosapond.platform_results import PlatformSilent
+from mimosapond.poll_delay import poll_delay_s
 
 LIVE: Final = 'live'
 LEAVING: Final = 'leaving'
@@ -52,7 +53,9 @@
         """Poll for ever."""
         while True:
             await self.poll()
-            await self._clock.sleep(self._interval_s)
+            await self._clock.sleep(
+                poll_delay_s(self._interval_s, self._contacts),
+            )
 
     async def poll(self) -> None:
         """Read the list and register this host if it is missing."""
--- a/mimosapond/membership.py
+++ b/mimosapond/membership.py
@@ -137,6 +137,14 @@
             return
         self._put(attrs.evolve(known, state=HostState.DEAD), evidence)
 
+    def restart_suspicions(self) -> None:
+        """Give all suspects the whole time again.
+
+        After a pause of this process their refutations are still unread.
+        """
+        deadline_s = self._clock.monotonic_s() + self._suspicion_s
+        self._suspicions = dict.fromkeys(self._suspicions, deadline_s)
+
     def expire(self) -> None:
         """Turn old suspicions into deaths and forget old deaths."""
         now_s = self._clock.monotonic_s()
--- a/mimosapond/prober.py
+++ b/mimosapond/prober.py
@@ -20,6 +20,8 @@
 _INDIRECT_COUNT: Final = 2
 _DIRECT_TIMEOUT_RATIO: Final = 0.8
 _INDIRECT_TIMEOUT_RATIO: Final = 1.2
+# Longer than a step with all its time-outs, so this process was paused.
+_PAUSE_PERIOD_COUNT: Final = 4
 
 
 @final
@@ -39,6 +41,7 @@
         self._membership = contacts.membership
         self._clock = clock
         self._interval_s = options.probe_interval_ms / MS_PER_S
+        self._stepped_s = clock.monotonic_s()
         self._round: deque[str] = deque()
 
     async def run(self) -> None:
@@ -51,7 +54,7 @@
 
     async def step(self) -> None:
         """Time out suspicions and probe the next peer."""
-        self._membership.expire()
+        self._expire()
         target = self._next()
         if target is None:
             return
@@ -63,6 +66,13 @@
         # suspicion while there is time to refute it.
         self._round.appendleft(target.host_id)
 
+    def _expire(self) -> None:
+        now_s = self._clock.monotonic_s()
+        if now_s - self._stepped_s > self._interval_s * _PAUSE_PERIOD_COUNT:
+            self._membership.restart_suspicions()
+        self._stepped_s = now_s
+        self._membership.expire()
+
     def _next(self) -> HostRecord | None:
         if not self._round:
             known = [record.host_id for record in self._membership.peers()]
--- a/mimosapond/spread_operations.py
+++ b/mimosapond/spread_operations.py
@@ -53,12 +53,15 @@
         return {**self._gossip.compose(), 'reached': is_reached}
 
     async def gossip(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
-        """Apply pushed changes, or compare the whole state."""
+        """Apply pushed changes, or compare the whole state.
+
+        A push has an empty answer, which keeps a burst of pushes small.
+        """
         await self._gossip.absorb(body)
-        match body:
-            case {'buckets': buckets}:
-                return self._anti_entropy.serve(buckets)
-        return self._gossip.envelope([])
+        buckets = body.get('buckets')
+        if buckets is None:
+            return {}
+        return self._anti_entropy.serve(buckets)
 
     async def _reach(self, host_id: str, timeout_ms: int) -> bool:
         target = self._contacts.membership.host(host_id)
