Add the owner side: scheduler, pool, grants, reader

One queue per member orders work by class and deadline within slot, connection, parking and workspace limits.

--- /dev/null
+++ b/mimosapond/backlog_index.py
@@ -0,0 +1,68 @@
+"""Sums the expected cost of the work that is served before a given key."""
+
+import math
+from collections.abc import Hashable
+from typing import Final, TypeVar, final
+
+_Key = TypeVar('_Key', bound=Hashable)
+
+# Deadlines closer to each other than this count as equal.
+_TICK_S: Final = 0.008
+# The tree covers 2 ** 16 ticks (524 s); few such blocks are in use at once.
+_LEVEL_COUNT: Final = 16
+
+
+@final
+class BacklogIndex:
+    """Cost by class rank and deadline, in a sparse binary tree of deadlines.
+
+    A node at level ``n`` holds the sum of ``2 ** n`` ticks. Updates and
+    queries touch one node per level, so their cost does not depend on the
+    queue length. Costs are integers, so that sums return to exactly zero.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._totals_us: dict[int, int] = {}
+        self._nodes_us: dict[tuple[int, int, int], int] = {}
+        self._blocks_us: dict[tuple[int, int], int] = {}
+
+    def add(self, rank: int, due_s: float, cost_us: int) -> None:
+        """Add ``cost_us``; a negative value removes it again."""
+        _add(self._totals_us, rank, cost_us)
+        tick = math.ceil(due_s / _TICK_S)
+        for level in range(_LEVEL_COUNT):
+            _add(self._nodes_us, (rank, level, tick >> level), cost_us)
+        _add(self._blocks_us, (rank, tick >> _LEVEL_COUNT), cost_us)
+
+    def ahead_us(self, rank: int, due_s: float) -> int:
+        """Return the cost with a smaller rank, or as small and due before."""
+        # The query includes the work in the same tick.
+        tick = math.ceil(due_s / _TICK_S) + 1
+        ahead_us = sum(
+            cost_us
+            for known, cost_us in self._totals_us.items()
+            if known < rank
+        )
+        ahead_us += self._blocks_before_us(rank, tick >> _LEVEL_COUNT)
+        for level in range(_LEVEL_COUNT):
+            index = tick >> level
+            if index & 1:
+                ahead_us += self._nodes_us.get((rank, level, index - 1), 0)
+        return ahead_us
+
+    def _blocks_before_us(self, rank: int, end: int) -> int:
+        return sum(
+            cost_us
+            for (known, block), cost_us in self._blocks_us.items()
+            if known == rank and block < end
+        )
+
+
+def _add(sums_us: dict[_Key, int], key: _Key, cost_us: int) -> None:
+    """Add to one sum; zero sums are removed to bound the memory."""
+    sum_us = sums_us.get(key, 0) + cost_us
+    if sum_us:
+        sums_us[key] = sum_us
+    else:
+        sums_us.pop(key, None)
--- a/mimosapond/errors.py
+++ b/mimosapond/errors.py
@@ -66,6 +66,10 @@
             'No member of group {group} can serve this read: {problem}',
             'Send the request again, or accept older data with max_age_ms.',
         ),
+        Reason.TARGET_UNREACHABLE: (
+            'Target {member} accepts no connection: {problem}',
+            'Send the request again after the given time.',
+        ),
         Reason.TARGET_LEAVING: (
             'Target {member} is leaving and takes no new work.',
             'Send the request again after the given time.',
--- /dev/null
+++ b/mimosapond/member_reader.py
@@ -0,0 +1,204 @@
+"""Serves reads at a member that this host owns.
+
+An answer is returned only if the member's standing, taken with the answer,
+proves that the data includes the session's writes and is young enough.
+"""
+
+from collections.abc import Callable
+from typing import Final, final
+
+from mimosapond.age_trackers import AgeTrackers
+from mimosapond.beacon_source import BeaconSource
+from mimosapond.clock import MS_PER_S, Clock
+from mimosapond.completed import Completed
+from mimosapond.errors import refuse
+from mimosapond.outcome import Outcome
+from mimosapond.owner_registry import OwnerRegistry
+from mimosapond.peer_run import PeerRun
+from mimosapond.refusal_reason import RefusalReason
+from mimosapond.refused import Refused
+from mimosapond.slot_grant import SlotGrant
+from mimosapond.standing import Standing
+from mimosapond.target_results import (
+    TargetAnswered,
+    TargetRejected,
+    TargetResult,
+    TargetSilent,
+)
+from mimosapond.token import Token
+from mimosapond.work_ticket import WorkTicket, build_fingerprint
+
+# The entry host fills the deadline from the document; this is a safeguard.
+_DEFAULT_DEADLINE_MS: Final = 1000
+_SQL_ERROR: Final = 'sql_error'
+
+
+@final
+class MemberReader:
+    """Runs the peer operation ``run`` with mode read."""
+
+    def __init__(
+        self,
+        owners: OwnerRegistry,
+        holder_of: Callable[[str], BeaconSource | None],
+        ages: AgeTrackers,
+        clock: Clock,
+    ) -> None:
+        """Find term holders by group name with ``holder_of``."""
+        self._owners = owners
+        self._holder_of = holder_of
+        self._ages = ages
+        self._clock = clock
+
+    async def read(self, run: PeerRun) -> Outcome:
+        """Read at ``run.member``, or refuse what it can't prove.
+
+        A read without an answer is refused and not unknown, since a read has
+        no effect that would need settling.
+        """
+        owner = self._owners.owner(run.member)
+        if owner is None:
+            return refuse(RefusalReason.NOT_OWNER, member=run.member)
+        deadline_s = self._deadline_s(run)
+        grant = await owner.acquire(_build_ticket(run, deadline_s))
+        if isinstance(grant, Refused):
+            return grant
+        target_result = await self._run(grant, run, deadline_s)
+        match target_result:
+            case TargetAnswered():
+                return await self._check(run, target_result, deadline_s)
+            case TargetRejected(reason=reason, message=message):
+                return _refuse_rejected(run, reason, message)
+            case TargetSilent(problem=problem):
+                return _refuse_read(run, problem)
+
+    async def _run(
+        self,
+        grant: SlotGrant,
+        run: PeerRun,
+        deadline_s: float,
+    ) -> TargetResult:
+        target_result: TargetResult | None = None
+        timeout_s = max(0, deadline_s - self._clock.monotonic_s())
+        try:
+            target_result = await grant.connection.read(
+                run.request.statements, timeout_s
+            )
+        finally:
+            # A cancelled call leaves an answer on the connection.
+            is_answered = isinstance(
+                target_result, (TargetAnswered, TargetRejected)
+            )
+            grant.release(reusable=is_answered)
+        return target_result
+
+    async def _check(
+        self,
+        run: PeerRun,
+        answered: TargetAnswered,
+        deadline_s: float,
+    ) -> Outcome:
+        standing = answered.standing
+        if await self._is_confirmed(run, standing, deadline_s):
+            return _check_floor(run, answered, age_ms=0, is_confirmed=True)
+        age_ms = self._ages.tracker(run.group).age_ms(standing)
+        if age_ms is None:
+            return _refuse_read(run, 'the age of its data is not known')
+        return _check_floor(run, answered, age_ms=age_ms, is_confirmed=False)
+
+    async def _is_confirmed(
+        self,
+        run: PeerRun,
+        standing: Standing,
+        deadline_s: float,
+    ) -> bool:
+        """Tell whether the member was still the primary after the read.
+
+        Only half of the time left is spent on this. A primary that is cut off
+        then still answers reads that accept the known age of its data.
+        """
+        holder = self._holder_of(run.group)
+        if holder is None or not standing.is_primary:
+            return False
+        asked_s = self._clock.monotonic_s()
+        beacon = await holder.beacon((asked_s + deadline_s) / 2)
+        if beacon is None:
+            return False
+        self._ages.tracker(run.group).note(asked_s, beacon)
+        return beacon.view.term == standing.term
+
+    def _deadline_s(self, run: PeerRun) -> float:
+        deadline_ms = run.request.deadline_ms
+        if deadline_ms is None:
+            deadline_ms = _DEFAULT_DEADLINE_MS
+        return self._clock.monotonic_s() + deadline_ms / MS_PER_S
+
+
+def _build_ticket(run: PeerRun, deadline_s: float) -> WorkTicket:
+    request = run.request
+    return WorkTicket(
+        request_id=request.request_id,
+        work_class=request.work_class,
+        workspace=request.workspace,
+        deadline_s=deadline_s,
+        fingerprint=build_fingerprint(request.statements),
+        connection_limit_count=run.connection_limit_count,
+        is_long=request.is_long,
+    )
+
+
+def _check_floor(
+    run: PeerRun,
+    answered: TargetAnswered,
+    *,
+    age_ms: int,
+    is_confirmed: bool,
+) -> Outcome:
+    if not _includes_floor(run, answered.standing):
+        if is_confirmed:
+            return _refuse_lost(run)
+        return _refuse_read(run, 'it has not applied the last write yet')
+    # A read without a bound is held to the strictest one.
+    max_age_ms = run.request.max_age_ms or 0
+    if age_ms > max_age_ms:
+        return refuse(
+            RefusalReason.TOO_STALE,
+            retry_after_ms=age_ms - max_age_ms,
+            member=run.member,
+            age_ms=age_ms,
+            max_age_ms=max_age_ms,
+        )
+    return Completed(
+        results=answered.results,
+        token=run.request.token,
+        member=run.member,
+        data_age_ms=age_ms,
+    )
+
+
+def _includes_floor(run: PeerRun, standing: Standing) -> bool:
+    floor = run.floor
+    return floor is None or standing.contains(floor.term, floor.position)
+
+
+def _refuse_lost(run: PeerRun) -> Refused:
+    """Report a floor that the log of a confirmed primary does not hold."""
+    token = run.request.token
+    if token is None and run.floor is not None:
+        token = str(Token(run.group, run.floor.term, run.floor.position))
+    return refuse(RefusalReason.SESSION_WRITE_LOST, token=token)
+
+
+def _refuse_rejected(run: PeerRun, reason: str, message: str) -> Refused:
+    if reason == _SQL_ERROR:
+        return refuse(RefusalReason.SQL_ERROR, problem=message)
+    return _refuse_read(run, message)
+
+
+def _refuse_read(run: PeerRun, problem: str) -> Refused:
+    return refuse(
+        RefusalReason.NO_TARGET,
+        retry_after_ms=1,
+        group=run.group,
+        problem=f'{run.member}: {problem}',
+    )
--- a/mimosapond/refusal_reason.py
+++ b/mimosapond/refusal_reason.py
@@ -21,6 +21,7 @@
     NOT_OWNER = 'not_owner'
     NO_PRIMARY = 'no_primary'
     NO_TARGET = 'no_target'
+    TARGET_UNREACHABLE = 'target_unreachable'
     TARGET_LEAVING = 'target_leaving'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     OVERLOADED = 'overloaded'
--- /dev/null
+++ b/mimosapond/work_decisions.py
@@ -0,0 +1,92 @@
+"""Writes one decision line and the metrics of each grant and refusal."""
+
+from typing import Final, final
+
+from mimosapond.clock import MS_PER_S
+from mimosapond.decision_log import DecisionLog
+from mimosapond.metrics import Metrics
+from mimosapond.refused import Refused
+from mimosapond.waiting_work import WaitingWork
+from mimosapond.work_claim import WorkClaim
+from mimosapond.work_ticket import WorkTicket
+
+_MS_DIGITS: Final = 3
+
+
+@final
+class WorkDecisions:
+    """Names what the scheduler of one member decided and why."""
+
+    def __init__(
+        self,
+        member: str,
+        decisions: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        """Write for ``member``."""
+        self._member = member
+        self._decisions = decisions
+        self._metrics = metrics
+
+    def granted(self, work: WaitingWork, now_s: float) -> None:
+        """Record that ``work`` got a slot."""
+        wait_ms = _wait_ms(work, now_s)
+        work_class = work.ticket.work_class
+        self._metrics.count('owner.granted')
+        self._metrics.timing_ms(f'owner.wait.{work_class}', wait_ms)
+        self._record('slot_granted', _grant_reason(work), work, wait_ms)
+
+    def refused(self, work: WaitingWork, why: Refused, now_s: float) -> None:
+        """Record that ``work`` was refused by the scheduler."""
+        self._metrics.count(f'owner.refused.{why.reason}')
+        self._record('slot_refused', why.reason, work, _wait_ms(work, now_s))
+
+    def withdrawn(self, work: WaitingWork, now_s: float) -> None:
+        """Record that the caller of ``work`` went away."""
+        self._metrics.count('owner.withdrawn')
+        wait_ms = _wait_ms(work, now_s)
+        self._record('slot_refused', 'caller_gone', work, wait_ms)
+
+    def turned_away(self, ticket: WorkTicket, why: Refused) -> None:
+        """Record a refusal outside of the scheduler."""
+        self._metrics.count(f'owner.refused.{why.reason}')
+        self._decisions.record(
+            'slot_refused',
+            why.reason,
+            request_id=ticket.request_id,
+            member=self._member,
+            work_class=ticket.work_class,
+            queue_length_count=0,
+            wait_ms=0,
+        )
+
+    def _record(
+        self,
+        decision: str,
+        reason: str,
+        work: WaitingWork,
+        wait_ms: float,
+    ) -> None:
+        self._decisions.record(
+            decision,
+            reason,
+            request_id=work.ticket.request_id,
+            member=self._member,
+            work_class=work.ticket.work_class,
+            queue_length_count=work.queue_length_count,
+            wait_ms=wait_ms,
+        )
+
+
+def _wait_ms(work: WaitingWork, now_s: float) -> float:
+    return round((now_s - work.arrived_s) * MS_PER_S, _MS_DIGITS)
+
+
+def _grant_reason(work: WaitingWork) -> str:
+    if work.raised_count:
+        return 'aged'
+    if work.claim is WorkClaim.RESUMED:
+        return 'resumed'
+    if work.started_s > work.arrived_s:
+        return 'first_in_queue'
+    return 'slot_free'
