--- /dev/null
+++ b/mimosapond/group_survey.py
@@ -0,0 +1,64 @@
+"""Finds a group's primary by asking all members.
+
+Used where no host knows the group yet, and to find members that adopted a
+term which nobody leads.
+"""
+
+from typing import final
+
+from mimosapond.group_spec import GroupSpec
+from mimosapond.group_view import GroupView
+from mimosapond.member_survey import standings, survey
+from mimosapond.standing import Standing
+from mimosapond.term_parts import TermParts
+
+
+@final
+class GroupSurvey:
+    """Standings of the members of one group."""
+
+    def __init__(self, parts: TermParts, group: GroupSpec) -> None:
+        """Survey ``group``."""
+        self._parts = parts
+        self._group = group
+
+    async def ask(self) -> tuple[Standing, ...]:
+        """Return the standings of the members that answer in time."""
+        answers = await survey(
+            {
+                member.name: self._parts.target.status(
+                    member,
+                    self._parts.check_timeout_s,
+                )
+                for member in self._group.members
+            },
+            lambda known: len(known) == len(self._group.members),
+        )
+        return standings(answers)
+
+    async def highest_term(self) -> int:
+        """Return the highest term that an answering member adopted."""
+        return max((known.term for known in await self.ask()), default=0)
+
+    def reported_view(self, known: tuple[Standing, ...]) -> GroupView | None:
+        """Return the view of the newest primary that a majority supports."""
+        newest_term = max((standing.term for standing in known), default=0)
+        for standing in known:
+            if standing.is_primary and standing.term == newest_term:
+                return self._view(standing, known)
+        return None
+
+    def _view(
+        self,
+        primary: Standing,
+        known: tuple[Standing, ...],
+    ) -> GroupView | None:
+        at_term = [one for one in known if one.term == primary.term]
+        if len(at_term) < self._group.majority_count:
+            return None
+        return GroupView(
+            group=self._group.name,
+            term=primary.term,
+            primary=primary.member,
+            holder=primary.granted_to or '',
+        )
--- /dev/null
+++ b/mimosapond/holder_gate.py
@@ -0,0 +1,78 @@
+"""Counts the writes of a holder and closes step by step for a handover."""
+
+import contextlib
+from collections.abc import Callable, Iterator
+from typing import Final, final
+
+from mimosapond.term_parts import TermParts
+
+_POLL_S: Final = 0.01
+# A host that asked for the handover may die before it acquires the next
+# term; the holder then serves again.
+_REOPEN_AFTER_S: Final = 2
+
+
+@final
+class HolderGate:
+    """Open, closed for new transactions, or closed for all new work."""
+
+    def __init__(self, parts: TermParts) -> None:
+        """Start open."""
+        self._parts = parts
+        self._active_count = 0
+        self._is_draining = False
+        self._closed_until_s: float = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether new writes may start."""
+        return self._parts.clock.monotonic_s() >= self._closed_until_s
+
+    @property
+    def takes_transactions(self) -> bool:
+        """Whether new interactive transactions may start."""
+        return self.is_open and not self._is_draining
+
+    @contextlib.contextmanager
+    def active(self) -> Iterator[None]:
+        """Count one request in flight."""
+        self._active_count += 1
+        try:
+            yield
+        finally:
+            self._active_count -= 1
+
+    async def drain(
+        self,
+        open_transaction_count: Callable[[], int],
+        timeout_s: float,
+    ) -> bool:
+        """Finish all work; open again when it takes too long.
+
+        Writes go on while interactive transactions are open, so a slow one
+        does not stop them.
+        """
+        deadline_s = self._parts.clock.monotonic_s() + timeout_s
+        self._is_draining = True
+        try:
+            is_idle = await self._wait(open_transaction_count, deadline_s)
+        finally:
+            self._is_draining = False
+        if not is_idle:
+            return False
+        self._closed_until_s = deadline_s + _REOPEN_AFTER_S
+        is_idle = await self._wait(lambda: self._active_count, deadline_s)
+        now_s = self._parts.clock.monotonic_s()
+        self._closed_until_s = now_s + _REOPEN_AFTER_S if is_idle else now_s
+        return is_idle
+
+    async def _wait(
+        self,
+        count: Callable[[], int],
+        deadline_s: float,
+    ) -> bool:
+        while count():
+            if not self._parts.remaining_s(deadline_s):
+                return False
+            await self._parts.clock.sleep(_POLL_S)
+        return True
--- /dev/null
+++ b/mimosapond/holder_installer.py
@@ -0,0 +1,47 @@
+"""Builds the holder of a term that this host acquired."""
+
+from typing import final
+
+from mimosapond.group_spec import GroupSpec
+from mimosapond.group_view import GroupView
+from mimosapond.held_term import HeldTerm
+from mimosapond.member_address import MemberAddress
+from mimosapond.slot_source import SlotSources
+from mimosapond.standing import Standing
+from mimosapond.term_holder import TermHolder
+from mimosapond.term_parts import TermParts
+from mimosapond.term_registry import TermRegistry
+
+
+@final
+class HolderInstaller:
+    """Connects a new term to the primary's queue and the registry."""
+
+    def __init__(
+        self,
+        parts: TermParts,
+        slots: SlotSources,
+        registry: TermRegistry,
+    ) -> None:
+        """Install holders into ``registry``."""
+        self._parts = parts
+        self._slots = slots
+        self._registry = registry
+
+    def install(
+        self,
+        group: GroupSpec,
+        view: GroupView,
+        primary: MemberAddress,
+        standing: Standing,
+    ) -> None:
+        """Serve ``view`` from now on; ``standing`` is of its promotion."""
+        firsts = dict(standing.history)
+        held = HeldTerm(
+            self._parts,
+            group,
+            view,
+            firsts.get(view.term, standing.position),
+            self._slots.ensure(primary),
+        )
+        self._registry.install(TermHolder(held))
--- /dev/null
+++ b/mimosapond/keeper_ports.py
@@ -0,0 +1,39 @@
+"""What a keeper of one group is connected to."""
+
+import random
+from typing import final
+
+import attrs
+
+from mimosapond.degraded_paths import DegradedPaths
+from mimosapond.group_views import GroupViews
+from mimosapond.host_directory import BeaconSink, HostDirectory, OwnerLookup
+from mimosapond.opinion_collector import OpinionCollector
+from mimosapond.peer_port import PeerPort
+from mimosapond.term_acquirer import TermAcquirer
+from mimosapond.term_registry import TermRegistry
+
+
+@final
+@attrs.frozen
+class KeeperPorts:
+    """Parts of the host that keepers use.
+
+    Attributes
+    ----------
+    ages
+        Dates the group's data by the beacons.
+    jitter
+        Spreads the attempts of several hosts.
+    """
+
+    views: GroupViews
+    registry: TermRegistry
+    acquirer: TermAcquirer
+    opinions: OpinionCollector
+    peers: PeerPort
+    hosts: HostDirectory
+    placement: OwnerLookup
+    ages: BeaconSink
+    degraded: DegradedPaths
+    jitter: random.Random
--- /dev/null
+++ b/mimosapond/replication_watch.py
@@ -0,0 +1,144 @@
+"""Finds out when a majority of members holds a log position.
+
+One call per replica is open at a time and serves all writes that were waiting
+when it began.
+"""
+
+import asyncio
+from typing import Final, final
+
+import attrs
+
+from mimosapond.bounded_wait import wait_for_future
+from mimosapond.group_spec import GroupSpec
+from mimosapond.group_view import GroupView
+from mimosapond.member_address import MemberAddress
+from mimosapond.standing import Standing
+from mimosapond.superseded_members import SupersededMembers
+from mimosapond.target_results import (
+    ControlResult,
+    TargetRejected,
+    TargetSilent,
+)
+from mimosapond.term_parts import RETRY_PAUSE_S, TermParts
+
+_LAGGING: Final = 'timeout'
+
+
+@attrs.define(eq=False)
+class _Waiter:
+    position: int
+    future: asyncio.Future[bool]
+    holders: set[str] = attrs.field(factory=set)
+
+
+@final
+class ReplicationWatch:
+    """Waiters for positions of one held term."""
+
+    def __init__(
+        self,
+        parts: TermParts,
+        group: GroupSpec,
+        view: GroupView,
+        superseded: SupersededMembers,
+    ) -> None:
+        """Watch the members of ``group`` other than the primary."""
+        self._parts = parts
+        self._term = view.term
+        self._needed_count = group.majority_count - 1
+        self._replicas = tuple(
+            member for member in group.members if member.name != view.primary
+        )
+        self._superseded = superseded
+        self._waiters: list[_Waiter] = []
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    async def replicated(self, position: int, deadline_s: float) -> bool:
+        """Tell whether a majority came to hold ``position`` in time."""
+        if self._superseded.is_superseded or not self._needed_count:
+            return not self._superseded.is_superseded
+        waiter = _Waiter(position, asyncio.get_running_loop().create_future())
+        self._waiters.append(waiter)
+        self._start()
+        try:
+            answer = await wait_for_future(
+                waiter.future,
+                self._parts.remaining_s(deadline_s),
+            )
+        finally:
+            self._waiters.remove(waiter)
+        return answer is True
+
+    def close(self) -> None:
+        """Answer all waiters: not known to be replicated."""
+        for waiter in self._waiters:
+            if not waiter.future.done():
+                waiter.future.set_result(False)
+
+    def _start(self) -> None:
+        for replica in self._replicas:
+            if replica.name not in self._tasks:
+                self._tasks[replica.name] = asyncio.create_task(
+                    self._follow(replica),
+                )
+
+    async def _follow(self, replica: MemberAddress) -> None:
+        try:
+            while asked := self._open_waiters(replica):
+                await self._ask(replica, asked)
+        finally:
+            self._tasks.pop(replica.name)
+
+    def _open_waiters(self, replica: MemberAddress) -> tuple[_Waiter, ...]:
+        return tuple(
+            waiter
+            for waiter in self._waiters
+            if not waiter.future.done() and replica.name not in waiter.holders
+        )
+
+    async def _ask(
+        self,
+        replica: MemberAddress,
+        asked: tuple[_Waiter, ...],
+    ) -> None:
+        lowest = min(waiter.position for waiter in asked)
+        answer = await self._parts.target.await_position(
+            replica,
+            self._term,
+            lowest,
+            self._parts.check_timeout_s,
+        )
+        matched = self._matched_position(replica, answer)
+        for waiter in asked:
+            if waiter.position <= matched:
+                self._count(waiter, replica)
+        is_lagging = (
+            isinstance(answer, TargetRejected) and answer.reason == _LAGGING
+        )
+        if matched < lowest and not is_lagging:
+            await self._parts.clock.sleep(RETRY_PAUSE_S)
+
+    def _matched_position(
+        self,
+        replica: MemberAddress,
+        answer: ControlResult,
+    ) -> int:
+        match answer:
+            case Standing():
+                self._superseded.note(answer)
+                if answer.term == self._term:
+                    return answer.matched_position
+            case TargetRejected():
+                self._superseded.note(answer.standing)
+            case TargetSilent():
+                # The next call opens a new connection: the kept one may be
+                # dead while the member is alive.
+                self._parts.target.disconnect(replica)
+        return -1
+
+    def _count(self, waiter: _Waiter, replica: MemberAddress) -> None:
+        waiter.holders.add(replica.name)
+        is_majority = len(waiter.holders) >= self._needed_count
+        if is_majority and not waiter.future.done():
+            waiter.future.set_result(True)
--- /dev/null
+++ b/mimosapond/standing_round.py
@@ -0,0 +1,154 @@
+"""Confirms that a held term is still the group's newest.
+
+No lease is involved: each answer rests on members asked after the question
+arrived, so a pause of this process at any point can't make it outdated.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import final
+
+from mimosapond.bounded_wait import wait_for_future
+from mimosapond.group_spec import GroupSpec
+from mimosapond.group_view import GroupView
+from mimosapond.member_survey import Answers, survey
+from mimosapond.replication_watch import ReplicationWatch
+from mimosapond.standing import Standing
+from mimosapond.superseded_members import SupersededMembers
+from mimosapond.target_results import TargetRejected, TargetSilent
+from mimosapond.term_parts import RETRY_PAUSE_S, TermParts
+
+
+@final
+class StandingRound:
+    """Checks of one held term, shared by all who wait for one."""
+
+    def __init__(
+        self,
+        parts: TermParts,
+        group: GroupSpec,
+        view: GroupView,
+        on_superseded: Callable[[int], None],
+    ) -> None:
+        """Check the term of ``view`` at the members of ``group``."""
+        self._parts = parts
+        self._group = group
+        self._view = view
+        self._superseded = SupersededMembers(group, view, on_superseded)
+        self._replication = ReplicationWatch(
+            parts,
+            group,
+            view,
+            self._superseded,
+        )
+        self._waiting: list[asyncio.Future[int | None]] = []
+        self._silent: set[str] = set()
+        self._task: asyncio.Task[None] | None = None
+        self._is_closed = False
+
+    async def confirm(self, deadline_s: float) -> int | None:
+        """Return the primary's position once its term is confirmed.
+
+        Returns
+        -------
+        int or None
+            Log position reported in a round that began after this call, or
+            None when no round succeeded before ``deadline_s``.
+        """
+        if self._is_closed:
+            return None
+        future: asyncio.Future[int | None]
+        future = asyncio.get_running_loop().create_future()
+        self._waiting.append(future)
+        if self._task is None:
+            self._task = asyncio.create_task(self._serve())
+        return await wait_for_future(
+            future,
+            self._parts.remaining_s(deadline_s),
+        )
+
+    async def replicated(self, position: int, deadline_s: float) -> bool:
+        """Tell whether a majority came to hold ``position`` in time."""
+        if self._is_closed:
+            return False
+        return await self._replication.replicated(position, deadline_s)
+
+    def note(self, standing: Standing | None) -> None:
+        """Take a standing that another call returned."""
+        self._superseded.note(standing)
+
+    def close(self) -> None:
+        """Answer all waiters: not confirmed."""
+        self._is_closed = True
+        self._replication.close()
+        self._answer(self._waiting, None)
+
+    async def _serve(self) -> None:
+        try:
+            while self._has_waiters():
+                await self._run_round()
+        finally:
+            self._task = None
+
+    def _has_waiters(self) -> bool:
+        self._waiting = [
+            future for future in self._waiting if not future.done()
+        ]
+        return bool(self._waiting)
+
+    async def _run_round(self) -> None:
+        asked = self._waiting
+        self._waiting = []
+        position = await self._ask_members()
+        if position is not None or self._is_closed:
+            self._answer(asked, None if self._is_closed else position)
+            return
+        self._waiting = asked + self._waiting
+        await self._parts.clock.sleep(RETRY_PAUSE_S)
+
+    def _answer(
+        self,
+        futures: list[asyncio.Future[int | None]],
+        position: int | None,
+    ) -> None:
+        for future in futures:
+            if not future.done():
+                future.set_result(position)
+
+    async def _ask_members(self) -> int | None:
+        answers = await survey(
+            {
+                member.name: self._parts.target.status(
+                    member,
+                    self._parts.check_timeout_s,
+                    fresh=member.name in self._silent,
+                )
+                for member in self._group.members
+            },
+            self._is_confirmed,
+        )
+        self._learn(answers)
+        primary = answers.get(self._view.primary)
+        if isinstance(primary, Standing) and self._is_confirmed(answers):
+            return primary.position
+        return None
+
+    def _learn(self, answers: Answers) -> None:
+        for name, answer in answers.items():
+            if isinstance(answer, TargetSilent):
+                self._silent.add(name)
+                continue
+            self._silent.discard(name)
+            is_rejected = isinstance(answer, TargetRejected)
+            self._superseded.note(answer.standing if is_rejected else answer)
+
+    def _is_confirmed(self, answers: Answers) -> bool:
+        at_term = {
+            name: answer
+            for name, answer in answers.items()
+            if isinstance(answer, Standing) and answer.term == self._view.term
+        }
+        primary = at_term.get(self._view.primary)
+        if primary is None or not primary.is_primary:
+            return False
+        return len(at_term) >= self._group.majority_count
--- /dev/null
+++ b/mimosapond/term_holder.py
@@ -0,0 +1,187 @@
+"""Serves writes and floor queries of one group at one term.
+
+There is one holder per term: a holder that was replaced is fenced by the
+members' term check, as a replaced primary is.
+"""
+
+import functools
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Final, final
+
+from mimosapond.errors import refuse, unknown
+from mimosapond.floor import Floor
+from mimosapond.group_beacon import GroupBeacon
+from mimosapond.held_term import HeldTerm
+from mimosapond.holder_gate import HolderGate
+from mimosapond.interactive_transactions import InteractiveTransactions
+from mimosapond.invariant_error import InvariantError
+from mimosapond.ledger_access import LedgerAccess
+from mimosapond.ledger_sweeper import LedgerSweeper
+from mimosapond.outcome import Outcome
+from mimosapond.peer_run import PeerRun
+from mimosapond.refusal_reason import RefusalReason
+from mimosapond.running_writes import RunningWrites
+from mimosapond.statement import Statement
+from mimosapond.term_settler import TermSettler
+from mimosapond.term_writer import TermWriter
+
+# Used when a peer names no deadline.
+_DEFAULT_DEADLINE_MS: Final = 5000
+
+
+@final
+class TermHolder:
+    """Facade over the operations of one held term."""
+
+    def __init__(self, held: HeldTerm) -> None:
+        """Serve the term of ``held``."""
+        access = LedgerAccess(held)
+        self.view = held.view
+        self._held = held
+        self._writer = TermWriter(held, access)
+        self._settler = TermSettler(held, access, self._writer)
+        self._transactions = InteractiveTransactions(
+            held,
+            access,
+            self._writer,
+        )
+        self._sweeper = LedgerSweeper(held, access)
+        self._gate = HolderGate(held.parts)
+        self._running = RunningWrites()
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether a newer term is known."""
+        return self._held.is_closed
+
+    async def run(self) -> None:
+        """Delete expired ledger rows until the term is closed."""
+        await self._sweeper.run()
+
+    async def write(self, run: PeerRun) -> Outcome:
+        """Run a one-request write at most once."""
+        if self.is_closed or not self._gate.is_open:
+            return self._held.refuse_not_owner()
+        deadline_s = self._deadline_s(run.request.deadline_ms)
+        request_id = run.request.request_id
+        start = functools.partial(self._writer.write, run, deadline_s)
+        return await self._guarded(
+            request_id,
+            lambda: self._running.run(
+                request_id,
+                start,
+                self._held.parts.remaining_s(deadline_s),
+            ),
+        )
+
+    async def begin(self, run: PeerRun) -> Outcome:
+        """Open an interactive transaction."""
+        if self.is_closed or not self._gate.takes_transactions:
+            return self._held.refuse_not_owner()
+        deadline_s = self._deadline_s(run.request.deadline_ms)
+        return await self._guarded(
+            run.request.request_id,
+            lambda: self._transactions.begin(run, deadline_s),
+        )
+
+    async def execute(
+        self,
+        transaction_id: str,
+        statements: Sequence[Statement],
+        deadline_ms: int,
+    ) -> Outcome:
+        """Run statements in an open transaction."""
+        with self._gate.active():
+            return await self._transactions.execute(
+                transaction_id,
+                statements,
+                self._deadline_s(deadline_ms),
+            )
+
+    async def commit(self, transaction_id: str, deadline_ms: int) -> Outcome:
+        """Commit an open transaction."""
+        request_id = self._transactions.request_id(transaction_id)
+        if request_id is None:
+            return refuse(
+                RefusalReason.NO_TRANSACTION,
+                transaction_id=transaction_id,
+            )
+        return await self._guarded(
+            request_id,
+            lambda: self._transactions.commit(
+                transaction_id,
+                self._deadline_s(deadline_ms),
+            ),
+        )
+
+    async def rollback(self, transaction_id: str, deadline_ms: int) -> Outcome:
+        """Roll an open transaction back."""
+        with self._gate.active():
+            return await self._transactions.rollback(
+                transaction_id,
+                self._deadline_s(deadline_ms),
+            )
+
+    async def settle(self, request_id: str, deadline_ms: int) -> Outcome:
+        """Make the outcome of an earlier request certain."""
+        if self.is_closed or not self._gate.is_open:
+            return unknown(request_id, 'the group is changing its holder.')
+        return await self._guarded(
+            request_id,
+            lambda: self._settler.settle(
+                request_id,
+                self._deadline_s(deadline_ms),
+            ),
+        )
+
+    async def floor(self, session_id: str, deadline_s: float) -> Floor | None:
+        """Return the session's floor, None when the term isn't confirmed."""
+        confirmed = await self._held.round.confirm(deadline_s)
+        if confirmed is None:
+            return None
+        return self._held.sessions.floor(session_id)
+
+    async def beacon(self, deadline_s: float) -> GroupBeacon | None:
+        """Return the primary's position at the confirmed term."""
+        position = await self._held.round.confirm(deadline_s)
+        return None if position is None else GroupBeacon(self.view, position)
+
+    async def release(self, timeout_s: float) -> bool:
+        """Finish open work, so that another host can take the term over."""
+        return await self._gate.drain(
+            lambda: self._transactions.open_count,
+            timeout_s,
+        )
+
+    def abort_idle(self) -> None:
+        """End interactive transactions whose caller went away."""
+        self._transactions.abort_idle()
+
+    def close(self) -> None:
+        """Stop serving, because a newer term exists."""
+        self._held.close()
+        self._transactions.close()
+
+    async def _guarded(
+        self,
+        request_id: str,
+        start: Callable[[], Awaitable[Outcome]],
+    ) -> Outcome:
+        with self._gate.active():
+            try:
+                return await start()
+            except InvariantError as error:
+                self.close()
+                self._held.parts.decisions.record(
+                    'term_closed',
+                    str(error),
+                    group=self.view.group,
+                    term=self.view.term,
+                    request_id=request_id,
+                )
+        return unknown(request_id, 'an internal check failed.')
+
+    def _deadline_s(self, deadline_ms: int | None) -> float:
+        if deadline_ms is None:
+            return self._held.parts.deadline_after(_DEFAULT_DEADLINE_MS)
+        return self._held.parts.deadline_after(deadline_ms)
--- /dev/null
+++ b/mimosapond/term_registry.py
@@ -0,0 +1,32 @@
+"""The holders of this host."""
+
+from typing import final
+
+from mimosapond.term_holder import TermHolder
+
+
+@final
+class TermRegistry:
+    """At most one holder per group; an older one is closed."""
+
+    def __init__(self) -> None:
+        """Start without holders."""
+        self._holders: dict[str, TermHolder] = {}
+
+    def holder(self, group_name: str) -> TermHolder | None:
+        """Return the open holder of ``group_name``."""
+        holder = self._holders.get(group_name)
+        if holder is None or holder.is_closed:
+            return None
+        return holder
+
+    def install(self, holder: TermHolder) -> None:
+        """Serve with ``holder`` and close the one before."""
+        self.remove(holder.view.group)
+        self._holders[holder.view.group] = holder
+
+    def remove(self, group_name: str) -> None:
+        """Close and forget the holder of ``group_name``."""
+        holder = self._holders.pop(group_name, None)
+        if holder is not None:
+            holder.close()
--- /dev/null
+++ b/mimosapond/term_settler.py
@@ -0,0 +1,96 @@
+"""Settles the outcome of an earlier request id.
+
+A cancelled row at the current term either proves that the request has not run
+and never will, or fails because the request's own row is there.
+"""
+
+from typing import final
+
+from mimosapond.durability import Durability
+from mimosapond.errors import unknown
+from mimosapond.held_term import HeldTerm
+from mimosapond.landed import Landed
+from mimosapond.ledger_access import LedgerAccess
+from mimosapond.ledger_row import LedgerRow, RowState
+from mimosapond.outcome import Outcome
+from mimosapond.refused import Refused
+from mimosapond.slot_use import using_slot
+from mimosapond.target_connection import TargetConnection
+from mimosapond.target_results import TargetAnswered, TargetRejected
+from mimosapond.term_ticket import own_ticket
+from mimosapond.term_writer import DUPLICATE, TermWriter
+from mimosapond.unknown import Unknown
+from mimosapond.work_class import WorkClass
+
+
+@final
+class TermSettler:
+    """Settles request ids at one held term."""
+
+    def __init__(
+        self,
+        held: HeldTerm,
+        access: LedgerAccess,
+        writer: TermWriter,
+    ) -> None:
+        """Settle at the term of ``held``."""
+        self._held = held
+        self._access = access
+        self._writer = writer
+
+    async def settle(self, request_id: str, deadline_s: float) -> Outcome:
+        """Return the certain outcome of ``request_id``, or unknown.
+
+        An id past its retention period can't be settled: its record may be
+        deleted.
+        """
+        expired = self._writer.refuse_id(request_id)
+        if expired is not None:
+            return unknown(request_id, expired.message)
+        grant = await self._held.slots.acquire(
+            own_ticket(request_id, WorkClass.URGENT, deadline_s),
+        )
+        if isinstance(grant, Refused):
+            return unknown(request_id, grant.message)
+        with using_slot(grant) as connection:
+            attempt = await self._cancel(connection, request_id, deadline_s)
+        if not isinstance(attempt, Landed):
+            return attempt
+        return await self._held.conclude(
+            request_id,
+            attempt,
+            Durability.REPLICATED,
+            deadline_s,
+        )
+
+    async def _cancel(
+        self,
+        connection: TargetConnection,
+        request_id: str,
+        deadline_s: float,
+    ) -> Landed | Unknown:
+        refused = await self._access.ensure_table(connection, deadline_s)
+        if refused is not None:
+            return unknown(request_id, refused.message)
+        remaining_s = self._held.parts.remaining_s
+        answer = await connection.begin(
+            self._held.view.term,
+            (self._access.ledger.insert(request_id, RowState.CANCELLED),),
+            remaining_s(deadline_s),
+        )
+        if isinstance(answer, TargetAnswered):
+            answer = await connection.commit((), remaining_s(deadline_s))
+        if isinstance(answer, TargetAnswered):
+            cancelled = LedgerRow(RowState.CANCELLED)
+            return Landed(answer.standing.position, cancelled)
+        failure = self._access.after_failure(connection, answer)
+        is_rejected = isinstance(answer, TargetRejected)
+        if is_rejected and answer.reason == DUPLICATE:
+            stored = await self._access.stored(
+                connection,
+                request_id,
+                deadline_s,
+            )
+            if stored is not None:
+                return stored
+        return unknown(request_id, failure.message)
