Test terms with a fake group on virtual time

Guards acknowledgement, at-most-once, settling, promotion and handover; a randomised property checks that acknowledged writes survive and appear once.

--- /dev/null
+++ b/features/terms.feature
@@ -0,0 +1,281 @@
+Feature: Terms, holders and promotion
+  A write acknowledged by a replaced primary is lost for the users, a request
+  that runs twice overcharges them, and a needless or missing promotion stops
+  all writes of a group.
+
+  Background:
+    Given terms host "h1" leads with primary "m1"
+
+  # Guards against acknowledging what a replaced primary committed.
+  Scenario Outline: terms acknowledge nothing from a replaced primary
+    Given terms commits at "m1" are cut off after the next one
+    When terms host "h1" starts <durability> write "late"
+    And terms host "h2" promotes the newest member
+    And terms member "m1" delivers its commit answer
+    Then terms write "late" ends as unknown
+    And terms note "late" exists 0 times
+
+    Examples:
+      | durability |
+      | primary    |
+      | replicated |
+
+  # Guards against losing an acknowledged write with a lagging replica.
+  Scenario Outline: terms wait for the durability that was asked for
+    Given terms replicas lag <lag_s> s
+    When terms host "h1" writes "tally" with <durability> durability
+    Then terms write "tally" ends as <outcome>
+
+    Examples:
+      | lag_s | durability | outcome   |
+      | 0     | replicated | completed |
+      | 0.2   | replicated | completed |
+      | 30    | replicated | unknown   |
+      | 30    | primary    | completed |
+
+  # Guards against acknowledging without a majority at the term.
+  Scenario Outline: terms need a majority besides the primary
+    Given terms member "m2" is silent
+    And terms member "m3" is <state>
+    When terms host "h1" writes "tally" with <durability> durability
+    Then terms write "tally" ends as <outcome>
+
+    Examples:
+      | state  | durability | outcome   |
+      | silent | primary    | unknown   |
+      | silent | replicated | unknown   |
+      | alive  | primary    | completed |
+      | alive  | replicated | completed |
+
+  # Guards against a request that runs twice.
+  Scenario: terms return the stored answer through another holder
+    When terms host "h1" writes "once" with primary durability
+    And terms host "h2" keeps primary "m1"
+    And terms host "h2" writes "once" with primary durability
+    Then terms write "once" ends as replayed
+    And terms note "once" exists 1 times
+
+  # Guards against a paused holder that commits after its replacement.
+  Scenario: terms fence a holder that was paused before its commit
+    Given terms member "m1" holds commits back
+    When terms host "h1" starts replicated write "paused"
+    And terms host "h2" keeps primary "m1"
+    And terms member "m1" lets commits go on
+    Then terms write "paused" ends as not_owner
+    And terms note "paused" exists 0 times
+
+  # Guards against a refusal of a request that may have run.
+  Scenario: terms answer a lost commit answer as unknown and its retry as replayed
+    Given terms member "m1" loses its next commit answer
+    When terms host "h1" writes "lost" with replicated durability
+    Then terms write "lost" ends as unknown
+    When terms host "h1" writes "lost" with replicated durability
+    Then terms write "lost" ends as replayed
+    And terms note "lost" exists 1 times
+
+  # Guards against a second run of a request that is still running.
+  Scenario: terms join two tries of one request
+    When terms host "h1" starts replicated write "twin"
+    And terms host "h1" writes "twin" with replicated durability
+    Then terms write "twin" ends as replayed
+    And terms note "twin" exists 1 times
+
+  # Guards against a late retry that runs after it was settled as not run.
+  Scenario: terms refuse a retry of a settled request
+    When terms host "h1" settles "never"
+    Then terms write "never" ends as request_cancelled
+    When terms host "h2" keeps primary "m1"
+    And terms host "h2" writes "never" with primary durability
+    Then terms write "never" ends as request_cancelled
+    And terms note "never" exists 0 times
+
+  # Guards against settling by a record that a later primary may not have.
+  Scenario Outline: terms settle what ran only once it is replicated
+    When terms host "h1" writes "tally" with primary durability
+    And terms replicas lag <lag_s> s
+    And terms host "h1" writes "other" with primary durability
+    And terms host "h1" settles "<label>"
+    Then terms write "<label>" ends as <outcome>
+
+    Examples:
+      | lag_s | label | outcome           |
+      | 0     | other | replayed          |
+      | 30    | other | unknown           |
+      | 0     | none  | request_cancelled |
+      | 30    | none  | unknown           |
+
+  # Guards against a caller's own violation taken for a repeated request.
+  Scenario Outline: terms refuse rejected SQL as not run
+    When terms host "h1" runs "INSERT INTO orders VALUES ('7')" as "first"
+    And terms host "h1" runs "<sql>" as "second"
+    Then terms write "second" ends as <outcome>
+
+    Examples:
+      | sql                             | outcome   |
+      | INSERT INTO orders VALUES ('7') | sql_error |
+      | INSERT INTO absent VALUES ('7') | sql_error |
+      | INSERT INTO orders VALUES ('8') | completed |
+
+  # Guards against the loss of replicated writes in a promotion.
+  Scenario Outline: terms promote the newest member
+    Given terms member "<lagging>" lags 30 s
+    When terms host "h1" writes "order" with replicated durability
+    And terms member "m1" becomes silent
+    And terms host "h3" promotes the newest member
+    Then terms primary is "<newest>"
+    And terms note "order" exists 1 times
+
+    Examples:
+      | lagging | newest |
+      | m2      | m3     |
+      | m3      | m2     |
+
+  # Guards against two primaries or two holders of one term.
+  Scenario Outline: terms have one holder under two promoters
+    Given terms platform is <platform>
+    And terms member "m1" is silent
+    When terms hosts "h2" and "h3" promote at the same time with seed <seed>
+    Then terms have one holder and one primary at the highest term
+
+    Examples:
+      | platform | seed |
+      | healthy  | 1    |
+      | down     | 1    |
+      | down     | 2    |
+      | down     | 3    |
+
+  # Guards against a change of primary where only the owner changes.
+  Scenario: terms hand a group over to its preferred owner
+    Given terms owner of "m1" is moved to "h2"
+    When terms keepers run for 3 s
+    Then terms primary is "m1"
+    And terms host "h2" is the holder at term 2
+
+  # Guards against a stop of writes by an owner that died or never existed.
+  Scenario: terms keep the primary of a dead holder
+    Given terms host "h1" is dead
+    And terms owner of "m1" is moved to "h2"
+    When terms keepers run for 2 s
+    Then terms primary is "m1"
+    And terms host "h2" is the holder at term 2
+
+  # Guards against replacing a healthy primary.
+  Scenario Outline: terms survive a disturbance without a promotion
+    Given terms disturbance "<disturbance>"
+    When terms keepers run for 5 s
+    Then terms primary is "m1"
+    And terms host "h1" is the holder at term 1
+
+    Examples:
+      | disturbance                           |
+      | h2 is isolated from all               |
+      | h2 is isolated from hosts and primary |
+      | h2 has a silent link to the holder    |
+      | h1 has a silent link to its primary   |
+      | platform is down                      |
+      | m3 is silent                          |
+
+  # Guards against a failover gap above the objective of 2 s.
+  Scenario Outline: terms promote in time after a primary fails
+    Given terms platform is <platform>
+    When terms keepers run for 1 s
+    And terms member "m1" becomes silent
+    Then terms writes succeed within 2 s
+    And terms primary is not "m1"
+
+    Examples:
+      | platform       |
+      | healthy        |
+      | down           |
+      | slow           |
+      | losing answers |
+
+  # Guards against a stale read at a holder that does not know its successor.
+  Scenario: terms give no floor at a replaced holder
+    When terms host "h1" writes "board" with replicated durability
+    Then terms floor at "h1" contains write "board"
+    When terms host "h2" keeps primary "m1"
+    Then terms floor at "h1" is none
+    And terms floor at "h2" contains write "board"
+
+  # Guards against a group that no host knows after a restart of all hosts.
+  Scenario: terms are found by hosts that know no view
+    Given terms hosts forget the group
+    When terms keepers run for 3 s
+    Then terms primary is "m1"
+    And terms writes succeed within 0.1 s
+
+  # Guards against members that stay outside the group after a failure.
+  Scenario Outline: terms bring members back
+    Given terms replica "m3" stays at <place>
+    When terms keepers run for 5 s
+    Then terms primary is "m1"
+    And terms members all stand at one term
+
+    Examples:
+      | place         |
+      | a lower term  |
+      | a higher term |
+
+  # Guards against silent degradation.
+  Scenario: terms signal refused writes once per outage
+    When terms member "m1" becomes silent
+    And terms member "m2" becomes silent
+    And terms keepers run for 2 s
+    Then terms host "h3" signals refused writes
+    When terms members are healed
+    And terms keepers go on for 6 s
+    Then terms host "h3" signals nothing
+
+  # Guards against mixed, lost or repeated interactive transactions.
+  Scenario Outline: terms end interactive transactions truthfully
+    Given terms transaction "book" is open at "h1"
+    When terms event "<event>" happens
+    And terms transaction "book" is <ended>
+    Then terms write "book" ends as <outcome>
+    And terms note "book" exists <count> times
+
+    Examples:
+      | event                | ended           | outcome           | count |
+      | nothing              | committed       | completed         | 1     |
+      | nothing              | rolled back     | completed         | 0     |
+      | newer term           | committed       | not_owner         | 0     |
+      | holder closed        | committed       | no_transaction    | 0     |
+      | commit answer lost   | committed       | unknown           | 1     |
+      | primary silent       | continued       | no_primary        | 0     |
+      | request settled      | committed       | request_cancelled | 0     |
+      | idle for 60 s        | committed       | no_transaction    | 0     |
+      | bad statement        | committed       | no_transaction    | 0     |
+
+  # Guards against a floor that falls when the bounded table evicts a session.
+  Scenario Outline: terms session table never lowers a floor
+    Given terms session table for 2 sessions from position 5
+    When terms sessions write "<writes>"
+    Then terms session "<session>" has floor position <position>
+
+    Examples:
+      | writes              | session | position |
+      | a:7                 | a       | 7        |
+      | a:7                 | b       | 5        |
+      | a:9 a:7             | a       | 9        |
+      | a:7 b:8 c:9         | a       | 7        |
+      | a:7 b:8 c:9         | d       | 7        |
+      | a:7 b:8 a:9 c:10    | b       | 8        |
+
+  # Guards against a table that grows forever, and against early deletion.
+  Scenario Outline: terms delete expired records only
+    When terms host "h1" writes "old" with primary durability
+    And terms clock skips <hours> h
+    And terms host "h1" deletes expired records
+    Then terms record "old" is <state>
+    And terms retry of "old" ends as <outcome>
+
+    Examples:
+      | hours | state   | outcome         |
+      | 23    | kept    | replayed        |
+      | 24    | kept    | request_expired |
+      | 25    | deleted | request_expired |
+
+  # Guards against lost or repeated writes under any interleaving of failures.
+  Scenario: terms keep every acknowledged write under random failures
+    Then terms random histories lose and repeat nothing
--- /dev/null
+++ b/features/terms_world.py
@@ -0,0 +1,294 @@
+"""Three hosts and three members, connected by fakes on virtual time."""
+
+import asyncio
+import random
+from collections.abc import Coroutine, Mapping
+from typing import Any, Final, TypeVar, final
+
+from features.terms_fakes import (
+    FakeDirectory,
+    FakeNetwork,
+    FakePeers,
+    FakePlatform,
+    FakeSlots,
+    RecordedBeacons,
+)
+from features.terms_loop import LoopClock, VirtualLoop
+from features.terms_member_fakes import FakeMember, run_sql
+from features.terms_target_fakes import FakeTarget
+from mimosapond.acquire_attempts import AcquireAttempts
+from mimosapond.access_mode import AccessMode
+from mimosapond.codec import encode
+from mimosapond.decision_log import NullDecisionLog
+from mimosapond.degraded_paths import DegradedPaths
+from mimosapond.durability import Durability
+from mimosapond.group_keeper import GroupKeeper
+from mimosapond.group_spec import GroupSpec
+from mimosapond.group_views import GroupViews
+from mimosapond.holder_installer import HolderInstaller
+from mimosapond.keeper_ports import KeeperPorts
+from mimosapond.member_address import MemberAddress
+from mimosapond.metrics import NullMetrics
+from mimosapond.opinion_collector import OpinionCollector
+from mimosapond.options import Options
+from mimosapond.outcome import Outcome
+from mimosapond.peer_results import PeerAnswered, PeerRejected, PeerResult
+from mimosapond.peer_run import PeerRun
+from mimosapond.standing import PRIMARY_ROLE
+from mimosapond.statement import Statement
+from mimosapond.statement_request import StatementRequest
+from mimosapond.term_acquirer import TermAcquirer
+from mimosapond.term_claim import TermClaims
+from mimosapond.term_holder import TermHolder
+from mimosapond.term_parts import TermParts
+from mimosapond.term_registry import TermRegistry
+
+NAMES: Final = ('1', '2', '3')
+GROUP: Final = GroupSpec(
+    'forge-a',
+    tuple(
+        MemberAddress(f'm{name}', f'dc{name}', f'127.0.0.{name}:1')
+        for name in NAMES
+    ),
+)
+_REPLICATION_S: Final = 0.002
+_MS_PER_S: Final = 1000
+_NONCE_LENGTH: Final = 16
+_Answer = TypeVar('_Answer')
+
+
+def options() -> Options:
+    """Return default settings."""
+    return Options('h', 'dc', ':1', ':2', ':3', ':4')
+
+
+def request_id(world: 'World', label: str) -> str:
+    """Return a valid id for ``label``."""
+    padded = label.ljust(_NONCE_LENGTH, '_')
+    return f'{world.started_ms}.{padded}'
+
+
+def build_run(
+    identity: str,
+    statements: tuple[Statement, ...],
+    durability: Durability = Durability.REPLICATED,
+    session_id: str | None = None,
+) -> PeerRun:
+    """Build a write with a deadline of one second."""
+    request = StatementRequest(
+        service='forge',
+        workspace='shop',
+        request_id=identity,
+        mode=AccessMode.WRITE,
+        statements=statements,
+        deadline_ms=_MS_PER_S,
+        durability=durability,
+        session_id=session_id,
+    )
+    return PeerRun(request, 'forge-a', 'm1')
+
+
+def note(body: str) -> Statement:
+    """Return a write that shows each time it runs."""
+    return Statement('INSERT INTO notes (body) VALUES (?)', (body,))
+
+
+@final
+class FakeHost:
+    """The terms area of one host."""
+
+    def __init__(self, host_id: str, world: 'World') -> None:
+        """Wire one host to the fakes of ``world``."""
+        self.parts = TermParts(
+            host_id,
+            options(),
+            FakeTarget(host_id, world.members, world.jitter),
+            world.clock,
+            NullDecisionLog(),
+            NullMetrics(),
+        )
+        self.views = GroupViews()
+        self.registry = TermRegistry()
+        self.beacons = RecordedBeacons()
+        self.degraded = DegradedPaths(NullMetrics())
+        peers = FakePeers(host_id, world.network)
+        self.acquirer = TermAcquirer(
+            self.parts,
+            TermClaims(self.parts, world.platform),
+            self.views,
+            HolderInstaller(
+                self.parts,
+                FakeSlots(self.parts.target),
+                self.registry,
+            ),
+        )
+        ports = KeeperPorts(
+            self.views,
+            self.registry,
+            self.acquirer,
+            OpinionCollector(self.parts, peers, world.directory),
+            peers,
+            world.directory,
+            world.directory,
+            self.beacons,
+            self.degraded,
+            world.jitter,
+        )
+        self.attempts = AcquireAttempts(self.parts, ports, GROUP)
+        self.keeper = GroupKeeper(self.parts, ports, GROUP)
+
+    @property
+    def holder(self) -> TermHolder | None:
+        """The open holder."""
+        return self.registry.holder(GROUP.name)
+
+    async def answer(
+        self,
+        operation: str,
+        body: Mapping[str, Any],
+    ) -> PeerResult:
+        """Serve a peer operation as the peer handlers do."""
+        if operation == 'opinion':
+            is_reachable = await self.keeper.opinion(body['term'])
+            return PeerAnswered({'reachable': is_reachable})
+        holder = self.holder
+        if holder is None:
+            view = self.views.get(GROUP.name)
+            known = None if view is None else encode(view)
+            return PeerRejected('not_holder', '', {'view': known})
+        if operation == 'handover':
+            is_released = await holder.release(body['timeout_ms'] / _MS_PER_S)
+            return PeerAnswered({'released': is_released})
+        timeout_s = body['timeout_ms'] / _MS_PER_S
+        deadline_s = self.parts.clock.monotonic_s() + timeout_s
+        beacon = await holder.beacon(deadline_s)
+        if beacon is None:
+            return PeerRejected('not_confirmed', '', {})
+        return PeerAnswered(encode(beacon))
+
+
+@final
+class World:
+    """All hosts and members of one test."""
+
+    def __init__(self, seed: int = 1) -> None:
+        """Start the members and their replication."""
+        self.loop = VirtualLoop()
+        self.clock = LoopClock(self.loop)
+        self.started_ms = self.clock.unix_ms()
+        self.jitter = random.Random(seed)
+        self.platform = FakePlatform()
+        self.network = FakeNetwork()
+        self.directory = FakeDirectory()
+        self.members = {
+            f'm{name}': FakeMember(f'm{name}', self.loop) for name in NAMES
+        }
+        self.cut_members: set[str] = set()
+        self.hosts: dict[str, FakeHost] = {}
+        for name in NAMES:
+            host = FakeHost(f'h{name}', self)
+            self.hosts[f'h{name}'] = host
+            self.network.hosts[f'h{name}'] = host.answer
+        self._tasks = [self.loop.create_task(self._replicate())]
+
+    def run(self, work: Coroutine[Any, Any, _Answer]) -> _Answer:
+        """Run ``work`` on virtual time."""
+        return self.loop.run_until_complete(work)
+
+    def wait(self, delay_s: float) -> None:
+        """Let time pass."""
+        self.run(asyncio.sleep(delay_s))
+
+    def start(self, work: Coroutine[Any, Any, _Answer]) -> Any:
+        """Start ``work`` in the background."""
+        task = self.loop.create_task(work)
+        self._tasks.append(task)
+        return task
+
+    def lead(self, host: str, member: str | None) -> bool:
+        """Acquire a term at ``host``; tell whether it succeeded."""
+        acquirer = self.hosts[host].acquirer
+        view = self.run(acquirer.acquire(GROUP, keep=member))
+        return view is not None
+
+    def spread_views(self) -> None:
+        """Tell all hosts the newest view, as gossip does."""
+        known = [host.views.get(GROUP.name) for host in self.hosts.values()]
+        newest = max(
+            (view for view in known if view is not None),
+            key=lambda view: view.term,
+        )
+        for host in self.hosts.values():
+            self.run(host.views.merge(newest))
+
+    def cut(self, member: str) -> None:
+        """Cut a member from all hosts and members."""
+        self.members[member].cut_hosts |= set(self.hosts)
+        self.cut_members.add(member)
+
+    def heal(self) -> None:
+        """Reconnect and unblock everything."""
+        self.cut_members.clear()
+        self.network.cut_hosts.clear()
+        for member in self.members.values():
+            member.cut_hosts.clear()
+            member.silent_links.clear()
+            member.lag_s = 0
+            member.loses_commit_answer = False
+
+    def keep(self) -> None:
+        """Run the keepers of all hosts."""
+        for host in self.hosts.values():
+            self.start(host.keeper.run())
+
+    def primary(self) -> FakeMember:
+        """Return the primary of the highest term."""
+        leading = (
+            member
+            for member in self.members.values()
+            if member.role == PRIMARY_ROLE
+        )
+        return max(leading, key=lambda member: member.term)
+
+    def count_notes(self, body: str) -> int:
+        """Count how often ``body`` was written, at the newest primary."""
+        query = Statement('SELECT count(*) FROM notes WHERE body = ?', (body,))
+        results = run_sql(self.primary().database(), (query,))
+        return int(results[0].rows[0][0])
+
+    def write(
+        self,
+        host: str,
+        label: str,
+        durability: Durability = Durability.REPLICATED,
+    ) -> Coroutine[Any, Any, Outcome]:
+        """Return a write of the note ``label`` through ``host``."""
+        holder = self.hosts[host].registry.holder(GROUP.name)
+        assert holder is not None, f'{host} is not the holder'
+        run = build_run(
+            request_id(self, label),
+            (note(label),),
+            durability,
+            session_id='clerk',
+        )
+        return holder.write(run)
+
+    def close(self) -> None:
+        """Cancel all tasks."""
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.run(asyncio.sleep(0))
+        self.loop.close()
+
+    async def _replicate(self) -> None:
+        while True:
+            await asyncio.sleep(_REPLICATION_S)
+            for primary in self.members.values():
+                self._send_log(primary)
+
+    def _send_log(self, primary: FakeMember) -> None:
+        if primary.name in self.cut_members:
+            return
+        for replica in self.members.values():
+            if replica is not primary and replica.name not in self.cut_members:
+                replica.follow(primary)
--- a/mimosapond/acquire_attempts.py
+++ b/mimosapond/acquire_attempts.py
@@ -10,6 +10,8 @@
 _BURST_COUNT: Final = 3
 _FIRST_PAUSE_S: Final = 0.1
 _LONGEST_PAUSE_S: Final = 2
+_DOUBLING_COUNT: Final = 5
+_LEAST_PAUSE_RATIO: Final = 0.5
 # Delays between keepers of one group that see the same failure: longer than
 # the calls of an undisturbed promotion, so that the first one is done.
 RANK_DELAY_S: Final = 0.15
@@ -77,11 +79,11 @@
         self._failure_count += 1
 
     def _pause_s(self) -> float:
-        grown_s = _FIRST_PAUSE_S * 2 ** min(self._failure_count, 10)
-        return min(grown_s, _LONGEST_PAUSE_S) * self._ports.jitter.uniform(
-            0.5,
-            1,
+        grown_s = _FIRST_PAUSE_S * float(
+            2 ** min(self._failure_count, _DOUBLING_COUNT)
         )
+        share_ratio = self._ports.jitter.uniform(_LEAST_PAUSE_RATIO, 1)
+        return share_ratio * min(grown_s, _LONGEST_PAUSE_S)
 
     def _known_term(self) -> int:
         view = self._ports.views.get(self._group.name)
--- a/mimosapond/group_keeper.py
+++ b/mimosapond/group_keeper.py
@@ -176,7 +176,9 @@
         if not evidence.opinions.allow_promotion:
             self._decide(view, 'none', 'no support of other keepers', evidence)
             return
-        if await self._attempts.yield_to_others(self._delay_s(view.primary)):
+        is_own = self._watch.own_holder(view) is not None
+        delay_s = 0 if is_own else self._delay_s(view.primary)
+        if await self._attempts.yield_to_others(delay_s):
             return
         self._decide(view, 'promote', 'primary is silent', evidence)
         await self._attempts.acquire(keep=None)
@@ -279,19 +281,21 @@
         return is_released
 
     async def _heal(self, view: GroupView) -> None:
-        """Bring back members that adopted a term which nobody leads.
+        """Bring back members that are at another term.
 
-        They refuse the log of the held term. A promoter that is still at work
-        gets until the next survey.
+        A member that was silent during the change gets the term now. One that
+        adopted a higher term which nobody leads refuses the log of the held
+        term; a promoter that is still at work gets until the next survey.
         """
         self._step_count += 1
         if self._step_count % _SURVEY_COUNT:
             return
-        highest = await self._survey.highest_term()
+        known = await self._survey.ask()
+        await self._survey.bring_up(view, known)
         was_unled = self._is_unled
-        self._is_unled = highest > view.term
+        self._is_unled = any(one.term > view.term for one in known)
         if self._is_unled and was_unled:
-            self._decide(view, 'keep', 'a member left the term', highest)
+            self._decide(view, 'keep', 'a member left the term', known)
             await self._attempts.acquire(keep=view.primary)
 
     async def _find_group(self) -> None:
--- a/mimosapond/group_survey.py
+++ b/mimosapond/group_survey.py
@@ -36,9 +36,21 @@
         )
         return standings(answers)
 
-    async def highest_term(self) -> int:
-        """Return the highest term that an answering member adopted."""
-        return max((known.term for known in await self.ask()), default=0)
+    async def bring_up(
+        self,
+        view: GroupView,
+        known: tuple[Standing, ...],
+    ) -> None:
+        """Send the held term of ``view`` to the members below it."""
+        for standing in known:
+            member = self._group.member(standing.member)
+            if member is not None and standing.term < view.term:
+                await self._parts.target.adopt(
+                    member,
+                    view.term,
+                    self._parts.host_id,
+                    self._parts.check_timeout_s,
+                )
 
     def reported_view(self, known: tuple[Standing, ...]) -> GroupView | None:
         """Return the view of the newest primary that a majority supports."""
--- a/mimosapond/member_survey.py
+++ b/mimosapond/member_survey.py
@@ -8,18 +8,21 @@
 from mimosapond.target_results import ControlResult
 
 Answers: TypeAlias = Mapping[str, ControlResult]
+LateCall: TypeAlias = asyncio.Task[ControlResult]
 
 
 async def survey(
     calls: Mapping[str, Coroutine[Any, Any, ControlResult]],
     is_enough: Callable[[Answers], bool],
+    late_calls: set[LateCall] | None = None,
 ) -> dict[str, ControlResult]:
     """Run ``calls`` (by member name) together.
 
     Calls that have not answered when ``is_enough`` holds are cancelled, so a
-    silent member does not delay a decision that the others allow.
+    silent member does not delay a decision that the others allow. Where late
+    calls shall still take effect, they go on in ``late_calls``.
     """
-    names = {asyncio.ensure_future(call): name for name, call in calls.items()}
+    names = {asyncio.create_task(call): name for name, call in calls.items()}
     answers: dict[str, ControlResult] = {}
     pending = set(names)
     try:
@@ -30,8 +33,7 @@
             )
             answers.update((names[task], task.result()) for task in done)
     finally:
-        for task in pending:
-            task.cancel()
+        _leave(pending, late_calls)
     return answers
 
 
@@ -40,3 +42,15 @@
     return tuple(
         answer for answer in answers.values() if isinstance(answer, Standing)
     )
+
+
+def _leave(
+    pending: set[LateCall],
+    late_calls: set[LateCall] | None,
+) -> None:
+    for task in pending:
+        if late_calls is None:
+            task.cancel()
+            continue
+        late_calls.add(task)
+        task.add_done_callback(late_calls.discard)
--- a/mimosapond/standing_round.py
+++ b/mimosapond/standing_round.py
@@ -135,12 +135,15 @@
 
     def _learn(self, answers: Answers) -> None:
         for name, answer in answers.items():
-            if isinstance(answer, TargetSilent):
-                self._silent.add(name)
-                continue
+            match answer:
+                case TargetSilent():
+                    self._silent.add(name)
+                    continue
+                case TargetRejected():
+                    self._superseded.note(answer.standing)
+                case Standing():
+                    self._superseded.note(answer)
             self._silent.discard(name)
-            is_rejected = isinstance(answer, TargetRejected)
-            self._superseded.note(answer.standing if is_rejected else answer)
 
     def _is_confirmed(self, answers: Answers) -> bool:
         at_term = {
--- a/mimosapond/term_acquirer.py
+++ b/mimosapond/term_acquirer.py
@@ -8,7 +8,7 @@
 from mimosapond.holder_installer import HolderInstaller
 from mimosapond.invariant_error import Invariant, InvariantError
 from mimosapond.member_address import MemberAddress
-from mimosapond.member_survey import Answers, standings, survey
+from mimosapond.member_survey import Answers, LateCall, standings, survey
 from mimosapond.standing import Standing
 from mimosapond.target_results import ControlResult, TargetRejected
 from mimosapond.term_claim import Claim, TermClaims
@@ -39,6 +39,7 @@
         self._views = views
         self._installer = installer
         self._unfinished: dict[str, int] = {}
+        self._late_calls: set[LateCall] = set()
 
     async def acquire(
         self,
@@ -61,24 +62,27 @@
         term = self._next_term(group, surveyed)
         claim = await self._claims.claim(group.name, term)
         if claim is Claim.OTHER:
-            return self._fail(group, term, str(claim))
+            self._fail(group, term, str(claim))
+            return None
         grants = await self._adopt(group, term, keep)
-        if len(grants) < group.majority_count:
-            return self._fail(
+        if not _is_enough(group, grants, keep):
+            self._fail(
                 group,
                 term,
-                'no majority of grants',
+                'no majority of grants, or not of the primary to keep',
                 granted=[grant.member for grant in grants],
             )
+            return None
         chosen = _choose(grants, keep)
         promoted = await self._promote(group, term, chosen)
         if promoted is None:
-            return self._fail(
+            self._fail(
                 group,
                 term,
                 'promote failed',
                 member=chosen.member,
             )
+            return None
         return await self._install(group, promoted, claim, keep)
 
     async def _survey(
@@ -194,6 +198,7 @@
                 for member in group.members
             },
             lambda known: _is_enough(group, self._grants(known, term), keep),
+            self._late_calls,
         )
         return self._grants(answers, term)
 
@@ -251,7 +256,8 @@
         )
         primary = group.member(promoted.member)
         if primary is None or not await self._views.merge(view):
-            return self._fail(group, view.term, 'a newer term became known')
+            self._fail(group, view.term, 'a newer term became known')
+            return None
         self._installer.install(group, view, primary, promoted)
         self._parts.decisions.record(
             'term_acquired',
--- a/mimosapond/term_settler.py
+++ b/mimosapond/term_settler.py
@@ -16,7 +16,11 @@
 from mimosapond.refused import Refused
 from mimosapond.slot_use import using_slot
 from mimosapond.target_connection import TargetConnection
-from mimosapond.target_results import TargetAnswered, TargetRejected
+from mimosapond.target_results import (
+    TargetAnswered,
+    TargetRejected,
+    TargetSilent,
+)
 from mimosapond.term_ticket import own_ticket
 from mimosapond.term_writer import DUPLICATE, TermWriter
 from mimosapond.unknown import Unknown
@@ -84,8 +88,7 @@
             cancelled = LedgerRow(RowState.CANCELLED)
             return Landed(answer.standing.position, cancelled)
         failure = self._access.after_failure(connection, answer)
-        is_rejected = isinstance(answer, TargetRejected)
-        if is_rejected and answer.reason == DUPLICATE:
+        if _is_duplicate(answer):
             stored = await self._access.stored(
                 connection,
                 request_id,
@@ -94,3 +97,7 @@
             if stored is not None:
                 return stored
         return unknown(request_id, failure.message)
+
+
+def _is_duplicate(failure: TargetRejected | TargetSilent) -> bool:
+    return isinstance(failure, TargetRejected) and failure.reason == DUPLICATE
