--- a/features/standins.feature
+++ b/features/standins.feature
@@ -30,6 +30,18 @@
       | 1    | host-1 | term_changed |
       | 3    | host-1 | term_changed |
 
+  Scenario Outline: a malformed control call is answered
+    Guards against a fault of the product that looks like a silent member.
+    Given a member group "m1" without faults
+    Then a member call "<op>" on "m1" answers "bad_request"
+
+    Examples:
+      | op             |
+      | adopt          |
+      | promote        |
+      | await_position |
+      | append         |
+
   Scenario: a replaced primary refuses writes
     Guards against a write that a replaced primary acknowledges.
     Given a member group "m1 m2 m3" without faults
--- a/standins/member_control.py
+++ b/standins/member_control.py
@@ -17,6 +17,20 @@
 _Body: TypeAlias = Mapping[str, Any]
 
 
+def _integer(body: _Body, name: str) -> int:
+    number = body.get(name)
+    if isinstance(number, int):
+        return number
+    raise RejectedCallError('bad_request', f'{name} must be an integer')
+
+
+def _asker(body: _Body) -> str:
+    asker = body.get('asker')
+    if isinstance(asker, str):
+        return asker
+    raise RejectedCallError('bad_request', 'asker must be a string')
+
+
 @final
 class MemberControl:
     """Term operations, and log shipping between members."""
@@ -36,11 +50,11 @@
         return encode(self._state.standing())
 
     async def _adopt(self, body: _Body) -> _Body:
-        self._state.adopt(int(body['term']), str(body['asker']))
+        self._state.adopt(_integer(body, 'term'), _asker(body))
         return encode(self._state.standing())
 
     async def _promote(self, body: _Body) -> _Body:
-        self._state.promote(int(body['term']), str(body['asker']))
+        self._state.promote(_integer(body, 'term'), _asker(body))
         return encode(self._state.standing())
 
     async def _append(self, body: _Body) -> _Body:
@@ -52,10 +66,12 @@
         return encode(self._state.standing())
 
     async def _await_position(self, body: _Body) -> _Body:
-        timeout_s = body['timeout_ms'] / MS_PER_S
+        term = _integer(body, 'term')
+        position = _integer(body, 'position')
+        timeout_s = _integer(body, 'timeout_ms') / MS_PER_S
         try:
             async with asyncio.timeout(timeout_s):
-                await self._wait(body['term'], body['position'])
+                await self._wait(term, position)
         except TimeoutError as error:
             raise self._state.rejection(
                 'timeout',
