--- a/features/spread.feature
+++ b/features/spread.feature
@@ -31,16 +31,17 @@
 
   Scenario Outline: spread probes get around a fault between two hosts
     Guards against a healthy host that loses its ownership to one bad path.
-    Given a joined spread fleet of 6 hosts
+    Given a joined spread fleet of <count> hosts
     When the spread path from host-1 to host-2 is <fault>
     And the spread fleet runs 20 periods
-    Then each spread host knows 6 hosts, all alive
+    Then each spread host knows <count> hosts, all alive
     And spread host host-2 has incarnation 0
 
     Examples:
-      | fault  |
-      | cut    |
-      | silent |
+      | count | fault  |
+      | 6     | cut    |
+      | 6     | silent |
+      | 2     | silent |
 
   Scenario: spread suspicion of a healthy host is refuted
     Guards against a short interruption that counts as a death.
@@ -52,6 +53,21 @@
     And the spread fleet runs 8 periods
     Then each spread host knows 8 hosts, all alive
 
+  Scenario: spread suspects are probed again before their time is up
+    Guards against a suspect that learns of the suspicion too late.
+    Given a joined spread fleet of 24 hosts
+    When spread host host-1 suspects host-2 and tells nobody
+    And spread host host-1 runs 1 probe
+    Then spread host host-2 has incarnation 1
+
+  Scenario: spread of a death reaches a host that still probes
+    Guards against a host that is held dead and never learns why.
+    Given a joined spread fleet of 4 hosts
+    When spread host host-1 holds host-2 dead and tells nobody
+    And spread host host-2 runs 6 probes
+    Then spread host host-2 has incarnation 1
+    And spread host host-1 sees host-2 as alive
+
   Scenario: spread suspicion outlasts a pause of the suspecting host
     Guards against a paused host that declares others dead when it resumes.
     Given a joined spread fleet of 8 hosts
@@ -139,7 +155,9 @@
     And spread host host-2 acquires term 5
     And the spread fleet runs 40 periods
     And the spread paths are healed
-    And the spread fleet compares its state 4 times
+    And spread host host-2 compares its state with host-1
+    Then 50% of the spread hosts see term 5
+    When the spread fleet compares its state 4 times
     Then 100% of the spread hosts see term 5
 
   Scenario Outline: spread of a leaving target
@@ -185,6 +203,10 @@
     Guards against a restart that moves ownership all over the fleet.
     Then spread placement moves only the departed host's members
 
+  Scenario: spread placement is balanced
+    Guards against one host that owns everything.
+    Then spread placement gives 8 hosts between 25 and 80 of 400 members
+
   Scenario Outline: spread placement prefers the data centre of the member
     Guards against owners far from their targets, or none.
     Given spread hosts "<hosts>"
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 from typing import Any
 
 import attrs
@@ -30,6 +31,11 @@
     return Membership(own, ManualClock(), NullDecisionLog(), 1)
 
 
+def _host(context: Any, name: str) -> SpreadInstance:
+    host: SpreadInstance = context.fleet.hosts[name]
+    return host
+
+
 def _find(host: SpreadInstance, name: str) -> list[HostRecord]:
     return [
         record
@@ -92,6 +98,49 @@
     context.fleet.heal()
 
 
+@when('spread host {name} suspects {other} and tells nobody')
+def suspect_silently(context: Any, name: str, other: str) -> None:
+    """Let an unanswered probe start the suspicion, and drop the news."""
+    fleet = context.fleet
+    host = fleet.hosts[name]
+    record = _find(host, other)[0]
+    fleet.isolate(other)
+    while host.membership.host(record.host_id).state != HostState.SUSPECT:
+        fleet.run(host.prober.step())
+    fleet.heal()
+    _drop_news(host)
+
+
+@when('spread host {name} holds {other} dead and tells nobody')
+def hold_dead(context: Any, name: str, other: str) -> None:
+    """Mark a host dead and drop the news."""
+    host = _host(context, name)
+    record = _find(host, other)[0]
+    host.membership.mark_dead(record.host_id)
+    _drop_news(host)
+
+
+def _drop_news(host: SpreadInstance) -> None:
+    while host.gossip.compose()['changes']:
+        host.gossip.take_urgent()
+
+
+@when('spread host {name} runs {count:d} probe')
+@when('spread host {name} runs {count:d} probes')
+def run_probes(context: Any, name: str, count: int) -> None:
+    """Run the prober of one host."""
+    for _ in range(count):
+        context.fleet.run(_host(context, name).prober.step())
+
+
+@when('spread host {name} compares its state with {other}')
+def compare_with(context: Any, name: str, other: str) -> None:
+    """Run one exchange."""
+    address = context.fleet.address(other)
+    host = _host(context, name)
+    context.fleet.run(host.anti_entropy.exchange(address))
+
+
 @when('the spread path from {first} to {second} is {fault}')
 def break_path(context: Any, first: str, second: str, fault: str) -> None:
     """Cut a path, or make only its kept connection silent."""
@@ -423,6 +472,19 @@
         assert owner == previous or previous.host_id == departed
 
 
+@then('spread placement gives 8 hosts between 25 and 80 of 400 members')
+def check_balance(context: Any) -> None:
+    """Count the members of each host; the mean is 50."""
+    membership = _build_membership(build_host('entry-0'))
+    for number in range(1, 8):
+        membership.merge(build_host(f'entry-{number}'))
+    placement = Placement(membership, NullDecisionLog())
+    names = [f'member-{index}' for index in range(400)]
+    owners = Counter(placement.owner_of(build_member(name)) for name in names)
+    assert len(owners) == 8, owners
+    assert all(25 <= count <= 80 for count in owners.values()), owners
+
+
 @given('spread hosts "{text}"')
 def build_placement(context: Any, text: str) -> None:
     """Build a membership from ``host:centre:state`` words."""
--- a/mimosapond/gossip_state.py
+++ b/mimosapond/gossip_state.py
@@ -156,7 +156,10 @@
         return taken, is_local
 
     async def _apply(self, received: Iterable[GossipChange | None]) -> None:
-        changes = {change for change in received if change is not None}
+        # A dict keeps the order, so that seeded runs repeat exactly.
+        changes = dict.fromkeys(
+            change for change in received if change is not None
+        )
         ignored = self._bulk if len(changes) > _BULK_COUNT else self._arriving
         ignored.update(changes)
         for change in changes:
