Compose the daemon and run a whole deployment on loopback

The composition root connects entry side, owner side, terms and spread.

Faults found by the first end-to-end runs and mended: a structure hook for str also caught string enums, so work classes arrived as plain text; an operation that raised got no answer, so its caller waited for the deadline; the ping task of a link could block on a full socket; ports of the ephemeral range collided with outgoing connections.

A leaving mark is now versioned, so that an operator can take it back.

--- a/features/terms_fakes.py
+++ b/features/terms_fakes.py
@@ -158,8 +158,9 @@
         assert not is_open, 'a transaction was left open'
         assert reusable == self.connection.is_open
 
-    def park(self) -> None:
+    def park(self) -> bool:
         """Keep the connection."""
+        return True
 
     async def resume(self, ticket: WorkTicket) -> Refused | None:
         """Grant at once, or refuse as scripted."""
--- /dev/null
+++ b/loadtool/deployed_host.py
@@ -0,0 +1,17 @@
+"""Addresses of one host of a started deployment."""
+
+from typing import final
+
+import attrs
+
+
+@final
+@attrs.frozen
+class DeployedHost:
+    """Name, place and listeners of a host."""
+
+    name: str
+    data_centre: str
+    caller_address: str
+    peer_address: str
+    operator_address: str
--- a/mimosapond/caller_handler.py
+++ b/mimosapond/caller_handler.py
@@ -13,6 +13,7 @@
 
 from mimosapond import codec
 from mimosapond.errors import refuse
+from mimosapond.in_flight import InFlight
 from mimosapond.outcome import Outcome
 from mimosapond.refusal_reason import RefusalReason
 from mimosapond.refused import Refused
@@ -47,11 +48,13 @@
         model: type,
         operation: CallerOperation,
         limit_bytes: int,
+        in_flight: InFlight,
     ) -> None:
         """Take the body's data class and the operation to run."""
         self._model = model
         self._operation = operation
         self._limit_bytes = limit_bytes
+        self._in_flight = in_flight
         self._received_bytes = 0
         self._chunks: list[bytes] = []
 
@@ -65,11 +68,12 @@
 
     async def post(self, path: str = '') -> None:
         """Run the operation."""
-        body = self._decode()
-        if isinstance(body, Refused):
-            self._answer(body)
-            return
-        self._answer(await self._operation(body, path))
+        with self._in_flight.request():
+            body = self._decode()
+            if isinstance(body, Refused):
+                await self._answer(body)
+            else:
+                await self._answer(await self._operation(body, path))
 
     def _decode(self) -> Any:
         if self._received_bytes > self._limit_bytes:
@@ -88,10 +92,12 @@
         except cattrs.BaseValidationError as error:
             return _bad_body('; '.join(codec.describe_errors(error)))
 
-    def _answer(self, outcome: Outcome) -> None:
+    async def _answer(self, outcome: Outcome) -> None:
         self.set_status(_status(outcome))
         self.set_header('Content-Type', 'application/json')
-        self.finish(codec.dump_json(codec.encode(outcome)))
+        if self._in_flight.is_draining:
+            self.set_header('Connection', 'close')
+        await self.finish(codec.dump_json(codec.encode(outcome)))
 
 
 def _bad_body(problem: str) -> Refused:
--- a/mimosapond/caller_routes.py
+++ b/mimosapond/caller_routes.py
@@ -3,6 +3,7 @@
 from typing import Any, Final
 
 from mimosapond.caller_handler import CallerHandler, CallerOperation
+from mimosapond.in_flight import InFlight
 from mimosapond.outcome import Outcome
 from mimosapond.outcome_query import OutcomeQuery
 from mimosapond.router import Router
@@ -15,6 +16,7 @@
 def build_caller_routes(
     router: Router,
     limit_bytes: int,
+    in_flight: InFlight,
 ) -> list[tuple[str, type[CallerHandler], dict[str, Any]]]:
     """Return the routes of ``/v1``.
 
@@ -24,6 +26,8 @@
         Runs the operations.
     limit_bytes
         Largest body of a request.
+    in_flight
+        Counts the requests being served.
     """
     operations = _Operations(router)
     table: list[tuple[str, type, CallerOperation]] = [
@@ -42,6 +46,7 @@
                 'model': model,
                 'operation': operation,
                 'limit_bytes': limit_bytes,
+                'in_flight': in_flight,
             },
         )
         for path, model, operation in table
--- a/mimosapond/codec.py
+++ b/mimosapond/codec.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from typing import Any, Final, TypeVar, cast
 
+import attrs
 import cattrs
 
 from mimosapond.outcome import Outcome
@@ -41,9 +42,22 @@
     raise TypeError(f'expected true or false, got {raw!r}')
 
 
-CONVERTER.register_structure_hook(int, _structure_int)
-CONVERTER.register_structure_hook(str, _structure_text)
-CONVERTER.register_structure_hook(bool, _structure_flag)
+def _is_int(model: object) -> bool:
+    return model is int
+
+
+def _is_text(model: object) -> bool:
+    return model is str
+
+
+def _is_flag(model: object) -> bool:
+    return model is bool
+
+
+# Exact types only: a hook for str would also catch all string enums.
+CONVERTER.register_structure_hook_func(_is_int, _structure_int)
+CONVERTER.register_structure_hook_func(_is_text, _structure_text)
+CONVERTER.register_structure_hook_func(_is_flag, _structure_flag)
 CONVERTER.register_structure_hook(str | int | float | None, _structure_scalar)
 
 
@@ -55,6 +69,9 @@
     cattrs.BaseValidationError
         When a field is missing, unknown or of another type.
     """
+    if attrs.has(model) and not isinstance(payload, Mapping):
+        error = TypeError(f'expected a JSON object, got {payload!r}')
+        raise cattrs.ClassValidationError('not an object', [error], model)
     return CONVERTER.structure(payload, model)
 
 
--- /dev/null
+++ b/mimosapond/daemon.py
@@ -0,0 +1,51 @@
+"""Entry point of ``mimosapondd``, the daemon of one host."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+
+import fire
+from loguru import logger
+
+from mimosapond.composition import Composition
+from mimosapond.exit_code import ExitCode
+from mimosapond.file_problem import InvalidFile
+from mimosapond.log_setup import set_up_logging
+from mimosapond.options import Options
+from mimosapond.settings_loader import load_settings
+
+
+async def _serve(options: Options) -> None:
+    host = Composition(options).build_host()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, host.request_leave)
+    logger.info('host_started')
+    await host.run()
+
+
+def run(settings: str) -> None:
+    """Serve with the settings file ``settings`` until SIGTERM.
+
+    Parameters
+    ----------
+    settings
+        Path of the YAML file, see docs/settings.md.
+    """
+    options = load_settings(pathlib.Path(settings))
+    if isinstance(options, InvalidFile):
+        for problem in options.problems:
+            sys.stderr.write(f'{problem}\n')
+        sys.exit(int(ExitCode.BAD_USAGE))
+    set_up_logging(options)
+    asyncio.run(_serve(options))
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(run, name='mimosapondd')
+
+
+if __name__ == '__main__':
+    main()
--- a/mimosapond/gossip_change.py
+++ b/mimosapond/gossip_change.py
@@ -27,8 +27,8 @@
             return [_HOST, host_id, *place, state.value, incarnation]
         case GroupView(group, term, primary, holder):
             return [_VIEW, group, term, primary, holder]
-        case LeavingTarget(name):
-            return [_TARGET, name]
+        case LeavingTarget(name, version, is_leaving):
+            return [_TARGET, name, version, is_leaving]
 
 
 def decode_change(raw: Sequence[Any]) -> GossipChange | None:
@@ -39,8 +39,8 @@
             return HostRecord(host_id, *place, HostState(state), incarnation)
         case ['v', group, int(term), primary, holder]:
             return GroupView(group, term, primary, holder)
-        case ['t', name]:
-            return LeavingTarget(name)
+        case ['t', name, int(version), bool(is_leaving)]:
+            return LeavingTarget(name, version, is_leaving)
     return None
 
 
--- a/mimosapond/gossip_state.py
+++ b/mimosapond/gossip_state.py
@@ -78,12 +78,11 @@
 
     def changes(self) -> list[GossipChange]:
         """Return the whole state, dead hosts included."""
-        names = self._leaving.names()
         return [
             *self._membership.hosts(),
             *self._membership.dead(),
             *self._views.all(),
-            *(LeavingTarget(name) for name in names),
+            *self._leaving.marks(),
         ]
 
     def retain_targets(self) -> None:
@@ -172,11 +171,11 @@
                 self._membership.merge(change)
             case GroupView():
                 await self._views.merge(change)
-            case LeavingTarget(name):
+            case LeavingTarget(name=name):
                 # A peer that has not seen the newest document yet must not
                 # bring a forgotten target back.
                 if self._documents.may_declare(name):
-                    self._leaving.merge((name,))
+                    self._leaving.apply(change)
 
     def _note(self, change: GossipChange) -> None:
         if change in self._bulk:
--- /dev/null
+++ b/mimosapond/host_actions.py
@@ -0,0 +1,153 @@
+"""Implements the operators' actions on the parts of a host."""
+
+from collections.abc import Callable
+from typing import Final, final
+
+import attrs
+
+from mimosapond.degraded_paths import DegradedPaths
+from mimosapond.document_accepted import DocumentAccepted
+from mimosapond.document_editor import DocumentEditor
+from mimosapond.document_store import DocumentStore
+from mimosapond.document_unsettled import DocumentUnsettled
+from mimosapond.draining import LeavingTargets
+from mimosapond.errors import refuse
+from mimosapond.group_supervisor import GroupSupervisor
+from mimosapond.group_views import GroupViews
+from mimosapond.host_status import DocumentStatus, HostStatus, MemberStatus
+from mimosapond.membership import Membership
+from mimosapond.operator_results import (
+    ApplyResult,
+    DocumentApplied,
+    DrainResult,
+    HostDrainResult,
+    HostDrainStarted,
+    PromoteResult,
+    TargetDrainState,
+)
+from mimosapond.owner_registry import OwnerRegistry
+from mimosapond.refusal_reason import RefusalReason
+from mimosapond.service_document import ServiceDocument
+from mimosapond.term_acquirer import TermAcquirer
+from mimosapond.unknown import Unknown
+
+_RETRY_AFTER_MS: Final = 1000
+
+
+@final
+@attrs.frozen
+class HostActions:
+    """Wired once by the composition root."""
+
+    store: DocumentStore
+    editor: DocumentEditor
+    membership: Membership
+    views: GroupViews
+    supervisor: GroupSupervisor
+    owners: OwnerRegistry
+    leaving: LeavingTargets
+    acquirer: TermAcquirer
+    degraded: DegradedPaths
+    request_leave: Callable[[], None]
+
+    def status(self) -> HostStatus:
+        """Return what this host knows now."""
+        return HostStatus(
+            host=self.membership.own,
+            hosts=self.membership.hosts(),
+            groups=self.views.all(),
+            members=tuple(self._members()),
+            documents=tuple(
+                DocumentStatus(document.service, document.revision)
+                for document in self.store.all()
+            ),
+            degraded=self.degraded.snapshot(),
+        )
+
+    def documents(self) -> tuple[ServiceDocument, ...]:
+        """Return the documents in force at this host."""
+        return self.store.all()
+
+    def document(self, service: str) -> ServiceDocument | None:
+        """Return the document in force for ``service``."""
+        return self.store.current(service)
+
+    async def apply_document(
+        self,
+        document: ServiceDocument,
+        expected_revision: int,
+    ) -> ApplyResult:
+        """Put ``document`` into force if the revision is as expected."""
+        match await self.editor.apply(document, expected_revision):
+            case DocumentAccepted(document=accepted):
+                return DocumentApplied(accepted.service, accepted.revision)
+            case DocumentUnsettled(change_id=change_id) as unsettled:
+                return Unknown(change_id, unsettled.message, unsettled.remedy)
+            case refused:
+                return refused
+
+    async def set_target_leaving(
+        self,
+        member_name: str,
+        *,
+        is_leaving: bool,
+    ) -> DrainResult:
+        """Stop or resume new work for a target."""
+        names = {member.name for member in self.store.members()}
+        if member_name not in names:
+            return refuse(RefusalReason.UNKNOWN_TARGET, member=member_name)
+        if is_leaving:
+            self.leaving.merge((member_name,))
+        else:
+            self.leaving.restore(member_name)
+        return TargetDrainState(member_name, is_leaving)
+
+    async def promote(
+        self,
+        group_name: str,
+        member_name: str,
+    ) -> PromoteResult:
+        """Acquire a new term for the group with the member as primary."""
+        group = self.store.group(group_name)
+        if group is None:
+            return refuse(RefusalReason.UNKNOWN_GROUP, group=group_name)
+        if group.member(member_name) is None:
+            return refuse(RefusalReason.UNKNOWN_TARGET, member=member_name)
+        view = await self.acquirer.acquire(group, keep=member_name)
+        if view is None:
+            return refuse(
+                RefusalReason.PROMOTION_FAILED,
+                group=group_name,
+                member=member_name,
+                problem='no majority of members granted a term',
+                retry_after_ms=_RETRY_AFTER_MS,
+            )
+        return view
+
+    async def drain_host(self) -> HostDrainResult:
+        """Start the graceful shutdown of this host; returns at once."""
+        self.request_leave()
+        return HostDrainStarted(self.membership.own.host_id)
+
+    def _members(self) -> list[MemberStatus]:
+        groups = self._group_names()
+        return [
+            MemberStatus(
+                name=member.name,
+                group=groups.get(member.name, ''),
+                queue_length_count=self._queue_length(member.name),
+                is_leaving=self.leaving.is_leaving(member.name),
+            )
+            for member in self.supervisor.owned
+        ]
+
+    def _group_names(self) -> dict[str, str]:
+        names: dict[str, str] = {}
+        for document in self.store.all():
+            for group in document.groups:
+                names.update((one.name, group.name) for one in group.members)
+        return names
+
+    def _queue_length(self, member_name: str) -> int:
+        owner = self.owners.owner(member_name)
+        return 0 if owner is None else owner.queue_length_count
--- /dev/null
+++ b/mimosapond/host_parts.py
@@ -0,0 +1,39 @@
+"""All long-running parts of one host, as the composition root built them."""
+
+from typing import final
+
+import attrs
+
+from mimosapond.anti_entropy import AntiEntropy
+from mimosapond.document_spreader import DocumentSpreader
+from mimosapond.gossip_pusher import GossipPusher
+from mimosapond.group_supervisor import GroupSupervisor
+from mimosapond.host_leave import HostLeave
+from mimosapond.host_list_poller import HostListPoller
+from mimosapond.http_platform import HttpPlatform
+from mimosapond.in_flight import InFlight
+from mimosapond.json_peers import JsonPeers
+from mimosapond.listeners import Listeners
+from mimosapond.options import Options
+from mimosapond.prober import Prober
+from mimosapond.websocket_target import WebsocketTarget
+
+
+@final
+@attrs.frozen
+class HostParts:
+    """What a host runs, in no particular order."""
+
+    options: Options
+    listeners: Listeners
+    in_flight: InFlight
+    supervisor: GroupSupervisor
+    leave: HostLeave
+    prober: Prober
+    pusher: GossipPusher
+    anti_entropy: AntiEntropy
+    spreader: DocumentSpreader
+    host_list: HostListPoller
+    peers: JsonPeers
+    target: WebsocketTarget
+    platform: HttpPlatform
--- a/mimosapond/interactive_transactions.py
+++ b/mimosapond/interactive_transactions.py
@@ -67,7 +67,12 @@
         """Open a transaction and run its first statements."""
         request = run.request
         grant = await self._held.slots.acquire(
-            run_ticket(run, request.statements, deadline_s),
+            run_ticket(
+                run,
+                request.statements,
+                deadline_s,
+                keeps_connection=True,
+            ),
         )
         if isinstance(grant, Refused):
             return grant
--- a/mimosapond/json_link.py
+++ b/mimosapond/json_link.py
@@ -29,6 +29,7 @@
 MAX_MESSAGE_BYTES: Final = 16 * 1024 * 1024
 PING_OPERATION: Final = 'ping'
 STATUS_OK: Final = 'ok'
+STATUS_REJECTED: Final = 'rejected'
 PING_INTERVAL_S: Final = 0.2
 SILENCE_LIMIT_S: Final = 0.6
 
@@ -143,7 +144,7 @@
         text = dump_json({'call_id': call_id, 'op': operation, 'body': body})
         try:
             async with asyncio.timeout(timeout_s):
-                await self._connection.write_message(text)
+                self._write(text)
                 return await self._pending[call_id]
         except TimeoutError:
             return PeerSilent(f'{operation} timed out', sent=True)
@@ -165,13 +166,7 @@
         answer = self._pending.get(message['call_id'])
         if answer is None or answer.done():
             return
-        body = message['body']
-        if message['status'] == STATUS_OK:
-            answer.set_result(PeerAnswered(body))
-        else:
-            answer.set_result(
-                PeerRejected(body['reason'], body['message'], body),
-            )
+        answer.set_result(_decode_answer(message['status'], message['body']))
 
     async def _ping(self) -> None:
         quiet_s: float = 0
@@ -182,14 +177,34 @@
             else:
                 quiet_s += PING_INTERVAL_S
             self._has_heard.clear()
-            await self._send_ping()
+            self._send_ping()
         self.close()
 
-    async def _send_ping(self) -> None:
+    def _send_ping(self) -> None:
         if not self._pending:
             return
         text = dump_json({'call_id': 0, 'op': PING_OPERATION, 'body': {}})
         try:
-            await self._connection.write_message(text)
+            self._write(text)
         except WebSocketClosedError:
             self.close()
+
+    def _write(self, text: str) -> None:
+        # Not awaited: a peer that stopped reading would block the caller
+        # beyond its timeout and keep the ping task from noticing it.
+        written = self._connection.write_message(text)
+        asyncio.ensure_future(written).add_done_callback(_drop_error)
+
+
+def _drop_error(written: asyncio.Future[None]) -> None:
+    # The reader sees the same failure and closes the link.
+    if not written.cancelled():
+        written.exception()
+
+
+def _decode_answer(status: str, body: Mapping[str, Any]) -> PeerResult:
+    if status == STATUS_OK:
+        return PeerAnswered(body)
+    if status == STATUS_REJECTED:
+        return PeerRejected(body['reason'], body['message'], body)
+    return PeerSilent(f'the peer failed: {body}', sent=True)
--- a/mimosapond/json_link_server.py
+++ b/mimosapond/json_link_server.py
@@ -10,12 +10,14 @@
 from tornado.websocket import WebSocketClosedError, WebSocketHandler
 
 from mimosapond.codec import dump_json
-from mimosapond.json_link import PING_OPERATION, STATUS_OK
+from mimosapond.json_link import PING_OPERATION, STATUS_OK, STATUS_REJECTED
 from mimosapond.peer_port import PeerOperation
 from mimosapond.rejected_call_error import RejectedCallError
 
 SECRET_HEADER: Final = 'X-Mimosapond-Secret'
-STATUS_REJECTED: Final = 'rejected'
+# The operation broke; unlike a rejection it may have had an effect.
+STATUS_FAILED: Final = 'failed'
+_UNSUPPORTED_DATA: Final = 1003
 _HTTP_FORBIDDEN: Final = 403
 
 
@@ -42,7 +44,12 @@
 
     async def on_message(self, message: str | bytes) -> None:
         """Start the task of one call."""
-        task = asyncio.create_task(self._serve(json.loads(message)))
+        try:
+            call = json.loads(message)
+        except ValueError:
+            self.close(_UNSUPPORTED_DATA, 'expected JSON')
+            return
+        task = asyncio.create_task(self._serve(call))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -69,3 +76,6 @@
             return STATUS_OK, await operation(body)
         except RejectedCallError as error:
             return STATUS_REJECTED, error.body
+        except Exception as error:  # noqa: BLE001 # the caller must be told
+            logger.exception('operation_failed')
+            return STATUS_FAILED, {'message': repr(error)}
--- a/mimosapond/json_peers.py
+++ b/mimosapond/json_peers.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import Any, final
 
+from mimosapond.address_book import AddressBook
 from mimosapond.json_link_server import SECRET_HEADER
 from mimosapond.link_cache import LinkCache
 from mimosapond.peer_results import PeerResult
@@ -12,12 +13,18 @@
 class JsonPeers:
     """Calls peers over kept WebSocket links."""
 
-    def __init__(self, secret: str, connect_timeout_s: float) -> None:
+    def __init__(
+        self,
+        secret: str,
+        connect_timeout_s: float,
+        addresses: AddressBook,
+    ) -> None:
         """Take the secret that peers require."""
         self._links = LinkCache(
             '/peer',
             {SECRET_HEADER: secret},
             connect_timeout_s,
+            addresses,
         )
 
     async def call(
--- a/mimosapond/link_cache.py
+++ b/mimosapond/link_cache.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from typing import Any, final
 
+from mimosapond.address_book import AddressBook
 from mimosapond.json_link import JsonLink
 from mimosapond.peer_results import PeerResult, PeerSilent
 
@@ -18,6 +19,7 @@
         path: str,
         headers: Mapping[str, str],
         connect_timeout_s: float,
+        addresses: AddressBook,
     ) -> None:
         """Set where links lead.
 
@@ -29,10 +31,13 @@
             Sent with each upgrade request.
         connect_timeout_s
             Limit for opening a link.
+        addresses
+            Translates addresses before connecting.
         """
         self._path = path
         self._headers = headers
         self._connect_timeout_s = connect_timeout_s
+        self._addresses = addresses
         self._links: dict[str, JsonLink] = {}
         self._locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
 
@@ -78,7 +83,7 @@
             if link is not None and link.is_open and not fresh:
                 return link
             opened = await JsonLink.open(
-                f'ws://{address}{self._path}',
+                f'ws://{self._addresses.resolve(address)}{self._path}',
                 self._headers,
                 min(timeout_s, self._connect_timeout_s),
             )
--- a/mimosapond/options.py
+++ b/mimosapond/options.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from mimosapond.address_override import AddressOverride
+
 
 @final
 class RoutingPolicy(enum.StrEnum):
@@ -33,6 +35,8 @@
         Peer listeners to ask before the platform's host list is known.
     peer_secret, operator_secret
         Required from peers and operators.
+    address_overrides
+        Addresses that this host reaches by another way.
     """
 
     host_name: str
@@ -44,6 +48,7 @@
     seed_addresses: tuple[str, ...] = ()
     peer_secret: str = attrs.field(default='', repr=False)
     operator_secret: str = attrs.field(default='', repr=False)
+    address_overrides: tuple[AddressOverride, ...] = ()
     statsd_address: str | None = None
     log_level: str = 'INFO'
     routing_policy: RoutingPolicy = RoutingPolicy.OWNER
--- a/mimosapond/owner_operations.py
+++ b/mimosapond/owner_operations.py
@@ -159,7 +159,8 @@
         )
 
     def _deadline_s(self, body: Mapping[str, Any]) -> float:
-        return self.clock.monotonic_s() + body['timeout_ms'] / MS_PER_S
+        timeout_s: float = body['timeout_ms'] / MS_PER_S
+        return self.clock.monotonic_s() + timeout_s
 
 
 def _not_owner(group: str) -> Outcome:
--- a/mimosapond/settings_loader.py
+++ b/mimosapond/settings_loader.py
@@ -6,12 +6,13 @@
 
 import os
 import pathlib
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from types import MappingProxyType
 from typing import Any, Final, TypeAlias
 
 import attrs
 
+from mimosapond.address_override import AddressOverride
 from mimosapond.field_check import (
     FieldResult,
     InvalidField,
@@ -53,6 +54,7 @@
 _LISTENERS: Final = ('caller_address', 'peer_address', 'operator_address')
 _SECRETS: Final = ('peer_secret', 'operator_secret')
 _SEEDS: Final = 'seed_addresses'
+_OVERRIDES: Final = 'address_overrides'
 _RULES: Final[Mapping[str, FieldRule]] = MappingProxyType(
     {
         'host_name': NameRule(),
@@ -140,11 +142,22 @@
     }
     word = fields.get('routing_policy', RoutingPolicy.OWNER)
     fields['routing_policy'] = RoutingPolicy(word)
+    if mapping.has(_OVERRIDES):
+        fields[_OVERRIDES] = tuple(_read_overrides(mapping))
     if mapping.has(_SEEDS):
         fields[_SEEDS] = mapping.texts(_SEEDS, AddressRule())
     return fields
 
 
+def _read_overrides(mapping: YamlMapping) -> Iterator[AddressOverride]:
+    for entry in mapping.mappings(_OVERRIDES):
+        entry.require('address', 'via')
+        address = entry.text('address', AddressRule())
+        via = entry.text('via', AddressRule())
+        entry.report_unknown()
+        yield AddressOverride(address, via)
+
+
 def _read_secret(
     mapping: YamlMapping,
     name: str,
--- a/mimosapond/slot_source.py
+++ b/mimosapond/slot_source.py
@@ -18,8 +18,8 @@
     def release(self, *, reusable: bool) -> None:
         """Free slot and connection."""
 
-    def park(self) -> None:
-        """Free the slot and keep the connection."""
+    def park(self) -> bool:
+        """Free the slot and keep the connection, where that is allowed."""
 
     async def resume(self, ticket: WorkTicket) -> Refused | None:
         """Queue for a slot again."""
--- a/mimosapond/term_ticket.py
+++ b/mimosapond/term_ticket.py
@@ -6,31 +6,39 @@
 from mimosapond.peer_run import PeerRun
 from mimosapond.statement import Statement
 from mimosapond.work_class import WorkClass
-from mimosapond.work_ticket import WorkTicket
+from mimosapond.work_ticket import WorkTicket, build_fingerprint
 
 OWN_WORKSPACE: Final = 'mimosapond'
 _OWN_CONNECTION_COUNT: Final = 2
 
 
-def fingerprint(statements: Iterable[Statement]) -> str:
-    """Return the SQL text under which the cost is learned."""
-    return ';'.join(statement.sql for statement in statements)
-
-
 def run_ticket(
     run: PeerRun,
     statements: Iterable[Statement],
     deadline_s: float,
+    *,
+    keeps_connection: bool = False,
 ) -> WorkTicket:
-    """Build the ticket of a caller's statements."""
+    """Build the ticket of a caller's statements.
+
+    Parameters
+    ----------
+    run, statements
+        The request and what is run now.
+    deadline_s
+        Value of ``Clock.monotonic_s`` after which waiting is useless.
+    keeps_connection
+        Whether the grant is parked between statements.
+    """
     return WorkTicket(
         request_id=run.request.request_id,
         work_class=run.request.work_class,
         workspace=run.request.workspace,
         deadline_s=deadline_s,
-        fingerprint=fingerprint(statements),
+        fingerprint=build_fingerprint(statements),
         connection_limit_count=run.connection_limit_count,
         is_long=run.request.is_long,
+        keeps_connection=keeps_connection,
     )
 
 
--- a/mimosapond/websocket_target.py
+++ b/mimosapond/websocket_target.py
@@ -4,6 +4,7 @@
 from typing import Any, Final, final
 
 from mimosapond import codec
+from mimosapond.address_book import AddressBook
 from mimosapond.clock import MS_PER_S
 from mimosapond.json_link import PING_OPERATION, JsonLink
 from mimosapond.link_cache import LinkCache
@@ -24,9 +25,19 @@
 class WebsocketTarget:
     """Opens data connections and keeps one control link per member."""
 
-    def __init__(self, connect_timeout_s: float) -> None:
+    def __init__(
+        self,
+        connect_timeout_s: float,
+        addresses: AddressBook,
+    ) -> None:
         """Set the limit for opening a control link."""
-        self._control = LinkCache('/control', {}, connect_timeout_s)
+        self._addresses = addresses
+        self._control = LinkCache(
+            '/control',
+            {},
+            connect_timeout_s,
+            addresses,
+        )
 
     async def connect(
         self,
@@ -34,7 +45,7 @@
         timeout_s: float,
     ) -> WebsocketConnection | TargetSilent:
         """Open a data connection and check that the target accepted it."""
-        url = f'ws://{member.address}/data'
+        url = f'ws://{self._addresses.resolve(member.address)}/data'
         link = await JsonLink.open(url, {}, timeout_s)
         if isinstance(link, PeerSilent):
             return TargetSilent(link.problem, sent=False)
--- a/mimosapond/write_router.py
+++ b/mimosapond/write_router.py
@@ -31,6 +31,7 @@
         RefusalReason.NO_PRIMARY,
         RefusalReason.NO_TARGET,
         RefusalReason.HOST_LEAVING,
+        RefusalReason.TARGET_UNREACHABLE,
     )
 )
 _RUN: Final = 'run'
--- a/standins/member_data_handler.py
+++ b/standins/member_data_handler.py
@@ -15,7 +15,7 @@
 from mimosapond.clock import MS_PER_S
 from mimosapond.codec import dump_json
 from mimosapond.json_link import PING_OPERATION, STATUS_OK
-from mimosapond.json_link_server import STATUS_REJECTED
+from mimosapond.json_link import STATUS_REJECTED
 from mimosapond.rejected_call_error import RejectedCallError
 from standins.member_server import MemberServer
 from standins.member_session import MemberSession
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -7,10 +7,12 @@
 """
 
 import asyncio
+import itertools
 import pathlib
+import random
 import socket
 import tempfile
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any, Final, Self, final
 
 from mimosapond.codec import encode
@@ -20,22 +22,37 @@
 # Importing the modules takes seconds on a loaded machine.
 _READY_TIMEOUT_S: Final = 30.0
 _STOP_TIMEOUT_S: Final = 5.0
+_FIRST_PORT: Final = 12000
+_END_PORT: Final = 32000
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return loopback addresses with ports that were free just now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        return [_bind(open_socket) for open_socket in sockets]
-    finally:
-        for open_socket in sockets:
-            open_socket.close()
-
-
-def _bind(open_socket: socket.socket) -> str:
-    open_socket.bind(('127.0.0.1', 0))
-    host, port = open_socket.getsockname()
-    return f'{host}:{port}'
+    """Return loopback addresses with ports that were free just now.
+
+    A port is given once per process, also if it is not yet in use.
+    """
+    free = (port for port in _PORTS if _is_free(port))
+    return [f'127.0.0.1:{port}' for port in itertools.islice(free, count)]
+
+
+def _shuffled_ports() -> Iterator[int]:
+    # Ports below the ephemeral range can't be taken by outgoing connections.
+    ports = list(range(_FIRST_PORT, _END_PORT))
+    random.SystemRandom().shuffle(ports)
+    return iter(ports)
+
+
+_PORTS: Final = _shuffled_ports()
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as candidate:
+        candidate.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            candidate.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
 
 
 def _flags(values: Mapping[str, Any]) -> list[str]:
