Build string enums in the text hook of the codec

The hook functions tried before were never asked: cattrs dispatches str by class first. The text hook now builds the model, which serves enums too. A scenario decodes each kind of field.

--- a/features/steps/values_steps.py
+++ b/features/steps/values_steps.py
@@ -1,11 +1,16 @@
 """Steps of values.feature."""
 
+import enum
+import json
 from typing import Any
 
+import cattrs
 from behave import given, then, when
 
 from features.builders import build_standing
+from mimosapond import codec
 from mimosapond.request_id import RequestId
+from mimosapond.statement_request import StatementRequest
 from mimosapond.token import Token
 
 
@@ -38,3 +43,35 @@
     """Compare whether the log contains the entry."""
     is_contained = context.standing.contains(term, position)
     assert is_contained == (verdict == 'contained')
+
+
+@when('the request field "{field}" is decoded from {text}')
+def decode_field(context: Any, field: str, text: str) -> None:
+    """Decode a statement request with one field given as JSON."""
+    body = {
+        'service': 'forge',
+        'workspace': 'forge-a-ws',
+        'request_id': '1764830000000.abcdefghijklmnop',
+        'mode': 'write',
+        field: json.loads(text),
+    }
+    try:
+        request = codec.decode(StatementRequest, body)
+    except cattrs.BaseValidationError:
+        context.decoded = 'refused'
+    else:
+        context.decoded = str(_describe(getattr(request, field)))
+
+
+def _describe(field: object) -> object:
+    return repr(field).split(':')[0].strip('<') if _is_enum(field) else field
+
+
+def _is_enum(field: object) -> bool:
+    return isinstance(field, enum.Enum)
+
+
+@then('the decoded field is "{expected}"')
+def check_field(context: Any, expected: str) -> None:
+    """Compare the decoded field."""
+    assert context.decoded == expected, context.decoded
--- a/features/values.feature
+++ b/features/values.feature
@@ -27,3 +27,21 @@
       | 3    | 15       | contained |
       | 3    | 16       | missing   |
       | 2    | 10       | missing   |
+
+  Scenario Outline: JSON fields of another type are refused
+    A work class that arrived as plain text once broke the owner's scheduler.
+    When the request field "<field>" is decoded from <json>
+    Then the decoded field is "<expected>"
+
+    Examples:
+      | field       | json        | expected            |
+      | work_class  | "urgent"    | WorkClass.URGENT    |
+      | work_class  | "important" | refused             |
+      | work_class  | 1           | refused             |
+      | mode        | "read"      | AccessMode.READ     |
+      | deadline_ms | 250         | 250                 |
+      | deadline_ms | "250"       | refused             |
+      | deadline_ms | true        | refused             |
+      | repeatable  | 1           | refused             |
+      | session_id  | 7           | refused             |
+      | unknown     | 1           | refused             |
--- a/mimosapond/codec.py
+++ b/mimosapond/codec.py
@@ -24,40 +24,28 @@
     raise TypeError(f'expected a string, number or null, got {raw!r}')
 
 
-def _structure_int(raw: object, _type: object) -> int:
+def _structure_int(raw: object, model: type[int]) -> int:
     if isinstance(raw, int) and not isinstance(raw, bool):
-        return raw
+        return model(raw)
     raise TypeError(f'expected an integer, got {raw!r}')
 
 
-def _structure_text(raw: object, _type: object) -> str:
+def _structure_text(raw: object, model: type[str]) -> str:
+    # String enums are dispatched here as well, and build themselves.
     if isinstance(raw, str):
-        return raw
+        return model(raw)
     raise TypeError(f'expected a string, got {raw!r}')
 
 
-def _structure_flag(raw: object, _type: object) -> bool:
+def _structure_flag(raw: object, _model: object) -> bool:
     if isinstance(raw, bool):
         return raw
     raise TypeError(f'expected true or false, got {raw!r}')
 
 
-def _is_int(model: object) -> bool:
-    return model is int
-
-
-def _is_text(model: object) -> bool:
-    return model is str
-
-
-def _is_flag(model: object) -> bool:
-    return model is bool
-
-
-# Exact types only: a hook for str would also catch all string enums.
-CONVERTER.register_structure_hook_func(_is_int, _structure_int)
-CONVERTER.register_structure_hook_func(_is_text, _structure_text)
-CONVERTER.register_structure_hook_func(_is_flag, _structure_flag)
+CONVERTER.register_structure_hook(int, _structure_int)
+CONVERTER.register_structure_hook(str, _structure_text)
+CONVERTER.register_structure_hook(bool, _structure_flag)
 CONVERTER.register_structure_hook(str | int | float | None, _structure_scalar)
 
 
