Name faulty fields, bound connections and complete the decision lines

Callers got 'Field body' for every fault of a body, tornado's HTML for unknown paths and methods, and a broken answer for texts that no target can take. Each refusal now names the field. caller_connection_limit_count is enforced with a typed answer, first headers have a limit of their own, idle connections are closed, and malformed peer messages end the link instead of a task.

Decision lines now carry group and term at the owner, and refused reads, settles, transaction calls and refused requests have lines.

Ruled out: a new limit inside tornado's handlers, since an idle connection never reaches a handler.

--- a/features/steps/operator_api_steps.py
+++ b/features/steps/operator_api_steps.py
@@ -10,7 +10,7 @@
 from features.operator_fakes import FakeOperatorActions, serve
 from features.product_builders import OPERATOR_SECRET, build_document
 from mimosapond.document_body import document_body
-from mimosapond.json_link_server import SECRET_HEADER
+from mimosapond.secret_check import SECRET_HEADER
 from mimosapond.operator_handlers import operator_application
 
 
--- a/loadtool/deployment.py
+++ b/loadtool/deployment.py
@@ -16,7 +16,7 @@
 from mimosapond import codec
 from mimosapond.document_body import document_body
 from mimosapond.group_spec import GroupSpec
-from mimosapond.json_link_server import SECRET_HEADER
+from mimosapond.secret_check import SECRET_HEADER
 from mimosapond.member_address import MemberAddress
 from mimosapond.service_document import ServiceDocument
 from mimosapond.workspace_spec import WorkspaceSpec
--- a/mimosapond/caller_handler.py
+++ b/mimosapond/caller_handler.py
@@ -6,13 +6,15 @@
 
 import json
 from collections.abc import Awaitable, Callable
-from typing import Any, Final, TypeAlias, final
+from typing import Any, Final, Never, TypeAlias, final
 
 import cattrs
-from tornado.web import RequestHandler, stream_request_body
+from tornado.web import stream_request_body
 
 from mimosapond import codec
+from mimosapond.caller_error_handler import CallerErrorHandler
 from mimosapond.errors import refuse
+from mimosapond.field_faults import BODY_FIELD, field_faults
 from mimosapond.in_flight import InFlight
 from mimosapond.outcome import Outcome
 from mimosapond.refusal_reason import RefusalReason
@@ -40,7 +42,7 @@
 
 @final
 @stream_request_body
-class CallerHandler(RequestHandler):
+class CallerHandler(CallerErrorHandler):
     """Decodes a body, runs one operation and writes its outcome."""
 
     def initialize(
@@ -71,9 +73,10 @@
         with self._in_flight.request():
             body = self._decode()
             if isinstance(body, Refused):
-                await self._answer(body)
-            else:
-                await self._answer(await self._operation(body, path))
+                self._answer(body)
+                return
+            self.request_id = body.request_id
+            self._answer(await self._operation(body, path))
 
     def _decode(self) -> Any:
         if self._received_bytes > self._limit_bytes:
@@ -82,26 +85,35 @@
                 limit_bytes=self._limit_bytes,
             )
         try:
-            payload = json.loads(b''.join(self._chunks))
+            payload = json.loads(
+                b''.join(self._chunks),
+                parse_constant=_refuse_constant,
+            )
         except ValueError as error:
-            return _bad_body(f'not JSON: {error}')
+            return _bad_field(BODY_FIELD, f'not JSON: {error}.')
+        except RecursionError:
+            return _bad_field(BODY_FIELD, 'nested too deeply.')
         if not isinstance(payload, dict):
-            return _bad_body('expected a JSON object')
+            return _bad_field(BODY_FIELD, 'expected a JSON object.')
         try:
             return codec.decode(self._model, payload)
         except cattrs.BaseValidationError as error:
-            return _bad_body('; '.join(codec.describe_errors(error)))
+            fault = field_faults(error)[0]
+            return _bad_field(fault.field, f'{fault.problem}.')
 
-    async def _answer(self, outcome: Outcome) -> None:
-        self.set_status(_status(outcome))
-        self.set_header('Content-Type', 'application/json')
+    def _answer(self, outcome: Outcome) -> None:
         if self._in_flight.is_draining:
             self.set_header('Connection', 'close')
-        await self.finish(codec.dump_json(codec.encode(outcome)))
+        self.finish_json(_status(outcome), codec.encode(outcome))
+
+
+def _bad_field(field: str, problem: str) -> Refused:
+    return refuse(RefusalReason.BAD_FIELD, field=field, problem=problem)
 
 
-def _bad_body(problem: str) -> Refused:
-    return refuse(RefusalReason.BAD_FIELD, field='body', problem=problem)
+def _refuse_constant(text: str) -> Never:
+    # Python reads NaN and Infinity, which JSON does not have.
+    raise ValueError(f'{text} is not a JSON value')
 
 
 def _status(outcome: Outcome) -> int:
--- a/mimosapond/codec.py
+++ b/mimosapond/codec.py
@@ -4,7 +4,9 @@
 silently ignored.
 """
 
+import enum
 import json
+import reprlib
 from collections.abc import Mapping
 from typing import Any, Final, TypeVar, cast
 
@@ -21,26 +23,34 @@
 def _structure_scalar(raw: object, _type: object) -> Any:
     if raw is None or isinstance(raw, (str, int, float)):
         return raw
-    raise TypeError(f'expected a string, number or null, got {raw!r}')
+    raise TypeError(f'expected a string, number or null, got {_short(raw)}')
 
 
 def _structure_int(raw: object, model: type[int]) -> int:
     if isinstance(raw, int) and not isinstance(raw, bool):
         return model(raw)
-    raise TypeError(f'expected an integer, got {raw!r}')
+    raise TypeError(f'expected an integer, got {_short(raw)}')
 
 
 def _structure_text(raw: object, model: type[str]) -> str:
     # String enums are dispatched here as well, and build themselves.
-    if isinstance(raw, str):
-        return model(raw)
-    raise TypeError(f'expected a string, got {raw!r}')
+    if not isinstance(raw, str):
+        raise TypeError(f'expected a string, got {_short(raw)}')
+    if issubclass(model, enum.Enum) and raw not in set(model):
+        words = ', '.join(model)
+        raise ValueError(f'expected one of {words}, got {_short(raw)}')
+    return model(raw)
 
 
 def _structure_flag(raw: object, _model: object) -> bool:
     if isinstance(raw, bool):
         return raw
-    raise TypeError(f'expected true or false, got {raw!r}')
+    raise TypeError(f'expected true or false, got {_short(raw)}')
+
+
+def _short(raw: object) -> str:
+    # A whole body in an answer or a log line would help no one.
+    return reprlib.repr(raw)
 
 
 CONVERTER.register_structure_hook(int, _structure_int)
@@ -58,7 +68,7 @@
         When a field is missing, unknown or of another type.
     """
     if attrs.has(model) and not isinstance(payload, Mapping):
-        error = TypeError(f'expected a JSON object, got {payload!r}')
+        error = TypeError(f'expected a JSON object, got {_short(payload)}')
         raise cattrs.ClassValidationError('not an object', [error], model)
     return CONVERTER.structure(payload, model)
 
--- a/mimosapond/composition.py
+++ b/mimosapond/composition.py
@@ -14,6 +14,7 @@
 from mimosapond.age_trackers import AgeTrackers
 from mimosapond.anti_entropy import AntiEntropy
 from mimosapond.attempt_gate import AttemptGate
+from mimosapond.caller_error_handler import UnknownPathHandler
 from mimosapond.caller_routes import build_caller_routes
 from mimosapond.clock import MS_PER_S, SystemClock
 from mimosapond.decision_log import LoguruDecisionLog
@@ -71,6 +72,8 @@
 from mimosapond.websocket_target import WebsocketTarget
 
 _SUFFIX_BYTES: Final = 4
+_PEER_PING_INTERVAL_S: Final = 20
+_PEER_PING_TIMEOUT_S: Final = 10
 
 
 @final
@@ -204,6 +207,7 @@
             self._holders.holder,
             self._ages,
             self._clock,
+            self._decisions,
         )
 
     def _build_terms(self) -> None:
@@ -299,10 +303,7 @@
         ).mapping()
         self._operations = {**owner_side, **spread}
         self._in_flight = InFlight()
-        self._listeners = Listeners(
-            options.body_limit_bytes,
-            options.header_timeout_s,
-        )
+        self._listeners = Listeners(options)
 
     def _listen(self, host: Host) -> None:
         options = self._options
@@ -318,15 +319,24 @@
         self._listeners.open(
             'callers',
             options.caller_address,
-            Application(list(callers), log_function=_ignore_request),
+            Application(
+                list(callers),
+                default_handler_class=UnknownPathHandler,
+                log_function=_ignore_request,
+            ),
+            options.caller_connection_limit_count,
         )
         self._listeners.open(
             'peers',
             options.peer_address,
             Application(
                 [('/peer', JsonLinkHandler, peer)],
+                default_handler_class=UnknownPathHandler,
                 log_function=_ignore_request,
                 websocket_max_message_size=MAX_MESSAGE_BYTES,
+                # Closes links whose other end vanished without a word.
+                websocket_ping_interval=_PEER_PING_INTERVAL_S,
+                websocket_ping_timeout=_PEER_PING_TIMEOUT_S,
             ),
         )
         self._listeners.open(
--- a/mimosapond/errors.py
+++ b/mimosapond/errors.py
@@ -22,6 +22,10 @@
             'The body exceeds {limit_bytes} bytes.',
             'Split the request into smaller ones.',
         ),
+        Reason.CONNECTION_LIMIT: (
+            'This host has its {limit_count} caller connections in use.',
+            'Reuse open connections, or connect again after the given time.',
+        ),
         Reason.UNKNOWN_SERVICE: (
             'No document declares service {service}.',
             'Check the name, or apply a document for the service.',
--- a/mimosapond/held_term.py
+++ b/mimosapond/held_term.py
@@ -63,6 +63,16 @@
         is_cancelled = landed.row.state is RowState.CANCELLED
         required = Durability.REPLICATED if is_cancelled else durability
         if not await self._is_certain(landed.position, required, deadline_s):
+            self.parts.decisions.record(
+                'write_unconfirmed',
+                'no majority confirmed it before the deadline',
+                request_id=request_id,
+                group=self.view.group,
+                member=self.view.primary,
+                term=self.view.term,
+                position=landed.position,
+                durability=required,
+            )
             return unknown(
                 request_id,
                 'its term could not be confirmed in time.',
--- a/mimosapond/interactive_transactions.py
+++ b/mimosapond/interactive_transactions.py
@@ -68,6 +68,7 @@
         request = run.request
         grant = await self._held.slots.acquire(
             run_ticket(
+                self._held.view,
                 run,
                 request.statements,
                 deadline_s,
@@ -263,7 +264,12 @@
         transaction = self._open.get(transaction_id)
         if transaction is None or transaction.is_ended:
             return _missing(transaction_id)
-        ticket = run_ticket(transaction.run, statements, deadline_s)
+        ticket = run_ticket(
+            self._held.view,
+            transaction.run,
+            statements,
+            deadline_s,
+        )
         refused = await transaction.grant.resume(ticket)
         if refused is None and self._held.is_closed:
             return refuse(
--- a/mimosapond/json_link_server.py
+++ b/mimosapond/json_link_server.py
@@ -1,24 +1,27 @@
 """Server side of a WebSocket link that carries multiplexed JSON calls."""
 
 import asyncio
-import hmac
 import json
 from collections.abc import Mapping
-from typing import Any, Final, final
+from typing import Any, Final, TypeAlias, final
 
 from loguru import logger
 from tornado.websocket import WebSocketClosedError, WebSocketHandler
 
-from mimosapond.codec import dump_json
+from mimosapond.codec import dump_json, encode
+from mimosapond.errors import refuse
 from mimosapond.json_link import PING_OPERATION, STATUS_OK, STATUS_REJECTED
 from mimosapond.peer_port import PeerOperation
+from mimosapond.refusal_reason import RefusalReason
 from mimosapond.rejected_call_error import RejectedCallError
+from mimosapond.secret_check import has_secret
 
-SECRET_HEADER: Final = 'X-Mimosapond-Secret'
 # The operation broke; unlike a rejection it may have had an effect.
 STATUS_FAILED: Final = 'failed'
 _UNSUPPORTED_DATA: Final = 1003
-_HTTP_FORBIDDEN: Final = 403
+_UNAUTHORIZED: Final = 401
+# Call id, operation and body.
+_Call: TypeAlias = tuple[int, str, Mapping[str, Any]]
 
 
 @final
@@ -37,29 +40,37 @@
 
     async def prepare(self) -> None:
         """Refuse the upgrade when the secret is missing or wrong."""
-        offered = self.request.headers.get(SECRET_HEADER, '')
-        if not hmac.compare_digest(offered.encode(), self._secret.encode()):
-            self.set_status(_HTTP_FORBIDDEN)
-            self.finish()
+        if has_secret(self.request.headers, self._secret):
+            return
+        logger.bind(remote_ip=self.request.remote_ip).warning('peer_refused')
+        self.set_status(_UNAUTHORIZED)
+        self.finish(encode(refuse(RefusalReason.UNAUTHORIZED)))
 
     async def on_message(self, message: str | bytes) -> None:
         """Start the task of one call."""
-        try:
-            call = json.loads(message)
-        except ValueError:
-            self.close(_UNSUPPORTED_DATA, 'expected JSON')
+        call = _read_call(message)
+        if call is None:
+            logger.bind(remote_ip=self.request.remote_ip).warning(
+                'peer_message_malformed',
+            )
+            self.close(_UNSUPPORTED_DATA, 'expected a call as JSON')
             return
-        task = asyncio.create_task(self._serve(call))
+        task = asyncio.create_task(self._serve(*call))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _serve(self, call: Mapping[str, Any]) -> None:
-        status, body = await self._run(call['op'], call['body'])
-        answer = {'call_id': call['call_id'], 'status': status, 'body': body}
+    async def _serve(
+        self,
+        call_id: int,
+        name: str,
+        request: Mapping[str, Any],
+    ) -> None:
+        status, body = await self._run(name, request)
+        answer = {'call_id': call_id, 'status': status, 'body': body}
         try:
             await self.write_message(dump_json(answer))
         except WebSocketClosedError:
-            logger.debug('answer dropped, the peer closed the link')
+            logger.debug('peer_answer_dropped')
 
     async def _run(
         self,
@@ -79,3 +90,15 @@
         except Exception as error:  # noqa: BLE001 # the caller must be told
             logger.exception('operation_failed')
             return STATUS_FAILED, {'message': repr(error)}
+
+
+def _read_call(message: str | bytes) -> _Call | None:
+    try:
+        call = json.loads(message)
+    except (ValueError, RecursionError):
+        return None
+    match call:
+        case {'call_id': int(call_id), 'op': str(name), 'body': dict(body)}:
+            return call_id, name, body
+        case _:
+            return None
--- a/mimosapond/json_peers.py
+++ b/mimosapond/json_peers.py
@@ -4,7 +4,7 @@
 from typing import Any, final
 
 from mimosapond.address_book import AddressBook
-from mimosapond.json_link_server import SECRET_HEADER
+from mimosapond.secret_check import SECRET_HEADER
 from mimosapond.link_cache import LinkCache
 from mimosapond.peer_results import PeerResult
 
--- a/mimosapond/ledger_sweeper.py
+++ b/mimosapond/ledger_sweeper.py
@@ -41,7 +41,12 @@
         deadline_s = parts.deadline_after(_DEADLINE_MS)
         request_id = str(RequestId.create(parts.clock.unix_ms()))
         grant = await self._held.slots.acquire(
-            own_ticket(request_id, WorkClass.BATCH, deadline_s),
+            own_ticket(
+                self._held.view,
+                request_id,
+                WorkClass.BATCH,
+                deadline_s,
+            ),
         )
         if isinstance(grant, Refused):
             return False
--- a/mimosapond/listeners.py
+++ b/mimosapond/listeners.py
@@ -2,33 +2,56 @@
 
 from typing import Any, Final, final
 
-from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
+from mimosapond.bounded_server import BoundedServer, ConnectionBounds
+from mimosapond.options import Options
+
 # Bodies above this are cut off without an answer.
 _HARD_LIMIT_FACTOR: Final = 16
+# No header of this interface is long; tornado's default is 64 KiB.
+HEADER_LIMIT_BYTES: Final = 16_384
 
 
 @final
 class Listeners:
     """Opens and closes the listening sockets."""
 
-    def __init__(
-        self,
-        body_limit_bytes: int,
-        header_timeout_s: float,
-    ) -> None:
+    def __init__(self, options: Options) -> None:
         """Set the limits of all listeners."""
         self._settings: dict[str, Any] = {
-            'max_body_size': body_limit_bytes * _HARD_LIMIT_FACTOR,
-            'body_timeout': header_timeout_s,
-            'idle_connection_timeout': 3600,
+            'max_body_size': options.body_limit_bytes * _HARD_LIMIT_FACTOR,
+            'max_header_size': HEADER_LIMIT_BYTES,
+            'body_timeout': options.header_timeout_s,
+            'idle_connection_timeout': options.idle_timeout_s,
         }
-        self._servers: dict[str, HTTPServer] = {}
+        self._header_timeout_s = options.header_timeout_s
+        self._servers: dict[str, BoundedServer] = {}
+
+    def open(
+        self,
+        name: str,
+        address: str,
+        application: Application,
+        limit_count: int | None = None,
+    ) -> None:
+        """Listen on ``address``.
 
-    def open(self, name: str, address: str, application: Application) -> None:
-        """Listen on ``address``."""
-        server = HTTPServer(application, **self._settings)
+        Parameters
+        ----------
+        name
+            For ``refuse_new``.
+        address
+            ``ip:port``.
+        application
+            Serves the requests.
+        limit_count
+            Most open connections; None for no limit.
+        """
+        server = BoundedServer(application, **self._settings)
+        server.limit_by(
+            ConnectionBounds(limit_count, self._header_timeout_s),
+        )
         host, port = address.rsplit(':', 1)
         server.listen(int(port), host, reuse_port=False)
         self._servers[name] = server
--- a/mimosapond/member_reader.py
+++ b/mimosapond/member_reader.py
@@ -11,6 +11,7 @@
 from mimosapond.beacon_source import BeaconSource
 from mimosapond.clock import MS_PER_S, Clock
 from mimosapond.completed import Completed
+from mimosapond.decision_log import DecisionLog
 from mimosapond.errors import refuse
 from mimosapond.outcome import Outcome
 from mimosapond.owner_registry import OwnerRegistry
@@ -43,12 +44,14 @@
         holder_of: Callable[[str], BeaconSource | None],
         ages: AgeTrackers,
         clock: Clock,
+        decisions: DecisionLog,
     ) -> None:
         """Find term holders by group name with ``holder_of``."""
         self._owners = owners
         self._holder_of = holder_of
         self._ages = ages
         self._clock = clock
+        self._decisions = decisions
 
     async def read(self, run: PeerRun) -> Outcome:
         """Read at ``run.member``, or refuse what it can't prove.
@@ -99,12 +102,46 @@
         deadline_s: float,
     ) -> Outcome:
         standing = answered.standing
-        if await self._is_confirmed(run, standing, deadline_s):
-            return _check_floor(run, answered, age_ms=0, is_confirmed=True)
-        age_ms = self._ages.tracker(run.group).age_ms(standing)
+        age_ms: int | None = 0
+        is_confirmed = await self._is_confirmed(run, standing, deadline_s)
+        if not is_confirmed:
+            age_ms = self._ages.tracker(run.group).age_ms(standing)
         if age_ms is None:
-            return _refuse_read(run, 'the age of its data is not known')
-        return _check_floor(run, answered, age_ms=age_ms, is_confirmed=False)
+            outcome: Outcome = _refuse_read(
+                run,
+                'the age of its data is not known',
+            )
+        else:
+            outcome = _check_floor(
+                run,
+                answered,
+                age_ms=age_ms,
+                is_confirmed=is_confirmed,
+            )
+        if isinstance(outcome, Refused):
+            self._record(run, standing, outcome, age_ms)
+        return outcome
+
+    def _record(
+        self,
+        run: PeerRun,
+        standing: Standing,
+        refused: Refused,
+        age_ms: int | None,
+    ) -> None:
+        self._decisions.record(
+            'read_refused',
+            refused.reason,
+            request_id=run.request.request_id,
+            group=run.group,
+            member=run.member,
+            term=standing.term,
+            position=standing.position,
+            floor_term=run.floor and run.floor.term,
+            floor_position=run.floor and run.floor.position,
+            age_ms=age_ms,
+            max_age_ms=run.request.max_age_ms,
+        )
 
     async def _is_confirmed(
         self,
@@ -144,6 +181,7 @@
         fingerprint=build_fingerprint(request.statements),
         connection_limit_count=run.connection_limit_count,
         is_long=request.is_long,
+        group=run.group,
     )
 
 
--- a/mimosapond/operator_client.py
+++ b/mimosapond/operator_client.py
@@ -21,7 +21,7 @@
 from tornado.simple_httpclient import HTTPTimeoutError
 
 from mimosapond.codec import dump_json
-from mimosapond.json_link_server import SECRET_HEADER
+from mimosapond.secret_check import SECRET_HEADER
 
 # tornado's text for a time-out after the connection was made.
 _DURING_REQUEST: Final = 'during request'
--- a/mimosapond/operator_handlers.py
+++ b/mimosapond/operator_handlers.py
@@ -5,7 +5,6 @@
 a client other than the command-line tool may have sent it.
 """
 
-import hmac
 import json
 from collections.abc import Mapping
 from http import HTTPStatus
@@ -18,16 +17,17 @@
 from tornado.web import Application, HTTPError, RequestHandler
 
 from mimosapond.clock import MS_PER_S
-from mimosapond.codec import decode, describe_errors, dump_json, encode
+from mimosapond.codec import decode, dump_json, encode
 from mimosapond.document_body import document_body
 from mimosapond.document_loader import parse_document
 from mimosapond.errors import refuse, unknown
+from mimosapond.field_faults import field_faults
 from mimosapond.file_problem import InvalidFile
-from mimosapond.json_link_server import SECRET_HEADER
 from mimosapond.operator_actions import OperatorActions
 from mimosapond.operator_results import OperatorResult
 from mimosapond.refusal_reason import RefusalReason as Reason
 from mimosapond.refused import Refused
+from mimosapond.secret_check import has_secret
 from mimosapond.service_document import ServiceDocument
 from mimosapond.unknown import Unknown
 
@@ -73,11 +73,7 @@
 
     async def prepare(self) -> None:
         """Refuse the request when the secret is missing or wrong."""
-        offered = self.request.headers.get(SECRET_HEADER, '').encode()
-        expected = self._secret.encode()
-        # An empty secret would let everyone in, so it lets no one in.
-        is_known = bool(expected) and hmac.compare_digest(offered, expected)
-        if not is_known:
+        if not has_secret(self.request.headers, self._secret):
             self.answer(refuse(Reason.UNAUTHORIZED))
 
     def answer(self, result: OperatorResult) -> None:
@@ -281,7 +277,12 @@
     try:
         return decode(model, payload)
     except cattrs.BaseValidationError as error:
-        return _bad_body('; '.join(describe_errors(error)))
+        fault = field_faults(error)[0]
+        return refuse(
+            Reason.BAD_FIELD,
+            field=fault.field,
+            problem=fault.problem,
+        )
 
 
 def _bad_body(problem: str) -> Refused:
--- a/mimosapond/options.py
+++ b/mimosapond/options.py
@@ -54,6 +54,7 @@
     routing_policy: RoutingPolicy = RoutingPolicy.OWNER
     body_limit_bytes: int = 1_048_576
     header_timeout_s: float = 10
+    idle_timeout_s: float = 120
     caller_connection_limit_count: int = 4096
     beacon_interval_ms: int = 250
     suspect_after_ms: int = 600
--- a/mimosapond/read_router.py
+++ b/mimosapond/read_router.py
@@ -144,12 +144,14 @@
         previous: Outcome,
     ) -> None:
         refusal = previous.reason if isinstance(previous, Refused) else None
+        view = self._services.views.get(routed.group.name)
         self._services.decisions.record(
             'route_read',
             'primary' if candidate.is_primary else 'replica',
             request_id=routed.request.request_id,
             group=routed.group.name,
             member=candidate.member.name,
+            term=None if view is None else view.term,
             owner=candidate.host.host_id,
             max_age_ms=routed.request.max_age_ms,
             after=refusal,
--- a/mimosapond/refusal_reason.py
+++ b/mimosapond/refusal_reason.py
@@ -10,6 +10,7 @@
 
     BAD_FIELD = 'bad_field'
     BODY_TOO_LARGE = 'body_too_large'
+    CONNECTION_LIMIT = 'connection_limit'
     UNKNOWN_SERVICE = 'unknown_service'
     UNKNOWN_WORKSPACE = 'unknown_workspace'
     BAD_TOKEN = 'bad_token'
--- a/mimosapond/request_resolver.py
+++ b/mimosapond/request_resolver.py
@@ -12,6 +12,7 @@
 from mimosapond.routed_request import RoutedRequest
 from mimosapond.service_document import ServiceDocument
 from mimosapond.statement_request import StatementRequest
+from mimosapond.transaction_call import TransactionCall
 
 _NOT_READY_RETRY_MS: Final = 500
 _DEADLINE_MS: Final = 5000
@@ -65,6 +66,10 @@
         deadline_s = self._clock.monotonic_s() + deadline_ms / MS_PER_S
         return RoutedRequest(filled, group, workspace, deadline_s)
 
+    def check_call(self, call: TransactionCall) -> Refused | None:
+        """Return the first fault of a call within a transaction."""
+        return self._validator.check_call(call)
+
     def document(self, service: str) -> ServiceDocument | Refused:
         """Return the document of ``service``."""
         document = self._documents.current(service)
--- a/mimosapond/request_validator.py
+++ b/mimosapond/request_validator.py
@@ -1,6 +1,7 @@
 """Checks of caller input that types alone don't express."""
 
-from collections.abc import Iterator
+import reprlib
+from collections.abc import Iterator, Sequence
 from typing import Final, final
 
 from mimosapond.access_mode import AccessMode
@@ -9,11 +10,13 @@
 from mimosapond.refusal_reason import RefusalReason
 from mimosapond.refused import Refused
 from mimosapond.request_id import RequestId
+from mimosapond.statement_faults import statement_faults
+from mimosapond.statement import Statement
 from mimosapond.statement_request import StatementRequest
 from mimosapond.token import Token
+from mimosapond.transaction_call import TransactionCall
 
 DEADLINE_LIMIT_MS: Final = 24 * 60 * 60 * 1000
-STATEMENT_LIMIT_COUNT: Final = 1000
 NAME_LIMIT_CHARS: Final = 200
 
 
@@ -29,6 +32,15 @@
         """Return the first fault of ``request``, None if it has none."""
         return next(self._faults(request), None)
 
+    def check_call(self, call: TransactionCall) -> Refused | None:
+        """Return the first fault of a call, None if it has none."""
+        fault = self.check_request_id(call.request_id)
+        if fault is not None:
+            return fault
+        if not 0 < call.deadline_ms <= DEADLINE_LIMIT_MS:
+            return _bad('deadline_ms', f'expected 1 to {DEADLINE_LIMIT_MS}')
+        return next(_statement_refusals(call.statements), None)
+
     def check_request_id(self, text: str) -> Refused | None:
         """Return the fault of a request id, None if it has none."""
         request_id = RequestId.parse(text)
@@ -38,7 +50,7 @@
                 field='request_id',
                 problem=(
                     'expected <unix milliseconds>.<16 to 64 url-safe '
-                    f'characters>, got {text!r}'
+                    f'characters>, got {reprlib.repr(text)}'
                 ),
             )
         now_unix_ms = self._clock.unix_ms()
@@ -59,6 +71,7 @@
         if id_fault is not None:
             yield id_fault
         yield from _range_faults(request)
+        yield from _statement_refusals(request.statements)
         if request.token is not None and Token.parse(request.token) is None:
             yield refuse(
                 RefusalReason.BAD_TOKEN,
@@ -72,8 +85,6 @@
         yield _bad('deadline_ms', f'expected 1 to {DEADLINE_LIMIT_MS}')
     if request.max_age_ms is not None and request.max_age_ms < 0:
         yield _bad('max_age_ms', 'expected 0 or more')
-    if len(request.statements) > STATEMENT_LIMIT_COUNT:
-        yield _bad('statements', f'expected at most {STATEMENT_LIMIT_COUNT}')
     session_id = request.session_id
     if session_id is not None and not 0 < len(session_id) <= NAME_LIMIT_CHARS:
         yield _bad('session_id', f'expected 1 to {NAME_LIMIT_CHARS} characters')
@@ -83,5 +94,10 @@
         yield _bad('max_age_ms', 'applies to reads only')
 
 
+def _statement_refusals(statements: Sequence[Statement]) -> Iterator[Refused]:
+    for fault in statement_faults(statements):
+        yield _bad(fault.field, fault.problem)
+
+
 def _bad(field: str, problem: str) -> Refused:
     return refuse(RefusalReason.BAD_FIELD, field=field, problem=problem)
--- a/mimosapond/router.py
+++ b/mimosapond/router.py
@@ -14,15 +14,20 @@
 from mimosapond.refusal_reason import RefusalReason
 from mimosapond.refused import Refused
 from mimosapond.request_resolver import RequestResolver
+from mimosapond.request_validator import NAME_LIMIT_CHARS
 from mimosapond.routed_request import RoutedRequest
 from mimosapond.settle_router import SettleRouter
 from mimosapond.statement_request import StatementRequest
 from mimosapond.transaction_call import TransactionCall
 from mimosapond.transaction_name import TransactionName
 from mimosapond.transaction_router import TransactionRouter
+from mimosapond.unknown import Unknown
 from mimosapond.write_router import WriteRouter
 
+_RUN: Final = 'run'
 _BEGIN: Final = 'begin'
+_EXECUTE: Final = 'execute'
+_SETTLE: Final = 'settle'
 
 
 @final
@@ -46,19 +51,42 @@
 
     async def run(self, request: StatementRequest) -> Outcome:
         """Run one statement or one whole transaction."""
+        outcome = await self._run(request)
+        self._record(outcome, request.request_id, _RUN)
+        return outcome
+
+    async def begin(self, request: StatementRequest) -> Outcome:
+        """Begin an interactive transaction."""
+        outcome = await self._begin(request)
+        self._record(outcome, request.request_id, _BEGIN)
+        return outcome
+
+    async def transact(
+        self,
+        operation: str,
+        name_text: str,
+        call: TransactionCall,
+    ) -> Outcome:
+        """Make a call within an interactive transaction."""
+        outcome = await self._transact(operation, name_text, call)
+        self._record(outcome, call.request_id, operation)
+        return outcome
+
+    async def settle(self, query: OutcomeQuery) -> Outcome:
+        """Settle the outcome of an earlier request."""
+        outcome = await self._settle(query)
+        self._record(outcome, query.request_id, _SETTLE)
+        return outcome
+
+    async def _run(self, request: StatementRequest) -> Outcome:
         if not request.statements:
-            return refuse(
-                RefusalReason.BAD_FIELD,
-                field='statements',
-                problem='expected at least one',
-            )
+            return _no_statements()
         routed = self._resolver.resolve(request)
         if isinstance(routed, Refused):
             return routed
         return await self._timed(routed)
 
-    async def begin(self, request: StatementRequest) -> Outcome:
-        """Begin an interactive transaction."""
+    async def _begin(self, request: StatementRequest) -> Outcome:
         if request.mode is AccessMode.READ:
             return refuse(
                 RefusalReason.BAD_FIELD,
@@ -74,13 +102,17 @@
             return dataclasses.replace(outcome, transaction_id=name)
         return outcome
 
-    async def transact(
+    async def _transact(
         self,
         operation: str,
         name_text: str,
         call: TransactionCall,
     ) -> Outcome:
-        """Make a call within an interactive transaction."""
+        fault = self._resolver.check_call(call)
+        if fault is None and operation == _EXECUTE and not call.statements:
+            fault = _no_statements()
+        if fault is not None:
+            return fault
         name = TransactionName.parse(name_text)
         if name is None:
             return refuse(
@@ -89,8 +121,7 @@
             )
         return await self._transactions.call(operation, name, call)
 
-    async def settle(self, query: OutcomeQuery) -> Outcome:
-        """Settle the outcome of an earlier request."""
+    async def _settle(self, query: OutcomeQuery) -> Outcome:
         request = StatementRequest(
             service=query.service,
             workspace=query.workspace,
@@ -118,3 +149,35 @@
             duration_s * MS_PER_S,
         )
         return outcome
+
+    def _record(
+        self,
+        outcome: Outcome,
+        request_id: str,
+        operation: str,
+    ) -> None:
+        # A completed request has the lines of its route and its slot.
+        match outcome:
+            case Refused(reason=reason):
+                self._services.decisions.record(
+                    'request_refused',
+                    reason,
+                    request_id=request_id[:NAME_LIMIT_CHARS],
+                    operation=operation,
+                    retry_after_ms=outcome.retry_after_ms,
+                )
+            case Unknown(message=message):
+                self._services.decisions.record(
+                    'request_unknown',
+                    message,
+                    request_id=request_id,
+                    operation=operation,
+                )
+
+
+def _no_statements() -> Refused:
+    return refuse(
+        RefusalReason.BAD_FIELD,
+        field='statements',
+        problem='expected at least one',
+    )
--- a/mimosapond/settings_loader.py
+++ b/mimosapond/settings_loader.py
@@ -68,6 +68,7 @@
         'routing_policy': ChoiceRule(tuple(RoutingPolicy)),
         'body_limit_bytes': WholeNumberRule(1, _GIBIBYTE),
         'header_timeout_s': NumberRule(0.1, _HOUR_S),
+        'idle_timeout_s': NumberRule(0.1, _HOUR_S),
         'caller_connection_limit_count': WholeNumberRule(1, _MILLION),
         'beacon_interval_ms': WholeNumberRule(1, _DAY_MS),
         'suspect_after_ms': WholeNumberRule(1, _DAY_MS),
--- a/mimosapond/settle_router.py
+++ b/mimosapond/settle_router.py
@@ -50,6 +50,16 @@
         route: HolderRoute,
     ) -> Outcome | None:
         left_s = routed.deadline_s - self._services.clock.monotonic_s()
+        self._services.decisions.record(
+            'route_settle',
+            'holder of the newest known term',
+            request_id=routed.request.request_id,
+            group=routed.group.name,
+            member=route.view.primary,
+            term=route.view.term,
+            holder=route.host.host_id,
+            left_ms=int(left_s * MS_PER_S),
+        )
         body = {
             'group': routed.group.name,
             'request_id': routed.request.request_id,
--- /dev/null
+++ b/mimosapond/statement_faults.py
@@ -0,0 +1,57 @@
+"""Checks of SQL texts and parameters that types alone don't express."""
+
+import math
+from collections.abc import Iterator, Sequence
+from typing import Final
+
+from mimosapond.field_faults import FieldFault
+from mimosapond.statement import SqlValue, Statement
+
+STATEMENT_LIMIT_COUNT: Final = 1000
+_INTEGER_END: Final = 2**63
+
+
+def statement_faults(statements: Sequence[Statement]) -> Iterator[FieldFault]:
+    """Find values that no target can take.
+
+    Parameters
+    ----------
+    statements
+        Decoded statements of one request.
+    """
+    if len(statements) > STATEMENT_LIMIT_COUNT:
+        problem = f'expected at most {STATEMENT_LIMIT_COUNT}'
+        yield FieldFault('statements', problem)
+    for index, statement in enumerate(statements):
+        path = f'statements[{index}]'
+        if not statement.sql.strip():
+            yield FieldFault(f'{path}.sql', 'expected an SQL text, got none')
+        if not _is_unicode(statement.sql):
+            yield FieldFault(f'{path}.sql', 'it has unpaired surrogates')
+        for number, content in enumerate(statement.parameters):
+            problem = _describe(content)
+            if problem:
+                yield FieldFault(f'{path}.parameters[{number}]', problem)
+
+
+def _describe(content: SqlValue) -> str:
+    match content:
+        case str() if not _is_unicode(content):
+            return 'it has unpaired surrogates'
+        # JSON has no limit of numbers: 1e999 is read as infinity.
+        case float() if not math.isfinite(content):
+            return 'the number is too large'
+        case int() if not -_INTEGER_END <= content < _INTEGER_END:
+            return 'the integer has more than 64 bits'
+        case _:
+            return ''
+
+
+def _is_unicode(text: str) -> bool:
+    if text.isascii():
+        return True
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/mimosapond/term_settler.py
+++ b/mimosapond/term_settler.py
@@ -52,7 +52,12 @@
         if expired is not None:
             return unknown(request_id, expired.message)
         grant = await self._held.slots.acquire(
-            own_ticket(request_id, WorkClass.URGENT, deadline_s),
+            own_ticket(
+                self._held.view,
+                request_id,
+                WorkClass.URGENT,
+                deadline_s,
+            ),
         )
         if isinstance(grant, Refused):
             return unknown(request_id, grant.message)
--- a/mimosapond/term_ticket.py
+++ b/mimosapond/term_ticket.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from typing import Final
 
+from mimosapond.group_view import GroupView
 from mimosapond.peer_run import PeerRun
 from mimosapond.statement import Statement
 from mimosapond.work_class import WorkClass
@@ -13,6 +14,7 @@
 
 
 def run_ticket(
+    view: GroupView,
     run: PeerRun,
     statements: Iterable[Statement],
     deadline_s: float,
@@ -23,6 +25,8 @@
 
     Parameters
     ----------
+    view
+        The held term.
     run, statements
         The request and what is run now.
     deadline_s
@@ -39,10 +43,13 @@
         connection_limit_count=run.connection_limit_count,
         is_long=run.request.is_long,
         keeps_connection=keeps_connection,
+        group=view.group,
+        term=view.term,
     )
 
 
 def own_ticket(
+    view: GroupView,
     request_id: str,
     work_class: WorkClass,
     deadline_s: float,
@@ -56,4 +63,6 @@
         fingerprint=OWN_WORKSPACE,
         connection_limit_count=_OWN_CONNECTION_COUNT,
         is_long=False,
+        group=view.group,
+        term=view.term,
     )
--- a/mimosapond/term_writer.py
+++ b/mimosapond/term_writer.py
@@ -48,7 +48,12 @@
         """Run the statements once and acknowledge them when certain."""
         request = run.request
         grant = await self._held.slots.acquire(
-            run_ticket(run, request.statements, deadline_s),
+            run_ticket(
+                self._held.view,
+                run,
+                request.statements,
+                deadline_s,
+            ),
         )
         if isinstance(grant, Refused):
             return grant
--- a/mimosapond/transaction_router.py
+++ b/mimosapond/transaction_router.py
@@ -40,6 +40,16 @@
             if operation == _COMMIT:
                 return unknown(call.request_id, 'its host is gone')
             return _gone(name)
+        self._services.decisions.record(
+            'route_transaction',
+            'host that keeps the transaction',
+            request_id=call.request_id,
+            group=name.group,
+            transaction_id=str(name),
+            operation=operation,
+            holder=name.host_id,
+            left_ms=call.deadline_ms,
+        )
         timeout_s = call.deadline_ms / MS_PER_S + _ANSWER_MARGIN_S
         answer = await self._services.caller.request(
             host,
--- a/mimosapond/work_ticket.py
+++ b/mimosapond/work_ticket.py
@@ -34,6 +34,9 @@
     keeps_connection
         Set for the begin of an interactive transaction, whose grant is
         parked between statements.
+    group, term
+        Written with each decision; the term is None for reads, which take
+        members of any term.
     """
 
     request_id: str
@@ -44,6 +47,8 @@
     connection_limit_count: int
     is_long: bool | None = None
     keeps_connection: bool = False
+    group: str = ''
+    term: int | None = None
 
 
 def build_fingerprint(statements: Iterable[Statement]) -> str:
--- a/mimosapond/write_router.py
+++ b/mimosapond/write_router.py
@@ -89,8 +89,8 @@
         operation: str,
         attempts: AttemptLog,
     ) -> Outcome:
-        self._record(routed, route)
         left_s = routed.deadline_s - self._services.clock.monotonic_s()
+        self._record(routed, route, left_s)
         answer = await self._services.caller.run(
             route.host,
             operation,
@@ -157,7 +157,12 @@
             )
         return outcome
 
-    def _record(self, routed: RoutedRequest, route: HolderRoute) -> None:
+    def _record(
+        self,
+        routed: RoutedRequest,
+        route: HolderRoute,
+        left_s: float,
+    ) -> None:
         self._services.metrics.count('route.write')
         self._services.decisions.record(
             'route_write',
@@ -167,6 +172,7 @@
             member=route.view.primary,
             term=route.view.term,
             holder=route.host.host_id,
+            left_ms=int(left_s * MS_PER_S),
         )
 
 
