--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -43,6 +43,7 @@
                 listener.name: {
                     **encode(listener.faults),
                     'connection_count': listener.connection_count,
+                    **encode(listener.forwarded),
                 }
                 for listener in self._listeners.values()
             }
--- a/standins/fault_proxy_connection.py
+++ b/standins/fault_proxy_connection.py
@@ -8,6 +8,7 @@
 from mimosapond.clock import MS_PER_S
 from standins.fault_proxy_direction import ProxyDirection
 from standins.fault_proxy_faults import LinkFaults
+from standins.forwarded_bytes import ForwardedBytes
 
 # SO_LINGER with a time of 0 makes close send a reset.
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
@@ -31,11 +32,25 @@
 class ProxyConnection:
     """Both directions of one connection under the current faults."""
 
-    def __init__(self, client: Side, target: Side, faults: LinkFaults) -> None:
+    def __init__(
+        self,
+        client: Side,
+        target: Side,
+        faults: LinkFaults,
+        forwarded: ForwardedBytes,
+    ) -> None:
         """Take the two open sides."""
         self._writers = (client[1], target[1])
-        self._to_target = ProxyDirection(client[0], target[1])
-        self._to_client = ProxyDirection(target[0], client[1])
+        self._to_target = ProxyDirection(
+            client[0],
+            target[1],
+            forwarded.add_to_target,
+        )
+        self._to_client = ProxyDirection(
+            target[0],
+            client[1],
+            forwarded.add_to_client,
+        )
         self._is_silent = False
         self.apply_faults(faults)
 
--- a/standins/fault_proxy_direction.py
+++ b/standins/fault_proxy_direction.py
@@ -1,6 +1,7 @@
 """Copies the bytes of one direction of a forwarded connection."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final, TypeAlias, final
 
 _CHUNK_BYTES: Final = 65536
@@ -17,8 +18,10 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        count_bytes: Callable[[int], None],
     ) -> None:
         """Take the sender's and the receiver's side."""
+        self._count_bytes = count_bytes
         self.delay_s: float = 0
         self.is_silent = False
         self.limit_bytes: int | None = None
@@ -73,6 +76,7 @@
 
     async def _write(self, chunk: bytes) -> None:
         self._writer.write(chunk)
+        self._count_bytes(len(chunk))
         if self.limit_bytes is not None:
             self.limit_bytes -= len(chunk)
         await self._writer.drain()
--- a/standins/fault_proxy_listener.py
+++ b/standins/fault_proxy_listener.py
@@ -7,6 +7,7 @@
 
 from standins.fault_proxy_connection import ProxyConnection, Side, reset
 from standins.fault_proxy_faults import LinkFaults
+from standins.forwarded_bytes import ForwardedBytes
 
 
 @final
@@ -17,6 +18,7 @@
         """Take addresses as ``ip:port``."""
         self.name = name
         self.faults = LinkFaults()
+        self.forwarded = ForwardedBytes()
         self._listen = listen
         self._target = target
         self._connections: set[ProxyConnection] = set()
@@ -80,7 +82,12 @@
             logger.debug('{} does not answer', self._target)
             reset(client[1])
             return
-        connection = ProxyConnection(client, target, self.faults)
+        connection = ProxyConnection(
+            client,
+            target,
+            self.faults,
+            self.forwarded,
+        )
         self._connections.add(connection)
         try:
             await connection.run()
