--- /dev/null
+++ b/loadtool/capacity.py
@@ -0,0 +1,190 @@
+"""Measures the slopes that docs/CAPACITY.md extrapolates from.
+
+``python -m loadtool.capacity NAME`` runs one series: ``groups``, ``hosts``,
+``clients``, ``rate`` or ``documents``. Each point starts real processes, lets
+them settle, and reads processor time and memory of the hosts from ``/proc``
+and, where asked for, the bytes of the links from the fault proxy.
+"""
+
+import asyncio
+import sys
+import time
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from types import MappingProxyType
+from typing import Any, Final, TypeAlias
+
+import aiohttp
+import attrs
+import fire
+
+from loadtool.capacity_load import IdleClients, SteadyLoad
+from loadtool.capacity_point import CapacityPoint
+from loadtool.deployment import Deployment
+from loadtool.deployment_spec import FORGE, DeploymentSpec
+from loadtool.linear_fit import LinearFit
+from loadtool.process_usage import ProcessUsage
+from mimosapond.document_body import document_body
+
+SETTLE_S: Final = 3
+WINDOW_S: Final = 8
+_BYTES_PER_MB: Final = 1_000_000
+_PERCENT: Final = 100
+
+_Series: TypeAlias = Callable[[int], Awaitable[CapacityPoint]]
+
+
+async def _usage(deployment: Deployment) -> list[ProcessUsage]:
+    children = deployment.processes.children
+    return [
+        ProcessUsage.read(children[host.name].process_id)
+        for host in deployment.hosts
+    ]
+
+
+async def _link_bytes(deployment: Deployment) -> int:
+    """Return the payload bytes of all links that hosts opened."""
+    url = f'http://{deployment.proxy_admin}/faults'
+    async with aiohttp.ClientSession() as session:
+        async with session.get(url) as answer:
+            links: Mapping[str, Mapping[str, Any]] = await answer.json()
+    return sum(
+        link['to_target_bytes'] + link['to_client_bytes']
+        for name, link in links.items()
+        if name.startswith('host-')
+    )
+
+
+async def _observe(
+    deployment: Deployment,
+    size: int,
+    *,
+    has_links: bool,
+) -> CapacityPoint:
+    """Measure the hosts over one window."""
+    await asyncio.sleep(SETTLE_S)
+    started_s = time.monotonic()
+    before = await _usage(deployment)
+    bytes_before = await _link_bytes(deployment) if has_links else 0
+    await asyncio.sleep(WINDOW_S)
+    after = await _usage(deployment)
+    bytes_after = await _link_bytes(deployment) if has_links else 0
+    window_s = time.monotonic() - started_s
+    host_count = len(deployment.hosts)
+    cpu_s = sum(one.cpu_s for one in after) - sum(one.cpu_s for one in before)
+    resident_bytes = max(one.resident_bytes for one in after)
+    return CapacityPoint(
+        size=size,
+        core_percent=cpu_s / window_s / host_count * _PERCENT,
+        resident_mb=resident_bytes / _BYTES_PER_MB,
+        # Each byte of a link costs its sender and its receiver.
+        link_bytes_per_s=(bytes_after - bytes_before) / window_s / host_count,
+    )
+
+
+async def _run_idle(spec: DeploymentSpec, size: int) -> CapacityPoint:
+    async with Deployment(spec, is_proxied=True) as deployment:
+        return await _observe(deployment, size, has_links=True)
+
+
+async def _measure_groups(count: int) -> CapacityPoint:
+    spec = attrs.evolve(FORGE, host_count=3, group_count=count)
+    return await _run_idle(spec, count)
+
+
+async def _measure_hosts(count: int) -> CapacityPoint:
+    spec = attrs.evolve(FORGE, host_count=count, group_count=3)
+    return await _run_idle(spec, count)
+
+
+async def _measure_clients(count: int) -> CapacityPoint:
+    spec = attrs.evolve(FORGE, host_count=1, group_count=1)
+    async with Deployment(spec) as deployment:
+        async with IdleClients(deployment.hosts[0].caller_address, count):
+            return await _observe(deployment, count, has_links=False)
+
+
+async def _measure_rate(per_s: int) -> CapacityPoint:
+    spec = attrs.evolve(FORGE, host_count=3, group_count=3)
+    async with Deployment(spec) as deployment:
+        async with SteadyLoad(deployment, per_s) as load:
+            point = await _observe(deployment, per_s, has_links=False)
+            return attrs.evolve(point, completed_per_s=load.completed_per_s())
+
+
+async def _measure_documents(count: int) -> CapacityPoint:
+    spec = attrs.evolve(FORGE, host_count=3, group_count=1)
+    async with Deployment(spec, is_proxied=True) as deployment:
+        await _apply_documents(deployment, count)
+        return await _observe(deployment, count, has_links=True)
+
+
+async def _apply_documents(deployment: Deployment, count: int) -> None:
+    base = document_body(deployment.document)
+    for number in range(count):
+        name = f'extra-{number}'
+        # Without groups of its own a document costs only its own state.
+        body = {**base, 'service': name, 'groups': [], 'workspaces': []}
+        await deployment.operate(
+            deployment.hosts[number % len(deployment.hosts)],
+            'PUT',
+            f'/v1/documents/{name}',
+            {'expected_revision': 0, 'document': body},
+        )
+
+
+_SERIES: Final[Mapping[str, _Series]] = MappingProxyType(
+    {
+        'groups': _measure_groups,
+        'hosts': _measure_hosts,
+        'clients': _measure_clients,
+        'rate': _measure_rate,
+        'documents': _measure_documents,
+    }
+)
+_SIZES: Final[Mapping[str, Sequence[int]]] = MappingProxyType(
+    {
+        'groups': (3, 10, 20, 30),
+        'hosts': (4, 8, 16, 32),
+        'clients': (100, 500, 2000, 5000),
+        'rate': (50, 100, 200, 300, 400),
+        'documents': (10, 50, 200, 500),
+    }
+)
+
+
+def _print_fits(points: Sequence[CapacityPoint]) -> None:
+    for field in ('core_percent', 'resident_mb', 'link_bytes_per_s'):
+        fit = LinearFit.of(
+            [(point.size, getattr(point, field)) for point in points],
+        )
+        sys.stdout.write(
+            f'{field} = {fit.intercept:.4g} + {fit.slope:.4g} * size, '
+            f'largest error {fit.error_ratio:.1%}\n',
+        )
+
+
+async def _run(name: str, sizes: Sequence[int]) -> None:
+    measure = _SERIES[name]
+    points: list[CapacityPoint] = []
+    for size in sizes:
+        points.append(await measure(size))
+        sys.stdout.write(f'{points[-1]}\n')
+        sys.stdout.flush()
+    _print_fits(points)
+
+
+def run(name: str, sizes: Sequence[int] = ()) -> None:
+    """Measure one series and print its points and fits.
+
+    Parameters
+    ----------
+    name
+        One of ``groups``, ``hosts``, ``clients``, ``rate``, ``documents``.
+    sizes
+        Sizes to measure instead of the series' own.
+    """
+    asyncio.run(_run(name, sizes or _SIZES[name]))
+
+
+if __name__ == '__main__':
+    fire.Fire(run)
--- a/standins/fault_proxy_faults.py
+++ b/standins/fault_proxy_faults.py
@@ -24,7 +24,7 @@
         from the latest change of the faults; 0 is off.
     """
 
-    delay_ms: int = 0
+    delay_ms: float = 0
     cut: bool = False
     cut_to_target: bool = False
     cut_to_client: bool = False
