--- a/mimosapond/json_link_server.py
+++ b/mimosapond/json_link_server.py
@@ -31,15 +31,26 @@
     def initialize(
         self,
         operations: Mapping[str, PeerOperation],
-        secret: str,
+        secret: str | None,
     ) -> None:
-        """Take the operations that calls may name."""
+        """Take the operations that calls may name.
+
+        Parameters
+        ----------
+        operations
+            Server side of each operation by name.
+        secret
+            What the upgrade must carry; None asks for none, for the members
+            of a group, which are reached without a secret.
+        """
         self._operations = operations
         self._secret = secret
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def prepare(self) -> None:
         """Refuse the upgrade when the secret is missing or wrong."""
+        if self._secret is None:
+            return
         if has_secret(self.request.headers, self._secret):
             return
         logger.bind(remote_ip=self.request.remote_ip).warning('peer_refused')
--- a/mimosapond/request_resolver.py
+++ b/mimosapond/request_resolver.py
@@ -6,12 +6,14 @@
 
 from mimosapond.clock import MS_PER_S, Clock
 from mimosapond.errors import refuse
+from mimosapond.group_spec import GroupSpec
 from mimosapond.refusal_reason import RefusalReason
 from mimosapond.refused import Refused
 from mimosapond.request_validator import RequestValidator
 from mimosapond.routed_request import RoutedRequest
 from mimosapond.service_document import ServiceDocument
 from mimosapond.statement_request import StatementRequest
+from mimosapond.token import Token
 from mimosapond.transaction_call import TransactionCall
 
 _NOT_READY_RETRY_MS: Final = 500
@@ -61,6 +63,11 @@
                 service=request.service,
                 workspace=request.workspace,
             )
+        if _has_foreign_token(request, group):
+            return refuse(
+                RefusalReason.BAD_TOKEN,
+                problem=f'it does not belong to group {group.name}',
+            )
         filled = _fill(request, document)
         deadline_ms = filled.deadline_ms or _DEADLINE_MS
         deadline_s = self._clock.monotonic_s() + deadline_ms / MS_PER_S
@@ -83,6 +90,12 @@
         return refuse(RefusalReason.UNKNOWN_SERVICE, service=service)
 
 
+def _has_foreign_token(request: StatementRequest, group: GroupSpec) -> bool:
+    # Writes need no floor, but a wrong token shows a mix-up of the caller.
+    token = None if request.token is None else Token.parse(request.token)
+    return token is not None and token.group != group.name
+
+
 def _fill(
     request: StatementRequest,
     document: ServiceDocument,
--- a/standins/member_application.py
+++ b/standins/member_application.py
@@ -28,7 +28,7 @@
             (
                 '/control',
                 JsonLinkHandler,
-                {'operations': control.operations, 'secret': ''},
+                {'operations': control.operations, 'secret': None},
             ),
             ('/admin/settings', MemberSettingsHandler, shared),
             ('/admin/log', MemberLogHandler, shared),
