--- a/features/cli.feature
+++ b/features/cli.feature
@@ -19,7 +19,7 @@
       | document apply FORGE                                       | 0    | revision 5             |       | apply forge-ledger 4      |
       | document apply FORGE --expected-revision 4                 | 0    | revision 5             |       | apply forge-ledger 4      |
       | document apply GEMLAB                                      | 0    | revision 1             |       | apply gemlab-appraisals 0 |
-      | settings validate examples/forge/host-kigali-a.yaml        | 0    | kigali-a-1 are valid   |       |                           |
+      | settings validate examples/forge/host-kigali-a-1.yaml      | 0    | kigali-a-1 are valid   |       |                           |
       | target drain forge-a-1                                     | 0    | is leaving             |       | leaving forge-a-1 True    |
       | target undrain forge-a-1                                   | 0    | takes work again       |       | leaving forge-a-1 False   |
       | group promote forge-a forge-a-2                            | 0    | forge-a-2 at term 4    |       | promote forge-a forge-a-2 |
--- a/mimosapond/cli.py
+++ b/mimosapond/cli.py
@@ -297,3 +297,7 @@
 
 def _show_host_drain(body: Mapping[str, Any]) -> str:
     return f'host {body["host_id"]} is shutting down'
+
+
+if __name__ == '__main__':
+    main()
