--- a/mimosapond/host_actions.py
+++ b/mimosapond/host_actions.py
@@ -62,6 +62,7 @@
                 for document in self.store.all()
             ),
             degraded=self.degraded.snapshot(),
+            leaving=self.leaving.names(),
         )
 
     def documents(self) -> tuple[ServiceDocument, ...]:
--- a/mimosapond/host_status.py
+++ b/mimosapond/host_status.py
@@ -56,6 +56,8 @@
         Documents in force.
     degraded
         Problem for each degraded path, by ``path/subject``.
+    leaving
+        Names of the targets that get no new work, on any host.
     """
 
     host: HostRecord
@@ -64,3 +66,4 @@
     members: tuple[MemberStatus, ...]
     documents: tuple[DocumentStatus, ...]
     degraded: Mapping[str, str]
+    leaving: tuple[str, ...] = ()
--- a/mimosapond/status_tables.py
+++ b/mimosapond/status_tables.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable, Sequence
 from typing import Final, TypeAlias
 
+from mimosapond.group_view import GroupView
+from mimosapond.host_record import HostRecord
 from mimosapond.host_status import HostStatus
 
 Row: TypeAlias = Sequence[object]
@@ -19,7 +21,7 @@
             ('host', 'data centre', 'address', 'state'),
             (
                 (each.host_id, each.data_centre, each.address, each.state)
-                for each in status.hosts
+                for each in sorted(status.hosts, key=_place)
             ),
         ),
         _section(
@@ -27,10 +29,13 @@
             ('group', 'term', 'primary', 'holder'),
             (
                 (each.group, each.term, each.primary, each.holder)
-                for each in status.groups
+                for each in sorted(status.groups, key=_group)
             ),
         ),
         _members(status),
+        _section(
+            'leaving targets', ('member',), ((name,) for name in status.leaving)
+        ),
         _section(
             'documents',
             ('service', 'revision'),
@@ -72,6 +77,14 @@
     )
 
 
+def _place(host: HostRecord) -> tuple[str, str]:
+    return host.data_centre, host.host_id
+
+
+def _group(view: GroupView) -> str:
+    return view.group
+
+
 def _section(title: str, header: Row, rows: Iterable[Row]) -> str:
     listed = tuple(rows)
     body = table(header, listed) if listed else _NONE
