List and check metrics and log events; send ageless reads to the primary

A read with max_age_ms 0 was sent to replicas first, which always refused it, and then reported reads_forced_to_primary.

Lines of tornado and asyncio go through the JSON sink.

--- a/features/steps/access_steps.py
+++ b/features/steps/access_steps.py
@@ -11,7 +11,6 @@
 from typing import Any, Final
 
 import aiohttp
-import yaml
 from behave import given, then, when
 
 from features.access_builders import (
@@ -23,6 +22,7 @@
     read_status,
 )
 from features.live_deployment import LiveDeployment
+from features.restarted_hosts import restart_hosts
 from loadtool.deployment import OPERATOR_SECRET, PEER_SECRET
 from mimosapond.completed import Completed
 from mimosapond.secret_check import SECRET_HEADER
@@ -39,18 +39,6 @@
 _SLOT: Final = 'access_deployment'
 
 
-async def restart_with_limits(live: LiveDeployment) -> None:
-    """Start the host again with the limits in its settings."""
-    host = live.host(0)
-    child = live.deployment.processes.children[host.name]
-    await child.kill()
-    path = live.deployment.processes.folder / f'{host.name}.yaml'
-    settings = yaml.safe_load(path.read_text(encoding='utf-8'))
-    path.write_text(yaml.safe_dump({**settings, **_LIMITS}), 'utf-8')
-    await live.deployment.start_host(host)
-    await live.deployment.wait_serving()
-
-
 @given('access is tried at a host with small limits')
 def start(context: Any) -> None:
     """Start the processes once per feature."""
@@ -58,7 +46,7 @@
     if live is None:
         live = LiveDeployment(1, is_proxied=False)
         context.add_cleanup(live.close, layer='feature')
-        live.run(restart_with_limits(live))
+        live.run(restart_hosts(live, _LIMITS))
         setattr(context.feature, _SLOT, live)
     context.live = live
 
--- a/features/steps/pages_steps.py
+++ b/features/steps/pages_steps.py
@@ -1,10 +1,12 @@
 """Steps of pages.feature."""
 
+from types import MappingProxyType
 from typing import Any
 
 import attrs
 from behave import then
 
+from features.code_names import find_names, is_listed, read_rows
 from features.product_builders import ROOT
 from mimosapond.degraded_path import DegradedPath
 from mimosapond.exit_code import ExitCode
@@ -13,6 +15,13 @@
 from mimosapond.statement_request import StatementRequest
 
 
+KINDS = MappingProxyType(
+    {'metrics.md': ('metric',), 'logs.md': ('decision', 'log event')},
+)
+# Fields of every line, whose table has the form of the tables of events.
+FIXED_FIELDS = frozenset(('time', 'level', 'event', 'exception'))
+
+
 def list_words(kind: str) -> list[str]:
     """Return the text that a page must have for each word."""
     match kind:
@@ -37,3 +46,31 @@
     missing = [word for word in words if word not in text]
     assert words, kind
     assert not missing, missing
+
+
+@then('the page "{page}" has a row for each {kind} of the code')
+def check_names(context: Any, page: str, kind: str) -> None:
+    """Compare the names of the code with the rows."""
+    rows = read_rows((ROOT / 'docs' / page).read_text(encoding='utf-8'))
+    names = find_names(ROOT / 'mimosapond', kind)
+    missing = [name for name in names if not is_listed(name, rows)]
+    assert names, kind
+    assert not missing, missing
+
+
+@then('the page "{page}" has no row without a name of the code')
+def check_rows(context: Any, page: str) -> None:
+    """Compare the rows with the names of the code."""
+    rows = read_rows((ROOT / 'docs' / page).read_text(encoding='utf-8'))
+    names = [
+        name
+        for kind in KINDS[page]
+        for name in find_names(ROOT / 'mimosapond', kind)
+    ]
+    stale = [
+        row
+        for row in rows - FIXED_FIELDS
+        if not any(is_listed(name, frozenset((row,))) for name in names)
+    ]
+    assert rows, page
+    assert not stale, stale
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -103,7 +103,7 @@
     environment = {'MIMOSAPOND_OPERATOR_SECRET': OPERATOR_SECRET}
     hosts = sorted((ROOT / 'examples').glob('*/host-*.yaml'))
     documents = sorted((ROOT / 'examples').glob('*/service.yaml'))
-    assert len(hosts) == 7, hosts
+    assert len(hosts) == 16, hosts
     assert len(documents) == 2, documents
     for path in hosts:
         loaded = load_settings(path, environment)
--- a/mimosapond/daemon.py
+++ b/mimosapond/daemon.py
@@ -11,7 +11,7 @@
 from mimosapond.composition import Composition
 from mimosapond.exit_code import ExitCode
 from mimosapond.file_problem import InvalidFile
-from mimosapond.log_setup import set_up_logging
+from mimosapond.log_setup import set_up_library_logging, set_up_logging
 from mimosapond.options import Options
 from mimosapond.settings_loader import load_settings
 
@@ -39,6 +39,7 @@
             sys.stderr.write(f'{problem}\n')
         sys.exit(int(ExitCode.BAD_USAGE))
     set_up_logging(options)
+    set_up_library_logging(options.log_level)
     asyncio.run(_serve(options))
 
 
--- a/mimosapond/log_setup.py
+++ b/mimosapond/log_setup.py
@@ -6,6 +6,7 @@
 
 import functools
 import json
+import logging
 import sys
 import traceback
 from collections.abc import Callable, Iterator, Mapping, Sequence
@@ -51,6 +52,15 @@
         self._stream.flush()
 
 
+@final
+class _LibraryHandler(logging.Handler):
+    def emit(self, record: logging.LogRecord) -> None:
+        logger.opt(exception=record.exc_info).bind(
+            library=record.name,
+            text=record.getMessage(),
+        ).log(record.levelname, 'library_message')
+
+
 def set_up_logging(options: Options, stream: TextIO = sys.stdout) -> None:
     """Replace loguru's handlers with the JSON lines of this product."""
     secrets = (options.peer_secret, options.operator_secret)
@@ -65,6 +75,14 @@
     )
 
 
+def set_up_library_logging(level: str) -> None:
+    """Send the lines of libraries through the same sink.
+
+    Without it, they go to standard error as plain text with their secrets.
+    """
+    logging.basicConfig(handlers=(_LibraryHandler(),), level=level, force=True)
+
+
 def flat_record(record: Mapping[str, Any]) -> dict[str, Any]:
     """Return the fields of a line.
 
--- a/mimosapond/read_router.py
+++ b/mimosapond/read_router.py
@@ -1,5 +1,6 @@
 """Sends reads to replicas that may serve them, else to the primary."""
 
+from collections.abc import Sequence
 from typing import Final, final
 
 import attrs
@@ -66,12 +67,19 @@
         floor: Floor | None,
     ) -> Outcome:
         outcome: Outcome = _no_target(routed, 'no member is reachable')
-        for candidate in self._planner.plan(routed.group):
+        for candidate in self._candidates(routed):
             outcome = await self._attempt(routed, floor, candidate, outcome)
             if _is_settled(outcome):
                 break
         return outcome
 
+    def _candidates(self, routed: RoutedRequest) -> Sequence[ReadCandidate]:
+        planned = self._planner.plan(routed.group)
+        if routed.request.max_age_ms:
+            return planned
+        # A replica's data always has an age, so asking one wastes its slot.
+        return [one for one in planned if one.is_primary] or planned
+
     async def _attempt(
         self,
         routed: RoutedRequest,
@@ -126,16 +134,17 @@
     ) -> None:
         name = routed.group.name
         path = DegradedPath.READS_FORCED_TO_PRIMARY
-        if candidate.is_primary:
-            self._services.metrics.count('read.primary')
+        if not candidate.is_primary:
+            self._services.metrics.count('read.replica')
+            self._services.degraded.clear(path, name)
+            return
+        self._services.metrics.count('read.primary')
+        if routed.request.max_age_ms:
             self._services.degraded.enter(
                 path,
                 name,
                 'no replica could serve a read within its bounds',
             )
-        else:
-            self._services.metrics.count('read.replica')
-            self._services.degraded.clear(path, name)
 
     def _record(
         self,
