Pull beacons on demand for reads with a tight age bound

Cause: replicas were dated by the periodic beacon alone, so a read with a bound below about twice the interval of 250 ms went to the primary. Change: a read whose newest pair is older than half its bound first pulls a beacon; concurrent reads of a group share the pull. Ruled out: a shorter interval, which costs control traffic on idle groups.

--- a/features/builders.py
+++ b/features/builders.py
@@ -1,5 +1,7 @@
 """Builders of test data."""
 
+from mimosapond.group_beacon import GroupBeacon
+from mimosapond.group_view import GroupView
 from mimosapond.standing import PRIMARY_ROLE, Standing
 
 
@@ -21,3 +23,9 @@
         matched_position=position,
         history=history,
     )
+
+
+def build_beacon(group: str, term: int = 1, position: int = 1) -> GroupBeacon:
+    """Build a beacon of a holder."""
+    view = GroupView(group, term, f'{group}-1', 'host-1')
+    return GroupBeacon(view, position)
--- a/mimosapond/age_tracker.py
+++ b/mimosapond/age_tracker.py
@@ -42,6 +42,12 @@
                 self._pairs.pop()
         self._pairs.append((asked_s, *entry))
 
+    def newest_age_ms(self) -> int | None:
+        """Return the age of the newest pair; None without any."""
+        if not self._pairs:
+            return None
+        return self._since_ms(self._pairs[-1][0])
+
     def age_ms(self, standing: Standing) -> int | None:
         """Return an upper bound of the age of a member's data.
 
@@ -54,6 +60,9 @@
             if position <= standing.position and standing.contains(
                 term, position
             ):
-                age_s = max(0, self._clock.monotonic_s() - asked_s)
-                return math.ceil(age_s * MS_PER_S)
+                return self._since_ms(asked_s)
         return None
+
+    def _since_ms(self, asked_s: float) -> int:
+        age_s = max(0, self._clock.monotonic_s() - asked_s)
+        return math.ceil(age_s * MS_PER_S)
--- a/mimosapond/composition.py
+++ b/mimosapond/composition.py
@@ -14,6 +14,7 @@
 from mimosapond.age_trackers import AgeTrackers
 from mimosapond.anti_entropy import AntiEntropy
 from mimosapond.attempt_gate import AttemptGate
+from mimosapond.beacon_refresher import BeaconRefresher
 from mimosapond.caller_routes import build_caller_routes
 from mimosapond.clock import MS_PER_S, SystemClock
 from mimosapond.decision_log import LoguruDecisionLog
@@ -203,9 +204,13 @@
             self._owners,
             self._holders.holder,
             self._ages,
+            BeaconRefresher(self._ages, self._refresh),
             self._clock,
         )
 
+    async def _refresh(self, group: str) -> None:
+        await self._supervisor.refresh(group)
+
     def _build_terms(self) -> None:
         self._term_parts = TermParts(
             host_id=self._own.host_id,
--- a/mimosapond/group_keeper.py
+++ b/mimosapond/group_keeper.py
@@ -95,6 +95,12 @@
         if not self._is_newer_known(view):
             await self._suspect(view)
 
+    async def refresh(self) -> None:
+        """Pull one beacon to date the group's data."""
+        view = self._ports.views.get(self._group.name)
+        if view is not None:
+            await self._watch.check(view, fresh=False)
+
     async def opinion(self, term: int) -> bool:
         """Tell whether this host can reach the primary of ``term``.
 
--- a/mimosapond/group_supervisor.py
+++ b/mimosapond/group_supervisor.py
@@ -80,6 +80,12 @@
             raise RejectedCallError('unknown_group', f'no group {group}')
         return await self._parts.build_keeper(spec).opinion(term)
 
+    async def refresh(self, group: str) -> None:
+        """Pull one beacon of a group that this host keeps."""
+        kept = self._kept.get(group)
+        if kept is not None:
+            await kept.keeper.refresh()
+
     def step(self) -> None:
         """Start what is missing and stop what is no longer needed."""
         kept: dict[str, GroupSpec] = {}
--- a/mimosapond/member_reader.py
+++ b/mimosapond/member_reader.py
@@ -8,6 +8,7 @@
 from typing import Final, final
 
 from mimosapond.age_trackers import AgeTrackers
+from mimosapond.beacon_refresher import BeaconRefresher
 from mimosapond.beacon_source import BeaconSource
 from mimosapond.clock import MS_PER_S, Clock
 from mimosapond.completed import Completed
@@ -42,12 +43,14 @@
         owners: OwnerRegistry,
         holder_of: Callable[[str], BeaconSource | None],
         ages: AgeTrackers,
+        refresher: BeaconRefresher,
         clock: Clock,
     ) -> None:
         """Find term holders by group name with ``holder_of``."""
         self._owners = owners
         self._holder_of = holder_of
         self._ages = ages
+        self._refresher = refresher
         self._clock = clock
 
     async def read(self, run: PeerRun) -> Outcome:
@@ -60,6 +63,7 @@
         if owner is None:
             return refuse(RefusalReason.NOT_OWNER, member=run.member)
         deadline_s = self._deadline_s(run)
+        await self._refresh(run, deadline_s)
         grant = await owner.acquire(_build_ticket(run, deadline_s))
         if isinstance(grant, Refused):
             return grant
@@ -127,6 +131,17 @@
         self._ages.tracker(run.group).note(asked_s, beacon)
         return beacon.view.term == standing.term
 
+    async def _refresh(self, run: PeerRun, deadline_s: float) -> None:
+        # A primary's answer is confirmed afterwards and needs no pair.
+        if self._holder_of(run.group) is not None:
+            return
+        left_s = max(0, deadline_s - self._clock.monotonic_s())
+        await self._refresher.refresh(
+            run.group,
+            run.request.max_age_ms or 0,
+            left_s / 2,
+        )
+
     def _deadline_s(self, run: PeerRun) -> float:
         deadline_ms = run.request.deadline_ms
         if deadline_ms is None:
