Report unconfirmed documents also before a host is ready

A host that starts during an outage and finds no ready peer refused requests without a signal. Adds a scenario for the decision log.

--- a/features/documents.feature
+++ b/features/documents.feature
@@ -26,17 +26,18 @@
   Scenario Outline: document edits that another editor overtakes
     Guards against an edit that overwrites another one or claims its success.
     Given a documents fleet of 2 hosts
-    When document editor host-1 begins an edit whose write is <fate>
+    When the documents platform has the fault <fault>
+    And document editor host-1 begins an edit
     And another document editor brings the platform to revision <revision>
     And the document editor host-1 finishes
     Then the document edit is <result>
     And the document edit answer names revision <revision>
 
     Examples:
-      | fate     | revision | result            |
-      | delayed  | 1        | document_conflict |
-      | delayed  | 2        | unsettled         |
-      | answered | 2        | unsettled         |
+      | fault         | revision | result            |
+      | delayed write | 1        | document_conflict |
+      | delayed write | 2        | unsettled         |
+      | lost answer   | 2        | unsettled         |
 
   Scenario: document editors race
     Guards against two editors that both believe their edit is in force.
@@ -81,12 +82,13 @@
     no services.
     Given a documents fleet of 2 hosts
     When the documents platform has the fault outage
-    And document host host-2 is lost
+    And spread host host-2 is killed
     And document host host-1 restarts with peers reachable
     And document host host-2 restarts with peers reachable
     Then document host host-1 counts as not ready
     And document host host-2 counts as not ready
-    When the documents platform recovers
+    And document host host-2 is degraded by "platform_unreachable/table documents_unconfirmed/documents"
+    When the documents platform has the fault none
     And document host host-2 confirms its documents
     Then document host host-2 counts as ready
 
@@ -97,13 +99,13 @@
     And the documents platform has the fault outage
     And document host host-1 confirms its documents
     Then document host host-1 is degraded by "platform_unreachable/table"
-    When document host host-2 is lost
+    When spread host host-2 is killed
     And document host host-1 confirms its documents
     Then document host host-1 is degraded by "platform_unreachable/table documents_unconfirmed/documents"
     And document host host-1 has revision 1
-    When the documents platform recovers
+    When the documents platform has the fault none
     And document host host-1 confirms its documents
-    Then document host host-1 is degraded by ""
+    Then document host host-1 is degraded by "nothing"
 
   Scenario: document tasks keep a fleet current on their own
     Guards against task loops that do not run what the steps test.
--- a/features/spread.feature
+++ b/features/spread.feature
@@ -203,6 +203,18 @@
     Guards against a restart that moves ownership all over the fleet.
     Then spread placement moves only the departed host's members
 
+  Scenario: spread decisions are logged once with their evidence
+    Guards against an owner that changes without a trace of the cause.
+    Given a spread decision log
+    When the spread owner of a member is asked for twice and then dies
+    Then the spread decision log holds
+      | decision   | evidence                          |
+      | membership | reported                          |
+      | membership | reported                          |
+      | placement  | highest hash among the live hosts |
+      | membership | suspicion not refuted in time     |
+      | placement  | highest hash among the live hosts |
+
   Scenario: spread placement is balanced
     Guards against one host that owns everything.
     Then spread placement gives 8 hosts between 25 and 80 of 400 members
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -485,6 +485,50 @@
     assert all(25 <= count <= 80 for count in owners.values()), owners
 
 
+class _RecordingLog:
+    """Keeps decisions."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.lines: list[tuple[str, str]] = []
+
+    def record(self, decision: str, reason: str, **figures: Any) -> None:
+        """Keep one line."""
+        assert figures
+        self.lines.append((decision, reason))
+
+
+@given('a spread decision log')
+def build_log(context: Any) -> None:
+    """Record the decisions of a membership and a placement."""
+    context.log = _RecordingLog()
+    own = build_host('own', 'centre-2')
+    context.membership = Membership(own, ManualClock(), context.log, 1)
+    context.placement = Placement(context.membership, context.log)
+
+
+@when('the spread owner of a member is asked for twice and then dies')
+def lose_owner(context: Any) -> None:
+    """Ask before and after the owner's death."""
+    for host_id in ('a', 'b'):
+        context.membership.merge(build_host(host_id))
+    member = build_member('forge-a-1')
+    owner = context.placement.owner_of(member)
+    assert context.placement.owner_of(member) is owner
+    context.membership.mark_dead(
+        owner.host_id,
+        'suspicion not refuted in time',
+    )
+    assert context.placement.owner_of(member) is not owner
+
+
+@then('the spread decision log holds')
+def check_log(context: Any) -> None:
+    """Compare all lines."""
+    expected = [(row['decision'], row['evidence']) for row in context.table]
+    assert context.log.lines == expected, context.log.lines
+
+
 @given('spread hosts "{text}"')
 def build_placement(context: Any, text: str) -> None:
     """Build a membership from ``host:centre:state`` words."""
--- a/mimosapond/document_spreader.py
+++ b/mimosapond/document_spreader.py
@@ -82,7 +82,9 @@
 
     async def catch_up(self) -> None:
         """Ask the platform and peers once, at the same time."""
-        await asyncio.gather(self.poll(), self._pull_some())
+        answers = await asyncio.gather(self.poll(), self._pull_some())
+        if not any(answers):
+            self._report_unconfirmed()
 
     async def poll(self) -> bool:
         """Read the platform's table; tell whether it answered."""
@@ -107,14 +109,8 @@
 
     async def confirm(self) -> None:
         """Poll the platform, and ask peers instead while it is silent."""
-        if await self.poll() or await self._pull_some():
-            return
-        if self.store.is_ready:
-            self._degraded.enter(
-                DegradedPath.DOCUMENTS_UNCONFIRMED,
-                _DOCUMENTS,
-                'neither the platform nor a peer answers',
-            )
+        if not await self.poll() and not await self._pull_some():
+            self._report_unconfirmed()
 
     async def push(self) -> None:
         """Offer the revisions that are new since the last push."""
@@ -237,6 +233,13 @@
             if document is not None:
                 self.store.apply(document)
 
+    def _report_unconfirmed(self) -> None:
+        self._degraded.enter(
+            DegradedPath.DOCUMENTS_UNCONFIRMED,
+            _DOCUMENTS,
+            'neither the platform nor a ready peer answers',
+        )
+
     def _confirm(self) -> None:
         self.store.is_ready = True
         self._degraded.clear(DegradedPath.DOCUMENTS_UNCONFIRMED, _DOCUMENTS)
