Check the primary's reach before a handover; extend terms tests

A preferred owner that cannot reach the primary would stop writes by taking the group over. The tests now also cover a floor query that arrives during a round, a cancelled record that is not replicated, a member with an older log and a holder that closes during a call.

--- a/features/steps/terms_steps.py
+++ b/features/steps/terms_steps.py
@@ -339,6 +339,61 @@
     assert _floor(context.world, host) is None
 
 
+@given('terms status answers to "{host}" are held')
+def hold_controls(context: Any, host: str) -> None:
+    """Hold answers after the members made them."""
+    context.held = asyncio.Event()
+    for member in context.world.members.values():
+        member.held_controls[host] = context.held
+
+
+@when('terms status answers are delivered')
+def deliver_controls(context: Any) -> None:
+    """Deliver held answers."""
+    context.held.set()
+
+
+@when('terms host "{host}" starts floor query "{label}"')
+def start_floor(context: Any, host: str, label: str) -> None:
+    """Ask for a floor in the background."""
+    world = context.world
+    context.raw_holder = world.hosts[host].holder
+    deadline_s = world.clock.monotonic_s() + 1
+    work = context.raw_holder.floor('clerk', deadline_s)
+    context.tasks[label] = world.start(work)
+    world.wait(_TICK_S)
+
+
+@then('terms floor query "{label}" ends as {expected}')
+def check_query(context: Any, label: str, expected: str) -> None:
+    """Check whether a floor was given."""
+    floor = context.world.run(context.tasks[label])
+    assert (floor is None) == (expected == 'none'), floor
+
+
+@given('terms links of "{hosts}" to "{member}" are silent')
+def silence_links(context: Any, hosts: str, member: str) -> None:
+    """Silence the kept control links."""
+    context.world.members[member].silent_links |= set(hosts.split())
+
+
+@given('terms host "{host}" cannot reach "{member}"')
+def cut_host(context: Any, host: str, member: str) -> None:
+    """Cut one host off one member."""
+    context.world.members[member].cut_hosts.add(host)
+
+
+@then('terms holder is not "{host}" and its term stays for {delay_s:g} s')
+def check_stable(context: Any, host: str, delay_s: float) -> None:
+    """Check that the group does not change hands again."""
+    world = context.world
+    primary = world.primary()
+    assert primary.granted_to != host
+    term = primary.term
+    world.wait(delay_s)
+    assert world.primary().term == term
+
+
 @given('terms hosts forget the group')
 def forget(context: Any) -> None:
     """Restart all hosts."""
@@ -396,11 +451,11 @@
 def happen(context: Any, event: str) -> None:
     """Disturb the open transaction."""
     world = context.world
+    if event == 'holder closed':
+        context.holder.close()
     match event:
         case 'newer term':
             assert world.lead('h2', 'm1')
-        case 'holder closed':
-            context.holder.close()
         case 'commit answer lost':
             world.members['m1'].loses_commit_answer = True
         case 'primary silent':
@@ -410,10 +465,22 @@
         case 'idle for 60 s':
             world.keep()
             world.wait(60)
+        case 'closed during a call':
+            _close_during_call(context)
         case 'bad statement':
             _continue(context, 'INSERT INTO absent VALUES (1)')
 
 
+def _close_during_call(context: Any) -> None:
+    world = context.world
+    sql = (Statement('SELECT 1'),)
+    work = context.holder.execute(context.transaction_id, sql, _DEADLINE_MS)
+    started = world.start(work)
+    world.wait(0)
+    context.holder.close()
+    world.run(started)
+
+
 def _continue(context: Any, sql: str) -> Outcome:
     work = context.holder.execute(
         context.transaction_id,
@@ -435,6 +502,8 @@
     ending = holder.commit if ended == 'committed' else holder.rollback
     work = ending(identity, _DEADLINE_MS)
     context.outcomes[label] = context.world.run(work)
+    granted = context.world.hosts['h1'].slots.granted
+    assert all(slot.is_released for slot in granted), 'a slot was kept'
 
 
 @given('terms session table for {limit:d} sessions from position {start:d}')
--- a/features/terms.feature
+++ b/features/terms.feature
@@ -104,6 +104,13 @@
       | 0     | none  | request_cancelled |
       | 30    | none  | unknown           |
 
+  # Guards against a cancelled record that a later primary may not have.
+  Scenario: terms confirm a cancelled record before they refuse by it
+    Given terms replicas lag 30 s
+    When terms host "h1" settles "never"
+    And terms host "h1" writes "never" with primary durability
+    Then terms write "never" ends as unknown
+
   # Guards against a caller's own violation taken for a repeated request.
   Scenario Outline: terms refuse rejected SQL as not run
     When terms host "h1" runs "INSERT INTO orders VALUES ('7')" as "first"
@@ -151,14 +158,37 @@
     Then terms primary is "m1"
     And terms host "h2" is the holder at term 2
 
-  # Guards against a stop of writes by an owner that died or never existed.
-  Scenario: terms keep the primary of a dead holder
+  # Guards against a stop of writes by an owner that died, and against a
+  # promotion because of kept links that went silent.
+  Scenario Outline: terms keep the primary of a dead holder
     Given terms host "h1" is dead
+    And terms links of "<hosts>" to "m1" are silent
     And terms owner of "m1" is moved to "h2"
     When terms keepers run for 2 s
     Then terms primary is "m1"
     And terms host "h2" is the holder at term 2
 
+    Examples:
+      | hosts |
+      | none  |
+      | h2 h3 |
+
+  # Guards against a group that changes hands without end.
+  Scenario: terms move from a holder that cannot reach its primary
+    Given terms host "h1" cannot reach "m1"
+    When terms keepers run for 6 s
+    Then terms primary is "m1"
+    And terms holder is not "h1" and its term stays for 30 s
+    And terms writes succeed within 0.1 s
+
+  # Guards against keeping a primary that was replaced unnoticed.
+  Scenario: terms do not keep a member with an older log
+    Given terms member "m3" lags 30 s
+    When terms host "h1" writes "order" with replicated durability
+    And terms host "h2" keeps primary "m3"
+    Then terms primary is not "m3"
+    And terms note "order" exists 1 times
+
   # Guards against replacing a healthy primary.
   Scenario Outline: terms survive a disturbance without a promotion
     Given terms disturbance "<disturbance>"
@@ -198,6 +228,16 @@
     Then terms floor at "h1" is none
     And terms floor at "h2" contains write "board"
 
+  # Guards against answers by a check that began before the question.
+  Scenario: terms do not serve a question by an earlier round
+    Given terms status answers to "h1" are held
+    When terms host "h1" starts floor query "early"
+    And terms host "h2" keeps primary "m1"
+    And terms host "h1" starts floor query "late"
+    And terms status answers are delivered
+    Then terms floor query "early" ends as known
+    And terms floor query "late" ends as none
+
   # Guards against a group that no host knows after a restart of all hosts.
   Scenario: terms are found by hosts that know no view
     Given terms hosts forget the group
@@ -246,6 +286,7 @@
       | request settled      | committed       | request_cancelled | 0     |
       | idle for 60 s        | committed       | no_transaction    | 0     |
       | bad statement        | committed       | no_transaction    | 0     |
+      | closed during a call | committed       | no_transaction    | 0     |
 
   # Guards against a floor that falls when the bounded table evicts a session.
   Scenario Outline: terms session table never lowers a floor
--- a/features/terms_fakes.py
+++ b/features/terms_fakes.py
@@ -148,12 +148,12 @@
         """Grant ``connection``."""
         self.connection = connection
         self.refusal: Refused | None = None
-        self._is_released = False
+        self.is_released = False
 
     def release(self, *, reusable: bool) -> None:
         """Check that a slot is released once, and clean or closed."""
-        assert not self._is_released, 'a slot was released twice'
-        self._is_released = True
+        assert not self.is_released, 'a slot was released twice'
+        self.is_released = True
         is_open = self.connection.has_transaction
         assert not is_open, 'a transaction was left open'
         assert reusable == self.connection.is_open
--- a/features/terms_member_fakes.py
+++ b/features/terms_member_fakes.py
@@ -74,6 +74,7 @@
         self.loses_commit_answer = False
         self.held_commit: asyncio.Event | None = None
         self.held_answer: asyncio.Event | None = None
+        self.held_controls: dict[str, asyncio.Event] = {}
         self._loop = clock_s
 
     @property
--- a/features/terms_target_fakes.py
+++ b/features/terms_target_fakes.py
@@ -240,7 +240,7 @@
         answer = await self._ask(fake, fake.standing, timeout_s)
         while not isinstance(answer, TargetSilent):
             if fake.term != term:
-                return TargetRejected('term_changed', '', fake.standing())
+                return self._report_change(fake)
             if fake.matched_position >= position:
                 return await self._ask(fake, fake.standing, timeout_s)
             if asyncio.get_running_loop().time() >= deadline_s:
@@ -252,6 +252,12 @@
         """Drop the kept link, so that the next call opens a new one."""
         self._members[member.name].silent_links.discard(self._host_id)
 
+    def _report_change(self, fake: FakeMember) -> ControlResult:
+        """Answer either way: the change may pass between check and answer."""
+        if self._jitter.random() < 1 / 2:
+            return fake.standing()
+        return TargetRejected('term_changed', '', fake.standing())
+
     async def _ask(
         self,
         fake: FakeMember,
@@ -263,5 +269,8 @@
             await asyncio.sleep(timeout_s)
             return TargetSilent('no answer in time', sent=True)
         answer = action()
+        held = fake.held_controls.get(self._host_id)
+        if held is not None:
+            await held.wait()
         await asyncio.sleep(self._jitter.uniform(0, _SLOWEST_S))
         return answer
--- a/features/terms_world.py
+++ b/features/terms_world.py
@@ -99,14 +99,16 @@
 
     def __init__(self, host_id: str, world: 'World') -> None:
         """Wire one host to the fakes of ``world``."""
+        target = FakeTarget(host_id, world.members, world.jitter)
         self.parts = TermParts(
             host_id,
             options(),
-            FakeTarget(host_id, world.members, world.jitter),
+            target,
             world.clock,
             NullDecisionLog(),
             NullMetrics(),
         )
+        self.slots = FakeSlots(target)
         self.views = GroupViews()
         self.registry = TermRegistry()
         self.beacons = RecordedBeacons()
@@ -116,11 +118,7 @@
             self.parts,
             TermClaims(self.parts, world.platform),
             self.views,
-            HolderInstaller(
-                self.parts,
-                FakeSlots(self.parts.target),
-                self.registry,
-            ),
+            HolderInstaller(self.parts, self.slots, self.registry),
         )
         ports = KeeperPorts(
             self.views,
--- a/mimosapond/group_keeper.py
+++ b/mimosapond/group_keeper.py
@@ -253,7 +253,11 @@
         self._misplaced_count += 1
         if self._misplaced_count < _STABLE_COUNT:
             return
-        if not await self._request_handover(view):
+        # A host that can't reach the primary would stop all writes by taking
+        # the group over.
+        reached = await self._check_primary(view)
+        is_reached = isinstance(reached, Standing)
+        if not is_reached or not await self._request_handover(view):
             self._misplaced_count = -_HANDOVER_PAUSE_COUNT
             return
         self._misplaced_count = 0
--- a/mimosapond/opinion_collector.py
+++ b/mimosapond/opinion_collector.py
@@ -94,9 +94,10 @@
             self._parts.check_timeout_s + _ANSWER_MARGIN_S,
             fresh=True,
         )
-        if isinstance(answer, PeerAnswered):
-            return bool(answer.body['reachable'])
-        return None
+        if not isinstance(answer, PeerAnswered):
+            return None
+        is_reachable = answer.body.get('reachable')
+        return is_reachable if isinstance(is_reachable, bool) else None
 
 
 def _known(
