--- /dev/null
+++ b/features/reading.feature
@@ -0,0 +1,56 @@
+Feature: Reads at a member that this host owns
+  A mistake here returns data older than the contract allows, or hides a write
+  from the session that made it.
+
+  Scenario Outline: an answer is returned only with proof of its freshness
+    Guards against stale boards, against a replaced primary that still
+    answers, and against a lost write that is passed over in silence.
+    Given a member reader whose member answers as <role> at <log>
+    And the reader's beacons were "<beacons>"
+    And the reader's term holder <holder>
+    When the reader runs a read with floor <floor> and age bound <bound> ms
+    Then the reader answers <answer>
+
+    Examples: beacons are seconds ago, term and position; a log is term:first@last
+      | role    | log          | beacons       | holder     | floor | bound | answer             |
+      | replica | 1:1@50       | 2/1/40 1/1/60 | is absent  | none  | 2000  | completed 2000     |
+      | replica | 1:1@60       | 2/1/40 1/1/60 | is absent  | none  | 2000  | completed 1000     |
+      | replica | 1:1@50       | 2/1/40 1/1/60 | is absent  | none  | 1999  | too_stale          |
+      | replica | 1:1@39       | 2/1/40 1/1/60 | is absent  | none  | 9000  | no_target          |
+      | replica | 1:1@60       | 2/1/60 1/1/60 | is absent  | none  | 1000  | completed 1000     |
+      | replica | 1:1@70       | 2/1/40 1/2/60 | is absent  | none  | 9000  | completed 2000     |
+      | replica | 1:1@50       | 2/1/40        | is absent  | 1/45  | 9000  | completed 2000     |
+      | replica | 1:1@50       | 2/1/40        | is absent  | 1/51  | 9000  | no_target          |
+      | replica | 1:1,2:45@50  | 2/1/40        | is absent  | 1/46  | 9000  | no_target          |
+      | replica | 1:1@50       |               | is absent  | none  | 9000  | no_target          |
+      | primary | 1:1@50       |               | confirms 1 | none  | 0     | completed 0        |
+      | primary | 1:1@50       |               | confirms 2 | none  | 0     | no_target          |
+      | primary | 1:1@50       |               | is cut off | none  | 9000  | no_target          |
+      | primary | 1:1@50       | 2/1/40        | is cut off | none  | 2000  | completed 2000     |
+      | primary | 1:1@50       | 2/1/40        | is cut off | none  | 1000  | too_stale          |
+      | primary | 1:1,2:45@50  |               | confirms 2 | 1/46  | 0     | session_write_lost |
+      | primary | 1:1,2:45@50  |               | confirms 2 | 1/44  | 0     | completed 0        |
+
+  Scenario Outline: a read without an answer is refused and its grant returned
+    Guards against wrong outcomes and against connections that are reused
+    after a call whose answer may still arrive.
+    Given a member reader whose member answers as replica at 1:1@50
+    And the reader's beacons were "1/1/50"
+    And the reader's target <behaviour>
+    When the reader runs a read with floor none and age bound 9000 ms
+    Then the reader answers <answer>
+    And the reader's owner holds nothing and keeps <count> connections
+
+    Examples:
+      | behaviour           | answer         | count |
+      | answers             | completed 1000 | 1     |
+      | reports a SQL error | sql_error      | 1     |
+      | rejects the call    | no_target      | 1     |
+      | stays silent        | no_target      | 0     |
+      | hangs until cancel  | cancelled      | 0     |
+
+  Scenario: a read for a member of another owner is refused
+    Guards against a second queue in front of a member.
+    Given a member reader whose member answers as replica at 1:1@50
+    When the reader is asked for a member it does not own
+    Then the reader answers not_owner
--- /dev/null
+++ b/features/scheduling_model.py
@@ -0,0 +1,176 @@
+"""Independent model of the scheduling rules, compared on random programs.
+
+The model keeps plain lists and evaluates the rules by full scans. The
+scheduler reports each decision through its log, and the model checks it at
+that moment.
+"""
+
+import dataclasses
+from typing import Any
+
+from features.scheduling_builders import build_scheduler, build_ticket
+from features.scheduling_fakes import RecordingDecisions
+from mimosapond.waiting_work import WaitingWork
+from mimosapond.work_claim import WorkClaim
+from mimosapond.work_class import WorkClass
+
+AGING_STEP_S = 10
+WORKSPACE_LIMIT = 2
+
+
+@dataclasses.dataclass(eq=False)
+class ModelWork:
+    """One arrival with its model state."""
+
+    name: str
+    rank: int
+    deadline_s: float
+    workspace: str
+    is_long: bool
+    duration_s: float
+    arrived_s: float
+    keeps: bool = False
+    ends_s: float = 0
+    work: WaitingWork | None = None
+
+    def key(self, now_s: float) -> tuple[float, float, int]:
+        """Order of service at ``now_s``, aging included."""
+        steps = int((now_s - self.arrived_s) // AGING_STEP_S)
+        due_s = self.deadline_s
+        is_raised = steps and (self.rank > 0 or self.is_long)
+        if is_raised:
+            due_s = min(due_s, self.arrived_s + AGING_STEP_S)
+        return (max(0, self.rank - steps), due_s, int(self.name))
+
+
+class SchedulingModel:
+    """Drives a scheduler and checks each of its decisions."""
+
+    def __init__(self, slots: int, limit: int) -> None:
+        """Start with an empty member."""
+        self.now_s: float = 1000
+        self.slots = slots
+        self.decisions = RecordingDecisions()
+        self.decisions.record = self._check_decision  # type: ignore[method-assign]
+        self.scheduler = build_scheduler(self.decisions, slots, limit)
+        self.cap = self.scheduler.capacity.cap_count
+        self.waiting: dict[str, ModelWork] = {}
+        self.running: dict[str, ModelWork] = {}
+        self.parked: list[ModelWork] = []
+        self.started: set[str] = set()
+
+    def arrive(self, model_work: ModelWork) -> None:
+        """Offer new work."""
+        ticket = build_ticket(
+            model_work.name,
+            work_class=tuple(WorkClass)[model_work.rank],
+            deadline_s=model_work.deadline_s,
+            workspace=model_work.workspace,
+            is_long=model_work.is_long,
+            connection_limit_count=WORKSPACE_LIMIT,
+        )
+        claim = WorkClaim.KEEPING if model_work.keeps else WorkClaim.SINGLE
+        self.waiting[model_work.name] = model_work
+        model_work.work = self.scheduler.offer(ticket, claim, self.now_s)
+        self.check_idle()
+
+    def cancel(self, model_work: ModelWork) -> None:
+        """Let the caller of waiting or running work go away."""
+        self.waiting.pop(model_work.name, None)
+        self.running.pop(model_work.name, None)
+        self.scheduler.abandon(self._work(model_work), self.now_s)
+        self.check_idle()
+
+    def advance(self, end_s: float) -> None:
+        """Move the time, ending work and waking the timer on the way."""
+        while (next_s := self._next_s()) is not None and next_s <= end_s:
+            self.now_s = max(self.now_s, next_s)
+            ended = [
+                work
+                for work in self.running.values()
+                if work.ends_s <= self.now_s
+            ]
+            if not ended:
+                self.scheduler.advance(self.now_s)
+            for work in ended:
+                self._end(work)
+            self.check_idle()
+        self.now_s = end_s
+
+    def unpark(self) -> None:
+        """End the oldest parked transaction."""
+        if self.parked:
+            work = self._work(self.parked.pop(0))
+            self.scheduler.finish(None, work, self.now_s)
+            self.check_idle()
+
+    def check_idle(self) -> None:
+        """No slot may be free while work waits that may start."""
+        assert not self._eligible(), self._eligible()
+        assert len(self.running) <= self.slots
+        assert self._long_count() <= max(1, self.slots - 1)
+        held = (*self.running.values(), *self.parked)
+        assert len(held) <= self.cap
+        kept_count = sum(work.keeps for work in held)
+        assert kept_count <= max(1, self.cap - self.slots)
+
+    def _end(self, ended: ModelWork) -> None:
+        self.running.pop(ended.name)
+        work = self._work(ended)
+        if ended.keeps:
+            self.parked.append(ended)
+        self.scheduler.finish(work, None if ended.keeps else work, self.now_s)
+
+    def _work(self, model_work: ModelWork) -> WaitingWork:
+        assert model_work.work is not None
+        return model_work.work
+
+    def _next_s(self) -> float | None:
+        times_s = [work.ends_s for work in self.running.values()]
+        change_s = self.scheduler.next_change_s
+        if change_s is not None:
+            times_s.append(change_s)
+        return min(times_s, default=None)
+
+    def _check_decision(self, decision: str, reason: str, **line: Any) -> None:
+        name = line['request_id']
+        chosen = self.waiting.get(name)
+        if decision == 'slot_granted':
+            assert chosen is not None, 'granted what does not wait'
+            eligible = self._eligible()
+            assert chosen in eligible, f'{name} may not start'
+            first = min(eligible, key=lambda work: work.key(self.now_s))
+            assert chosen is first, f'{name} before {first.name}'
+            chosen.ends_s = self.now_s + chosen.duration_s
+            self.running[name] = chosen
+            self.started.add(name)
+        elif reason in {'deadline_exceeded', 'workspace_limit'}:
+            assert chosen is not None
+            assert chosen.deadline_s <= self.now_s, 'refused early'
+        self.waiting.pop(name, None)
+
+    def _eligible(self) -> list[ModelWork]:
+        return [work for work in self.waiting.values() if self._may_start(work)]
+
+    def _may_start(self, work: ModelWork) -> bool:
+        held = (*self.running.values(), *self.parked)
+        same = sum(other.workspace == work.workspace for other in held)
+        kept = sum(other.keeps for other in held)
+        if work.keeps and kept >= max(1, self.cap - self.slots):
+            return False
+        if len(held) >= self.cap or same >= WORKSPACE_LIMIT:
+            return False
+        is_expired = work.deadline_s <= self.now_s
+        return not is_expired and self._has_slot(work)
+
+    def _has_slot(self, work: ModelWork) -> bool:
+        free = self.slots - len(self.running)
+        if not work.is_long:
+            return free > 0
+        if self.now_s - work.arrived_s >= AGING_STEP_S:
+            room = max(1, self.slots - 1) - self._long_count()
+            return free > 0 and room > 0
+        return free >= min(2, self.slots)
+
+    def _long_count(self) -> int:
+        return sum(work.is_long for work in self.running.values())
--- /dev/null
+++ b/features/scheduling_properties.py
@@ -0,0 +1,108 @@
+"""Hypothesis properties of the scheduler."""
+
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from features.scheduling_model import ModelWork, SchedulingModel
+
+# Eighths of a second add up without rounding, so model and scheduler agree
+# on which side of a deadline a moment lies.
+_EIGHTHS = st.integers(1, 200).map(lambda count: count / 8)
+_ARRIVALS = st.tuples(
+    st.just('arrive'),
+    st.integers(0, 2),
+    _EIGHTHS,
+    st.sampled_from('abc'),
+    st.booleans(),
+    st.integers(1, 80).map(lambda count: count / 8),
+    st.integers(0, 5).map(lambda number: number == 0),
+)
+_OTHERS = st.tuples(
+    st.sampled_from(('advance', 'cancel', 'unpark')),
+    st.integers(0, 40),
+)
+_PROGRAMS = st.lists(st.one_of(_ARRIVALS, _ARRIVALS, _OTHERS), max_size=60)
+
+
+def _step(model: SchedulingModel, number: int, operation: Any) -> None:
+    match operation:
+        case ('arrive', rank, left, workspace, is_long, duration, keeps):
+            work = ModelWork(
+                str(number),
+                rank,
+                model.now_s + left,
+                workspace,
+                is_long,
+                duration,
+                model.now_s,
+                keeps,
+            )
+            model.arrive(work)
+        case ('advance', eighths):
+            model.advance(model.now_s + eighths / 8)
+        case ('cancel', index):
+            works = [*model.waiting.values(), *model.running.values()]
+            if works:
+                model.cancel(works[index % len(works)])
+        case _:
+            model.unpark()
+
+
+def _check_drained(model: SchedulingModel) -> None:
+    """Nothing may be left once all deadlines and durations have passed."""
+    model.advance(model.now_s + 1000)
+    while model.parked:
+        model.unpark()
+        model.advance(model.now_s + 1000)
+    capacity = model.scheduler.capacity
+    assert not model.waiting and not model.running
+    assert not model.scheduler.queue_length_count
+    assert not (capacity.running_count or capacity.long_count)
+    assert not (capacity.held_count or capacity.keeping_count)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.integers(1, 3), st.sampled_from((1, 4, 7, 16)), _PROGRAMS)
+def check_programs(slots: int, limit: int, program: list[Any]) -> None:
+    """Compare each decision of random programs with the model."""
+    model = SchedulingModel(slots, limit)
+    for number, operation in enumerate(program):
+        _step(model, number, operation)
+    _check_drained(model)
+
+
+@settings(derandomize=True, max_examples=40, deadline=None)
+@given(
+    st.integers(1, 3),
+    st.booleans(),
+    st.lists(st.integers(1, 16), min_size=1, max_size=8),
+)
+def check_starvation(slots: int, is_long: bool, eighths: list[int]) -> None:
+    """Keep urgent work waiting at all times and expect batch to start."""
+    model = SchedulingModel(slots, 100)
+    names = iter(range(1, 10_000))
+    batch = ModelWork('0', 2, model.now_s + 500, 'batch', is_long, 1, 1000)
+    for _ in range(slots):
+        model.arrive(_build_urgent(model, next(names), 1))
+    model.arrive(batch)
+    while batch.name not in model.started and model.now_s < 1030:
+        while len(model.waiting) < slots + 2:
+            number = next(names)
+            duration = eighths[number % len(eighths)] / 8
+            model.arrive(_build_urgent(model, number, duration))
+        model.advance(model.now_s + 1 / 8)
+    # Two aging steps raise it to urgent; then the first free slot is its own.
+    assert batch.name in model.started, 'batch work starved'
+    assert model.now_s <= 1000 + 20 + 2 + 1, model.now_s
+
+
+def _build_urgent(
+    model: SchedulingModel, number: int, duration: float
+) -> ModelWork:
+    workspace = f'urgent-{number}'
+    deadline_s = model.now_s + 5
+    return ModelWork(
+        str(number), 0, deadline_s, workspace, False, duration, model.now_s
+    )
--- /dev/null
+++ b/features/steps/reading_steps.py
@@ -0,0 +1,176 @@
+"""Steps of reading.feature."""
+
+import asyncio
+from typing import Any
+
+import attrs
+from behave import given, then, when
+
+from features.builders import build_standing
+from features.scheduling_builders import OPTIONS, build_member
+from features.scheduling_fakes import (
+    FakeClock,
+    FakeTarget,
+    RecordingDecisions,
+    settle_tasks,
+)
+from mimosapond.access_mode import AccessMode
+from mimosapond.age_trackers import AgeTrackers
+from mimosapond.completed import Completed
+from mimosapond.floor import Floor
+from mimosapond.group_beacon import GroupBeacon
+from mimosapond.group_view import GroupView
+from mimosapond.member_reader import MemberReader
+from mimosapond.metrics import NullMetrics
+from mimosapond.owner_registry import OwnerRegistry
+from mimosapond.peer_run import PeerRun
+from mimosapond.statement import Statement
+from mimosapond.statement_request import StatementRequest
+from mimosapond.target_results import (
+    TargetAnswered,
+    TargetRejected,
+    TargetSilent,
+)
+
+GROUP = 'forge-a'
+MEMBER = 'forge-a-1'
+
+
+class FakeHolder:
+    """Confirms a term, or nothing when there is none."""
+
+    def __init__(self, term: int | None) -> None:
+        """Confirm ``term``."""
+        self._term = term
+
+    async def beacon(self, deadline_s: float) -> GroupBeacon | None:
+        """Return the beacon."""
+        return None if self._term is None else build_beacon(self._term, 1)
+
+
+def build_beacon(term: int, position: int) -> GroupBeacon:
+    """Build a beacon of the group."""
+    return GroupBeacon(GroupView(GROUP, term, MEMBER, 'host'), position)
+
+
+@given('a member reader whose member answers as {role} at {log}')
+def build_reader(context: Any, role: str, log: str) -> None:
+    """Build a reader and the standing of its member."""
+    terms, position = log.split('@')
+    history = tuple(
+        (int(term), int(first))
+        for term, first in (pair.split(':') for pair in terms.split(','))
+    )
+    context.target, context.clock = FakeTarget(), FakeClock()
+    context.ages = AgeTrackers(context.clock)
+    context.holder, context.member = None, MEMBER
+    standing = build_standing(history, int(position), role)
+    context.target.answer = TargetAnswered((), standing)
+
+
+@given('the reader\'s beacons were "{beacons}"')
+@given('the reader\'s beacons were ""')
+def note_beacons(context: Any, beacons: str = '') -> None:
+    """Note beacons of some seconds ago."""
+    for beacon in beacons.split():
+        ago, term, position = map(int, beacon.split('/'))
+        context.ages.tracker(GROUP).note(
+            context.clock.now_s - ago, build_beacon(term, position)
+        )
+
+
+@given("the reader's term holder {holder}")
+def set_holder(context: Any, holder: str) -> None:
+    """Set what the term holder says."""
+    if holder == 'is cut off':
+        context.holder = FakeHolder(None)
+    elif holder != 'is absent':
+        context.holder = FakeHolder(int(holder.removeprefix('confirms ')))
+
+
+@given("the reader's target {behaviour}")
+def set_target(context: Any, behaviour: str) -> None:
+    """Set the answer of the member's connections."""
+    answers = {
+        'reports a SQL error': TargetRejected('sql_error', 'no such table'),
+        'rejects the call': TargetRejected('bad_request', 'no'),
+        'stays silent': TargetSilent('timeout', sent=True),
+        'hangs until cancel': None,
+    }
+    if behaviour in answers:
+        context.target.answer = answers[behaviour]
+
+
+@when('the reader runs a read with floor {floor} and age bound {bound:d} ms')
+def run_read(context: Any, floor: str, bound: int) -> None:
+    """Run one read."""
+    asyncio.run(read_once(context, floor, bound))
+
+
+@when('the reader is asked for a member it does not own')
+def run_other(context: Any) -> None:
+    """Ask for another member."""
+    context.member = 'forge-a-2'
+    asyncio.run(read_once(context, 'none', 0))
+
+
+async def read_once(context: Any, floor: str, bound: int) -> None:
+    """Build the reader in the running loop and read."""
+    registry = OwnerRegistry(
+        context.target,
+        OPTIONS,
+        context.clock,
+        RecordingDecisions(),
+        NullMetrics(),
+    )
+    context.owner = registry.ensure(build_member())
+    reader = MemberReader(
+        registry,
+        lambda group: context.holder if group == GROUP else None,
+        context.ages,
+        context.clock,
+    )
+    run = build_run(floor, bound)
+    run = attrs.evolve(run, member=context.member)
+    task = asyncio.create_task(reader.read(run))
+    await settle_tasks()
+    if not task.done():
+        task.cancel()
+    context.outcomes = await asyncio.gather(task, return_exceptions=True)
+
+
+def build_run(floor: str, bound: int) -> PeerRun:
+    """Build the peer request of a read."""
+    term, _, position = floor.partition('/')
+    request = StatementRequest(
+        service='forge',
+        workspace='w',
+        request_id='1.abcdefghijklmnop',
+        mode=AccessMode.READ,
+        statements=(Statement('select 1'),),
+        deadline_ms=1000,
+        max_age_ms=bound,
+    )
+    known = None if floor == 'none' else Floor(int(term), int(position))
+    return PeerRun(request, GROUP, MEMBER, floor=known)
+
+
+@then('the reader answers {answer}')
+def check_answer(context: Any, answer: str) -> None:
+    """Compare the outcome."""
+    outcome = context.outcomes[0]
+    if isinstance(outcome, asyncio.CancelledError):
+        shown = 'cancelled'
+    elif isinstance(outcome, Completed):
+        shown = f'completed {outcome.data_age_ms}'
+    else:
+        shown = outcome.reason
+    assert shown == answer, outcome
+
+
+@then("the reader's owner holds nothing and keeps {count:d} connections")
+def check_released(context: Any, count: int) -> None:
+    """Compare what is held and what is open."""
+    owner = context.owner
+    assert not (owner.held_count or owner.running_count)
+    assert context.target.open_count == count
--- /dev/null
+++ b/features/steps/scheduling_owner_steps.py
@@ -0,0 +1,378 @@
+"""Steps of scheduling.feature on an owner with waiting tasks."""
+
+import asyncio
+from collections.abc import Awaitable
+from typing import Any
+
+from behave import given, then, when
+
+from features.scheduling_builders import (
+    OPTIONS,
+    build_member,
+    build_owner,
+    build_ticket,
+)
+from features.scheduling_fakes import (
+    FakeClock,
+    FakeTarget,
+    RecordingDecisions,
+    settle_tasks,
+)
+from mimosapond.metrics import NullMetrics
+from mimosapond.owner_registry import OwnerRegistry
+from mimosapond.refused import Refused
+from mimosapond.slot_grant import SlotGrant
+
+
+def run(context: Any, work: Awaitable[Any]) -> Any:
+    """Run in the scenario's own loop."""
+
+    async def body() -> Any:
+        return await work
+
+    return context.runner.run(body())
+
+
+async def start(context: Any, **changes: Any) -> 'asyncio.Task[Any]':
+    """Start a task that acquires a grant."""
+    ticket = build_ticket(**changes)
+    task = asyncio.create_task(context.owner.acquire(ticket))
+    await settle_tasks()
+    return task
+
+
+async def grant(context: Any, **changes: Any) -> SlotGrant:
+    """Acquire a grant that must be given at once."""
+    task = await start(context, **changes)
+    granted = task.result()
+    assert isinstance(granted, SlotGrant), granted
+    return granted
+
+
+async def cancel(task: 'asyncio.Task[Any]') -> None:
+    """Cancel a task and let it end."""
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    await settle_tasks()
+    assert task.cancelled()
+
+
+@given('an owner of a member with {slots:d} slots')
+def build_one(context: Any, slots: int) -> None:
+    """Build an owner in a loop of its own."""
+    context.runner = asyncio.Runner()
+    context.add_cleanup(context.runner.close)
+    context.clock = FakeClock()
+    context.target = FakeTarget()
+    context.decisions = RecordingDecisions()
+    context.owner = build_owner(
+        context.target, context.clock, context.decisions, slots
+    )
+
+
+async def cancel_waiting(context: Any) -> None:
+    """Cancel the first of two waiting callers."""
+    held = await grant(context)
+    first, context.next = await start(context), await start(context)
+    await cancel(first)
+    held.release(reusable=True)
+
+
+async def cancel_granted(context: Any) -> None:
+    """Cancel after the slot was granted and before the task has run."""
+    held = await grant(context)
+    first, context.next = await start(context), await start(context)
+    held.release(reusable=True)
+    await cancel(first)
+
+
+async def cancel_connecting(context: Any) -> None:
+    """Cancel while the connection is being opened."""
+    context.target.mode = 'hang'
+    first = await start(context)
+    context.target.mode = 'open'
+    context.next = await start(context)
+    await cancel(first)
+
+
+async def cancel_resuming(context: Any, *, is_granted: bool) -> None:
+    """Cancel a transaction that waits for a slot or just got one."""
+    parked = await grant(context, keeps_connection=True)
+    assert parked.park()
+    held = await grant(context)
+    resuming = asyncio.create_task(parked.resume(build_ticket()))
+    await settle_tasks()
+    context.next = await start(context)
+    if is_granted:
+        held.release(reusable=True)
+    await cancel(resuming)
+    held.release(reusable=True)
+    parked.release(reusable=False)
+
+
+async def release_resuming(context: Any) -> None:
+    """Release a transaction from another task while it is being resumed."""
+    for is_granted in (False, True):
+        parked = await grant(context, keeps_connection=True)
+        assert parked.park()
+        held = await grant(context)
+        resuming = asyncio.create_task(parked.resume(build_ticket()))
+        await settle_tasks()
+        if is_granted:
+            held.release(reusable=True)
+        parked.release(reusable=False)
+        assert (await resuming).reason == 'no_transaction'
+        assert not parked.park()
+        held.release(reusable=True)
+    context.next = await start(context)
+
+
+@when("the owner's caller is cancelled while {moment}")
+def cancel_caller(context: Any, moment: str) -> None:
+    """Run the cancellation of the given moment."""
+    moments = {
+        'it waits': cancel_waiting,
+        'its grant is on the way': cancel_granted,
+        'it connects': cancel_connecting,
+        'it waits to resume': lambda given_context: cancel_resuming(
+            given_context, is_granted=False
+        ),
+        'its resumption is on the way': lambda given_context: cancel_resuming(
+            given_context, is_granted=True
+        ),
+        'another task releases it': release_resuming,
+    }
+    run(context, moments[moment](context))
+
+
+@then("the owner's next caller is served")
+def check_next(context: Any) -> None:
+    """The caller behind the cancelled one must have a grant."""
+    run(context, settle_tasks())
+    assert context.next.done()
+    context.grant = context.next.result()
+    assert isinstance(context.grant, SlotGrant), context.grant
+
+
+@then('the owner holds nothing after that')
+def check_nothing(context: Any) -> None:
+    """Release the last grant, twice, and compare the counts."""
+    context.grant.release(reusable=True)
+    context.grant.release(reusable=True)
+    owner = context.owner
+    assert not (owner.running_count or owner.held_count)
+    assert not owner.queue_length_count
+
+
+@when("the owner's second caller waits past its deadline")
+def expire_second(context: Any) -> None:
+    """Hold the slot until the second caller's deadline."""
+
+    async def body() -> None:
+        context.grant = await grant(context, request_id='first')
+        context.second = await start(
+            context, request_id='second', deadline_s=1000.25
+        )
+        await context.clock.advance(0.2)
+        assert not context.second.done()
+        await context.clock.advance(0.05)
+
+    run(context, body())
+
+
+@then('the owner\'s second caller is refused with "{reason}"')
+def check_second(context: Any, reason: str) -> None:
+    """Compare the refusal."""
+    assert context.second.done()
+    assert context.second.result().reason == reason
+
+
+@when("the owner's target fails for {count:d} callers")
+def fail_connects(context: Any, count: int) -> None:
+    """Let connections fail."""
+
+    async def body() -> None:
+        context.target.mode = 'fail'
+        tasks = [await start(context) for _ in range(count)]
+        context.refusals = await asyncio.gather(*tasks)
+
+    run(context, body())
+
+
+@then('the owner\'s callers are refused with "{reason}"')
+def check_refusals(context: Any, reason: str) -> None:
+    """Compare all refusals."""
+    assert {refusal.reason for refusal in context.refusals} == {reason}
+    assert all(refusal.retry_after_ms == 50 for refusal in context.refusals)
+
+
+@then("the owner's target saw {count:d} attempt")
+def check_attempts(context: Any, count: int) -> None:
+    """Compare attempts to connect."""
+    assert context.target.attempt_count == count
+
+
+@then('the owner is served again after the backoff')
+def check_backoff(context: Any) -> None:
+    """Fail once more, which doubles the backoff, then succeed."""
+
+    async def body() -> None:
+        await context.clock.advance(0.05)
+        refusal = (await start(context)).result()
+        assert isinstance(refusal, Refused)
+        assert refusal.retry_after_ms == 100, refusal
+        context.target.mode = 'open'
+        await context.clock.advance(0.1)
+        (await grant(context)).release(reusable=True)
+
+    run(context, body())
+
+
+@when("the owner's grant is released as {kind}")
+def release_as(context: Any, kind: str) -> None:
+    """Release a grant in the given state."""
+
+    async def body() -> None:
+        granted = await grant(context)
+        context.connection = granted.connection
+        if kind == 'closed':
+            context.connection.close()
+        granted.release(reusable=kind != 'not reusable')
+
+    run(context, body())
+
+
+@then("the owner's next grant has the {which} connection")
+def check_connection(context: Any, which: str) -> None:
+    """Compare the connections of two grants."""
+    granted = run(context, grant(context))
+    is_same = granted.connection is context.connection
+    assert is_same == (which == 'same')
+    assert context.connection.is_open == is_same
+
+
+@then("the owner's target has {count:d} open connection")
+def check_open(context: Any, count: int) -> None:
+    """Compare the open connections."""
+    assert context.target.open_count == count
+
+
+@when("the owner's callers begin {count:d} transactions and park them")
+def park_many(context: Any, count: int) -> None:
+    """Begin transactions; those beyond the limit wait."""
+
+    async def body() -> None:
+        tasks = [await start(context, keeps_connection=True) for _ in range(2)]
+        for _ in range(count - 2):
+            _park_done(tasks)
+            tasks.append(await start(context, keeps_connection=True))
+        _park_done(tasks)
+        context.parked_count = sum(task.done() for task in tasks)
+
+    run(context, body())
+
+
+def _park_done(tasks: list['asyncio.Task[SlotGrant]']) -> None:
+    for task in tasks:
+        if task.done():
+            assert task.result().park()
+
+
+@then('the owner has {parked:d} parked and grants {count:d} more single '
+      'statements')  # fmt: skip
+def check_parked(context: Any, parked: int, count: int) -> None:
+    """Compare the parked grants and take single ones."""
+    assert context.parked_count == parked, context.parked_count
+
+    async def body() -> None:
+        context.grants = [await grant(context) for _ in range(count)]
+
+    run(context, body())
+
+
+@then('the owner refuses to park a sixth')
+def check_unparked(context: Any) -> None:
+    """A single statement that asks for parking keeps its slot."""
+    assert not context.grants[0].park()
+    assert context.owner.running_count == 2
+
+
+@when('the owner is stopped with one grant held and one caller waiting')
+def stop_owner(context: Any) -> None:
+    """Stop the owner."""
+
+    async def body() -> None:
+        context.grant = await grant(context)
+        context.second = await start(context)
+        context.stop = asyncio.create_task(context.owner.stop())
+        await settle_tasks()
+
+    run(context, body())
+
+
+@then('the owner\'s waiting caller is refused with "{reason}"')
+def check_stopped(context: Any, reason: str) -> None:
+    """Compare the refusals of waiting and of new work."""
+    late = run(context, start(context))
+    assert late.result().reason == reason
+    assert context.second.result().reason == reason
+
+
+@then("the owner's stop ends only after the release")
+def check_stop(context: Any) -> None:
+    """Release the held grant."""
+    assert not context.stop.done()
+    context.grant.release(reusable=True)
+    run(context, settle_tasks())
+    assert context.stop.done()
+
+
+@then('the owner registry reuses a draining owner')
+def check_registry(context: Any) -> None:
+    """Drop a member with a held grant and ensure it again."""
+    target, clock = FakeTarget(), FakeClock()
+
+    async def body() -> None:
+        registry = OwnerRegistry(
+            target,  # type: ignore[arg-type]
+            OPTIONS,
+            clock,
+            RecordingDecisions(),
+            NullMetrics(),
+        )
+        context.owner = registry.ensure(build_member())
+        assert registry.ensure(build_member()) is context.owner
+        held = await grant(context)
+        drop = asyncio.create_task(registry.drop('forge-a-1'))
+        await settle_tasks()
+        assert registry.owner('forge-a-1') is None
+        assert registry.ensure(build_member()) is context.owner
+        await drop
+        assert registry.owner('forge-a-1') is context.owner
+        (await grant(context)).release(reusable=True)
+        changed = registry.ensure(build_member(slots=3))
+        assert changed is not context.owner
+        held.release(reusable=True)
+
+    asyncio.run(body())
+
+
+@then("the owner's decision lines are complete")
+def check_lines(context: Any) -> None:
+    """Compare the lines of a grant and a refusal."""
+    common = {'member': 'forge-a-1', 'work_class': 'interactive'}
+    expected = [
+        ('slot_granted', 'slot_free', 'first', 0),
+        ('slot_refused', 'deadline_exceeded', 'second', 250),
+    ]
+    assert context.decisions.lines == [
+        {
+            'decision': decision,
+            'reason': reason,
+            'request_id': name,
+            'queue_length_count': 0,
+            'wait_ms': wait_ms,
+            **common,
+        }
+        for decision, reason, name, wait_ms in expected
+    ], context.decisions.lines
--- /dev/null
+++ b/features/steps/scheduling_steps.py
@@ -0,0 +1,251 @@
+"""Steps of scheduling.feature on the scheduler alone."""
+
+from typing import Any
+
+from behave import given, then, when
+
+from features.scheduling_builders import build_scheduler, build_ticket
+from features.scheduling_fakes import RecordingDecisions
+from features.scheduling_properties import check_programs, check_starvation
+from mimosapond.scheduler_invariant_error import SchedulerInvariantError
+from mimosapond.waiting_work import WaitingWork
+from mimosapond.work_claim import WorkClaim
+from mimosapond.work_class import WorkClass
+from mimosapond.work_state import WorkState
+
+START_S = 1000
+
+
+def offer(context: Any, now_s: float = START_S, **changes: Any) -> WaitingWork:
+    """Offer one ticket to the scheduler of the scenario."""
+    ticket = build_ticket(**changes)
+    return context.scheduler.offer(ticket, WorkClaim.SINGLE, now_s)
+
+
+def offer_all(context: Any, arrivals: str) -> None:
+    """Offer ``name/class/deadline`` entries in order."""
+    for arrival in arrivals.split():
+        name, work_class, left_s = arrival.split('/')
+        context.works[name] = offer(
+            context,
+            name=name,
+            work_class=WorkClass(work_class),
+            deadline_s=START_S + float(left_s),
+        )
+
+
+@given('a scheduler with {slots:d} slots and {limit:d} connections')
+def build_plain(context: Any, slots: int, limit: int) -> None:
+    """Build a scheduler for one member."""
+    context.decisions = RecordingDecisions()
+    context.scheduler = build_scheduler(context.decisions, slots, limit)
+    context.works = {}
+
+
+@given('a scheduler with {slots:d} slots and a queue of {length:d}')
+def build_bounded(context: Any, slots: int, length: int) -> None:
+    """Build a scheduler with a short queue."""
+    context.decisions = RecordingDecisions()
+    context.scheduler = build_scheduler(
+        context.decisions, slots, queue_limit_count=length
+    )
+    context.works = {}
+
+
+@given('scheduler work "{arrivals}" behind a running statement')
+def queue_work(context: Any, arrivals: str) -> None:
+    """Occupy the slot, then queue the arrivals."""
+    context.works['first'] = offer(context, name='first')
+    offer_all(context, arrivals)
+
+
+@when('the scheduler gets work "{arrivals}"')
+def queue_more(context: Any, arrivals: str) -> None:
+    """Offer more arrivals."""
+    offer_all(context, arrivals)
+
+
+@when("the scheduler's slots are freed one by one")
+def free_all(context: Any) -> None:
+    """Finish each work as it is started."""
+    for count in range(len(context.works)):
+        name = context.decisions.names('slot_granted')[count]
+        work = context.works[name]
+        context.scheduler.finish(work, work, START_S)
+
+
+@then('the scheduler\'s order of service is "{order}"')
+def check_order(context: Any, order: str) -> None:
+    """Compare the grants after the first."""
+    granted = context.decisions.names('slot_granted')[1:]
+    assert granted == order.split(), granted
+
+
+@when('the scheduler gets the running work "{running}"')
+@when('the scheduler gets the running work ""')
+def run_work(context: Any, running: str = '') -> None:
+    """Start long and short work."""
+    for pace in running.split():
+        # Unequal arrival does not matter here; only the paces do.
+        work = offer(context, is_long=pace == 'long')
+        assert work.state is WorkState.RUNNING
+
+
+@when('the scheduler gets work "{pace}" that waits {waited:g} s')
+def wait_work(context: Any, pace: str, waited: float) -> None:
+    """Offer work and let time pass."""
+    context.work = offer(context, is_long=pace == 'long')
+    context.scheduler.advance(START_S + waited)
+
+
+@then('the scheduler\'s work "{pace}" {state}')
+def check_state(context: Any, pace: str, state: str) -> None:
+    """Compare whether the work has started."""
+    is_running = context.work.state is WorkState.RUNNING
+    assert is_running == (state == 'runs'), context.work.state
+
+
+@when('the scheduler learns runs of {first:d} ms and then {second:d} ms')
+def learn_runs(context: Any, first: int, second: int) -> None:
+    """Note two runs of one SQL text."""
+    context.scheduler.estimator.note('f', first)
+    context.scheduler.estimator.note('f', second)
+
+
+@then('the scheduler expects {cost:d} ms and calls the statement long')
+def check_learned(context: Any, cost: int) -> None:
+    """Compare the average and its consequence."""
+    assert context.scheduler.estimator.expected_ms('f') == cost
+    assert offer(context, is_long=None).is_long
+    assert not offer(context, is_long=None, fingerprint='other').is_long
+
+
+@then("the scheduler's table of costs stays bounded")
+def check_bounded(context: Any) -> None:
+    """Note more texts than the table holds."""
+    for number in range(3000):
+        context.scheduler.estimator.note(str(number), 1)
+    assert len(context.scheduler.estimator) == 2048
+
+
+@then('the scheduler holds at most {cap:d} connections and parks {parked:d}')
+def check_shares(context: Any, cap: int, parked: int) -> None:
+    """Compare the limits derived from the member."""
+    capacity = context.scheduler.capacity
+    assert capacity.cap_count == cap, capacity.cap_count
+    assert capacity.keeping_limit_count == parked
+
+
+@when('the scheduler gets {count:d} statements of workspace "{name}" limited '
+      'to {limit:d}')  # fmt: skip
+def offer_workspace(context: Any, count: int, name: str, limit: int) -> None:
+    """Offer statements of one workspace."""
+    for number in range(count):
+        context.works[name, number] = offer(
+            context, workspace=name, connection_limit_count=limit
+        )
+
+
+@then('the scheduler runs workspaces "{names}"')
+def check_workspaces(context: Any, names: str) -> None:
+    """Compare the workspaces of running work."""
+    running = [
+        work.ticket.workspace
+        for work in context.works.values()
+        if work.state is WorkState.RUNNING
+    ]
+    assert running == names.split(), running
+
+
+@then('after the deadline the scheduler\'s refusals are "{reason}"')
+def check_expired(context: Any, reason: str) -> None:
+    """Let the waiting work expire."""
+    context.scheduler.advance(START_S + 60)
+    reasons = [
+        line['reason']
+        for line in context.decisions.lines
+        if line['decision'] == 'slot_refused'
+    ]
+    assert reasons == [reason] * 2, reasons
+
+
+@given("the scheduler's statements cost {cost:d} ms and {queued:d} urgent "
+       'ones wait')  # fmt: skip
+def fill_queue(context: Any, cost: int, queued: int) -> None:
+    """Occupy both slots and queue urgent statements."""
+    context.scheduler.estimator.note('f', cost)
+    for _ in range(queued + 2):
+        offer(context, work_class=WorkClass.URGENT)
+
+
+@when('the scheduler gets {work_class} work with {left:d} ms left')
+def offer_hurried(context: Any, work_class: str, left: int) -> None:
+    """Offer work with a given time left."""
+    context.work = offer(
+        context,
+        work_class=WorkClass(work_class),
+        deadline_s=START_S + left / 1000,
+    )
+
+
+@then('the scheduler answers {verdict} with retry after {retry:d} ms')
+def check_verdict(context: Any, verdict: str, retry: int) -> None:
+    """Compare the state or the refusal."""
+    refusal = context.work.refusal
+    if refusal is None:
+        assert verdict == 'waiting', context.work.state
+    else:
+        assert refusal.reason == verdict, refusal
+        assert refusal.retry_after_ms == retry, refusal
+
+
+@then('the scheduler\'s refused work is "{names}"')
+def check_refused(context: Any, names: str) -> None:
+    """Compare the refused work in the order of refusal."""
+    refused = context.decisions.names('slot_refused')
+    assert refused == names.split(), refused
+
+
+@then("the scheduler's queue holds {length:d}")
+def check_length(context: Any, length: int) -> None:
+    """Compare the queue length."""
+    assert context.scheduler.queue_length_count == length
+
+
+@then('the scheduler raises when a second slot is taken')
+def check_slot_rule(context: Any) -> None:
+    """Take more slots than there are."""
+    context.work = offer(context)
+    try:
+        context.scheduler.capacity.take_slot(context.work)
+    except SchedulerInvariantError as error:
+        assert 'running <= slots' in str(error)
+    else:
+        raise AssertionError('no error')
+    context.scheduler.capacity.running_count = 1
+
+
+@then('the scheduler raises when eligible work is left waiting')
+def check_conservation_rule(context: Any) -> None:
+    """Free a connection without telling the index of open lanes."""
+    offer(context, connection_limit_count=1)
+    context.scheduler.capacity.free_slot(context.work)
+    context.scheduler.capacity.free_connection(context.work)
+    try:
+        context.scheduler.advance(START_S)
+    except SchedulerInvariantError as error:
+        assert 'no free slot while' in str(error)
+    else:
+        raise AssertionError('no error')
+
+
+@then('random scheduler programs agree with the model')
+def run_programs(context: Any) -> None:
+    """Run the property."""
+    check_programs()
+
+
+@then('random urgent scheduler load lets batch work start after aging')
+def run_starvation(context: Any) -> None:
+    """Run the property."""
+    check_starvation()
--- a/loadtool/scheduler_bench.py
+++ b/loadtool/scheduler_bench.py
@@ -32,6 +32,8 @@
 _SHORTEST_DEADLINE_S: Final = 60
 _LONGEST_DEADLINE_S: Final = 300
 _LONG_SHARE: Final = 0.02
+_HEADING: Final = 'queue length   mean us   p99 us   length at the end\n'
+_ROW: Final = '{0:12d} {1:9.1f} {2:8.1f} {3:19d}\n'
 
 
 class SchedulerBench:
@@ -40,7 +42,7 @@
     def __init__(self) -> None:
         """Build a scheduler without logging."""
         self._random = random.Random(_SEED)
-        self._now_s = 0.0
+        self._now_s = float(0)
         self._started: list[WaitingWork] = []
         self._waiting: list[WaitingWork] = []
         member = MemberAddress('bench', 'dc', '127.0.0.1:1', _SLOT_COUNT)
@@ -81,9 +83,9 @@
     def _collect_started(self) -> None:
         if len(self._started) == _SLOT_COUNT:
             return
-        for work in self._waiting:
-            if work.state is WorkState.RUNNING:
-                self._started.append(work)
+        self._started += [
+            work for work in self._waiting if work.state is WorkState.RUNNING
+        ]
         self._waiting = [
             work for work in self._waiting if work.state is WorkState.WAITING
         ]
@@ -95,7 +97,7 @@
         return WorkTicket(
             request_id='bench',
             work_class=self._random.choice(tuple(WorkClass)),
-            workspace=f'w{self._random.randrange(_WORKSPACE_COUNT)}',
+            workspace=str(self._random.randrange(_WORKSPACE_COUNT)),
             deadline_s=self._now_s + deadline_s,
             fingerprint='bench',
             connection_limit_count=1,
@@ -105,12 +107,10 @@
 
 def main() -> None:
     """Print the cost at each queue length as a table."""
-    sys.stdout.write('queue length   mean us   p99 us   length at the end\n')
+    sys.stdout.write(_HEADING)
     for queue_length in _QUEUE_LENGTHS:
-        mean_us, p99_us, final = SchedulerBench().measure_us(queue_length)
-        sys.stdout.write(
-            f'{queue_length:12d} {mean_us:9.1f} {p99_us:8.1f} {final:19d}\n'
-        )
+        figures = SchedulerBench().measure_us(queue_length)
+        sys.stdout.write(_ROW.format(queue_length, *figures))
 
 
 if __name__ == '__main__':
--- a/mimosapond/backlog_index.py
+++ b/mimosapond/backlog_index.py
@@ -8,17 +8,19 @@
 
 # Deadlines closer to each other than this count as equal.
 _TICK_S: Final = 0.008
-# The tree covers 2 ** 16 ticks (524 s); few such blocks are in use at once.
-_LEVEL_COUNT: Final = 16
+# Each node has four children. The tree covers 4 ** 8 ticks (524 s); few such
+# blocks are in use at once.
+_NODE_BITS: Final = 2
+_SHIFTS: Final = tuple(range(0, 16, _NODE_BITS))
+_BLOCK_SHIFT: Final = 16
 
 
 @final
 class BacklogIndex:
-    """Cost by class rank and deadline, in a sparse binary tree of deadlines.
+    """Cost by class rank and deadline, in a sparse tree of deadlines.
 
-    A node at level ``n`` holds the sum of ``2 ** n`` ticks. Updates and
-    queries touch one node per level, so their cost does not depend on the
-    queue length. Costs are integers, so that sums return to exactly zero.
+    Updates touch one node per level and queries at most three, so their cost
+    does not depend on the queue length. Costs are integers, so that sums return to exactly zero.
     """
 
     def __init__(self) -> None:
@@ -31,9 +33,9 @@
         """Add ``cost_us``; a negative value removes it again."""
         _add(self._totals_us, rank, cost_us)
         tick = math.ceil(due_s / _TICK_S)
-        for level in range(_LEVEL_COUNT):
-            _add(self._nodes_us, (rank, level, tick >> level), cost_us)
-        _add(self._blocks_us, (rank, tick >> _LEVEL_COUNT), cost_us)
+        for shift in _SHIFTS:
+            _add(self._nodes_us, (rank, shift, tick >> shift), cost_us)
+        _add(self._blocks_us, (rank, tick >> _BLOCK_SHIFT), cost_us)
 
     def ahead_us(self, rank: int, due_s: float) -> int:
         """Return the cost with a smaller rank, or as small and due before."""
@@ -44,11 +46,14 @@
             for known, cost_us in self._totals_us.items()
             if known < rank
         )
-        ahead_us += self._blocks_before_us(rank, tick >> _LEVEL_COUNT)
-        for level in range(_LEVEL_COUNT):
-            index = tick >> level
-            if index & 1:
-                ahead_us += self._nodes_us.get((rank, level, index - 1), 0)
+        ahead_us += self._blocks_before_us(rank, tick >> _BLOCK_SHIFT)
+        for shift in _SHIFTS:
+            end = tick >> shift
+            first = end >> _NODE_BITS << _NODE_BITS
+            ahead_us += sum(
+                self._nodes_us.get((rank, shift, index), 0)
+                for index in range(first, end)
+            )
         return ahead_us
 
     def _blocks_before_us(self, rank: int, end: int) -> int:
--- a/mimosapond/work_queue.py
+++ b/mimosapond/work_queue.py
@@ -67,6 +67,8 @@
     def next_eligible(self) -> WaitingWork | None:
         """Return the first work that may start now."""
         best: WaitingWork | None = None
+        if not self._capacity.free_slot_count:
+            return best
         for (pace, claim), lanes in self._lanes.items():
             head = lanes.first()
             if head is None or not self._is_open(pace, claim):
