--- a/features/steps/reading_steps.py
+++ b/features/steps/reading_steps.py
@@ -15,6 +15,7 @@
     settle_tasks,
 )
 from mimosapond.access_mode import AccessMode
+from mimosapond.beacon_refresher import BeaconRefresher
 from mimosapond.age_trackers import AgeTrackers
 from mimosapond.completed import Completed
 from mimosapond.floor import Floor
@@ -129,6 +130,7 @@
         registry,
         lambda group: context.holder if group == GROUP else None,
         context.ages,
+        BeaconRefresher(context.ages, find_no_holder),
         context.clock,
     )
     run = build_run(floor, bound)
@@ -140,6 +142,10 @@
     context.outcomes = await asyncio.gather(task, return_exceptions=True)
 
 
+async def find_no_holder(_group: str) -> None:
+    """Pull no beacon; beacon_refresh.feature covers the pulls."""
+
+
 def build_run(floor: str, bound: int) -> PeerRun:
     """Build the peer request of a read."""
     term, _, position = floor.partition('/')
