Give each attempt to acquire a term a term of its own

Members grant a term to a host, not to an attempt. Attempts of a host are now serial per group and never reuse a term.

--- a/features/steps/terms_steps.py
+++ b/features/steps/terms_steps.py
@@ -8,6 +8,7 @@
 from features.terms_histories import check_histories
 from features.terms_member_fakes import run_sql
 from features.terms_world import (
+    GROUP,
     FakeHost,
     World,
     build_run,
@@ -207,6 +208,18 @@
     world.run(asyncio.wait(calls))
 
 
+@when('terms host "{host}" keeps "{one}" and "{other}" at the same time')
+def keep_together(context: Any, host: str, one: str, other: str) -> None:
+    """Start two attempts of one host."""
+    world = context.world
+    acquirer = world.hosts[host].acquirer
+    calls = [
+        world.start(acquirer.acquire(GROUP, keep=member))
+        for member in (one, other)
+    ]
+    world.run(asyncio.wait(calls))
+
+
 @then('terms have one holder and one primary at the highest term')
 def check_single_holder(context: Any) -> None:
     """Compare the holders with the primary's term."""
--- a/features/terms.feature
+++ b/features/terms.feature
@@ -151,6 +151,11 @@
       | down     | 2    |
       | down     | 3    |
 
+  # Guards against two primaries of one term, by two attempts of one host.
+  Scenario: terms give each attempt of a host its own term
+    When terms host "h2" keeps "m1" and "m3" at the same time
+    Then terms have one holder and one primary at the highest term
+
   # Guards against a promotion by a host that missed a newer term.
   Scenario Outline: terms keepers support no promotion of an older view
     Given terms member "m1" is <state>
--- a/mimosapond/term_acquirer.py
+++ b/mimosapond/term_acquirer.py
@@ -1,5 +1,7 @@
 """Acquires the next term of a group, to promote a member or to keep one."""
 
+import asyncio
+from collections import defaultdict
 from typing import Any, Final, final
 
 from mimosapond.group_spec import GroupSpec
@@ -39,7 +41,10 @@
         self._views = views
         self._installer = installer
         self._unfinished: dict[str, int] = {}
+        self._taken: dict[str, int] = {}
         self._late_calls: set[LateCall] = set()
+        self._locks: defaultdict[str, asyncio.Lock]
+        self._locks = defaultdict(asyncio.Lock)
 
     async def acquire(
         self,
@@ -56,10 +61,18 @@
         keep
             Primary that keeps its role; None promotes the newest member.
         """
+        async with self._locks[group.name]:
+            return await self._acquire(group, keep)
+
+    async def _acquire(
+        self,
+        group: GroupSpec,
+        keep: str | None,
+    ) -> GroupView | None:
         surveyed = await self._survey(group, keep)
         if not await self._may_proceed(group, surveyed, keep):
             return None
-        term = self._next_term(group, surveyed)
+        term = self._take_term(group, surveyed)
         claim = await self._claims.claim(group.name, term)
         if claim is Claim.OTHER:
             self._fail(group, term, str(claim))
@@ -155,11 +168,13 @@
         """Tell whether a newer term without a primary was abandoned.
 
         Another host may be between adopt and promote, so such a term is left
-        alone when it is seen first.
+        alone when it is seen first. The highest one is kept, because each
+        survey may hear another majority.
         """
         is_own = newest.granted_to == self._parts.host_id
-        is_seen = self._unfinished.get(group.name) == newest.term
-        self._unfinished[group.name] = newest.term
+        seen_term = self._unfinished.get(group.name, 0)
+        is_seen = newest.term <= seen_term
+        self._unfinished[group.name] = max(newest.term, seen_term)
         if is_own or is_seen:
             return True
         self._fail(
@@ -170,16 +185,26 @@
         )
         return False
 
-    def _next_term(
+    def _take_term(
         self,
         group: GroupSpec,
         surveyed: tuple[Standing, ...],
     ) -> int:
+        """Return a term above all known ones and all earlier attempts.
+
+        Members grant a term to a host, not to an attempt: two attempts of one
+        host at one term could promote two members.
+        """
         known = self._views.get(group.name)
-        highest = max(standing.term for standing in surveyed)
-        if known is None:
-            return 1 + highest
-        return 1 + max(highest, known.term)
+        highest = max(
+            self._taken.get(group.name, 0),
+            self._unfinished.get(group.name, 0),
+            *(standing.term for standing in surveyed),
+        )
+        if known is not None:
+            highest = max(highest, known.term)
+        self._taken[group.name] = highest + 1
+        return highest + 1
 
     async def _adopt(
         self,
