--- a/mimosapond/owner_operations.py
+++ b/mimosapond/owner_operations.py
@@ -131,7 +131,8 @@
             body['max_age_ms'] / MS_PER_S,
         )
         if beacon is None:
-            raise self._not_holder(body['group'])
+            # Another answer than not_holder: the holder is alive.
+            raise RejectedCallError('not_confirmed', 'no majority answered')
         return codec.encode(beacon)
 
     async def opinion(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
