Ping links only while calls are pending; share rounds with more slack

Each link woke its ping task five times a second also when idle, which a host with hundreds of links can't afford. Periodic beacons now accept a round of one and a half intervals: at exactly one, about every other pull began a round of its own.

--- a/loadtool/capacity.py
+++ b/loadtool/capacity.py
@@ -1,7 +1,7 @@
 """Measures the slopes that docs/CAPACITY.md extrapolates from.
 
-``python -m loadtool.capacity NAME`` runs one series: ``groups``, ``hosts``,
-``clients``, ``rate`` or ``documents``. Each point starts real processes, lets
+``python -m loadtool.capacity NAME`` runs one series: ``groups``, ``fleet``
+(the same with the periods of a large fleet), ``hosts``, ``clients``, ``rate`` or ``documents``. Each point starts real processes, lets
 them settle, and reads processor time and memory of the hosts from ``/proc``
 and, where asked for, the bytes of the links from the fault proxy.
 """
@@ -27,6 +27,15 @@
 
 SETTLE_S: Final = 3
 WINDOW_S: Final = 8
+# Periods that keep control traffic within 3 KB/s at 420 hosts.
+FLEET_SETTINGS: Final[Mapping[str, Any]] = MappingProxyType(
+    {
+        'beacon_interval_ms': 2000,
+        'suspect_after_ms': 3000,
+        'probe_interval_ms': 1000,
+        'platform_poll_interval_ms': 5000,
+    },
+)
 _BYTES_PER_MB: Final = 1_000_000
 _PERCENT: Final = 100
 
@@ -91,6 +100,16 @@
     return await _run_idle(spec, count)
 
 
+async def _measure_fleet(count: int) -> CapacityPoint:
+    spec = attrs.evolve(
+        FORGE,
+        host_count=3,
+        group_count=count,
+        host_settings=FLEET_SETTINGS,
+    )
+    return await _run_idle(spec, count)
+
+
 async def _measure_hosts(count: int) -> CapacityPoint:
     spec = attrs.evolve(FORGE, host_count=count, group_count=3)
     return await _run_idle(spec, count)
@@ -135,6 +154,7 @@
 _SERIES: Final[Mapping[str, _Series]] = MappingProxyType(
     {
         'groups': _measure_groups,
+        'fleet': _measure_fleet,
         'hosts': _measure_hosts,
         'clients': _measure_clients,
         'rate': _measure_rate,
@@ -144,6 +164,7 @@
 _SIZES: Final[Mapping[str, Sequence[int]]] = MappingProxyType(
     {
         'groups': (3, 10, 20, 30),
+        'fleet': (3, 10, 20, 30),
         'hosts': (4, 8, 16, 32),
         'clients': (100, 500, 2000, 5000),
         'rate': (50, 100, 200, 300, 400),
@@ -179,7 +200,7 @@
     Parameters
     ----------
     name
-        One of ``groups``, ``hosts``, ``clients``, ``rate``, ``documents``.
+        One of ``groups``, ``fleet``, ``hosts``, ``clients``, ``rate``, ``documents``.
     sizes
         Sizes to measure instead of the series' own.
     """
--- a/loadtool/deployment.py
+++ b/loadtool/deployment.py
@@ -311,6 +311,7 @@
             'log_level': self.spec.log_level,
             'routing_policy': self.spec.routing_policy,
             'address_overrides': [codec.encode(one) for one in overrides],
+            **self.spec.host_settings,
         }
 
     async def _start_host(
--- a/loadtool/deployment_spec.py
+++ b/loadtool/deployment_spec.py
@@ -1,6 +1,8 @@
 """Sizes of a deployment that is started on loopback."""
 
-from typing import Final, final
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, Final, final
 
 import attrs
 
@@ -29,6 +31,8 @@
         Age at which members ship log entries.
     network_delay_ms
         One-way delay of links that pass the fault proxy.
+    host_settings
+        Further fields of the hosts' settings files.
     """
 
     service: str
@@ -48,6 +52,7 @@
         ClassPromise(WorkClass.BATCH, deadline_ms=600_000, max_age_ms=5000),
     )
     workspace_connection_count: int = 4
+    host_settings: Mapping[str, Any] = MappingProxyType({})
     routing_policy: str = 'owner'
     log_level: str = 'WARNING'
 
--- a/mimosapond/group_keeper.py
+++ b/mimosapond/group_keeper.py
@@ -34,6 +34,9 @@
 # After this many suspicion periods a keeper no longer waits for the preferred
 # owner, or for a holder that answers but can't confirm its term.
 _PATIENCE_FACTOR: Final = 2
+# The holder's own rounds are one interval and a round trip apart; with less
+# slack, every other pull of a replica's owner would begin one more.
+_ROUND_AGE_RATIO: Final = 1.5
 _HANDOVER_MARGIN_S: Final = 0.5
 
 
@@ -88,7 +91,9 @@
         beat = await self._watch.check(
             view,
             fresh=False,
-            max_age_ms=self._parts.options.beacon_interval_ms,
+            max_age_ms=int(
+                self._parts.options.beacon_interval_ms * _ROUND_AGE_RATIO,
+            ),
         )
         if beat is Beat.CONFIRMED:
             await self._after_confirmed(view, holder)
--- a/mimosapond/json_link.py
+++ b/mimosapond/json_link.py
@@ -44,6 +44,7 @@
         self._pending: dict[int, asyncio.Future[PeerResult]] = {}
         self._last_call_id = 0
         self._has_heard = asyncio.Event()
+        self._has_pending = asyncio.Event()
         self._is_open = True
         self._is_retired = False
         self._close_code: int | None = None
@@ -107,6 +108,7 @@
         call_id = self._last_call_id
         answer: asyncio.Future[PeerResult] = asyncio.Future()
         self._pending[call_id] = answer
+        self._has_pending.set()
         try:
             return await self._exchange(call_id, operation, body, timeout_s)
         finally:
@@ -171,7 +173,11 @@
     async def _ping(self) -> None:
         quiet_s: float = 0
         while quiet_s < SILENCE_LIMIT_S:
+            # An idle link has nothing to watch; large fleets keep many.
+            await self._has_pending.wait()
             await asyncio.sleep(PING_INTERVAL_S)
+            if not self._pending:
+                self._has_pending.clear()
             if self._has_heard.is_set() or not self._pending:
                 quiet_s = 0
             else:
