--- a/loadtool/capacity.py
+++ b/loadtool/capacity.py
@@ -141,14 +141,16 @@
     base = document_body(deployment.document)
     for number in range(count):
         name = f'extra-{number}'
-        # Without groups of its own a document costs only its own state.
-        body = {**base, 'service': name, 'groups': [], 'workspaces': []}
-        await deployment.operate(
+        # The same groups again, so that a document costs only its own state.
+        body = {**base, 'service': name}
+        answer = await deployment.operate(
             deployment.hosts[number % len(deployment.hosts)],
             'PUT',
             f'/v1/documents/{name}',
             {'expected_revision': 0, 'document': body},
         )
+        if 'revision' not in answer:
+            raise RuntimeError(f'document {name} was not accepted: {answer}')
 
 
 _SERIES: Final[Mapping[str, _Series]] = MappingProxyType(
