Report an address in use without a traceback

mimosapondd ended with a traceback that named no listener; it now names listener, address and remedy and exits with code 1. Faults of a settings file start with its path, as docs/settings.md says.

--- a/features/access.feature
+++ b/features/access.feature
@@ -81,6 +81,11 @@
     Then access over the limit is refused as connection_limit and closed
     And access works again after one connection was closed
 
+  Scenario: a host whose address is taken says so and ends
+    A traceback names neither the listener nor what to do about it.
+    When access to an address that is in use is started as a second host
+    Then the access daemon ends with code 1 and names listener and remedy
+
   Scenario: no secret is written to the log
     A secret in a log is stored for good, and read by others than operators.
     When access of all kinds has been tried
--- a/features/steps/access_steps.py
+++ b/features/steps/access_steps.py
@@ -4,6 +4,8 @@
 import json
 import pathlib
 import socket
+import subprocess
+import sys
 from collections.abc import Mapping
 from http import HTTPStatus
 from http.client import HTTPConnection
@@ -218,6 +220,34 @@
     raise AssertionError('still refused')
 
 
+@when('access to an address that is in use is started as a second host')
+def start_twice(context: Any) -> None:
+    """Start the daemon with the settings of the running host."""
+    folder = context.live.deployment.processes.folder
+    context.ended = subprocess.run(
+        (
+            sys.executable,
+            *('-m', 'mimosapond.daemon'),
+            f'--settings={folder / "host-0.yaml"}',
+        ),
+        capture_output=True,
+        text=True,
+        timeout=_TIMEOUT_S,
+        check=False,
+    )
+
+
+@then('the access daemon ends with code {code:d} and names listener and remedy')
+def check_daemon(context: Any, code: int) -> None:
+    """Look at the exit code and the error output."""
+    address = context.live.host(0).caller_address
+    error = context.ended.stderr
+    assert context.ended.returncode == code, error
+    assert f'callers at {address}: Address already in use' in error, error
+    assert 'remedy: ' in error, error
+    assert 'Traceback' not in error, error
+
+
 @when('access of all kinds has been tried')
 def try_all(context: Any) -> None:
     """Use right and wrong secrets, also where they cause an error."""
--- a/mimosapond/daemon.py
+++ b/mimosapond/daemon.py
@@ -4,6 +4,7 @@
 import pathlib
 import signal
 import sys
+from typing import Final
 
 import fire
 from loguru import logger
@@ -11,10 +12,15 @@
 from mimosapond.composition import Composition
 from mimosapond.exit_code import ExitCode
 from mimosapond.file_problem import InvalidFile
+from mimosapond.listeners import ListenError
 from mimosapond.log_setup import set_up_library_logging, set_up_logging
 from mimosapond.options import Options
 from mimosapond.settings_loader import load_settings
 
+_LISTEN_REMEDY: Final = (
+    'remedy: End the process that uses the address, or change the settings.'
+)
+
 
 async def _serve(options: Options) -> None:
     host = Composition(options).build_host()
@@ -36,11 +42,15 @@
     options = load_settings(pathlib.Path(settings))
     if isinstance(options, InvalidFile):
         for problem in options.problems:
-            sys.stderr.write(f'{problem}\n')
+            sys.stderr.write(f'{settings}: {problem}\n')
         sys.exit(int(ExitCode.BAD_USAGE))
     set_up_logging(options)
     set_up_library_logging(options.log_level)
-    asyncio.run(_serve(options))
+    try:
+        asyncio.run(_serve(options))
+    except ListenError as error:
+        sys.stderr.write(f'error: {error}\n{_LISTEN_REMEDY}\n')
+        sys.exit(int(ExitCode.REFUSED))
 
 
 def main() -> None:
--- a/mimosapond/listeners.py
+++ b/mimosapond/listeners.py
@@ -13,6 +13,15 @@
 HEADER_LIMIT_BYTES: Final = 16_384
 
 
+@final
+class ListenError(Exception):
+    """An address of the settings can't be used by this host."""
+
+    def __init__(self, name: str, address: str, problem: str) -> None:
+        """Name the listener, its address and the system's problem."""
+        super().__init__(f'the listener for {name} at {address}: {problem}')
+
+
 @final
 class Listeners:
     """Opens and closes the listening sockets."""
@@ -47,13 +56,22 @@
             Serves the requests.
         limit_count
             Most open connections; None for no limit.
+
+        Raises
+        ------
+        ListenError
+            When the address is in use, or not one of this machine.
         """
         server = BoundedServer(application, **self._settings)
         server.limit_by(
             ConnectionBounds(limit_count, self._header_timeout_s),
         )
         host, port = address.rsplit(':', 1)
-        server.listen(int(port), host, reuse_port=False)
+        try:
+            server.listen(int(port), host, reuse_port=False)
+        except OSError as error:
+            # The error of the system names no address.
+            raise ListenError(name, address, str(error.strerror)) from error
         self._servers[name] = server
 
     def refuse_new(self, name: str) -> None:
