--- a/features/scheduling_builders.py
+++ b/features/scheduling_builders.py
@@ -32,6 +32,8 @@
         fingerprint='f',
         connection_limit_count=100,
         is_long=False,
+        group='forge-a',
+        term=3,
     )
     return attrs.evolve(ticket, **changes)
 
