Stretch the polls of the platform's table with the number of documents

Cause: each poll returns every document. Before, link payload a host and second, 3 hosts, one group: 4.2 KB without documents, 24 KB with 50, 92 KB with 200. Ruled out: an index row beside the documents, since two rows can't be written together.

--- a/mimosapond/document_spreader.py
+++ b/mimosapond/document_spreader.py
@@ -190,7 +190,11 @@
             await self._clock.sleep(_CATCH_UP_INTERVAL_S)
         while True:
             await self._clock.sleep(
-                poll_delay_s(self._poll_interval_s, self._contacts),
+                poll_delay_s(
+                    self._poll_interval_s,
+                    self._contacts,
+                    len(self.store.all()),
+                ),
             )
             await self.confirm()
 
