--- a/features/steps/reading_steps.py
+++ b/features/steps/reading_steps.py
@@ -132,6 +132,7 @@
         context.ages,
         BeaconRefresher(context.ages, find_no_holder),
         context.clock,
+        RecordingDecisions(),
     )
     run = build_run(floor, bound)
     run = attrs.evolve(run, member=context.member)
--- a/features/steps/scheduling_owner_steps.py
+++ b/features/steps/scheduling_owner_steps.py
@@ -345,7 +345,12 @@
 @then("the owner's decision lines are complete")
 def check_lines(context: Any) -> None:
     """Compare the lines of a grant and a refusal."""
-    common = {'member': 'forge-a-1', 'work_class': 'interactive'}
+    common = {
+        'group': '',
+        'term': None,
+        'member': 'forge-a-1',
+        'work_class': 'interactive',
+    }
     expected = [
         ('slot_granted', 'slot_free', 'first', 0),
         ('slot_refused', 'deadline_exceeded', 'second', 250),
