--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -45,6 +45,11 @@
       | {"statements": [{"sql": " "}]}                       | 400    | bad_field         | statements[0].sql: expected       |
       | {"statements": [{"sql": 7}]}                         | 400    | bad_field         | statements[0].sql: expected       |
       | {"statements": [{"query": "x"}]}                     | 400    | bad_field         | statements[0]                     |
+      | {"statements": [{"sql": "x", "parameters": "ab"}]} | 400    | bad_field         | parameters: expected a list       |
+      | {"statements": [{"sql": "x", "parameters": {"a": 1}}]} | 400 | bad_field         | parameters: expected a list       |
+      | {"statements": {"sql": "x"}}                         | 400    | bad_field         | statements: expected a list       |
+      | {"statements": [{"sql": "DROP TABLE Mimosapond_requests"}]} | 400 | bad_field    | mimosapond_requests belongs to    |
+      | {"mode": "read", "token": "@long"}                   | 400    | bad_token         | <group>:<term>:<position>         |
       | {"statements": "SELECT 1"}                           | 400    | bad_field         | statements                        |
       | {"statements": [{"sql": "x", "parameters": [[1]]}]}  | 400    | bad_field         | parameters[0]: expected           |
       | {"statements": [{"sql": "x", "parameters": [1e999]}]} | 400   | bad_field         | parameters[0]: the number is      |
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -13,6 +13,8 @@
 
 _NS_PER_MS: Final = 1_000_000
 _LIMIT_BYTES: Final = 1_048_576
+# Above the limit of Python's conversion of texts to integers.
+_LONG_DIGIT_COUNT: Final = 5000
 _DEPTH: Final = 100_000
 _TIMEOUT_S: Final = 20
 _STATEMENTS_PATH: Final = '/v1/statements'
@@ -94,6 +96,8 @@
     request_id = str(fields['request_id'])
     if request_id.startswith('@'):
         fields['request_id'] = new_id(int(request_id[1:]))
+    if fields.get('token') == '@long':
+        fields['token'] = f'forge-0:1:{"9" * _LONG_DIGIT_COUNT}'
     # Marks statements that replace the usual one, to find them in the log.
     for statement in fields['statements']:
         if isinstance(statement, dict) and 'absent' in str(statement):
--- a/mimosapond/codec.py
+++ b/mimosapond/codec.py
@@ -5,13 +5,15 @@
 """
 
 import enum
+import functools
 import json
 import reprlib
 from collections.abc import Mapping
-from typing import Any, Final, TypeVar, cast
+from typing import Any, Final, TypeVar, cast, get_args, get_origin
 
 import attrs
 import cattrs
+from cattrs.cols import homogenous_tuple_structure_factory
 
 from mimosapond.outcome import Outcome
 
@@ -53,6 +55,24 @@
     return reprlib.repr(raw)
 
 
+def _is_sequence(model: object) -> bool:
+    arguments = get_args(model)
+    return get_origin(model) is tuple and arguments[-1] is Ellipsis
+
+
+def _sequence_hook(model: Any, converter: cattrs.BaseConverter) -> Any:
+    structure = homogenous_tuple_structure_factory(model, converter)
+    return functools.partial(_structure_sequence, structure)
+
+
+def _structure_sequence(structure: Any, raw: object, model: Any) -> Any:
+    # The letters of a string and the keys of an object are no list.
+    if isinstance(raw, (list, tuple)):
+        return structure(raw, model)
+    raise TypeError(f'expected a list, got {_short(raw)}')
+
+
+CONVERTER.register_structure_hook_factory(_is_sequence, _sequence_hook)
 CONVERTER.register_structure_hook(int, _structure_int)
 CONVERTER.register_structure_hook(str, _structure_text)
 CONVERTER.register_structure_hook(bool, _structure_flag)
--- a/mimosapond/statement_faults.py
+++ b/mimosapond/statement_faults.py
@@ -7,6 +7,8 @@
 from mimosapond.field_faults import FieldFault
 from mimosapond.statement import SqlValue, Statement
 
+# A caller that changes it could make a request run twice.
+REQUEST_TABLE: Final = 'mimosapond_requests'
 STATEMENT_LIMIT_COUNT: Final = 1000
 _INTEGER_END: Final = 2**63
 
@@ -28,6 +30,9 @@
             yield FieldFault(f'{path}.sql', 'expected an SQL text, got none')
         if not _is_unicode(statement.sql):
             yield FieldFault(f'{path}.sql', 'it has unpaired surrogates')
+        if REQUEST_TABLE in statement.sql.casefold():
+            problem = f'{REQUEST_TABLE} belongs to the proxy'
+            yield FieldFault(f'{path}.sql', problem)
         for number, content in enumerate(statement.parameters):
             problem = _describe(content)
             if problem:
--- a/mimosapond/token.py
+++ b/mimosapond/token.py
@@ -5,7 +5,10 @@
 
 import attrs
 
-_TOKEN_PATTERN: Final = re.compile('([A-Za-z0-9_.-]+):([0-9]+):([0-9]+)')
+# Terms and positions fit 64 bits; int() refuses thousands of digits.
+_TOKEN_PATTERN: Final = re.compile(
+    '([A-Za-z0-9_.-]+):([0-9]{1,18}):([0-9]{1,18})'
+)
 
 
 @final
