--- a/loadtool/caller_client.py
+++ b/loadtool/caller_client.py
@@ -24,6 +24,11 @@
     """Sends requests; a connection that breaks ends as unknown.
 
     The broken request may have run, so only ``unknown`` is honest here.
+
+    Attributes
+    ----------
+    broken_ids
+        Ids of the requests whose connection broke.
     """
 
     def __init__(self, connection_limit_count: int = 0) -> None:
@@ -31,6 +36,7 @@
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=connection_limit_count),
         )
+        self.broken_ids: Final[set[str]] = set()
 
     async def __aenter__(self) -> Self:
         """Return the client."""
@@ -105,6 +111,7 @@
             ) as answer:
                 return codec.decode_outcome(await answer.json())
         except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
+            self.broken_ids.add(request_id)
             return unknown(request_id, repr(error))
 
 
--- a/loadtool/deployment.py
+++ b/loadtool/deployment.py
@@ -94,6 +94,11 @@
             promises=self.spec.promises,
         )
 
+    @property
+    def links(self) -> tuple[str, ...]:
+        """Names of the links that pass the fault proxy."""
+        return tuple(self._network.links)
+
     @property
     def workspaces(self) -> tuple[str, ...]:
         """Names of the workspaces, one per group."""
@@ -156,6 +161,12 @@
             cut_to_client=is_cut,
         )
 
+    async def link_faults(self) -> Any:
+        """Return faults and connection count of each link."""
+        async with aiohttp.ClientSession() as session:
+            async with session.get(f'http://{self.proxy_admin}/faults') as seen:
+                return await seen.json()
+
     async def set_platform_faults(self, **faults: Any) -> None:
         """Set faults of the platform stand-in."""
         url = f'http://{self.platform_address}/admin/faults'
