--- a/loadtool/caller_client.py
+++ b/loadtool/caller_client.py
@@ -13,10 +13,17 @@
 from mimosapond.outcome_query import OutcomeQuery
 from mimosapond.statement_request import StatementRequest
 from mimosapond.transaction_call import TransactionCall
+from mimosapond.unknown import Unknown
 
 # Lets the host's own answer at the deadline arrive first.
 _ANSWER_MARGIN_S: Final = 1
 _DEFAULT_TIMEOUT_S: Final = 10
+_NO_ANSWER: Final = 'no answer reached the caller: '
+
+
+def is_broken(outcome: Outcome) -> bool:
+    """Tell whether no host answered, so that this module made the outcome."""
+    return isinstance(outcome, Unknown) and _NO_ANSWER in outcome.message
 
 
 @final
@@ -24,11 +31,6 @@
     """Sends requests; a connection that breaks ends as unknown.
 
     The broken request may have run, so only ``unknown`` is honest here.
-
-    Attributes
-    ----------
-    broken_ids
-        Ids of the requests whose connection broke.
     """
 
     def __init__(self, connection_limit_count: int = 0) -> None:
@@ -36,7 +38,6 @@
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=connection_limit_count),
         )
-        self.broken_ids: Final[set[str]] = set()
 
     async def __aenter__(self) -> Self:
         """Return the client."""
@@ -111,8 +112,7 @@
             ) as answer:
                 return codec.decode_outcome(await answer.json())
         except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
-            self.broken_ids.add(request_id)
-            return unknown(request_id, repr(error))
+            return unknown(request_id, f'{_NO_ANSWER}{error!r}')
 
 
 def _without_none(request: StatementRequest) -> dict[str, Any]:
--- a/loadtool/proof_calls.py
+++ b/loadtool/proof_calls.py
@@ -1,11 +1,12 @@
 """Makes single calls of a session and records them."""
 
 import time
+from collections.abc import Sequence
 from typing import Any, Final, final
 
 import attrs
 
-from loadtool.caller_client import CallerClient
+from loadtool.caller_client import CallerClient, is_broken
 from loadtool.deployed_host import DeployedHost
 from loadtool.history import History
 from loadtool.history_record import HistoryRecord, RequestKind, Result
@@ -50,12 +51,12 @@
         self,
         client: CallerClient,
         history: History,
-        other: DeployedHost,
+        hosts: Sequence[DeployedHost],
     ) -> None:
-        """Record into ``history``; ``other`` takes calls after a failure."""
+        """Record into ``history``; ``hosts`` are tried after a failure."""
         self._client = client
         self._history = history
-        self._other = other
+        self._hosts = hosts
 
     async def write(
         self,
@@ -98,6 +99,8 @@
             if isinstance(outcome, Completed):
                 operation = 'commit' if is_kept else 'rollback'
                 outcome = await self._call(host, write, name, operation)
+            if not isinstance(outcome, Completed):
+                await self._roll_back(write, name)
         record = self._record_write(
             RequestKind.TRANSACTION,
             host,
@@ -187,12 +190,20 @@
         for step in write.steps[1:]:
             outcome = await self._call(host, write, name, 'statements', step)
             if not isinstance(outcome, Completed):
-                # An open transaction would block the group's other writes.
-                await self._call(self._other, write, name, 'rollback')
                 break
             nonces += _nonces(outcome, len(step))
         return outcome, nonces
 
+    async def _roll_back(self, write: ProofWrite, name: str) -> None:
+        """End a transaction that may be open; others wait for its lock.
+
+        It has no effect on one that ended, or whose commit is under way.
+        """
+        for host in self._hosts:
+            outcome = await self._call(host, write, name, 'rollback')
+            if not is_broken(outcome):
+                return
+
     async def _call(
         self,
         host: DeployedHost,
@@ -239,9 +250,8 @@
             'request_id': request_id,
             'answered_s': time.monotonic(),
             'outcome': Result(outcome.outcome),
-            'is_broken': request_id in self._client.broken_ids,
+            'is_broken': is_broken(outcome),
         }
-        self._client.broken_ids.discard(request_id)
         match outcome:
             case Refused(reason=reason):
                 return {**told, 'reason': str(reason)}
--- a/loadtool/proof_processes.py
+++ b/loadtool/proof_processes.py
@@ -24,6 +24,7 @@
         """Record graceful stops in ``history``."""
         self._deployment = deployment
         self._history = history
+        self._killed: set[str] = set()
 
     async def pause(self, name: str, hold_s: float) -> bool:
         """Pause a process; tells whether it was seen stopped."""
@@ -69,6 +70,7 @@
     async def kill_member(self, name: str) -> bool:
         """Kill a member for good."""
         child = self._deployment.processes.children[name]
+        self._killed.add(name)
         await child.kill()
         return child.exit_code is not None
 
@@ -76,6 +78,14 @@
         """Tell whether a process has not ended."""
         return self._deployment.processes.children[name].exit_code is None
 
+    def fallen(self) -> list[str]:
+        """Return the processes that ended without being killed."""
+        return [
+            name
+            for name in self._deployment.processes.children
+            if not self.is_running(name) and name not in self._killed
+        ]
+
     def resume_all(self) -> None:
         """Let all paused processes run."""
         for child in self._deployment.processes.children.values():
--- a/loadtool/proof_result.py
+++ b/loadtool/proof_result.py
@@ -28,6 +28,8 @@
         Acknowledged ``primary`` writes lost by a change of primary.
     term_counts
         Newest term by group.
+    fallen
+        Processes that ended although nothing ended them.
     """
 
     seed: int
@@ -38,10 +40,13 @@
     lost_count: int
     term_counts: Mapping[str, int]
     violations: Sequence[Violation]
+    fallen: Sequence[str] = ()
 
     @property
     def missing_proof(self) -> str:
         """Say why the run proves nothing; empty when it does."""
+        if self.fallen:
+            return f'processes ended: {", ".join(self.fallen)}'
         written = sum(one.is_acknowledged for one in self.history.records)
         if written < _LEAST_WRITES_PER_S * self.duration_s:
             return f'only {written} writes were acknowledged'
--- a/loadtool/proof_run.py
+++ b/loadtool/proof_run.py
@@ -50,7 +50,11 @@
     folder
         Takes the output of the processes and the history.
     """
-    spec = attrs.evolve(_SPECS[deployment], host_count=hosts)
+    spec = attrs.evolve(
+        _SPECS[deployment],
+        host_count=hosts,
+        log_level='INFO' if folder else 'WARNING',
+    )
     kinds = tuple(FaultKind(word) for word in _listed(faults))
     chosen = tuple(_listed(seeds)) or (seed,)
     length_s = minutes * _S_PER_MIN or duration_s
--- a/loadtool/proof_trial.py
+++ b/loadtool/proof_trial.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import json
 import pathlib
 import random
 import time
@@ -71,7 +72,7 @@
             random.Random(randomness.random()),
         )
         self._plans = plan_faults(random.Random(randomness.random()))
-        calls = ProofCalls(client, self.history, deployment.hosts[-1])
+        calls = ProofCalls(client, self.history, deployment.hosts)
         numbers = itertools.product(
             range(len(deployment.groups)),
             range(_SESSIONS_PER_GROUP),
@@ -87,6 +88,7 @@
             for group, number in numbers
         ]
         self._met: list[MetFault] = []
+        self.reports: list[dict[str, Any]] = []
 
     async def run(
         self,
@@ -124,6 +126,7 @@
             lost_count=count_lost(self.history, logs),
             term_counts=dict(self._observer.term_counts),
             violations=found,
+            fallen=self._processes.fallen(),
         )
 
     async def _observe_once(self) -> None:
@@ -203,6 +206,7 @@
         for group in self._deployment.groups:
             reports = await self._await_equal(group)
             primary = max(reports, key=_rank)
+            self.reports.extend(reports)
             logs[group.name] = parse_log(group.name, primary['entries'])
             if not _are_equal(reports):
                 found.append(Violation(Rule.DIVERGED, group.name))
@@ -239,6 +243,10 @@
         result = await trial.run(duration_s, kinds)
         if folder is not None:
             trial.history.save(folder / f'history-{seed}.jsonl')
+            (folder / f'logs-{seed}.json').write_text(
+                json.dumps(trial.reports),
+                encoding='utf-8',
+            )
         return result
 
 
--- a/standins/child_process.py
+++ b/standins/child_process.py
@@ -1,7 +1,9 @@
 """One child process of a test or a demo."""
 
 import asyncio
+import contextlib
 import ctypes
+import os
 import pathlib
 import signal
 import sys
@@ -100,9 +102,14 @@
             raise self._failure(f'not ready after {timeout_s} s') from error
 
     def send_signal(self, number: signal.Signals) -> None:
-        """Signal the process if it still runs."""
+        """Signal the process if it still runs.
+
+        ``Process.send_signal`` would poll first, and so take the exit code
+        away from asyncio, which then reports 255.
+        """
         if self.exit_code is None:
-            self._process.send_signal(number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self._process.pid, number)
 
     def pause(self) -> None:
         """Stop the process from running until ``resume``."""
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -24,6 +24,8 @@
 _STOP_TIMEOUT_S: Final = 5.0
 _FIRST_PORT: Final = 12000
 _END_PORT: Final = 32000
+_BLOCK_COUNT: Final = 250
+_LOOPBACK: Final = '127.0.0.1'
 
 
 def free_addresses(count: int) -> list[str]:
@@ -32,14 +34,36 @@
     A port is given once per process, also if it is not yet in use.
     """
     free = (port for port in _PORTS if _is_free(port))
-    return [f'127.0.0.1:{port}' for port in itertools.islice(free, count)]
+    return [f'{_LOOPBACK}:{port}' for port in itertools.islice(free, count)]
 
 
 def _shuffled_ports() -> Iterator[int]:
+    """Yield ports of blocks that this process alone uses.
+
+    Deployments of several processes would otherwise take the same port between
+    the check and the start of the child, and a child that listens elsewhere
+    would answer in place of the one that failed to start.
+    """
     # Ports below the ephemeral range can't be taken by outgoing connections.
-    ports = list(range(_FIRST_PORT, _END_PORT))
-    random.SystemRandom().shuffle(ports)
-    return iter(ports)
+    blocks = list(range(_FIRST_PORT, _END_PORT, _BLOCK_COUNT))
+    random.SystemRandom().shuffle(blocks)
+    guards: list[socket.socket] = []
+    for first in blocks:
+        guard = _bind_guard(first)
+        if guard is not None:
+            guards.append(guard)
+            yield from range(first + 1, first + _BLOCK_COUNT)
+
+
+def _bind_guard(port: int) -> socket.socket | None:
+    guard = socket.socket()
+    try:
+        guard.bind((_LOOPBACK, port))
+    except OSError:
+        guard.close()
+        return None
+    guard.listen()
+    return guard
 
 
 _PORTS: Final = _shuffled_ports()
@@ -49,7 +73,7 @@
     with socket.socket() as candidate:
         candidate.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            candidate.bind(('127.0.0.1', port))
+            candidate.bind((_LOOPBACK, port))
         except OSError:
             return False
     return True
