--- a/features/proof_builders.py
+++ b/features/proof_builders.py
@@ -1,6 +1,7 @@
 """Builds a correct history with its log, and plants one fault into it."""
 
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any, Final, final
 
 import attrs
@@ -240,53 +241,55 @@
     )
 
 
-PLANTS: Final[Mapping[str, Callable[[ProofCase], None]]] = {
-    'none': lambda case: None,
-    'a write of durability primary is lost': _lose_refused,
-    'an open write ran': lambda case: case.append('b.4'),
-    'a replicated write is lost': _lose,
-    'a write is lost without a change': _lose_unchanged,
-    'a write ran twice': lambda case: case.append('a.1'),
-    'an unknown write ran twice': lambda case: (
-        case.append('b.4'),
-        case.append('b.4'),
-    )[0],
-    'a refused write ran': lambda case: case.append('b.2'),
-    'a rolled back transaction ran': lambda case: case.append('b.3'),
-    'a replaced primary acknowledges': _late_acknowledgement,
-    'a token names another entry': lambda case: case.change(
-        'first', token='forge-0:1:3'
-    ),
-    'a session read misses its write': lambda case: case.change(
-        'read', sequences={'a': 1, 'b': 1}, sent_s=5.5, data_age_ms=1000
-    ),
-    'a token read misses its write': lambda case: case.change(
-        'token_read', sequences={'a': 1, 'b': 1}
-    ),
-    'a survived write is reported lost': _report_false_loss,
-    'a read is too old': lambda case: case.change(
-        'stranger', max_age_ms=3000, data_age_ms=4000
-    ),
-    'a read states a wrong age': lambda case: case.change(
-        'stranger', data_age_ms=100
-    ),
-    'two transactions are mixed': _mix,
-    'a transaction is incomplete': _shorten,
-    'a read shows half a transaction': lambda case: case.change(
-        'stranger', pair=('a.1', 'b.1')
-    ),
-    'a read shows a refused write': lambda case: case.change(
-        'stranger', pair=('b.2', 'b.2')
-    ),
-    'a read gets another answer': lambda case: case.change(
-        'read', nonces=('c.1',)
-    ),
-    'a read has no answer': lambda case: case.change('read', nonces=()),
-    'a cancelled write ran': _cancel_run,
-    'a settled write is missing': lambda case: _settle(
-        case, Result.COMPLETED, None
-    ),
-    'a leaving target serves reads': _serve_leaving,
-    'a stopping host breaks a request': _interrupt,
-    'a host reverts its document': _revert,
-}
+PLANTS: Final[Mapping[str, Callable[[ProofCase], None]]] = MappingProxyType(
+    {
+        'none': lambda case: None,
+        'a write of durability primary is lost': _lose_refused,
+        'an open write ran': lambda case: case.append('b.4'),
+        'a replicated write is lost': _lose,
+        'a write is lost without a change': _lose_unchanged,
+        'a write ran twice': lambda case: case.append('a.1'),
+        'an unknown write ran twice': lambda case: (
+            case.append('b.4'),
+            case.append('b.4'),
+        )[0],
+        'a refused write ran': lambda case: case.append('b.2'),
+        'a rolled back transaction ran': lambda case: case.append('b.3'),
+        'a replaced primary acknowledges': _late_acknowledgement,
+        'a token names another entry': lambda case: case.change(
+            'first', token='forge-0:1:3'
+        ),
+        'a session read misses its write': lambda case: case.change(
+            'read', sequences={'a': 1, 'b': 1}, sent_s=5.5, data_age_ms=1000
+        ),
+        'a token read misses its write': lambda case: case.change(
+            'token_read', sequences={'a': 1, 'b': 1}
+        ),
+        'a survived write is reported lost': _report_false_loss,
+        'a read is too old': lambda case: case.change(
+            'stranger', max_age_ms=3000, data_age_ms=4000
+        ),
+        'a read states a wrong age': lambda case: case.change(
+            'stranger', data_age_ms=100
+        ),
+        'two transactions are mixed': _mix,
+        'a transaction is incomplete': _shorten,
+        'a read shows half a transaction': lambda case: case.change(
+            'stranger', pair=('a.1', 'b.1')
+        ),
+        'a read shows a refused write': lambda case: case.change(
+            'stranger', pair=('b.2', 'b.2')
+        ),
+        'a read gets another answer': lambda case: case.change(
+            'read', nonces=('c.1',)
+        ),
+        'a read has no answer': lambda case: case.change('read', nonces=()),
+        'a cancelled write ran': _cancel_run,
+        'a settled write is missing': lambda case: _settle(
+            case, Result.COMPLETED, None
+        ),
+        'a leaving target serves reads': _serve_leaving,
+        'a stopping host breaks a request': _interrupt,
+        'a host reverts its document': _revert,
+    }
+)
--- a/features/steps/proof_steps.py
+++ b/features/steps/proof_steps.py
@@ -14,7 +14,7 @@
 from loadtool.history_checker import check_history, count_lost
 from loadtool.proof_fault import FaultKind, MetFault
 from loadtool.proof_result import ProofResult
-from loadtool.proof_trial import run_trial
+from loadtool.proof_seed import run_trial
 from loadtool.violation import Rule
 
 _SMALL: Final = attrs.evolve(FORGE, host_count=3, group_count=1)
--- a/loadtool/history_checker.py
+++ b/loadtool/history_checker.py
@@ -7,7 +7,9 @@
 import bisect
 import collections
 import itertools
+import operator
 from collections.abc import Iterable, Iterator, Mapping
+from types import MappingProxyType
 from typing import Final
 
 from loadtool.history import History
@@ -20,6 +22,17 @@
 from mimosapond.token import Token
 
 _DURABLE: Final = 'replicated'
+_IS_ACKNOWLEDGED: Final = operator.attrgetter('is_acknowledged')
+_RULES_IF_THERE: Final = MappingProxyType(
+    {
+        Claim.REFUSED: Rule.RAN_AFTER_REFUSAL,
+        Claim.ROLLED_BACK: Rule.RAN_AFTER_ROLLBACK,
+        Claim.CANCELLED: Rule.WRONG_SETTLEMENT,
+    }
+)
+_RULES_IF_MISSING: Final = MappingProxyType(
+    {Claim.SETTLED: Rule.WRONG_SETTLEMENT}
+)
 
 
 def check_history(
@@ -84,32 +97,25 @@
 
 def _check_claims(log: SurvivingLog, claims: Claims) -> Iterator[Violation]:
     for mark, known in claims.by_mark.items():
-        claim = claims.claim(mark)
-        is_there = log.has_mark(mark)
-        if claim is Claim.REFUSED and is_there:
-            yield Violation(Rule.RAN_AFTER_REFUSAL, mark, known)
-        if claim is Claim.ROLLED_BACK and is_there:
-            yield Violation(Rule.RAN_AFTER_ROLLBACK, mark, known)
-        if claim is Claim.CANCELLED and is_there:
-            yield Violation(Rule.WRONG_SETTLEMENT, f'{mark} ran', known)
-        if claim is Claim.SETTLED and not is_there:
-            yield Violation(Rule.WRONG_SETTLEMENT, f'{mark} is missing', known)
+        rules = _RULES_IF_MISSING
+        if log.has_mark(mark):
+            rules = _RULES_IF_THERE
+        rule = rules.get(claims.claim(mark))
+        if rule is not None:
+            yield Violation(rule, mark, known)
 
 
 def _check_acknowledged(
     log: SurvivingLog,
     records: Iterable[HistoryRecord],
 ) -> Iterator[Violation]:
-    for one in records:
-        if not one.is_acknowledged:
-            continue
+    for one in filter(_IS_ACKNOWLEDGED, records):
         token = Token.parse(one.token or '')
-        if token is None:
-            yield Violation(Rule.WRONG_TOKEN, str(one.token), (one,))
-        elif not log.has_mark(one.mark):
-            yield from _judge_loss(log, one, token)
-        elif not one.is_replayed and not _is_at(log, one, token):
-            yield Violation(Rule.WRONG_TOKEN, str(token), (one,))
+        rule: Rule | None = Rule.WRONG_TOKEN
+        if token is not None:
+            rule = _judge_token(log, one, token)
+        if rule is not None:
+            yield Violation(rule, f'{one.mark} at {one.token}', (one,))
 
 
 def _is_at(log: SurvivingLog, one: HistoryRecord, token: Token) -> bool:
@@ -118,15 +124,17 @@
     return token.position in log.positions[one.mark]
 
 
-def _judge_loss(
+def _judge_token(
     log: SurvivingLog,
     one: HistoryRecord,
     token: Token,
-) -> Iterator[Violation]:
+) -> Rule | None:
+    if log.has_mark(one.mark):
+        is_right = one.is_replayed or _is_at(log, one, token)
+        return None if is_right else Rule.WRONG_TOKEN
     if one.durability == _DURABLE:
-        yield Violation(Rule.LOST_WRITE, one.mark, (one,))
-    elif not log.was_replaced(token.term):
-        yield Violation(Rule.LOST_WITHOUT_CHANGE, one.mark, (one,))
+        return Rule.LOST_WRITE
+    return None if log.was_replaced(token.term) else Rule.LOST_WITHOUT_CHANGE
 
 
 def _check_terms(
--- a/loadtool/proof_caller.py
+++ b/loadtool/proof_caller.py
@@ -16,6 +16,7 @@
 from loadtool.request_factory import RequestFactory
 from mimosapond.access_mode import AccessMode
 from mimosapond.durability import Durability
+from mimosapond.statement import Statement
 from mimosapond.work_class import WorkClass
 
 _DEADLINES_MS: Final = (700, 1500, 3000)
@@ -24,6 +25,9 @@
 _LONGEST_HEDGE_S: Final = 0.3
 _MOST_ENTRIES: Final = 3
 _TRY_COUNT: Final = 4
+_AGAIN_RATIO: Final = 0.3
+_COMMIT_RATIO: Final = 0.8
+_PRIMARY_RATIO: Final = 0.3
 # Relative frequencies of what a session does.
 _ACTIONS: Final = (
     *('write', 'write', 'write', 'read', 'read', 'read', 'read'),
@@ -100,7 +104,7 @@
 
     async def _goes_on(self, told: HistoryRecord, write: ProofWrite) -> bool:
         if told.outcome is Result.REFUSED:
-            return self._random.random() < 0.3
+            return self._chance(_AGAIN_RATIO)
         match self._random.choice(('again', 'settle', 'leave')):
             case 'again':
                 return True
@@ -115,7 +119,7 @@
         told = await self._calls.transact(
             self._host(),
             write,
-            is_kept=self._random.random() < 0.8,
+            is_kept=self._chance(_COMMIT_RATIO),
         )
         self._learn(told)
         if told.outcome is Result.UNKNOWN:
@@ -173,7 +177,7 @@
             self._sequence,
             entry_count,
         )
-        steps = (statements,)
+        steps: tuple[tuple[Statement, ...], ...] = (statements,)
         if kind is RequestKind.TRANSACTION:
             # The second step begins with the nonce as well.
             steps = (statements[:2], (statements[0], *statements[2:]))
@@ -195,10 +199,13 @@
         )
 
     def _durability(self) -> Durability:
-        if self._random.random() < 0.3:
+        if self._chance(_PRIMARY_RATIO):
             return Durability.PRIMARY
         return Durability.REPLICATED
 
+    def _chance(self, ratio: float) -> bool:
+        return self._random.random() < ratio
+
     def _next_mark(self) -> str:
         self._number += 1
         return f'{self._session}.{self._number}'
--- a/loadtool/proof_faults.py
+++ b/loadtool/proof_faults.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable, Iterator, Mapping
+from types import MappingProxyType
 from typing import Any, Final, TypeAlias, final
 
 import aiohttp
@@ -25,17 +26,18 @@
 _RACE_DELAY_S: Final = 0.4
 _DRAIN_S: Final = 5
 _SILENT: Final = 'silent'
-_PLATFORM_FAULTS: Final[Mapping[FaultKind, Mapping[str, Any]]] = {
-    FaultKind.PLATFORM_DOWN: {'down': True},
-    FaultKind.PLATFORM_SLOW: {'slow_ms': _SLOW_MS},
-    FaultKind.PLATFORM_LOSES: {'lose_answers': _LOST_ANSWER_COUNT},
-}
-_HEALTHY_PLATFORM: Final[Mapping[str, Any]] = {
-    'down': False,
-    'silent': False,
-    'slow_ms': 0,
-    'lose_answers': 0,
-}
+_PLATFORM_FAULTS: Final[Mapping[FaultKind, Mapping[str, Any]]] = (
+    MappingProxyType(
+        {
+            FaultKind.PLATFORM_DOWN: {'down': True},
+            FaultKind.PLATFORM_SLOW: {'slow_ms': _SLOW_MS},
+            FaultKind.PLATFORM_LOSES: {'lose_answers': _LOST_ANSWER_COUNT},
+        }
+    )
+)
+_HEALTHY_PLATFORM: Final[Mapping[str, Any]] = MappingProxyType(
+    {'down': False, 'silent': False, 'slow_ms': 0, 'lose_answers': 0}
+)
 # What was hit and whether it was seen in force.
 _Met: TypeAlias = tuple[str, bool]
 
@@ -175,9 +177,11 @@
         """Let requests reach the primary, but hold its answers back."""
         name = self._primary(self._group())
         names = self._links.touching(name)
-        async with self._links.faulty(names, cut_to_client=True) as has_taken:
-            await asyncio.sleep(hold_s)
-        return name, has_taken
+        return name, await self._links.hold(
+            names,
+            hold_s,
+            cut_to_client=True,
+        )
 
     async def _cut_centre(self, hold_s: float, _alone: bool) -> _Met:
         centre = self._random.choice(self._deployment.spec.data_centres)
@@ -190,9 +194,7 @@
     async def _reset_links(self, hold_s: float, _alone: bool) -> _Met:
         name = self._primary(self._group())
         names = self._links.touching(name)
-        async with self._links.faulty(names, cut=True) as has_taken:
-            await asyncio.sleep(hold_s / 10)
-        return name, has_taken
+        return name, await self._links.hold(names, hold_s / 10, cut=True)
 
     async def _silence_links(self, hold_s: float, _alone: bool) -> _Met:
         group = self._group()
@@ -266,13 +268,12 @@
         return f'{member}, {word}', word == 'completed'
 
     async def _cut(self, name: str, links: list[str], hold_s: float) -> _Met:
-        async with self._links.faulty(
+        return name, await self._links.hold(
             links,
+            hold_s,
             cut_to_target=True,
             cut_to_client=True,
-        ) as has_taken:
-            await asyncio.sleep(hold_s)
-        return name, has_taken
+        )
 
     async def _set_lag(self, name: str, lag_ms: int) -> bool:
         return await self._set_member(name, lag_ms=lag_ms, ship_paused=False)
--- a/loadtool/proof_links.py
+++ b/loadtool/proof_links.py
@@ -1,17 +1,16 @@
 """Cuts links of the fault proxy and checks that they are cut."""
 
-import contextlib
-from collections.abc import AsyncIterator, Collection, Mapping
+import asyncio
+from collections.abc import Collection, Mapping
+from types import MappingProxyType
 from typing import Any, Final, final
 
 from loadtool.deployment import Deployment
 
 _PLATFORM: Final = 'platform'
-_HEALED: Final[Mapping[str, Any]] = {
-    'cut': False,
-    'cut_to_target': False,
-    'cut_to_client': False,
-}
+_HEALED: Final[Mapping[str, Any]] = MappingProxyType(
+    {'cut': False, 'cut_to_target': False, 'cut_to_client': False}
+)
 
 
 @final
@@ -55,18 +54,20 @@
             if len(inside.intersection(link.split('>'))) == 1
         ]
 
-    @contextlib.asynccontextmanager
-    async def faulty(
+    async def hold(
         self,
         names: list[str],
+        hold_s: float,
         **faults: Any,
-    ) -> AsyncIterator[bool]:
-        """Put faults into force; yields whether the proxy shows them."""
+    ) -> bool:
+        """Put faults into force; tells whether the proxy showed them."""
         await self._deployment.set_faults(names=names, **faults)
         try:
-            yield await self._shows(names, faults)
+            has_taken = await self._shows(names, faults)
+            await asyncio.sleep(hold_s)
         finally:
             await self.heal(names)
+        return has_taken
 
     async def heal(self, names: list[str]) -> None:
         """End the faults of some links."""
--- a/loadtool/proof_run.py
+++ b/loadtool/proof_run.py
@@ -9,6 +9,7 @@
 import pathlib
 import sys
 from collections.abc import Iterable
+from types import MappingProxyType
 from typing import Any, Final
 
 import attrs
@@ -17,17 +18,15 @@
 from loadtool.deployment_spec import FORGE, GEMLAB, DeploymentSpec
 from loadtool.proof_fault import FaultKind
 from loadtool.proof_result import ProofResult
-from loadtool.proof_trial import run_trial
+from loadtool.proof_seed import run_trial
 
-_SPECS: Final = {'forge': FORGE, 'gemlab': GEMLAB}
-_S_PER_MIN: Final = 60
+_SPECS: Final = MappingProxyType({'forge': FORGE, 'gemlab': GEMLAB})
 
 
 def run(
     seed: int = 1,
     seeds: Iterable[int] | int = (),
     duration_s: float = 30,
-    minutes: float = 0,
     deployment: str = 'forge',
     hosts: int = 5,
     faults: Iterable[str] | str = (),
@@ -39,8 +38,8 @@
     ----------
     seed, seeds
         One seed, or several, separated by commas.
-    duration_s, minutes
-        Time of faults for each seed; ``minutes`` counts if it is given.
+    duration_s
+        Time of faults for each seed.
     deployment
         ``forge`` or ``gemlab``.
     hosts
@@ -57,9 +56,8 @@
     )
     kinds = tuple(FaultKind(word) for word in _listed(faults))
     chosen = tuple(_listed(seeds)) or (seed,)
-    length_s = minutes * _S_PER_MIN or duration_s
     path = pathlib.Path(folder) if folder else None
-    passed = [_run_one(spec, one, length_s, kinds, path) for one in chosen]
+    passed = [_run_one(spec, one, duration_s, kinds, path) for one in chosen]
     sys.stdout.write(f'{sum(passed)} of {len(passed)} seeds passed\n')
     sys.exit(0 if all(passed) else 1)
 
--- a/loadtool/proof_schedule.py
+++ b/loadtool/proof_schedule.py
@@ -1,5 +1,6 @@
 """The seeded order of faults of one run."""
 
+import itertools
 import random
 from collections.abc import Iterator
 from typing import Final, final
@@ -39,7 +40,7 @@
 def plan_faults(randomness: random.Random) -> Iterator[PlannedFaults]:
     """Deal all kinds in random order, again and again."""
     deck: list[FaultKind] = []
-    while True:
+    for _ in itertools.count():
         if len(deck) < 2:
             more = list(FaultKind)
             randomness.shuffle(more)
--- a/loadtool/proof_trial.py
+++ b/loadtool/proof_trial.py
@@ -3,19 +3,17 @@
 import asyncio
 import contextlib
 import itertools
-import json
-import pathlib
 import random
 import time
-from collections.abc import AsyncIterator, Coroutine, Iterable, Mapping
+from collections.abc import AsyncIterator, Coroutine, Iterable
 from typing import Any, Final, final
 
 import attrs
 
 from loadtool.caller_client import CallerClient
 from loadtool.deployment import Deployment
-from loadtool.deployment_spec import DeploymentSpec
 from loadtool.history import History
+from loadtool.log_reader import LogReader
 from loadtool.history_checker import check_history, count_lost
 from loadtool.proof_caller import ProofCaller
 from loadtool.proof_calls import ProofCalls
@@ -26,19 +24,13 @@
 from loadtool.proof_processes import ProofProcesses
 from loadtool.proof_result import ProofResult
 from loadtool.proof_schedule import PlannedFaults, plan_faults
-from loadtool.proof_statements import PROOF_SCHEMA
-from loadtool.surviving_log import SurvivingLog, parse_log
 from loadtool.violation import Rule, Violation
-from mimosapond.group_spec import GroupSpec
 
 _SESSIONS_PER_GROUP: Final = 4
 # A transaction whose begin was not answered holds the write lock for 30 s.
 _RECOVERY_LIMIT_S: Final = 45
-_CATCH_UP_LIMIT_S: Final = 15
-_POLL_S: Final = 0.1
 # Lets late tries that are still under way end before the logs are read.
 _LATE_S: Final = 1
-_PRIMARY_ROLE: Final = 'primary'
 
 
 @final
@@ -88,7 +80,7 @@
             for group, number in numbers
         ]
         self._met: list[MetFault] = []
-        self.reports: list[dict[str, Any]] = []
+        self.reports: list[Any] = []
 
     async def run(
         self,
@@ -114,7 +106,10 @@
                     caller.stop()
                 await asyncio.wait(load)
             found = await self._recover()
-            logs = await self._read_logs(found)
+            reader = LogReader(self._deployment, self._processes)
+            logs = await reader.read()
+        self.reports = reader.reports
+        found += reader.violations
         found += self._operators.violations
         found += check_history(self.history, logs)
         return ProofResult(
@@ -198,57 +193,6 @@
             if not is_written
         ]
 
-    async def _read_logs(
-        self,
-        found: list[Violation],
-    ) -> dict[str, SurvivingLog]:
-        logs: dict[str, SurvivingLog] = {}
-        for group in self._deployment.groups:
-            reports = await self._await_equal(group)
-            primary = max(reports, key=_rank)
-            self.reports.extend(reports)
-            logs[group.name] = parse_log(group.name, primary['entries'])
-            if not _are_equal(reports):
-                found.append(Violation(Rule.DIVERGED, group.name))
-        return logs
-
-    async def _await_equal(self, group: GroupSpec) -> list[dict[str, Any]]:
-        limit_s = time.monotonic() + _CATCH_UP_LIMIT_S
-        while True:
-            reports = [
-                await self._deployment.member_log(member.name)
-                for member in group.members
-                if self._processes.is_running(member.name)
-            ]
-            if _are_equal(reports) or time.monotonic() > limit_s:
-                return reports
-            await asyncio.sleep(_POLL_S)
-
-
-async def run_trial(
-    spec: DeploymentSpec,
-    seed: int,
-    duration_s: float,
-    kinds: tuple[FaultKind, ...] = (),
-    folder: pathlib.Path | None = None,
-) -> ProofResult:
-    """Start a proxied deployment of ``spec`` and run one seed."""
-    deployment = Deployment(
-        attrs.evolve(spec, schema=PROOF_SCHEMA),
-        is_proxied=True,
-        folder=folder,
-    )
-    async with deployment, CallerClient() as client:
-        trial = ProofTrial(deployment, client, seed)
-        result = await trial.run(duration_s, kinds)
-        if folder is not None:
-            trial.history.save(folder / f'history-{seed}.jsonl')
-            (folder / f'logs-{seed}.json').write_text(
-                json.dumps(trial.reports),
-                encoding='utf-8',
-            )
-        return result
-
 
 async def _write_until_durable(caller: ProofCaller) -> bool:
     limit_s = time.monotonic() + _RECOVERY_LIMIT_S
@@ -277,12 +221,3 @@
         # A task that failed earlier would have stopped the load unnoticed.
         if isinstance(end, Exception):
             raise end
-
-
-def _rank(report: Mapping[str, Any]) -> tuple[bool, int]:
-    standing = report['standing']
-    return standing['role'] == _PRIMARY_ROLE, standing['term']
-
-
-def _are_equal(reports: list[dict[str, Any]]) -> bool:
-    return all(one['entries'] == reports[0]['entries'] for one in reports)
--- a/loadtool/surviving_log.py
+++ b/loadtool/surviving_log.py
@@ -1,6 +1,7 @@
 """The log of a group that is left after a run."""
 
 import collections
+import itertools
 from collections.abc import Mapping, Sequence
 from typing import Any, Final, final
 
@@ -43,11 +44,13 @@
         self.group = group
         self.entries = entries
         self.positions: Mapping[str, list[int]] = collections.defaultdict(list)
-        for entry in entries:
-            for mark in set(entry.marks):
-                self.positions[mark].append(entry.position)
+        for one in entries:
+            for mark in set(one.marks):
+                self.positions[mark].append(one.position)
         self.cancelled_ids = frozenset(
-            one for entry in entries for one in entry.cancelled_ids
+            itertools.chain.from_iterable(
+                entry.cancelled_ids for entry in entries
+            )
         )
 
     def holds(self, term: int, position: int) -> bool:
