--- a/mimosapond/owner_operations.py
+++ b/mimosapond/owner_operations.py
@@ -126,9 +126,13 @@
     async def beacon(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
         """Return the primary's position, confirmed by a majority."""
         holder = self._holder(body)
-        beacon = await holder.beacon(self._deadline_s(body))
+        beacon = await holder.beacon(
+            self._deadline_s(body),
+            body['max_age_ms'] / MS_PER_S,
+        )
         if beacon is None:
-            raise self._not_holder(body['group'])
+            # Another answer than not_holder: the holder is alive.
+            raise RejectedCallError('not_confirmed', 'no majority answered')
         return codec.encode(beacon)
 
     async def opinion(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
