Roll a transaction back when its begin was not received

The answer to a begin can be lost with a link or an entry host. The entry host now confirms the answer of a begin; the holder rolls back what is neither confirmed nor used within 1 s. Ruled out: a shorter idle limit for all, which would end transactions of callers that think for some seconds; names chosen by the entry host, which a cut-off entry host could not send a rollback for.

--- a/features/steps/terms_steps.py
+++ b/features/steps/terms_steps.py
@@ -462,6 +462,13 @@
 
 @given('terms transaction "{label}" is open at "{host}"')
 def open_transaction(context: Any, label: str, host: str) -> None:
+    """Begin and write a note; the entry host receives the answer."""
+    begin_transaction(context, label, host)
+    context.holder.confirm_begun(context.transaction_id)
+
+
+@given('terms transaction "{label}" is open at "{host}" and its answer lost')
+def begin_transaction(context: Any, label: str, host: str) -> None:
     """Begin and write a note."""
     world = context.world
     context.holder = world.hosts[host].holder
@@ -486,9 +493,9 @@
             world.cut('m1')
         case 'request settled':
             settle_request(context, 'h1', 'book')
-        case 'idle for 60 s':
+        case 'idle for 60 s' | 'idle for 5 s':
             world.keep()
-            world.wait(60)
+            world.wait(int(event.split()[2]))
         case 'closed during a call':
             _close_during_call(context)
         case 'bad statement':
--- a/features/terms.feature
+++ b/features/terms.feature
@@ -304,9 +304,19 @@
       | primary silent       | continued       | no_primary        | 0     |
       | request settled      | committed       | request_cancelled | 0     |
       | idle for 60 s        | committed       | no_transaction    | 0     |
+      | idle for 5 s         | committed       | completed         | 1     |
       | bad statement        | committed       | no_transaction    | 0     |
       | closed during a call | committed       | no_transaction    | 0     |
 
+  # Guards against writes that wait 30 s for the lock of a transaction that no
+  # caller knows.
+  Scenario: terms roll a transaction back when its begin was not received
+    Given terms transaction "book" is open at "h1" and its answer lost
+    When terms event "idle for 5 s" happens
+    And terms transaction "book" is committed
+    Then terms write "book" ends as no_transaction
+    And terms note "book" exists 0 times
+
   # Guards against a floor that falls when the bounded table evicts a session.
   Scenario Outline: terms session table never lowers a floor
     Given terms session table for 2 sessions from position 5
--- a/mimosapond/interactive_transactions.py
+++ b/mimosapond/interactive_transactions.py
@@ -31,6 +31,10 @@
 # An entry host that died never ends its transactions; without a limit each
 # would keep one of the member's few connections forever.
 IDLE_LIMIT_S: Final = 30
+# The answer to a begin may be lost with a link or an entry host. Nobody knows
+# the transaction then, and others would wait for its locks until the idle
+# limit: proof runs saw a group without writes for 31 s.
+UNCONFIRMED_LIMIT_S: Final = 1
 _ID_BYTES: Final = 12
 _Attempt: TypeAlias = Landed | Refused | Unknown
 
@@ -158,11 +162,20 @@
             transaction.end(is_clean=isinstance(answer, TargetAnswered))
         return self._completed(transaction_id, ())
 
+    def confirm(self, transaction_id: str) -> None:
+        """Note that the entry host knows the transaction."""
+        transaction = self._open.get(transaction_id)
+        if transaction is not None:
+            transaction.is_confirmed = True
+
     def abort_idle(self) -> None:
         """End transactions whose caller went away."""
         now_s = self._held.parts.clock.monotonic_s()
         for transaction_id, transaction in tuple(self._open.items()):
-            if now_s - transaction.used_s > IDLE_LIMIT_S:
+            limit_s = UNCONFIRMED_LIMIT_S
+            if transaction.is_confirmed:
+                limit_s = IDLE_LIMIT_S
+            if now_s - transaction.used_s > limit_s:
                 self._abort(transaction_id, transaction)
 
     def close(self) -> None:
@@ -220,6 +233,8 @@
         host_id = self._held.parts.host_id
         transaction_id = f'{host_id}/{secrets.token_urlsafe(_ID_BYTES)}'
         transaction.grant.park()
+        # The begin may have waited for a lock for long.
+        transaction.used_s = self._held.parts.clock.monotonic_s()
         self._open[transaction_id] = transaction
         return self._completed(transaction_id, results)
 
@@ -229,6 +244,7 @@
         transaction_id: str,
         transaction: OpenTransaction,
     ) -> AsyncIterator[None]:
+        transaction.is_confirmed = True
         async with transaction.lock:
             is_answered = False
             try:
--- a/mimosapond/open_transaction.py
+++ b/mimosapond/open_transaction.py
@@ -10,7 +10,14 @@
 
 @final
 class OpenTransaction:
-    """Parked between calls; ends exactly once."""
+    """Parked between calls; ends exactly once.
+
+    Attributes
+    ----------
+    is_confirmed
+        Whether the entry host is known to have received the transaction's
+        name, so that a further call can come.
+    """
 
     def __init__(self, run: PeerRun, grant: HeldSlot, now_s: float) -> None:
         """Keep ``grant`` until the transaction ends."""
@@ -19,6 +26,7 @@
         self.used_s = now_s
         self.lock = asyncio.Lock()
         self.is_ended = False
+        self.is_confirmed = False
 
     @property
     def connection(self) -> TargetConnection:
--- a/mimosapond/owner_operations.py
+++ b/mimosapond/owner_operations.py
@@ -50,6 +50,7 @@
         return {
             'run': self.run,
             'begin': self.begin,
+            'confirm': self.confirm,
             'execute': self.execute,
             'commit': self.commit,
             'rollback': self.rollback,
@@ -78,6 +79,11 @@
             return codec.encode(_not_owner(run.group))
         return codec.encode(await holder.begin(run))
 
+    async def confirm(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Keep an interactive transaction whose begin was answered."""
+        self._holder(body).confirm_begun(body['transaction_id'])
+        return {}
+
     async def execute(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
         """Run statements in an interactive transaction."""
         holder = self._holder(body)
--- a/mimosapond/router.py
+++ b/mimosapond/router.py
@@ -71,6 +71,7 @@
         outcome = await self._writes.run(routed, _BEGIN)
         if isinstance(outcome, Completed):
             name = f'{routed.group.name}/{outcome.transaction_id}'
+            self._confirm(name)
             return dataclasses.replace(outcome, transaction_id=name)
         return outcome
 
@@ -103,6 +104,11 @@
             return routed
         return await self._settles.run(routed)
 
+    def _confirm(self, name_text: str) -> None:
+        name = TransactionName.parse(name_text)
+        if name is not None:
+            self._transactions.confirm(name)
+
     async def _timed(self, routed: RoutedRequest) -> Outcome:
         started_s = self._clock.monotonic_s()
         self._services.budget.earn()
--- a/mimosapond/term_holder.py
+++ b/mimosapond/term_holder.py
@@ -173,6 +173,10 @@
             timeout_s,
         )
 
+    def confirm_begun(self, transaction_id: str) -> None:
+        """Note that the entry host has the answer of a begin."""
+        self._transactions.confirm(transaction_id)
+
     def abort_idle(self) -> None:
         """End interactive transactions whose caller went away."""
         self._transactions.abort_idle()
--- a/mimosapond/transaction_router.py
+++ b/mimosapond/transaction_router.py
@@ -4,6 +4,7 @@
 are never retried elsewhere.
 """
 
+import asyncio
 from typing import Any, Final, final
 
 from mimosapond import codec
@@ -18,6 +19,8 @@
 
 _ANSWER_MARGIN_S: Final = 0.1
 _COMMIT: Final = 'commit'
+_CONFIRM_TRIES: Final = 3
+_CONFIRM_TIMEOUT_S: Final = 0.3
 
 
 @final
@@ -27,6 +30,17 @@
     def __init__(self, services: EntryServices) -> None:
         """Take the shared parts of the entry host."""
         self._services = services
+        self._confirming: set[asyncio.Task[None]] = set()
+
+    def confirm(self, name: TransactionName) -> None:
+        """Tell the holder that the answer of the begin arrived.
+
+        The caller need not wait for it: if the holder hears nothing, it rolls
+        back, and the caller's next call is told so.
+        """
+        task = asyncio.create_task(self._confirm(name))
+        self._confirming.add(task)
+        task.add_done_callback(self._confirming.discard)
 
     async def call(
         self,
@@ -60,6 +74,21 @@
             case _:
                 return answer
 
+    async def _confirm(self, name: TransactionName) -> None:
+        host = self._services.hosts.host(name.host_id)
+        body = {'group': name.group, 'transaction_id': name.holder_id}
+        for _ in range(_CONFIRM_TRIES):
+            if host is None:
+                return
+            answer = await self._services.caller.call(
+                host,
+                'confirm',
+                body,
+                _CONFIRM_TIMEOUT_S,
+            )
+            if not isinstance(answer, PeerSilent):
+                return
+
 
 def _body(name: TransactionName, call: TransactionCall) -> dict[str, Any]:
     return {
