--- a/features/steps/proof_steps.py
+++ b/features/steps/proof_steps.py
@@ -66,6 +66,7 @@
         seed=1,
         duration_s=1,
         begin_s=0,
+        end_s=1,
         history=history,
         faults=() if taken == 'no' else (fault,),
         lost_count=0,
--- a/loadtool/proof_operators.py
+++ b/loadtool/proof_operators.py
@@ -46,10 +46,15 @@
         self.violations: list[Violation] = []
 
     async def promote(self, group: GroupSpec, member: str) -> str:
-        """Ask any host to promote a member; returns the outcome."""
+        """Ask hosts until one answers; returns the outcome."""
         path = f'/v1/groups/{group.name}/promote'
-        host = self._random.choice(self._deployment.hosts)
-        return _word(await self._call(host, 'POST', path, {'member': member}))
+        hosts = list(self._deployment.hosts)
+        self._random.shuffle(hosts)
+        word = _SILENT
+        while hosts and word == _SILENT:
+            body = {'member': member}
+            word = _word(await self._call(hosts.pop(), 'POST', path, body))
+        return word
 
     async def race_edits(
         self,
--- a/loadtool/proof_result.py
+++ b/loadtool/proof_result.py
@@ -22,8 +22,8 @@
 
     Attributes
     ----------
-    begin_s
-        Monotonic time at which the callers began.
+    begin_s, end_s
+        Monotonic times at which the callers began and were stopped.
     lost_count
         Acknowledged ``primary`` writes lost by a change of primary.
     term_counts
@@ -35,6 +35,7 @@
     seed: int
     duration_s: float
     begin_s: float
+    end_s: float
     history: History
     faults: Sequence[MetFault]
     lost_count: int
@@ -104,7 +105,7 @@
     def _gaps(self) -> dict[str, float]:
         times: dict[str, list[float]] = collections.defaultdict(list)
         for one in self.history.records:
-            if one.is_acknowledged:
+            if one.is_acknowledged and one.answered_s < self.end_s:
                 times[one.group].append(one.answered_s)
         return {
             group: max(
--- a/loadtool/proof_trial.py
+++ b/loadtool/proof_trial.py
@@ -102,6 +102,7 @@
             async with _background(one.run() for one in self._callers) as load:
                 await self._meet_faults(begin_s + duration_s, kinds)
                 await self._faults.heal()
+                end_s = time.monotonic()
                 for caller in self._callers:
                     caller.stop()
                 await asyncio.wait(load)
@@ -116,6 +117,7 @@
             seed=self._seed,
             duration_s=duration_s,
             begin_s=begin_s,
+            end_s=end_s,
             history=self.history,
             faults=self._met,
             lost_count=count_lost(self.history, logs),
