--- a/loadtool/deployment.py
+++ b/loadtool/deployment.py
@@ -16,7 +16,7 @@
 from mimosapond import codec
 from mimosapond.document_body import document_body
 from mimosapond.group_spec import GroupSpec
-from mimosapond.json_link_server import SECRET_HEADER
+from mimosapond.secret_check import SECRET_HEADER
 from mimosapond.member_address import MemberAddress
 from mimosapond.service_document import ServiceDocument
 from mimosapond.workspace_spec import WorkspaceSpec
@@ -322,6 +322,7 @@
             'log_level': self.spec.log_level,
             'routing_policy': self.spec.routing_policy,
             'address_overrides': [codec.encode(one) for one in overrides],
+            **self.spec.host_settings,
         }
 
     async def _start_host(
--- a/mimosapond/request_resolver.py
+++ b/mimosapond/request_resolver.py
@@ -6,12 +6,15 @@
 
 from mimosapond.clock import MS_PER_S, Clock
 from mimosapond.errors import refuse
+from mimosapond.group_spec import GroupSpec
 from mimosapond.refusal_reason import RefusalReason
 from mimosapond.refused import Refused
 from mimosapond.request_validator import RequestValidator
 from mimosapond.routed_request import RoutedRequest
 from mimosapond.service_document import ServiceDocument
 from mimosapond.statement_request import StatementRequest
+from mimosapond.token import Token
+from mimosapond.transaction_call import TransactionCall
 
 _NOT_READY_RETRY_MS: Final = 500
 _DEADLINE_MS: Final = 5000
@@ -60,11 +63,20 @@
                 service=request.service,
                 workspace=request.workspace,
             )
+        if _has_foreign_token(request, group):
+            return refuse(
+                RefusalReason.BAD_TOKEN,
+                problem=f'it does not belong to group {group.name}',
+            )
         filled = _fill(request, document)
         deadline_ms = filled.deadline_ms or _DEADLINE_MS
         deadline_s = self._clock.monotonic_s() + deadline_ms / MS_PER_S
         return RoutedRequest(filled, group, workspace, deadline_s)
 
+    def check_call(self, call: TransactionCall) -> Refused | None:
+        """Return the first fault of a call within a transaction."""
+        return self._validator.check_call(call)
+
     def document(self, service: str) -> ServiceDocument | Refused:
         """Return the document of ``service``."""
         document = self._documents.current(service)
@@ -78,6 +90,12 @@
         return refuse(RefusalReason.UNKNOWN_SERVICE, service=service)
 
 
+def _has_foreign_token(request: StatementRequest, group: GroupSpec) -> bool:
+    # Writes need no floor, but a wrong token shows a mix-up of the caller.
+    token = None if request.token is None else Token.parse(request.token)
+    return token is not None and token.group != group.name
+
+
 def _fill(
     request: StatementRequest,
     document: ServiceDocument,
