Move the primary off a leaving target by a planned switchover

The holder stops admitting writes, lets the ones in flight end, waits until another member holds the primary's position and acquires the next term with it. The acquirer now needs the grant of the known primary for such a change: with the grants of a majority without it, a member could be promoted that lacks writes acknowledged at durability primary. The owner refuses reads at a leaving target itself, and the operators' promote uses the same way through the holder. Ruled out: promoting a member that only holds what was acknowledged, since the acquirer then could not compare log ends.

--- a/features/terms_world.py
+++ b/features/terms_world.py
@@ -22,6 +22,7 @@
 from mimosapond.decision_log import NullDecisionLog
 from mimosapond.degraded_paths import DegradedPaths
 from mimosapond.durability import Durability
+from mimosapond.draining import LeavingTargets
 from mimosapond.group_keeper import GroupKeeper
 from mimosapond.group_spec import GroupSpec
 from mimosapond.group_views import GroupViews
@@ -35,6 +36,7 @@
 from mimosapond.peer_results import PeerAnswered, PeerRejected, PeerResult
 from mimosapond.peer_run import PeerRun
 from mimosapond.standing import PRIMARY_ROLE
+from mimosapond.planned_switchover import PlannedSwitchover
 from mimosapond.statement import Statement
 from mimosapond.statement_request import StatementRequest
 from mimosapond.term_acquirer import TermAcquirer
@@ -121,6 +123,13 @@
                 FakeSlots(self.parts.target),
                 self.registry,
             ),
+            world.leaving,
+        )
+        self.planned = PlannedSwitchover(
+            self.parts,
+            self.acquirer,
+            self.registry,
+            world.leaving,
         )
         ports = KeeperPorts(
             self.views,
@@ -132,6 +141,7 @@
             world.directory,
             self.beacons,
             self.degraded,
+            self.planned,
             world.jitter,
         )
         self.attempts = AcquireAttempts(self.parts, ports, GROUP)
@@ -180,6 +190,7 @@
         self.platform = FakePlatform()
         self.network = FakeNetwork()
         self.directory = FakeDirectory()
+        self.leaving = LeavingTargets(NullDecisionLog())
         self.members = {
             f'm{name}': FakeMember(f'm{name}', self.loop) for name in NAMES
         }
--- a/mimosapond/composition.py
+++ b/mimosapond/composition.py
@@ -49,11 +49,13 @@
 from mimosapond.membership import Membership
 from mimosapond.metrics import Metrics, NullMetrics, StatsdMetrics
 from mimosapond.operator_handlers import operator_application
+from mimosapond.operator_promotion import OperatorPromotion
 from mimosapond.opinion_collector import OpinionCollector
 from mimosapond.options import Options
 from mimosapond.owner_operations import OwnerOperations
 from mimosapond.owner_registry import OwnerRegistry
 from mimosapond.peer_contacts import PeerContacts
+from mimosapond.planned_switchover import PlannedSwitchover
 from mimosapond.prober import Prober
 from mimosapond.read_planner import ReadPlanner
 from mimosapond.read_router import ReadRouter
@@ -204,6 +206,7 @@
             self._holders.holder,
             self._ages,
             self._clock,
+            self._leaving,
         )
 
     def _build_terms(self) -> None:
@@ -220,6 +223,13 @@
             TermClaims(self._term_parts, self._platform),
             self._views,
             HolderInstaller(self._term_parts, self._owners, self._holders),
+            self._leaving,
+        )
+        self._planned = PlannedSwitchover(
+            self._term_parts,
+            self._acquirer,
+            self._holders,
+            self._leaving,
         )
         self._supervisor = GroupSupervisor(
             SupervisedParts(
@@ -248,6 +258,7 @@
             placement=self._placement,
             ages=self._ages.tracker(group.name),
             degraded=self._degraded,
+            planned=self._planned,
             jitter=self._random,
         )
         return GroupKeeper(self._term_parts, ports, group)
@@ -289,6 +300,8 @@
             keepers=self._supervisor,
             views=self._views,
             clock=self._clock,
+            store=self._store,
+            planned=self._planned,
         ).operations()
         self._caller.serve(owner_side)
         spread = SpreadOperations(
@@ -353,7 +366,11 @@
             supervisor=self._supervisor,
             owners=self._owners,
             leaving=self._leaving,
-            acquirer=self._acquirer,
+            promoter=OperatorPromotion(
+                self._membership,
+                self._views,
+                self._caller,
+            ),
             degraded=self._degraded,
             request_leave=host.request_leave,
         )
--- a/mimosapond/group_keeper.py
+++ b/mimosapond/group_keeper.py
@@ -141,6 +141,7 @@
             await self._prefer_own(view)
         else:
             await self._heal(view)
+            await self._ports.planned.follow(self._group, holder)
 
     async def _suspect(self, view: GroupView) -> None:
         """Check everything on fresh connections, then act."""
--- a/mimosapond/holder_gate.py
+++ b/mimosapond/holder_gate.py
@@ -1,4 +1,8 @@
-"""Counts the writes of a holder and closes step by step for a handover."""
+"""Counts the writes of a holder and closes step by step.
+
+A handover closes it for good, as another host goes on with the group. A planned
+change of the primary only makes new work wait, as this host goes on.
+"""
 
 import contextlib
 from collections.abc import Callable, Iterator
@@ -14,14 +18,23 @@
 
 @final
 class HolderGate:
-    """Open, closed for new transactions, or closed for all new work."""
+    """Open, closed for new transactions, or closed for all new work.
+
+    Attributes
+    ----------
+    is_blocked
+        The primary is leaving and no other member can replace it yet, so new
+        work is refused.
+    """
 
     def __init__(self, parts: TermParts) -> None:
         """Start open."""
         self._parts = parts
         self._active_count = 0
-        self._is_draining = False
+        self._draining_count = 0
         self._closed_until_s: float = 0
+        self._is_paused = False
+        self.is_blocked = False
 
     @property
     def is_open(self) -> bool:
@@ -31,7 +44,61 @@
     @property
     def takes_transactions(self) -> bool:
         """Whether new interactive transactions may start."""
-        return self.is_open and not self._is_draining
+        return self.is_open and not self._draining_count
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether a planned change is in progress."""
+        return self._is_paused
+
+    @contextlib.contextmanager
+    def paused(self) -> Iterator[None]:
+        """Make new work wait for the duration of the block."""
+        self._is_paused = True
+        try:
+            yield
+        finally:
+            self._is_paused = False
+
+    async def wait_resumed(
+        self,
+        is_closed: Callable[[], bool],
+        deadline_s: float,
+    ) -> None:
+        """Wait while paused, until the term is closed or the deadline."""
+        await self._wait(
+            lambda: self._is_paused and not is_closed(),
+            deadline_s,
+        )
+
+    async def wait_released(
+        self,
+        is_closed: Callable[[], bool],
+        deadline_s: float,
+    ) -> None:
+        """Wait while handing over, until the term is closed or a deadline."""
+        await self._wait(
+            lambda: not self.takes_transactions and not is_closed(),
+            deadline_s,
+        )
+
+    async def wait_transactions(
+        self,
+        open_transaction_count: Callable[[], int],
+        timeout_s: float,
+    ) -> None:
+        """Give open transactions time to end while none begins."""
+        deadline_s = self._parts.clock.monotonic_s() + timeout_s
+        self._draining_count += 1
+        try:
+            await self._wait(open_transaction_count, deadline_s)
+        finally:
+            self._draining_count -= 1
+
+    async def wait_idle(self, timeout_s: float) -> bool:
+        """Wait until no request is in flight; False after ``timeout_s``."""
+        deadline_s = self._parts.clock.monotonic_s() + timeout_s
+        return await self._wait(lambda: self._active_count, deadline_s)
 
     @contextlib.contextmanager
     def active(self) -> Iterator[None]:
@@ -53,11 +120,11 @@
         does not stop them.
         """
         deadline_s = self._parts.clock.monotonic_s() + timeout_s
-        self._is_draining = True
+        self._draining_count += 1
         try:
             is_idle = await self._wait(open_transaction_count, deadline_s)
         finally:
-            self._is_draining = False
+            self._draining_count -= 1
         if not is_idle:
             return False
         self._closed_until_s = deadline_s + _REOPEN_AFTER_S
--- a/mimosapond/host_actions.py
+++ b/mimosapond/host_actions.py
@@ -1,7 +1,7 @@
 """Implements the operators' actions on the parts of a host."""
 
 from collections.abc import Callable
-from typing import Final, final
+from typing import final
 
 import attrs
 
@@ -25,14 +25,12 @@
     PromoteResult,
     TargetDrainState,
 )
+from mimosapond.operator_promotion import OperatorPromotion
 from mimosapond.owner_registry import OwnerRegistry
 from mimosapond.refusal_reason import RefusalReason
 from mimosapond.service_document import ServiceDocument
-from mimosapond.term_acquirer import TermAcquirer
 from mimosapond.unknown import Unknown
 
-_RETRY_AFTER_MS: Final = 1000
-
 
 @final
 @attrs.frozen
@@ -46,7 +44,7 @@
     supervisor: GroupSupervisor
     owners: OwnerRegistry
     leaving: LeavingTargets
-    acquirer: TermAcquirer
+    promoter: OperatorPromotion
     degraded: DegradedPaths
     request_leave: Callable[[], None]
 
@@ -107,22 +105,15 @@
         group_name: str,
         member_name: str,
     ) -> PromoteResult:
-        """Acquire a new term for the group with the member as primary."""
+        """Move the primary to the member; the group's holder does it."""
         group = self.store.group(group_name)
         if group is None:
             return refuse(RefusalReason.UNKNOWN_GROUP, group=group_name)
         if group.member(member_name) is None:
             return refuse(RefusalReason.UNKNOWN_TARGET, member=member_name)
-        view = await self.acquirer.acquire(group, keep=member_name)
-        if view is None:
-            return refuse(
-                RefusalReason.PROMOTION_FAILED,
-                group=group_name,
-                member=member_name,
-                problem='no majority of members granted a term',
-                retry_after_ms=_RETRY_AFTER_MS,
-            )
-        return view
+        if self.leaving.is_leaving(member_name):
+            return refuse(RefusalReason.TARGET_LEAVING, member=member_name)
+        return await self.promoter.promote(group_name, member_name)
 
     async def drain_host(self) -> HostDrainResult:
         """Start the graceful shutdown of this host; returns at once."""
--- a/mimosapond/keeper_ports.py
+++ b/mimosapond/keeper_ports.py
@@ -10,6 +10,7 @@
 from mimosapond.host_directory import BeaconSink, HostDirectory, OwnerLookup
 from mimosapond.opinion_collector import OpinionCollector
 from mimosapond.peer_port import PeerPort
+from mimosapond.planned_switchover import PlannedSwitchover
 from mimosapond.term_acquirer import TermAcquirer
 from mimosapond.term_registry import TermRegistry
 
@@ -36,4 +37,5 @@
     placement: OwnerLookup
     ages: BeaconSink
     degraded: DegradedPaths
+    planned: PlannedSwitchover
     jitter: random.Random
--- a/mimosapond/member_reader.py
+++ b/mimosapond/member_reader.py
@@ -10,6 +10,7 @@
 from mimosapond.age_trackers import AgeTrackers
 from mimosapond.beacon_source import BeaconSource
 from mimosapond.clock import MS_PER_S, Clock
+from mimosapond.cluster_map import Leaving
 from mimosapond.completed import Completed
 from mimosapond.errors import refuse
 from mimosapond.outcome import Outcome
@@ -43,12 +44,14 @@
         holder_of: Callable[[str], BeaconSource | None],
         ages: AgeTrackers,
         clock: Clock,
+        leaving: Leaving,
     ) -> None:
         """Find term holders by group name with ``holder_of``."""
         self._owners = owners
         self._holder_of = holder_of
         self._ages = ages
         self._clock = clock
+        self._leaving = leaving
 
     async def read(self, run: PeerRun) -> Outcome:
         """Read at ``run.member``, or refuse what it can't prove.
@@ -59,10 +62,16 @@
         owner = self._owners.owner(run.member)
         if owner is None:
             return refuse(RefusalReason.NOT_OWNER, member=run.member)
+        if self._leaving.is_leaving(run.member):
+            return _refuse_leaving(run)
         deadline_s = self._deadline_s(run)
         grant = await owner.acquire(_build_ticket(run, deadline_s))
         if isinstance(grant, Refused):
             return grant
+        if self._leaving.is_leaving(run.member):
+            # Marked while the read waited in the queue.
+            grant.release(reusable=True)
+            return _refuse_leaving(run)
         target_result = await self._run(grant, run, deadline_s)
         match target_result:
             case TargetAnswered():
@@ -134,6 +143,14 @@
         return self._clock.monotonic_s() + deadline_ms / MS_PER_S
 
 
+def _refuse_leaving(run: PeerRun) -> Refused:
+    return refuse(
+        RefusalReason.TARGET_LEAVING,
+        member=run.member,
+        retry_after_ms=1,
+    )
+
+
 def _build_ticket(run: PeerRun, deadline_s: float) -> WorkTicket:
     request = run.request
     return WorkTicket(
--- a/mimosapond/owner_operations.py
+++ b/mimosapond/owner_operations.py
@@ -4,8 +4,8 @@
 asked about says so, and the entry host looks for the current owner.
 """
 
-from collections.abc import Mapping
-from typing import Any, Final, Protocol, final
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, Final, Protocol, TypeAlias, final
 
 import attrs
 
@@ -13,18 +13,29 @@
 from mimosapond.access_mode import AccessMode
 from mimosapond.clock import MS_PER_S, Clock
 from mimosapond.errors import refuse
+from mimosapond.group_spec import GroupSpec
 from mimosapond.group_views import GroupViews
 from mimosapond.member_reader import MemberReader
 from mimosapond.outcome import Outcome
 from mimosapond.peer_port import PeerOperation
 from mimosapond.peer_run import PeerRun
+from mimosapond.planned_switchover import PlannedSwitchover
 from mimosapond.refusal_reason import RefusalReason
+from mimosapond.refused import Refused
 from mimosapond.rejected_call_error import RejectedCallError
 from mimosapond.statement import Statement
 from mimosapond.term_holder import TermHolder
 from mimosapond.term_registry import TermRegistry
 
 _NOT_HOLDER: Final = 'not_holder'
+_Start: TypeAlias = Callable[[TermHolder, PeerRun], Awaitable[Outcome]]
+
+
+class Groups(Protocol):
+    """Groups that the documents declare."""
+
+    def group(self, name: str) -> GroupSpec | None:
+        """Return the group called ``name``."""
 
 
 class Keepers(Protocol):
@@ -44,6 +55,8 @@
     keepers: Keepers
     views: GroupViews
     clock: Clock
+    store: Groups
+    planned: PlannedSwitchover
 
     def operations(self) -> Mapping[str, PeerOperation]:
         """Return the operations by name."""
@@ -58,6 +71,7 @@
             'beacon': self.beacon,
             'opinion': self.opinion,
             'handover': self.handover,
+            'switchover': self.switchover,
         }
 
     async def run(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
@@ -65,18 +79,12 @@
         run = codec.decode(PeerRun, body)
         if run.request.mode is AccessMode.READ:
             return codec.encode(await self.reader.read(run))
-        holder = self.holders.holder(run.group)
-        if holder is None:
-            return codec.encode(_not_owner(run.group))
-        return codec.encode(await holder.write(run))
+        return codec.encode(await self._lead(run, TermHolder.write))
 
     async def begin(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
         """Begin an interactive transaction."""
         run = codec.decode(PeerRun, body)
-        holder = self.holders.holder(run.group)
-        if holder is None:
-            return codec.encode(_not_owner(run.group))
-        return codec.encode(await holder.begin(run))
+        return codec.encode(await self._lead(run, TermHolder.begin))
 
     async def execute(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
         """Run statements in an interactive transaction."""
@@ -144,6 +152,36 @@
         released = await holder.release(body['timeout_ms'] / MS_PER_S)
         return {'released': released}
 
+    async def switchover(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Make a member the primary, as an operator asked for."""
+        holder = self._holder(body)
+        group = self.store.group(body['group'])
+        if group is None or holder.view.term != body['term']:
+            raise self._not_holder(body['group'])
+        moved = await self.planned.move(group, body['member'])
+        if isinstance(moved, Refused):
+            return {'refused': codec.encode(moved)}
+        return {'view': codec.encode(moved)}
+
+    async def _lead(self, run: PeerRun, start: _Start) -> Outcome:
+        """Run at the holder, or at the next one that this host installed.
+
+        Work that met a planned change of the primary did not run, and is
+        passed on here: sent back, it would use up the retries of its host.
+        """
+        clock = self.clock
+        started_s = clock.monotonic_s()
+        holder = self.holders.holder(run.group)
+        if holder is None:
+            return _not_owner(run.group)
+        outcome = await start(holder, run)
+        successor = self.holders.holder(run.group)
+        if successor is None or successor is holder:
+            return outcome
+        if not _is_not_owner(outcome):
+            return outcome
+        return await start(successor, _later(run, clock, started_s))
+
     def _holder(self, body: Mapping[str, Any]) -> TermHolder:
         holder = self.holders.holder(body['group'])
         if holder is None:
@@ -163,5 +201,25 @@
         return self.clock.monotonic_s() + timeout_s
 
 
+def _is_not_owner(outcome: Outcome) -> bool:
+    return (
+        isinstance(outcome, Refused)
+        and outcome.reason is RefusalReason.NOT_OWNER
+    )
+
+
+def _later(run: PeerRun, clock: Clock, started_s: float) -> PeerRun:
+    """Return ``run`` with the time that is left of its deadline."""
+    deadline_ms = run.request.deadline_ms
+    if deadline_ms is None:
+        return run
+    spent_ms = int((clock.monotonic_s() - started_s) * MS_PER_S)
+    left_ms = max(1, deadline_ms - spent_ms)
+    return attrs.evolve(
+        run,
+        request=attrs.evolve(run.request, deadline_ms=left_ms),
+    )
+
+
 def _not_owner(group: str) -> Outcome:
     return refuse(RefusalReason.NOT_OWNER, member=f'the primary of {group}')
--- a/mimosapond/term_acquirer.py
+++ b/mimosapond/term_acquirer.py
@@ -1,7 +1,9 @@
 """Acquires the next term of a group, to promote a member or to keep one."""
 
+from collections.abc import Callable
 from typing import Any, Final, final
 
+from mimosapond.cluster_map import Leaving
 from mimosapond.group_spec import GroupSpec
 from mimosapond.group_view import GroupView
 from mimosapond.group_views import GroupViews
@@ -32,12 +34,14 @@
         claims: TermClaims,
         views: GroupViews,
         installer: HolderInstaller,
+        leaving: Leaving,
     ) -> None:
-        """Acquire for the host of ``parts``."""
+        """Acquire for the host of ``parts``; avoid ``leaving`` targets."""
         self._parts = parts
         self._claims = claims
         self._views = views
         self._installer = installer
+        self._leaving = leaving
         self._unfinished: dict[str, int] = {}
         self._late_calls: set[LateCall] = set()
 
@@ -54,18 +58,22 @@
         group
             The group with its members.
         keep
-            Primary that keeps its role; None promotes the newest member.
+            Member to lead the term if none is newer. Where it is not the
+            known primary, this is a planned change: the grant of the primary
+            is then needed too, so that its last entries count. None promotes
+            the newest member.
         """
-        surveyed = await self._survey(group, keep)
-        if not await self._may_proceed(group, surveyed, keep):
+        needed = self._needed(group, keep)
+        surveyed = await self._survey(group, needed)
+        if not await self._may_proceed(group, surveyed, needed):
             return None
         term = self._next_term(group, surveyed)
         claim = await self._claims.claim(group.name, term)
         if claim is Claim.OTHER:
             self._fail(group, term, str(claim))
             return None
-        grants = await self._adopt(group, term, keep)
-        if not _is_enough(group, grants, keep):
+        grants = await self._adopt(group, term, needed)
+        if not _is_enough(group, grants, needed):
             self._fail(
                 group,
                 term,
@@ -73,7 +81,7 @@
                 granted=[grant.member for grant in grants],
             )
             return None
-        chosen = _choose(grants, keep)
+        chosen = _choose(grants, keep, self._leaving.is_leaving)
         promoted = await self._promote(group, term, chosen)
         if promoted is None:
             self._fail(
@@ -85,10 +93,23 @@
             return None
         return await self._install(group, promoted, claim, keep)
 
+    def _needed(self, group: GroupSpec, keep: str | None) -> frozenset[str]:
+        """Return the members without which nothing is acquired.
+
+        A majority without the primary does not show writes that only the
+        primary holds, and those of durability ``primary`` are acknowledged.
+        """
+        if keep is None:
+            return frozenset()
+        known = self._views.get(group.name)
+        if known is None:
+            return frozenset((keep,))
+        return frozenset((keep, known.primary))
+
     async def _survey(
         self,
         group: GroupSpec,
-        keep: str | None,
+        needed: frozenset[str],
     ) -> tuple[Standing, ...]:
         answers = await survey(
             {
@@ -99,7 +120,7 @@
                 )
                 for member in group.members
             },
-            lambda known: _is_enough(group, standings(known), keep),
+            lambda known: _is_enough(group, standings(known), needed),
         )
         return standings(answers)
 
@@ -107,9 +128,9 @@
         self,
         group: GroupSpec,
         surveyed: tuple[Standing, ...],
-        keep: str | None,
+        needed: frozenset[str],
     ) -> bool:
-        if not _is_enough(group, surveyed, keep):
+        if not _is_enough(group, surveyed, needed):
             self._fail(
                 group,
                 0,
@@ -125,7 +146,10 @@
             return True
         if await self._learn(surveyed, newest.term):
             return False
-        return self._is_left_over(group, newest)
+        is_left_over = self._is_left_over(group, newest)
+        # The primary of the newer term may be silent, so a planned change,
+        # which loses nothing, is not based on the known one.
+        return is_left_over and len(needed) <= 1
 
     async def _learn(
         self,
@@ -185,7 +209,7 @@
         self,
         group: GroupSpec,
         term: int,
-        keep: str | None,
+        needed: frozenset[str],
     ) -> tuple[Standing, ...]:
         answers = await survey(
             {
@@ -197,7 +221,7 @@
                 )
                 for member in group.members
             },
-            lambda known: _is_enough(group, self._grants(known, term), keep),
+            lambda known: _is_enough(group, self._grants(known, term), needed),
             self._late_calls,
         )
         return self._grants(answers, term)
@@ -291,29 +315,33 @@
 def _is_enough(
     group: GroupSpec,
     known: tuple[Standing, ...],
-    keep: str | None,
+    needed: frozenset[str],
 ) -> bool:
     names = {standing.member for standing in known}
-    if keep is not None and keep not in names:
-        return False
-    return len(names) >= group.majority_count
+    return needed <= names and len(names) >= group.majority_count
 
 
 def _log_end(standing: Standing) -> tuple[int, int]:
     return (standing.last_term, standing.position)
 
 
-def _choose(grants: tuple[Standing, ...], keep: str | None) -> Standing:
+def _choose(
+    grants: tuple[Standing, ...],
+    keep: str | None,
+    is_leaving: Callable[[str], bool],
+) -> Standing:
     """Return the newest member; among equals the one to keep.
 
-    A primary to keep that is not the newest was replaced unnoticed, and
-    keeping it would lose acknowledged writes.
+    A member to keep that is not the newest was replaced unnoticed, or has not
+    caught up, and choosing it would lose acknowledged writes. A member that
+    is leaving is chosen only when it is newer than all others.
     """
     return max(
         grants,
         key=lambda grant: (
             _log_end(grant),
             grant.member == keep,
+            not is_leaving(grant.member),
             grant.member,
         ),
     )
--- a/mimosapond/term_holder.py
+++ b/mimosapond/term_holder.py
@@ -20,6 +20,7 @@
 from mimosapond.outcome import Outcome
 from mimosapond.peer_run import PeerRun
 from mimosapond.refusal_reason import RefusalReason
+from mimosapond.refused import Refused
 from mimosapond.running_writes import RunningWrites
 from mimosapond.statement import Statement
 from mimosapond.term_settler import TermSettler
@@ -27,6 +28,11 @@
 
 # Used when a peer names no deadline.
 _DEFAULT_DEADLINE_MS: Final = 5000
+_LEAVING_RETRY_MS: Final = 1000
+# A begin at a holder that hands over is refused after this time, and early
+# enough for one attempt elsewhere within its deadline.
+_BEGIN_WAIT_S: Final = 1
+_BEGIN_WAIT_RATIO: Final = 0.5
 
 
 @final
@@ -46,7 +52,7 @@
             self._writer,
         )
         self._sweeper = LedgerSweeper(held, access)
-        self._gate = HolderGate(held.parts)
+        self.gate = HolderGate(held.parts)
         self._running = RunningWrites()
 
     @property
@@ -54,15 +60,21 @@
         """Whether a newer term is known."""
         return self._held.is_closed
 
+    @property
+    def open_transaction_count(self) -> int:
+        """Interactive transactions that have not ended."""
+        return self._transactions.open_count
+
     async def run(self) -> None:
         """Delete expired ledger rows until the term is closed."""
         await self._sweeper.run()
 
     async def write(self, run: PeerRun) -> Outcome:
         """Run a one-request write at most once."""
-        if self.is_closed or not self._gate.is_open:
-            return self._held.refuse_not_owner()
         deadline_s = self._deadline_s(run.request.deadline_ms)
+        refused = await self._admit(deadline_s)
+        if refused is not None:
+            return refused
         request_id = run.request.request_id
         start = functools.partial(self._writer.write, run, deadline_s)
         return await self._guarded(
@@ -76,9 +88,12 @@
 
     async def begin(self, run: PeerRun) -> Outcome:
         """Open an interactive transaction."""
-        if self.is_closed or not self._gate.takes_transactions:
-            return self._held.refuse_not_owner()
         deadline_s = self._deadline_s(run.request.deadline_ms)
+        refused = await self._admit(deadline_s)
+        if refused is not None:
+            return refused
+        if not self.gate.takes_transactions:
+            return await self._refuse_leaving(deadline_s)
         return await self._guarded(
             run.request.request_id,
             lambda: self._transactions.begin(run, deadline_s),
@@ -91,7 +106,7 @@
         deadline_ms: int,
     ) -> Outcome:
         """Run statements in an open transaction."""
-        with self._gate.active():
+        with self.gate.active():
             return await self._transactions.execute(
                 transaction_id,
                 statements,
@@ -116,7 +131,7 @@
 
     async def rollback(self, transaction_id: str, deadline_ms: int) -> Outcome:
         """Roll an open transaction back."""
-        with self._gate.active():
+        with self.gate.active():
             return await self._transactions.rollback(
                 transaction_id,
                 self._deadline_s(deadline_ms),
@@ -124,14 +139,13 @@
 
     async def settle(self, request_id: str, deadline_ms: int) -> Outcome:
         """Make the outcome of an earlier request certain."""
-        if self.is_closed or not self._gate.is_open:
-            return unknown(request_id, 'the group is changing its holder.')
+        deadline_s = self._deadline_s(deadline_ms)
+        refused = await self._admit(deadline_s)
+        if refused is not None:
+            return unknown(request_id, refused.message)
         return await self._guarded(
             request_id,
-            lambda: self._settler.settle(
-                request_id,
-                self._deadline_s(deadline_ms),
-            ),
+            lambda: self._settler.settle(request_id, deadline_s),
         )
 
     async def floor(self, session_id: str, deadline_s: float) -> Floor | None:
@@ -148,7 +162,9 @@
 
     async def release(self, timeout_s: float) -> bool:
         """Finish open work, so that another host can take the term over."""
-        return await self._gate.drain(
+        if self.gate.is_paused:
+            return False
+        return await self.gate.drain(
             lambda: self._transactions.open_count,
             timeout_s,
         )
@@ -162,12 +178,41 @@
         self._held.close()
         self._transactions.close()
 
+    async def _admit(self, deadline_s: float) -> Refused | None:
+        await self.gate.wait_resumed(lambda: self.is_closed, deadline_s)
+        if self.is_closed or not self.gate.is_open:
+            return self._held.refuse_not_owner()
+        if self.gate.is_blocked:
+            return refuse(
+                RefusalReason.TARGET_LEAVING,
+                member=self.view.primary,
+                retry_after_ms=_LEAVING_RETRY_MS,
+            )
+        return None
+
+    async def _refuse_leaving(self, deadline_s: float) -> Refused:
+        """Refuse a begin while the term is handed over.
+
+        The refusal is held back, since the entry host's next attempt would
+        come here again until another host has the term.
+        """
+        wait_s = _BEGIN_WAIT_RATIO * self._held.parts.remaining_s(deadline_s)
+        await self.gate.wait_released(
+            lambda: self.is_closed,
+            self._held.parts.clock.monotonic_s() + min(_BEGIN_WAIT_S, wait_s),
+        )
+        return refuse(
+            RefusalReason.HOST_LEAVING,
+            host_id=self._held.parts.host_id,
+            retry_after_ms=_LEAVING_RETRY_MS,
+        )
+
     async def _guarded(
         self,
         request_id: str,
         start: Callable[[], Awaitable[Outcome]],
     ) -> Outcome:
-        with self._gate.active():
+        with self.gate.active():
             try:
                 return await start()
             except InvariantError as error:
--- a/mimosapond/term_writer.py
+++ b/mimosapond/term_writer.py
@@ -119,6 +119,9 @@
         deadline_s: float,
     ) -> _Attempt:
         refused = self.refuse_id(request.request_id)
+        if self._held.is_closed:
+            # Work that waited in the queue while the primary was changed.
+            refused = self._held.refuse_not_owner()
         if refused is None:
             refused = await self._access.ensure_table(connection, deadline_s)
         if refused is not None:
--- a/mimosapond/write_router.py
+++ b/mimosapond/write_router.py
@@ -117,6 +117,9 @@
         outcome: Outcome,
     ) -> Outcome:
         if isinstance(outcome, Refused) and outcome.reason in _RETRYABLE:
+            if outcome.reason is RefusalReason.HOST_LEAVING:
+                # The holder still takes writes, so they aren't held back.
+                return outcome
             return self._hold(routed, route, outcome.message)
         name = routed.group.name
         self._services.gate.open(name)
