End a drain at once when no host is left to take over

Hosts that were stopped together waited for a handover that no one could ask for, until the drain limit.

--- a/mimosapond/host.py
+++ b/mimosapond/host.py
@@ -64,9 +64,16 @@
         logger.info('host_left')
 
     async def _wait_handover(self) -> None:
-        while self._parts.supervisor.held:
+        while self._is_needed():
             await asyncio.sleep(_POLL_S)
 
+    def _is_needed(self) -> bool:
+        """Tell whether a term is to be handed over, or a transaction open."""
+        held = self._parts.supervisor.held
+        if self._parts.leave.has_successor:
+            return bool(held)
+        return any(holder.open_transaction_count for holder in held)
+
     async def _close(self) -> None:
         parts = self._parts
         await parts.listeners.close()
--- a/mimosapond/host_leave.py
+++ b/mimosapond/host_leave.py
@@ -22,6 +22,11 @@
         self._pusher = pusher
         self._hosts = hosts
 
+    @property
+    def has_successor(self) -> bool:
+        """Whether a host is left that can take over."""
+        return bool(self._membership.placeable())
+
     async def announce(self) -> None:
         """Leave; peers are told before the platform, which may be down."""
         self._membership.leave()
