--- /dev/null
+++ b/features/draining.feature
@@ -0,0 +1,98 @@
+Feature: draining
+  Leaving targets, planned changes of the primary and graceful stops of hosts.
+  All but the last two scenarios run real processes with a replication lag of
+  20 ms.
+
+  # Guards against a leaving primary that goes on getting work, and a planned
+  # change that loses writes which only the old primary holds, or fails requests.
+  Scenario: draining moves the primary off a leaving target and loses nothing
+    Given draining deployment of 3 hosts
+    And draining stream with writes of durability "primary"
+    When draining operators mark the primary as leaving
+    Then draining primary is another member within 5 s
+    And draining old primary gets no statement from 3 s after the mark
+    And draining stream is completed without a failure
+    And draining primary holds every acknowledged write
+
+  # Guards against a change to a member that lacks acknowledged writes, against
+  # a leaving primary that gets new work because of that, and against open
+  # transactions that are cut off while they can still end.
+  Scenario: draining refuses writes while no other member has caught up
+    Given draining deployment of 3 hosts
+    And draining log shipping of the primary is stopped
+    And draining write "early" of durability "primary" is completed
+    And draining transaction is open
+    When draining operators mark the primary as leaving
+    Then draining write is refused as "target_leaving" from 3 s after the mark
+    And draining transaction commits the row "parked"
+    When draining log shipping of the primary goes on
+    Then draining primary is another member within 5 s
+    And draining write "late" of durability "replicated" is completed
+    And draining primary holds every acknowledged write
+
+  # Guards against two operators who are both told that their member leads, and
+  # against an operator who promotes a member that lacks acknowledged writes.
+  Scenario: draining lets one of two promotions win
+    Given draining deployment of 3 hosts
+    And draining write "early" of durability "primary" is completed
+    When draining operators promote both replicas at once
+    Then draining one promotion is completed and one is "promotion_failed"
+    And draining primary is the promoted member
+    When draining log shipping of the primary is stopped
+    And draining write "only here" of durability "primary" is completed
+    And draining operators promote a replica
+    Then draining promotion is refused as "promotion_failed"
+    And draining primary holds every acknowledged write
+
+  # Guards against a graceful stop that cuts off requests in flight, fails
+  # requests of other hosts, or keeps callers on connections about to close.
+  Scenario Outline: draining stops <host> by <way> without a failure
+    Given draining deployment of 4 hosts
+    And draining stream with writes of durability "replicated"
+    And draining long reads are in flight through all hosts
+    When draining <host> is stopped by <way>
+    Then draining stopped host answers with the header to close
+    And draining stopped host exits with code 0
+    And draining stream is completed without a failure
+    And draining primary holds every acknowledged write
+
+    Examples:
+      | host               | way      |
+      | the holder         | SIGTERM  |
+      | a replica's owner  | operator |
+
+  # Guards against a stop that ends open transactions, and begins that fail
+  # because the group is being handed over.
+  Scenario: draining finishes open transactions before the handover
+    Given draining deployment of 3 hosts
+    And draining transaction is open
+    When draining the holder is stopped by SIGTERM
+    And draining another transaction begins meanwhile
+    Then draining transaction commits the row "first"
+    And draining other transaction is open at another host
+    And draining stopped host exits with code 0
+    And draining primary holds every acknowledged write
+
+  # Guards against a planned promotion by a majority that does not show what
+  # only the primary holds.
+  Scenario Outline: draining promotes only members with the primary's last entry
+    Given draining terms with a write that only the primary "m1" holds
+    When draining host "h1" acquires a term for "m2" while "m1" is <state>
+    Then draining terms have the primary "m1" at a <term> term
+
+    Examples:
+      | state     | term  |
+      | silent    | same  |
+      | reachable | newer |
+
+  # Guards against an automatic promotion that puts work on a leaving target.
+  Scenario Outline: draining promotes a leaving member only if it is newest
+    Given draining terms with members "m2" and "m3" <logs>
+    And draining terms know that "m3" is leaving
+    When draining primary "m1" fails and host "h1" promotes
+    Then draining terms have the primary "<primary>" at a newer term
+
+    Examples:
+      | logs                 | primary |
+      | at one position      | m2      |
+      | of which m3 is newer | m3      |
--- /dev/null
+++ b/features/steps/draining_steps.py
@@ -0,0 +1,409 @@
+"""Steps of draining.feature."""
+
+import asyncio
+import signal
+import time
+from typing import Any, Final
+
+import aiohttp
+from behave import given, then, when
+
+from features.live_stream import LiveStream
+from features.live_world import DEADLINE_MS, LiveWorld, live_world
+from features.terms_world import GROUP, World
+from loadtool.deployed_host import DeployedHost
+from mimosapond import codec
+from mimosapond.completed import Completed
+from mimosapond.durability import Durability
+from mimosapond.refused import Refused
+
+_LONG_READ: Final = 'SELECT /* cost_ms=1200 */ 1'
+# The promise of invariant 7, measured from the mark.
+_LEAVING_S: Final = 3.0
+_WATCH_S: Final = 1.0
+_EXIT_LIMIT_S: Final = 30
+
+
+def _live(context: Any) -> LiveWorld:
+    world: LiveWorld = context.live
+    return world
+
+
+@given('draining deployment of {count:d} hosts')
+def start_deployment(context: Any, count: int) -> None:
+    """Start real processes."""
+    world = live_world(context, count)
+    context.old_primary = world.primary()
+
+
+@given('draining stream with writes of durability "{durability}"')
+def start_stream(context: Any, durability: str) -> None:
+    """Send writes and reads from now on."""
+    context.stream = LiveStream(
+        _live(context),
+        durability=Durability(durability),
+        repeatable=True,
+    )
+    _live(context).run(asyncio.sleep(_WATCH_S))
+
+
+@given('draining log shipping of the primary is stopped')
+@when('draining log shipping of the primary is stopped')
+def stop_shipping(context: Any) -> None:
+    """Keep new entries at the primary."""
+    _set_shipping(context, is_paused=True)
+
+
+@when('draining log shipping of the primary goes on')
+def resume_shipping(context: Any) -> None:
+    """Ship entries again."""
+    _set_shipping(context, is_paused=False)
+
+
+@given('draining write "{row}" of durability "{durability}" is completed')
+@when('draining write "{row}" of durability "{durability}" is completed')
+@then('draining write "{row}" of durability "{durability}" is completed')
+def check_write(context: Any, row: str, durability: str) -> None:
+    """Write a row."""
+    world = _live(context)
+    request = world.insert(row, durability=Durability(durability))
+    outcome = world.run(world.post(world.hosts[-1], request))
+    assert isinstance(outcome, Completed), outcome
+
+
+@given('draining transaction is open')
+def open_transaction(context: Any) -> None:
+    """Begin a transaction through one host."""
+    world = _live(context)
+    context.holder = world.holder()
+    context.entries = world.others(context.holder)
+    request = world.begin(durability=Durability.PRIMARY)
+    address = context.entries[0].caller_address
+    outcome = world.run(world.client.begin(address, request))
+    assert isinstance(outcome, Completed), outcome
+    context.transaction_id = outcome.transaction_id
+
+
+@when('draining operators mark the primary as leaving')
+def mark_primary(context: Any) -> None:
+    """Tell a host that does not hold the term."""
+    world = _live(context)
+    host = world.others(world.holder())[0]
+    path = f'/v1/targets/{context.old_primary}/drain'
+    context.marked_s = time.monotonic()
+    answer = world.run(world.deployment.operate(host, 'POST', path))
+    assert answer['outcome'] == 'completed', answer
+
+
+@then('draining primary is another member within {limit_s:d} s')
+def check_moved(context: Any, limit_s: int) -> None:
+    """Wait for a new primary."""
+    world = _live(context)
+    world.wait_until(
+        lambda: world.primary() != context.old_primary,
+        limit_s,
+    )
+
+
+@then('draining old primary gets no statement from 3 s after the mark')
+def check_no_work(context: Any) -> None:
+    """Compare the member's counters while the stream goes on."""
+    world = _live(context)
+    left_s = context.marked_s + _LEAVING_S - time.monotonic()
+    world.run(asyncio.sleep(max(0, left_s)))
+    before = _statement_count(context)
+    world.run(asyncio.sleep(_WATCH_S))
+    assert _statement_count(context) == before
+
+
+@then('draining write is refused as "{reason}" from 3 s after the mark')
+def check_refused(context: Any, reason: str) -> None:
+    """Try to write when the time is over."""
+    world = _live(context)
+    left_s = context.marked_s + _LEAVING_S - time.monotonic()
+    world.run(asyncio.sleep(max(0, left_s)))
+    outcome = world.run(world.post(world.hosts[0], world.insert('refused')))
+    assert isinstance(outcome, Refused), outcome
+    assert outcome.reason == reason, outcome
+
+
+@then('draining transaction commits the row "{row}"')
+def commit_transaction(context: Any, row: str) -> None:
+    """Run a statement through one host and commit through another."""
+    world = _live(context)
+    steps = (('statements', (row,)), ('commit', ()))
+    for host, (operation, rows) in zip(context.entries, steps, strict=False):
+        outcome = world.run(
+            world.transact(host, context.transaction_id, operation, *rows),
+        )
+        assert isinstance(outcome, Completed), outcome
+    world.acknowledged.add(row)
+
+
+@then('draining stream is completed without a failure')
+def check_stream(context: Any) -> None:
+    """End the stream and look at all its outcomes."""
+    failures = context.stream.failures()
+    assert not failures, (len(failures), failures[:3])
+
+
+@then('draining primary holds every acknowledged write')
+def check_nothing_lost(context: Any) -> None:
+    """Compare the acknowledged rows with the primary's log."""
+    world = _live(context)
+    assert world.acknowledged
+    assert not world.missing()
+
+
+@when('draining operators promote both replicas at once')
+def promote_both(context: Any) -> None:
+    """Send two promotions through two hosts."""
+    world = _live(context)
+    names = _replicas(context)
+    calls = (
+        _promote(context, host, name)
+        for host, name in zip(world.hosts, names, strict=False)
+    )
+    context.answers = dict(
+        zip(names, world.run(_gather(*calls)), strict=True),
+    )
+
+
+@then('draining one promotion is completed and one is "{reason}"')
+def check_one_winner(context: Any, reason: str) -> None:
+    """Look at both answers."""
+    results = sorted(
+        answer.get('reason', answer['outcome'])
+        for answer in context.answers.values()
+    )
+    assert results == sorted(['completed', reason]), context.answers
+
+
+@then('draining primary is the promoted member')
+def check_promoted(context: Any) -> None:
+    """Compare the winner with the newest view."""
+    winner = next(
+        name
+        for name, answer in context.answers.items()
+        if answer['outcome'] == 'completed'
+    )
+    assert _live(context).primary() == winner
+
+
+@when('draining operators promote a replica')
+def promote_one(context: Any) -> None:
+    """Promote a member that lags."""
+    world = _live(context)
+    context.old_primary = world.primary()
+    call = _promote(context, world.hosts[0], _replicas(context)[0])
+    context.answer = world.run(call)
+
+
+@then('draining promotion is refused as "{reason}"')
+def check_promotion_refused(context: Any, reason: str) -> None:
+    """The primary is the same as before."""
+    assert context.answer.get('reason') == reason, context.answer
+    assert _live(context).primary() == context.old_primary
+
+
+@given('draining long reads are in flight through all hosts')
+def send_long_reads(context: Any) -> None:
+    """Send reads that are still running when a host is stopped."""
+    world = _live(context)
+    for host in world.hosts:
+        context.stream.add(host, _LONG_READ)
+    world.run(asyncio.sleep(0.3))
+
+
+@when('draining {host} is stopped by {way}')
+def stop_host(context: Any, host: str, way: str) -> None:
+    """Stop gracefully; new requests go to other hosts."""
+    world = _live(context)
+    holder = world.holder()
+    context.stopped = holder
+    if host == "a replica's owner":
+        context.stopped = _replica_owner(context, holder)
+    child = world.deployment.processes.children[context.stopped.name]
+    if way == 'SIGTERM':
+        child.send_signal(signal.SIGTERM)
+    else:
+        call = world.deployment.operate(context.stopped, 'POST', '/v1/drain')
+        assert world.run(call)['outcome'] == 'completed'
+    if 'stream' in context:
+        context.stream.avoid(context.stopped)
+
+
+@then('draining stopped host answers with the header to close')
+def check_close_header(context: Any) -> None:
+    """Send a request to the stopping host, as a kept connection would."""
+    world = _live(context)
+    header = world.run(_connection_header(world, context.stopped))
+    assert header == 'close', header
+
+
+@then('draining stopped host exits with code 0')
+def check_exit(context: Any) -> None:
+    """Wait for the end of the process."""
+    world = _live(context)
+    child = world.deployment.processes.children[context.stopped.name]
+    world.wait_until(lambda: child.exit_code is not None, _EXIT_LIMIT_S)
+    assert child.exit_code == 0, child.exit_code
+
+
+@when('draining another transaction begins meanwhile')
+def begin_meanwhile(context: Any) -> None:
+    """Begin through a host that stays, without waiting for the answer."""
+    world = _live(context)
+    world.run(asyncio.sleep(0.5))
+    address = context.entries[1].caller_address
+    context.begin = world.loop.create_task(
+        world.client.begin(address, world.begin()),
+    )
+    world.run(asyncio.sleep(0.5))
+
+
+@then('draining other transaction is open at another host')
+def check_begun_elsewhere(context: Any) -> None:
+    """The begin was retried at the next holder."""
+    outcome = _live(context).run(context.begin)
+    assert isinstance(outcome, Completed), outcome
+    host_id = str(outcome.transaction_id).split('/')[1]
+    assert not host_id.startswith(f'{context.stopped.name}.'), outcome
+
+
+@given('draining terms with a write that only the primary "{member}" holds')
+def write_at_primary_only(context: Any, member: str) -> None:
+    """Stop the replication before an acknowledged write."""
+    world = _start_terms(context, member)
+    world.cut_members.add(member)
+    outcome = world.run(world.write('h1', 'only', Durability.PRIMARY))
+    assert isinstance(outcome, Completed), outcome
+
+
+@given('draining terms with members "{member}" and "{other}" {logs}')
+def start_equal_members(
+    context: Any,
+    member: str,
+    other: str,
+    logs: str,
+) -> None:
+    """Let both members hold the same log, or one a newer one."""
+    world = _start_terms(context, 'm1')
+    world.wait(_WATCH_S)
+    if logs == f'of which {other} is newer':
+        world.cut_members.add(member)
+        outcome = world.run(world.write('h1', 'newer'))
+        assert isinstance(outcome, Completed), outcome
+    world.cut('m1')
+
+
+@given('draining terms know that "{member}" is leaving')
+def mark_in_terms(context: Any, member: str) -> None:
+    """Mark a fake member."""
+    context.world.leaving.merge((member,))
+
+
+@when(
+    'draining host "{host}" acquires a term for "{member}" while "{primary}" is {state}'
+)
+def acquire_for(
+    context: Any,
+    host: str,
+    member: str,
+    primary: str,
+    state: str,
+) -> None:
+    """Make a planned change."""
+    world = context.world
+    if state == 'silent':
+        world.members[primary].cut_hosts.add(host)
+    world.run(world.hosts[host].acquirer.acquire(GROUP, keep=member))
+
+
+@when('draining primary "{primary}" fails and host "{host}" promotes')
+def promote_newest(context: Any, primary: str, host: str) -> None:
+    """Promote without a member to keep."""
+    world = context.world
+    assert world.members[primary].cut_hosts
+    world.run(world.hosts[host].acquirer.acquire(GROUP, keep=None))
+
+
+@then('draining terms have the primary "{member}" at a {term} term')
+def check_terms(context: Any, member: str, term: str) -> None:
+    """Look at the primary of the highest term."""
+    primary = context.world.primary()
+    assert primary.name == member, primary.name
+    is_same = primary.term == context.first_term
+    assert is_same == (term == 'same'), primary.term
+
+
+def _start_terms(context: Any, member: str) -> World:
+    world = World()
+    context.add_cleanup(world.close)
+    context.world = world
+    assert world.lead('h1', member)
+    world.spread_views()
+    outcome = world.run(world.write('h1', 'warm-up'))
+    assert isinstance(outcome, Completed), outcome
+    context.first_term = world.primary().term
+    return world
+
+
+def _set_shipping(context: Any, *, is_paused: bool) -> None:
+    world = _live(context)
+    world.run(
+        world.deployment.set_member(world.primary(), ship_paused=is_paused),
+    )
+
+
+def _statement_count(context: Any) -> int:
+    world = _live(context)
+    log = world.run(world.deployment.member_log(context.old_primary))
+    return int(log['counters']['statement_count'])
+
+
+def _replicas(context: Any) -> list[str]:
+    world = _live(context)
+    primary = world.primary()
+    members = world.deployment.groups[0].members
+    return [member.name for member in members if member.name != primary]
+
+
+def _replica_owner(context: Any, holder: DeployedHost) -> DeployedHost:
+    world = _live(context)
+    for host in world.others(holder):
+        if world.run(world.deployment.status(host))['members']:
+            return host
+    raise AssertionError('the holder owns all members')
+
+
+async def _gather(*calls: Any) -> list[Any]:
+    return list(await asyncio.gather(*calls))
+
+
+async def _promote(context: Any, host: DeployedHost, member: str) -> Any:
+    world = _live(context)
+    return await world.deployment.operate(
+        host,
+        'POST',
+        f'/v1/groups/{world.group}/promote',
+        {'member': member},
+    )
+
+
+async def _connection_header(
+    world: LiveWorld,
+    host: DeployedHost,
+) -> str | None:
+    request = world.read('SELECT 1')
+    fields = {
+        name: field
+        for name, field in codec.encode(request).items()
+        if field is not None
+    }
+    url = f'http://{host.caller_address}/v1/statements'
+    timeout = aiohttp.ClientTimeout(total=DEADLINE_MS)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with session.post(url, json=fields) as answer:
+            await answer.read()
+            return answer.headers.get('Connection')
