Begin no transactions at a stopping holder

Between the leave and the handover, about 1 s later, a stopping holder took new interactive transactions, which held up its own stop. Found by the scenario of open transactions in draining.feature (failed before, passes now).

--- a/mimosapond/holder_gate.py
+++ b/mimosapond/holder_gate.py
@@ -25,6 +25,8 @@
     is_blocked
         The primary is leaving and no other member can replace it yet, so new
         work is refused.
+    is_host_leaving
+        This host is stopping, so no transactions begin here.
     """
 
     def __init__(self, parts: TermParts) -> None:
@@ -35,6 +37,7 @@
         self._closed_until_s: float = 0
         self._is_paused = False
         self.is_blocked = False
+        self.is_host_leaving = False
 
     @property
     def is_open(self) -> bool:
@@ -44,7 +47,8 @@
     @property
     def takes_transactions(self) -> bool:
         """Whether new interactive transactions may start."""
-        return self.is_open and not self._draining_count
+        is_leaving = self.is_host_leaving or self._draining_count > 0
+        return self.is_open and not is_leaving
 
     @property
     def is_paused(self) -> bool:
