--- /dev/null
+++ b/features/steps/transactions_steps.py
@@ -0,0 +1,205 @@
+"""Steps of transactions.feature."""
+
+import asyncio
+import signal
+from typing import Any, Final
+
+from behave import given, then, when
+
+from features.live_world import LiveWorld, live_world
+from mimosapond.completed import Completed
+from mimosapond.outcome import Outcome
+from mimosapond.outcome_query import OutcomeQuery
+from mimosapond.refused import Refused
+
+_FAILOVER_LIMIT_S: Final = 10
+_SETTLE_LIMIT_S: Final = 10
+_COMMIT_DEADLINE_MS: Final = 1500
+_NOTICE_S: Final = 0.3
+_SENT_S: Final = 0.5
+
+
+def _live(context: Any) -> LiveWorld:
+    world: LiveWorld = context.live
+    return world
+
+
+@given('transactions deployment of {count:d} hosts')
+def start_deployment(context: Any, count: int) -> None:
+    """Start real processes; new transactions are kept by name."""
+    world = live_world(context, count)
+    context.holder = world.holder()
+    context.names = {}
+    context.request_ids = {}
+    context.begins = {}
+
+
+@given('transactions "{name}" is open')
+def open_transaction(context: Any, name: str) -> None:
+    """Begin through a host that does not hold the term."""
+    begin_transaction(context, name)
+    check_begun(context, name)
+
+
+@when('transactions "{name}" begins meanwhile')
+def begin_transaction(context: Any, name: str) -> None:
+    """Begin without waiting for the answer."""
+    world = _live(context)
+    entry = world.others(context.holder)[0]
+    request = world.begin()
+    context.request_ids[name] = request.request_id
+    context.begins[name] = world.loop.create_task(
+        world.client.begin(entry.caller_address, request),
+    )
+
+
+@when('transactions "{name}" has begun')
+def check_begun(context: Any, name: str) -> None:
+    """Wait for the answer to the begin."""
+    outcome = _live(context).run(context.begins[name])
+    assert isinstance(outcome, Completed), outcome
+    context.names[name] = outcome.transaction_id
+
+
+@when('transactions "{name}" runs the row "{row}" through host {index:d}')
+def run_row(context: Any, name: str, row: str, index: int) -> None:
+    """Insert a row in the transaction."""
+    world = _live(context)
+    outcome = world.run(
+        world.transact(
+            world.hosts[index],
+            context.names[name],
+            'statements',
+            row,
+        ),
+    )
+    assert isinstance(outcome, Completed), outcome
+
+
+@when('transactions "{name}" ends with "{operation}" through host {index:d}')
+def end_transaction(
+    context: Any,
+    name: str,
+    operation: str,
+    index: int,
+) -> None:
+    """Commit or roll back."""
+    world = _live(context)
+    host = world.hosts[index]
+    outcome = world.run(
+        world.transact(host, context.names[name], operation),
+    )
+    assert isinstance(outcome, Completed), outcome
+
+
+@then('transactions call of the ended "{name}" is refused as "{reason}"')
+def check_ended(context: Any, name: str, reason: str) -> None:
+    """Call an ended transaction."""
+    world = _live(context)
+    outcome = world.run(
+        world.transact(world.hosts[0], context.names[name], 'commit'),
+    )
+    assert isinstance(outcome, Refused), outcome
+    assert outcome.reason == reason, outcome
+
+
+@then('transactions row "{row}" exists {count:d} times')
+def check_row(context: Any, row: str, count: int) -> None:
+    """Look at the primary's log."""
+    assert _live(context).count(row) == count, _live(context).count(row)
+
+
+@when('transactions holder is killed')
+def kill_holder(context: Any) -> None:
+    """End the holder without a chance to answer."""
+    world = _live(context)
+    world.run(_child(context).kill())
+    # The entry hosts see that the connection is closed.
+    world.run(asyncio.sleep(_NOTICE_S))
+
+
+@when('transactions holder is killed while the commit {state}')
+def kill_at_commit(context: Any, state: str) -> None:
+    """Stop the commit on its way, or its confirmation."""
+    world = _live(context)
+    if state == 'has not reached it':
+        _child(context).send_signal(signal.SIGSTOP)
+    else:
+        _set_shipping(context, is_paused=True)
+    commit = world.loop.create_task(_commit(context, 'one'))
+    world.run(asyncio.sleep(_SENT_S))
+    world.run(_child(context).kill())
+    context.outcome = world.run(commit)
+    _set_shipping(context, is_paused=False)
+
+
+@then('transactions commit of "{name}" is "{outcome}"')
+def check_commit(context: Any, name: str, outcome: str) -> None:
+    """Commit through another host."""
+    answer = _live(context).run(_commit(context, name))
+    assert answer.outcome == outcome, answer
+
+
+@then('transactions commit of "{name}" was "{outcome}"')
+def check_earlier_commit(context: Any, name: str, outcome: str) -> None:
+    """Look at the answer to the commit that was interrupted."""
+    assert context.outcome.outcome == outcome, (name, context.outcome)
+
+
+@then('transactions group is served by another holder')
+def wait_holder(context: Any) -> None:
+    """Wait until a host that runs holds the term."""
+    world = _live(context)
+    view = world.deployment.view
+    world.wait_until(
+        lambda: (
+            not world.run(view(world.group))['holder'].startswith(
+                f'{context.holder.name}.',
+            )
+        ),
+        _FAILOVER_LIMIT_S,
+    )
+
+
+@then('transactions settling "{name}" gives "{outcome}"')
+def settle(context: Any, name: str, outcome: str) -> None:
+    """Ask until the outcome is certain."""
+    world = _live(context)
+    query = OutcomeQuery(
+        service=world.deployment.spec.service,
+        workspace=world.workspace,
+        request_id=context.request_ids[name],
+    )
+    address = world.others(context.holder)[1].caller_address
+    world.wait_until(
+        lambda: _settled(world, address, query).outcome != 'unknown',
+        _SETTLE_LIMIT_S,
+    )
+    answer = _settled(world, address, query)
+    assert answer.outcome == outcome, answer
+
+
+def _settled(world: LiveWorld, address: str, query: OutcomeQuery) -> Outcome:
+    return world.run(world.client.settle(address, query))
+
+
+async def _commit(context: Any, name: str) -> Outcome:
+    world = _live(context)
+    return await world.transact(
+        world.others(context.holder)[1],
+        context.names[name],
+        'commit',
+        deadline_ms=_COMMIT_DEADLINE_MS,
+    )
+
+
+def _child(context: Any) -> Any:
+    processes = _live(context).deployment.processes
+    return processes.children[context.holder.name]
+
+
+def _set_shipping(context: Any, *, is_paused: bool) -> None:
+    world = _live(context)
+    world.run(
+        world.deployment.set_member(world.primary(), ship_paused=is_paused),
+    )
--- /dev/null
+++ b/features/transactions.feature
@@ -0,0 +1,53 @@
+Feature: transactions
+  Interactive transactions on real processes: 3 hosts, one group of three
+  members, replication lag of 20 ms. The end of idle transactions, after 30 s,
+  is tested on virtual time in terms.feature.
+
+  # Guards against transactions that depend on the entry host, and against
+  # statements of one transaction that run in another.
+  Scenario: transactions run through any host and never mix
+    Given transactions deployment of 3 hosts
+    And transactions "one" is open
+    When transactions "two" begins meanwhile
+    And transactions "one" runs the row "one-a" through host 1
+    And transactions "one" runs the row "one-b" through host 2
+    Then transactions row "one-a" exists 0 times
+    When transactions "one" ends with "commit" through host 0
+    And transactions "two" has begun
+    And transactions "two" runs the row "two-a" through host 0
+    And transactions "two" runs the row "two-b" through host 1
+    And transactions "two" ends with "rollback" through host 2
+    Then transactions row "one-a" exists 1 times
+    And transactions row "one-b" exists 1 times
+    And transactions row "two-a" exists 0 times
+    And transactions row "two-b" exists 0 times
+    And transactions call of the ended "one" is refused as "no_transaction"
+
+  # Guards against an unknown outcome where nothing was sent, and against a
+  # commit after the refusal.
+  Scenario: transactions of a killed holder are refused before the commit
+    Given transactions deployment of 3 hosts
+    And transactions "one" is open
+    When transactions "one" runs the row "one-a" through host 1
+    And transactions holder is killed
+    Then transactions commit of "one" is "refused"
+    And transactions group is served by another holder
+    And transactions settling "one" gives "refused"
+    And transactions row "one-a" exists 0 times
+
+  # Guards against an unknown commit that is reported as refused or that can't
+  # be settled, both where it did not run and where it did.
+  Scenario Outline: transactions of a holder killed at the commit are settled
+    Given transactions deployment of 3 hosts
+    And transactions "one" is open
+    When transactions "one" runs the row "one-a" through host 1
+    And transactions holder is killed while the commit <state>
+    Then transactions commit of "one" was "unknown"
+    And transactions group is served by another holder
+    And transactions settling "one" gives "<settled>"
+    And transactions row "one-a" exists <count> times
+
+    Examples:
+      | state                      | settled   | count |
+      | has not reached it         | refused   | 0     |
+      | is not replicated anywhere | completed | 1     |
