--- /dev/null
+++ b/features/steps/documents_live_steps.py
@@ -0,0 +1,192 @@
+"""Steps of documents_live.feature."""
+
+import asyncio
+from typing import Any, Final
+
+import attrs
+from behave import given, then, when
+
+from features.live_world import LiveWorld
+from loadtool.deployed_host import DeployedHost
+from mimosapond.document_body import document_body
+
+_FIRST_AGE_MS: Final = 2000
+_WORLD: Final[dict[str, LiveWorld]] = {}
+_SHARED: Final = 'documents'
+
+
+def _live(context: Any) -> LiveWorld:
+    world: LiveWorld = context.live
+    return world
+
+
+@given('documents live deployment of {count:d} hosts')
+def use_deployment(context: Any, count: int) -> None:
+    """Use the deployment of the feature, started on first use."""
+    world = _WORLD.get(_SHARED)
+    if world is None:
+        world = LiveWorld(count)
+        _WORLD[_SHARED] = world
+        context.add_cleanup(_close, layer='feature')
+    context.live = world
+    context.seen = {}
+    context.watch = world.loop.create_task(_watch(context))
+    context.add_cleanup(context.watch.cancel)
+    context.add_cleanup(_heal, world)
+    context.revision = world.run(_revision(world, world.hosts[0]))
+
+
+@when('documents live edit is accepted at host {index:d}')
+def edit(context: Any, index: int) -> None:
+    """Apply an edit and wait for the answer."""
+    answer = _live(context).run(_edit(context, index, context.revision))
+    assert answer['outcome'] == 'completed', answer
+    assert answer['revision'] == context.revision + 1, answer
+    context.revision = answer['revision']
+    context.age_ms = _age_ms(context.revision, index)
+
+
+@when('documents live edits race at hosts {first:d} and {second:d}')
+def race(context: Any, first: int, second: int) -> None:
+    """Apply two edits of the same revision at once."""
+    world = _live(context)
+    calls = (
+        _edit(context, index, context.revision) for index in (first, second)
+    )
+    answers = world.run(_gather(*calls))
+    context.answers = dict(zip((first, second), answers, strict=True))
+
+
+@then('documents live one edit is completed and one is "{reason}"')
+def check_race(context: Any, reason: str) -> None:
+    """Look at both answers and expect the winner's edit from now on."""
+    results = {
+        index: answer.get('reason', answer['outcome'])
+        for index, answer in context.answers.items()
+    }
+    assert sorted(results.values()) == sorted(['completed', reason]), results
+    winner = next(index for index in results if results[index] != reason)
+    context.revision += 1
+    context.age_ms = _age_ms(context.revision, winner)
+
+
+@when('documents live platform goes down')
+def stop_platform(context: Any) -> None:
+    """Answer every call to the platform with an error."""
+    world = _live(context)
+    world.run(world.deployment.set_platform_faults(down=True))
+
+
+@when('documents live platform loses its next answer')
+def lose_answer(context: Any) -> None:
+    """Let one write take effect without an answer."""
+    world = _live(context)
+    world.run(world.deployment.set_platform_faults(lose_answers=1))
+
+
+@when('documents live host {index:d} is killed and started again')
+def restart(context: Any, index: int) -> None:
+    """Start a new process with the same settings."""
+    world = _live(context)
+    host = world.hosts[index]
+    context.seen.pop(host.name, None)
+    world.run(world.deployment.processes.children[host.name].kill())
+    world.run(world.deployment.start_host(host))
+
+
+@then('documents live edit is in force on all hosts within {limit_s:d} s')
+def check_in_force(context: Any, limit_s: int) -> None:
+    """Wait until each host serves the revision with its content."""
+    world = _live(context)
+    expected = (context.revision, context.age_ms)
+    world.wait_until(
+        lambda: world.run(_in_force(world)) == {expected},
+        limit_s,
+    )
+
+
+@then('documents live edit is refused as "{reason}"')
+def check_refused(context: Any, reason: str) -> None:
+    """Try an edit."""
+    answer = _live(context).run(_edit(context, 0, context.revision))
+    assert answer.get('reason') == reason, answer
+
+
+@then('documents live revisions never went down')
+def check_never_reverted(context: Any) -> None:
+    """Look at what the watch of all hosts saw."""
+    assert len(context.seen) == len(_live(context).hosts), context.seen
+    for name, revisions in context.seen.items():
+        assert revisions == sorted(revisions), (name, revisions)
+
+
+def _close() -> None:
+    _WORLD.pop(_SHARED).close()
+
+
+def _heal(world: LiveWorld) -> None:
+    world.run(
+        world.deployment.set_platform_faults(down=False, lose_answers=0),
+    )
+
+
+def _age_ms(revision: int, index: int) -> int:
+    """Return a bound that tells the edits apart."""
+    return _FIRST_AGE_MS + 10 * revision + index
+
+
+async def _edit(context: Any, index: int, expected_revision: int) -> Any:
+    world = _live(context)
+    document = world.deployment.document
+    age_ms = _age_ms(expected_revision + 1, index)
+    edited = attrs.evolve(
+        document,
+        promises=tuple(
+            attrs.evolve(promise, max_age_ms=age_ms)
+            for promise in document.promises
+        ),
+    )
+    return await world.deployment.operate(
+        world.hosts[index],
+        'PUT',
+        f'/v1/documents/{document.service}',
+        {
+            'expected_revision': expected_revision,
+            'document': document_body(edited),
+        },
+    )
+
+
+async def _document(world: LiveWorld, host: DeployedHost) -> Any:
+    path = f'/v1/documents/{world.deployment.spec.service}'
+    return await world.deployment.operate(host, 'GET', path)
+
+
+async def _revision(world: LiveWorld, host: DeployedHost) -> int:
+    answer = await _document(world, host)
+    return int(answer.get('revision', 0))
+
+
+async def _in_force(world: LiveWorld) -> set[tuple[int, int]]:
+    answers = await _gather(*(_document(world, one) for one in world.hosts))
+    return {
+        (answer['revision'], answer['document']['promises'][0]['max_age_ms'])
+        if 'revision' in answer
+        else (0, 0)
+        for answer in answers
+    }
+
+
+async def _watch(context: Any) -> None:
+    """Keep the revisions that each host reported, in order."""
+    world = _live(context)
+    seen = context.seen
+    while True:
+        for host in world.hosts:
+            revision = await _revision(world, host)
+            seen.setdefault(host.name, []).append(revision)
+        await asyncio.sleep(0.02)
+
+
+async def _gather(*calls: Any) -> list[Any]:
+    return list(await asyncio.gather(*calls))
