Settle a commit that finds no transaction; acquire one term at a time

A commit whose answer was lost may be repeated. The repeat was refused as not run (no_transaction, or transaction_aborted after the holder's death) although the first had committed, so a caller could post a second time under a new id. It is now settled by the request id, as POST /v1/outcomes does.

Members grant a term to a host as a whole, so a planned change and a keeper of one host could promote two members at one term. A lock per group excludes it.

The keeper of a group goes on while reads of a dropped member still run, since their data is dated by its beacons.

--- a/features/live_world.py
+++ b/features/live_world.py
@@ -109,11 +109,12 @@
         transaction_id: str | None,
         operation: str,
         *rows: str,
+        request_id: str,
         deadline_ms: int = DEADLINE_MS,
     ) -> Outcome:
         """Make a call within a transaction; statements insert ``rows``."""
         call = TransactionCall(
-            request_id=str(transaction_id),
+            request_id=request_id,
             deadline_ms=deadline_ms,
             statements=tuple(
                 statement for row in rows for statement in _insert(row)
--- a/features/steps/draining_steps.py
+++ b/features/steps/draining_steps.py
@@ -82,6 +82,7 @@
     outcome = world.run(world.client.begin(address, request))
     assert isinstance(outcome, Completed), outcome
     context.transaction_id = outcome.transaction_id
+    context.begin_id = request.request_id
 
 
 @when('draining operators mark the primary as leaving')
@@ -134,7 +135,13 @@
     steps = (('statements', (row,)), ('commit', ()))
     for host, (operation, rows) in zip(context.entries, steps, strict=False):
         outcome = world.run(
-            world.transact(host, context.transaction_id, operation, *rows),
+            world.transact(
+                host,
+                context.transaction_id,
+                operation,
+                *rows,
+                request_id=context.begin_id,
+            ),
         )
         assert isinstance(outcome, Completed), outcome
     world.acknowledged.add(row)
--- a/features/transactions.feature
+++ b/features/transactions.feature
@@ -8,11 +8,11 @@
   Scenario: transactions run through any host and never mix
     Given transactions deployment of 3 hosts
     And transactions "one" is open
-    When transactions "two" begins meanwhile
-    And transactions "one" runs the row "one-a" through host 1
+    When transactions "one" runs the row "one-a" through host 1
     And transactions "one" runs the row "one-b" through host 2
     Then transactions row "one-a" exists 0 times
-    When transactions "one" ends with "commit" through host 0
+    When transactions "two" begins meanwhile
+    And transactions "one" ends with "commit" through host 0
     And transactions "two" has begun
     And transactions "two" runs the row "two-a" through host 0
     And transactions "two" runs the row "two-b" through host 1
@@ -21,7 +21,10 @@
     And transactions row "one-b" exists 1 times
     And transactions row "two-a" exists 0 times
     And transactions row "two-b" exists 0 times
-    And transactions call of the ended "one" is refused as "no_transaction"
+    And transactions "statements" of the ended "one" is "no_transaction"
+    # A commit whose answer was lost may be repeated.
+    And transactions "commit" of the ended "one" is "completed"
+    And transactions "commit" of the ended "two" is "request_cancelled"
 
   # Guards against an unknown outcome where nothing was sent, and against a
   # commit after the refusal.
@@ -43,6 +46,7 @@
     When transactions "one" runs the row "one-a" through host 1
     And transactions holder is killed while the commit <state>
     Then transactions commit of "one" was "unknown"
+    And transactions commit of "one" is "<settled>"
     And transactions group is served by another holder
     And transactions settling "one" gives "<settled>"
     And transactions row "one-a" exists <count> times
--- a/mimosapond/group_supervisor.py
+++ b/mimosapond/group_supervisor.py
@@ -88,7 +88,7 @@
             for group in document.groups:
                 members = self._members(group)
                 owned.update({member.name: member for member in members})
-                if members:
+                if members or self._is_draining(group):
                     kept[group.name] = group
         self._apply_owned(owned)
         self._apply_kept(kept)
@@ -117,6 +117,16 @@
             if member.name == primary or self._is_placed_here(member)
         ]
 
+    def _is_draining(self, group: GroupSpec) -> bool:
+        """Tell whether reads of the group still run here.
+
+        Their data is dated by the beacons that the keeper pulls.
+        """
+        return any(
+            self._parts.owners.is_draining(member.name)
+            for member in group.members
+        )
+
     def _is_placed_here(self, member: MemberAddress) -> bool:
         owner = self._parts.placement.owner_of(member)
         own_id = self._parts.membership.own.host_id
--- a/mimosapond/owner_registry.py
+++ b/mimosapond/owner_registry.py
@@ -38,6 +38,10 @@
         """Return the owner that takes new work for the member."""
         return self._owners.get(member_name)
 
+    def is_draining(self, member_name: str) -> bool:
+        """Tell whether work for a dropped member still runs."""
+        return any(owner.member.name == member_name for owner in self._draining)
+
     def ensure(self, member: MemberAddress) -> MemberOwner:
         """Return the owner of ``member``, created when there is none.
 
--- a/mimosapond/router.py
+++ b/mimosapond/router.py
@@ -41,8 +41,8 @@
         self._resolver = resolver
         self._reads = reads
         self._writes = WriteRouter(services)
-        self._transactions = TransactionRouter(services)
         self._settles = SettleRouter(services)
+        self._transactions = TransactionRouter(services, self._settles)
 
     async def run(self, request: StatementRequest) -> Outcome:
         """Run one statement or one whole transaction."""
--- a/mimosapond/settle_router.py
+++ b/mimosapond/settle_router.py
@@ -31,28 +31,41 @@
 
     async def run(self, routed: RoutedRequest) -> Outcome:
         """Settle the request id of ``routed``."""
-        name = routed.group.name
+        return await self.settle(
+            routed.group.name,
+            routed.request.request_id,
+            routed.deadline_s,
+        )
+
+    async def settle(
+        self,
+        group: str,
+        request_id: str,
+        deadline_s: float,
+    ) -> Outcome:
+        """Settle ``request_id`` at the holder of ``group``."""
         while True:
-            route = await find_holder(self._services, name, routed.deadline_s)
+            route = await find_holder(self._services, group, deadline_s)
             if route is None:
                 return unknown(
-                    routed.request.request_id,
+                    request_id,
                     'no holder could settle it before the deadline',
                 )
-            outcome = await self._ask(routed, route)
+            outcome = await self._ask(route, request_id, deadline_s)
             if outcome is not None:
                 return outcome
-            self._services.gate.hold(name, route.view.term)
+            self._services.gate.hold(group, route.view.term)
 
     async def _ask(
         self,
-        routed: RoutedRequest,
         route: HolderRoute,
+        request_id: str,
+        deadline_s: float,
     ) -> Outcome | None:
-        left_s = routed.deadline_s - self._services.clock.monotonic_s()
+        left_s = deadline_s - self._services.clock.monotonic_s()
         body = {
-            'group': routed.group.name,
-            'request_id': routed.request.request_id,
+            'group': route.view.group,
+            'request_id': request_id,
             'deadline_ms': max(1, int(left_s * MS_PER_S)),
         }
         answer = await self._services.caller.request(
--- a/mimosapond/term_acquirer.py
+++ b/mimosapond/term_acquirer.py
@@ -1,5 +1,6 @@
 """Acquires the next term of a group, to promote a member or to keep one."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Any, Final, final
 
@@ -42,6 +43,9 @@
         self._views = views
         self._installer = installer
         self._leaving = leaving
+        # Members grant a term to this host as a whole, so two attempts at once
+        # could promote two members at one term.
+        self._locks: dict[str, asyncio.Lock] = {}
         self._unfinished: dict[str, int] = {}
         self._late_calls: set[LateCall] = set()
 
@@ -63,6 +67,19 @@
             is then needed too, so that its last entries count. None promotes
             the newest member.
         """
+        known = self._views.get(group.name)
+        lock = self._locks.setdefault(group.name, asyncio.Lock())
+        async with lock:
+            if self._views.get(group.name) != known:
+                self._fail(group, 0, 'a newer term became known')
+                return None
+            return await self._acquire(group, keep)
+
+    async def _acquire(
+        self,
+        group: GroupSpec,
+        keep: str | None,
+    ) -> GroupView | None:
         needed = self._needed(group, keep)
         surveyed = await self._survey(group, needed)
         if not await self._may_proceed(group, surveyed, needed):
--- a/mimosapond/transaction_router.py
+++ b/mimosapond/transaction_router.py
@@ -1,7 +1,8 @@
 """Sends the calls of an interactive transaction to the host that keeps it.
 
 The target connection of a transaction exists at one host only, so its calls
-are never retried elsewhere.
+are never retried elsewhere. A commit that finds no transaction is settled by
+the request id instead.
 """
 
 from typing import Any, Final, final
@@ -13,20 +14,34 @@
 from mimosapond.outcome import Outcome
 from mimosapond.peer_results import PeerRejected, PeerSilent
 from mimosapond.refusal_reason import RefusalReason
+from mimosapond.refused import Refused
+from mimosapond.request_id import RequestId
+from mimosapond.settle_router import SettleRouter
 from mimosapond.transaction_call import TransactionCall
 from mimosapond.transaction_name import TransactionName
 
 _ANSWER_MARGIN_S: Final = 0.1
 _COMMIT: Final = 'commit'
+_GONE: Final = frozenset(
+    (
+        RefusalReason.NO_TRANSACTION,
+        RefusalReason.TRANSACTION_ABORTED,
+    )
+)
 
 
 @final
 class TransactionRouter:
     """Calls ``execute``, ``commit`` and ``rollback`` at the holder."""
 
-    def __init__(self, services: EntryServices) -> None:
+    def __init__(
+        self,
+        services: EntryServices,
+        settles: SettleRouter,
+    ) -> None:
         """Take the shared parts of the entry host."""
         self._services = services
+        self._settles = settles
 
     async def call(
         self,
@@ -35,10 +50,33 @@
         call: TransactionCall,
     ) -> Outcome:
         """Make one call within the transaction ``name``."""
+        if operation != _COMMIT:
+            return await self._send(operation, name, call)
+        if RequestId.parse(call.request_id) is None:
+            return refuse(
+                RefusalReason.BAD_FIELD,
+                field='request_id',
+                problem='a commit needs the id of the begin.',
+            )
+        deadline_s = self._services.clock.monotonic_s()
+        deadline_s += call.deadline_ms / MS_PER_S
+        outcome = await self._send(operation, name, call)
+        if _is_proven(outcome):
+            return outcome
+        return await self._settles.settle(
+            name.group,
+            call.request_id,
+            deadline_s,
+        )
+
+    async def _send(
+        self,
+        operation: str,
+        name: TransactionName,
+        call: TransactionCall,
+    ) -> Outcome:
         host = self._services.hosts.host(name.host_id)
         if host is None:
-            if operation == _COMMIT:
-                return unknown(call.request_id, 'its host is gone')
             return _gone(name)
         timeout_s = call.deadline_ms / MS_PER_S + _ANSWER_MARGIN_S
         answer = await self._services.caller.request(
@@ -61,6 +99,19 @@
                 return answer
 
 
+def _is_proven(outcome: Outcome) -> bool:
+    """Tell whether a commit's outcome holds for earlier tries as well.
+
+    A commit whose answer was lost may be repeated through any entry host; that
+    the transaction is gone then does not show whether it was committed.
+    """
+    match outcome:
+        case Refused(reason=reason):
+            return reason not in _GONE
+        case _:
+            return True
+
+
 def _body(name: TransactionName, call: TransactionCall) -> dict[str, Any]:
     return {
         'group': name.group,
