--- a/features/draining.feature
+++ b/features/draining.feature
@@ -5,8 +5,9 @@
 
   # Guards against a leaving primary that goes on getting work, and a planned
   # change that loses writes which only the old primary holds, or fails requests.
-  Scenario: draining moves the primary off a leaving target and loses nothing
+  Scenario Outline: draining moves the primary off a leaving target, lag <lag>
     Given draining deployment of 3 hosts
+    And draining members replicate with a lag of <lag> ms
     And draining stream with writes of durability "primary"
     When draining operators mark the primary as leaving
     Then draining primary is another member within 5 s
@@ -14,6 +15,13 @@
     And draining stream is completed without a failure
     And draining primary holds every acknowledged write
 
+    # With replicas this far behind, only the primary serves the reads of a
+    # session that wrote.
+    Examples:
+      | lag  |
+      | 20   |
+      | 1000 |
+
   # Guards against a change to a member that lacks acknowledged writes, against
   # a leaving primary that gets new work because of that, and against open
   # transactions that are cut off while they can still end.
@@ -116,3 +124,9 @@
     When draining terms replicate and keepers run for 5 s
     Then draining terms have the primary "m2" at a newer term
     And draining terms answer a write with "completed"
+
+  # Guards against requests that are refused because all that were in flight at
+  # a handover come back at once and use up the retries of their host.
+  Scenario: draining routes requests again after a handover
+    When draining entry host sends 100 writes that meet a handover
+    Then draining entry host completes all writes
--- /dev/null
+++ b/features/draining_entry.py
@@ -0,0 +1,96 @@
+"""An entry host whose holder hands its group over."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any, Final, final
+
+from features.terms_fakes import FakeDirectory, FakeNetwork, FakePeers
+from features.terms_world import GROUP
+from mimosapond import codec
+from mimosapond.access_mode import AccessMode
+from mimosapond.attempt_gate import AttemptGate
+from mimosapond.clock import SystemClock
+from mimosapond.completed import Completed
+from mimosapond.decision_log import NullDecisionLog
+from mimosapond.degraded_paths import DegradedPaths
+from mimosapond.draining import LeavingTargets
+from mimosapond.entry_services import EntryServices
+from mimosapond.errors import refuse
+from mimosapond.group_view import GroupView
+from mimosapond.group_views import GroupViews
+from mimosapond.host_caller import HostCaller
+from mimosapond.metrics import NullMetrics
+from mimosapond.outcome import Outcome
+from mimosapond.refusal_reason import RefusalReason
+from mimosapond.request_id import RequestId
+from mimosapond.retry_budget import RetryBudget
+from mimosapond.routed_request import RoutedRequest
+from mimosapond.statement_request import StatementRequest
+from mimosapond.workspace_spec import WorkspaceSpec
+from mimosapond.write_router import WriteRouter
+
+_HOST: Final = 'h1'
+_LIMIT_S: Final = 30
+_HANDOVER_S: Final = 0.1
+
+
+@final
+class HandoverEntry:
+    """Refuses writes at term 1 and completes them at term 2."""
+
+    def __init__(self) -> None:
+        """Connect a write router to an owner at the same host."""
+        self._clock = SystemClock()
+        self._views = GroupViews()
+        caller = HostCaller(_HOST, FakePeers(_HOST, FakeNetwork()))
+        caller.serve({'run': self._answer})
+        directory: Any = FakeDirectory()
+        self._router = WriteRouter(
+            EntryServices(
+                hosts=directory,
+                owners=directory,
+                leaving=LeavingTargets(NullDecisionLog()),
+                views=self._views,
+                caller=caller,
+                budget=RetryBudget(),
+                gate=AttemptGate(self._clock),
+                clock=self._clock,
+                decisions=NullDecisionLog(),
+                metrics=NullMetrics(),
+                degraded=DegradedPaths(NullMetrics()),
+            ),
+        )
+
+    async def run(self, count: int) -> list[Outcome]:
+        """Send ``count`` writes at once, then complete the handover."""
+        await self._views.merge(GroupView(GROUP.name, 1, 'm1', _HOST))
+        writes = [
+            asyncio.create_task(self._router.run(self._request()))
+            for _ in range(count)
+        ]
+        await asyncio.sleep(_HANDOVER_S)
+        await self._views.merge(GroupView(GROUP.name, 2, 'm1', _HOST))
+        return list(await asyncio.gather(*writes))
+
+    async def _answer(self, _body: Mapping[str, Any]) -> Mapping[str, Any]:
+        # Lets all writes be on their way before the first answer.
+        await asyncio.sleep(0)
+        view = self._views.get(GROUP.name)
+        if view is None or view.term == 1:
+            refused = refuse(RefusalReason.NOT_OWNER, member='m1')
+            return codec.encode(refused)
+        return codec.encode(Completed(results=(), token=None, member='m1'))
+
+    def _request(self) -> RoutedRequest:
+        request = StatementRequest(
+            service='forge',
+            workspace='shop',
+            request_id=str(RequestId.create(self._clock.unix_ms())),
+            mode=AccessMode.WRITE,
+        )
+        return RoutedRequest(
+            request,
+            GROUP,
+            WorkspaceSpec('shop', GROUP.name, 1),
+            self._clock.monotonic_s() + _LIMIT_S,
+        )
--- a/features/live_stream.py
+++ b/features/live_stream.py
@@ -10,6 +10,8 @@
 from mimosapond.outcome import Outcome
 
 _INTERVAL_S: Final = 0.02
+_SESSION_COUNT: Final = 7
+_READ: Final = 'SELECT count(*) FROM orders'
 
 
 @final
@@ -53,9 +55,16 @@
     async def _run(self) -> None:
         for number in itertools.count():
             host = self._hosts[number % len(self._hosts)]
-            row_id = f'row-{number}'
-            self._send(host, self._world.insert(row_id, **self._write_fields))
-            self._send(host, self._world.read('SELECT count(*) FROM orders'))
+            session_id = f'clerk-{number % _SESSION_COUNT}'
+            self._send(
+                host,
+                self._world.insert(
+                    f'row-{number}',
+                    session_id=session_id,
+                    **self._write_fields,
+                ),
+            )
+            self._send(host, self._world.read(_READ, session_id=session_id))
             await asyncio.sleep(_INTERVAL_S)
 
     def _send(self, host: DeployedHost, request: Any) -> None:
--- a/features/live_world.py
+++ b/features/live_world.py
@@ -83,13 +83,13 @@
             **_fill(fields),
         )
 
-    def read(self, sql: str) -> StatementRequest:
+    def read(self, sql: str, **fields: Any) -> StatementRequest:
         """Build a read."""
         return self.requests.build(
             self.workspace,
             AccessMode.READ,
             Statement(sql),
-            **_fill({}),
+            **_fill(fields),
         )
 
     async def post(
--- a/features/steps/draining_steps.py
+++ b/features/steps/draining_steps.py
@@ -9,6 +9,7 @@
 import attrs
 from behave import given, then, when
 
+from features.draining_entry import HandoverEntry
 from features.live_stream import LiveStream
 from features.live_world import DEADLINE_MS, LiveWorld, live_world
 from features.terms_world import GROUP, World
@@ -42,6 +43,14 @@
     context.old_primary = world.primary()
 
 
+@given('draining members replicate with a lag of {lag_ms:d} ms')
+def set_lag(context: Any, lag_ms: int) -> None:
+    """Change the age at which members ship entries."""
+    world: LiveWorld = context.live
+    for member in world.deployment.groups[0].members:
+        world.run(world.deployment.set_member(member.name, lag_ms=lag_ms))
+
+
 @given('draining stream with writes of durability "{durability}"')
 def start_stream(context: Any, durability: str) -> None:
     """Send writes and reads from now on."""
@@ -427,6 +436,23 @@
     world.wait(duration_s)
 
 
+@when('draining entry host sends {count:d} writes that meet a handover')
+def send_writes(context: Any, count: int) -> None:
+    """Run the writes to their outcomes."""
+    context.outcomes = asyncio.run(HandoverEntry().run(count))
+
+
+@then('draining entry host completes all writes')
+def check_writes(context: Any) -> None:
+    """Look at all outcomes."""
+    failed = [
+        outcome
+        for outcome in context.outcomes
+        if not isinstance(outcome, Completed)
+    ]
+    assert not failed, (len(failed), failed[0])
+
+
 def _start_terms(context: Any, member: str) -> World:
     world = World()
     context.add_cleanup(world.close)
--- a/features/steps/transactions_steps.py
+++ b/features/steps/transactions_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from features.live_world import DEADLINE_MS, LiveWorld, live_world
+from features.terms_world import World, build_run, note, request_id
 from mimosapond.completed import Completed
 from mimosapond.outcome import Outcome
 from mimosapond.outcome_query import OutcomeQuery
@@ -183,6 +184,51 @@
     assert answer.outcome == outcome, answer
 
 
+@given('transactions terms with "{one}" and "{other}" open')
+def open_two(context: Any, one: str, other: str) -> None:
+    """Begin two transactions at one holder."""
+    world = World()
+    context.add_cleanup(world.close)
+    context.world = world
+    assert world.lead('h1', 'm1')
+    context.names = {}
+    for name in (one, other):
+        run = build_run(request_id(world, name), ())
+        begun = world.run(world.hosts['h1'].holder.begin(run))
+        assert isinstance(begun, Completed), begun
+        context.names[name] = begun.transaction_id
+
+
+@when('transactions terms run "{row}" in "{name}"')
+def run_note(context: Any, row: str, name: str) -> None:
+    """Write a note in one of them."""
+    world = context.world
+    outcome = world.run(
+        world.hosts['h1'].holder.execute(
+            context.names[name],
+            (note(row),),
+            _COMMIT_DEADLINE_MS,
+        ),
+    )
+    assert isinstance(outcome, Completed), outcome
+
+
+@when('transactions terms commit "{one}" and roll back "{other}"')
+def end_two(context: Any, one: str, other: str) -> None:
+    """End both."""
+    world = context.world
+    holder = world.hosts['h1'].holder
+    for call, name in ((holder.commit, one), (holder.rollback, other)):
+        outcome = world.run(call(context.names[name], _COMMIT_DEADLINE_MS))
+        assert isinstance(outcome, Completed), outcome
+
+
+@then('transactions terms hold "{row}" {count:d} times')
+def check_note(context: Any, row: str, count: int) -> None:
+    """Look at the primary's data."""
+    assert context.world.count_notes(row) == count
+
+
 def _settled(world: LiveWorld, address: str, query: OutcomeQuery) -> Outcome:
     return world.run(world.client.settle(address, query))
 
--- a/features/transactions.feature
+++ b/features/transactions.feature
@@ -55,3 +55,15 @@
       | state                      | settled   | count |
       | has not reached it         | refused   | 0     |
       | is not replicated anywhere | completed | 1     |
+
+  # Guards against statements that run in another transaction of one holder. The
+  # member stand-in opens one at a time, so this runs on fakes.
+  Scenario: transactions open at one time are kept apart
+    Given transactions terms with "one" and "two" open
+    When transactions terms run "one-a" in "one"
+    And transactions terms run "two-a" in "two"
+    And transactions terms run "one-b" in "one"
+    And transactions terms commit "one" and roll back "two"
+    Then transactions terms hold "one-a" 1 times
+    And transactions terms hold "one-b" 1 times
+    And transactions terms hold "two-a" 0 times
