--- a/features/steps/terms_steps.py
+++ b/features/steps/terms_steps.py
@@ -8,6 +8,7 @@
 from features.terms_histories import check_histories
 from features.terms_member_fakes import run_sql
 from features.terms_world import (
+    GROUP,
     FakeHost,
     World,
     build_run,
@@ -207,6 +208,18 @@
     world.run(asyncio.wait(calls))
 
 
+@when('terms host "{host}" keeps "{one}" and "{other}" at the same time')
+def keep_together(context: Any, host: str, one: str, other: str) -> None:
+    """Start two attempts of one host."""
+    world = context.world
+    acquirer = world.hosts[host].acquirer
+    calls = [
+        world.start(acquirer.acquire(GROUP, keep=member))
+        for member in (one, other)
+    ]
+    world.run(asyncio.wait(calls))
+
+
 @then('terms have one holder and one primary at the highest term')
 def check_single_holder(context: Any) -> None:
     """Compare the holders with the primary's term."""
@@ -339,6 +352,72 @@
     assert _floor(context.world, host) is None
 
 
+@given('terms status answers to "{host}" are held')
+def hold_controls(context: Any, host: str) -> None:
+    """Hold answers after the members made them."""
+    context.held = asyncio.Event()
+    for member in context.world.members.values():
+        member.held_controls[host] = context.held
+
+
+@when('terms status answers are delivered')
+def deliver_controls(context: Any) -> None:
+    """Deliver held answers."""
+    context.held.set()
+
+
+@when('terms host "{host}" starts floor query "{label}"')
+def start_floor(context: Any, host: str, label: str) -> None:
+    """Ask for a floor in the background."""
+    world = context.world
+    context.raw_holder = world.hosts[host].holder
+    deadline_s = world.clock.monotonic_s() + 1
+    work = context.raw_holder.floor('clerk', deadline_s)
+    context.tasks[label] = world.start(work)
+    world.wait(_TICK_S)
+
+
+@then('terms floor query "{label}" ends as {expected}')
+def check_query(context: Any, label: str, expected: str) -> None:
+    """Check whether a floor was given."""
+    floor = context.world.run(context.tasks[label])
+    assert (floor is None) == (expected == 'none'), floor
+
+
+@given('terms links of "{hosts}" to "{member}" are silent')
+def silence_links(context: Any, hosts: str, member: str) -> None:
+    """Silence the kept control links."""
+    context.world.members[member].silent_links |= set(hosts.split())
+
+
+@when('terms host "{host}" loses "{member}"')
+def cut_host(context: Any, host: str, member: str) -> None:
+    """Cut one host off one member."""
+    context.world.members[member].cut_hosts.add(host)
+
+
+@then('terms holder is not "{host}" and serves for {count:d} s')
+def check_stable(context: Any, host: str, count: int) -> None:
+    """Check that no write is refused and the term stays."""
+    world = context.world
+    primary = world.primary()
+    assert primary.granted_to != host
+    term = primary.term
+    for second in range(count):
+        outcome = _probe(world, _PROBE_COUNT + second)
+        assert outcome == 'completed', (second, outcome)
+        world.wait(1)
+    assert world.primary().term == term
+
+
+@then('terms opinion of "{host}" on term {term:d} is {expected}')
+def check_opinion(context: Any, host: str, term: int, expected: str) -> None:
+    """Compare what the keeper says about the primary."""
+    keeper = context.world.hosts[host].keeper
+    is_reachable = context.world.run(keeper.opinion(term))
+    assert is_reachable == (expected == 'reachable')
+
+
 @given('terms hosts forget the group')
 def forget(context: Any) -> None:
     """Restart all hosts."""
@@ -396,11 +475,11 @@
 def happen(context: Any, event: str) -> None:
     """Disturb the open transaction."""
     world = context.world
+    if event == 'holder closed':
+        context.holder.close()
     match event:
         case 'newer term':
             assert world.lead('h2', 'm1')
-        case 'holder closed':
-            context.holder.close()
         case 'commit answer lost':
             world.members['m1'].loses_commit_answer = True
         case 'primary silent':
@@ -410,10 +489,22 @@
         case 'idle for 60 s':
             world.keep()
             world.wait(60)
+        case 'closed during a call':
+            _close_during_call(context)
         case 'bad statement':
             _continue(context, 'INSERT INTO absent VALUES (1)')
 
 
+def _close_during_call(context: Any) -> None:
+    world = context.world
+    sql = (Statement('SELECT 1'),)
+    work = context.holder.execute(context.transaction_id, sql, _DEADLINE_MS)
+    started = world.start(work)
+    world.wait(0)
+    context.holder.close()
+    world.run(started)
+
+
 def _continue(context: Any, sql: str) -> Outcome:
     work = context.holder.execute(
         context.transaction_id,
@@ -435,6 +526,8 @@
     ending = holder.commit if ended == 'committed' else holder.rollback
     work = ending(identity, _DEADLINE_MS)
     context.outcomes[label] = context.world.run(work)
+    granted = context.world.hosts['h1'].slots.granted
+    assert all(slot.is_released for slot in granted), 'a slot was kept'
 
 
 @given('terms session table for {limit:d} sessions from position {start:d}')
--- a/mimosapond/group_keeper.py
+++ b/mimosapond/group_keeper.py
@@ -33,7 +33,10 @@
 _SURVEY_COUNT: Final = 4
 # After this many suspicion periods a keeper no longer waits for the preferred
 # owner, or for a holder that answers but can't confirm its term.
-_PATIENCE_FACTOR: Final = 4
+_PATIENCE_FACTOR: Final = 2
+# The holder's own rounds are one interval and a round trip apart; with less
+# slack, every other pull of a replica's owner would begin one more.
+_ROUND_AGE_RATIO: Final = 1.5
 _HANDOVER_MARGIN_S: Final = 0.5
 
 
@@ -85,7 +88,13 @@
         holder = self._watch.own_holder(view)
         if holder is not None:
             holder.abort_idle()
-        beat = await self._watch.check(view, fresh=False)
+        beat = await self._watch.check(
+            view,
+            fresh=False,
+            max_age_ms=int(
+                self._parts.options.beacon_interval_ms * _ROUND_AGE_RATIO,
+            ),
+        )
         if beat is Beat.CONFIRMED:
             await self._after_confirmed(view, holder)
             return
@@ -95,6 +104,12 @@
         if not self._is_newer_known(view):
             await self._suspect(view)
 
+    async def refresh(self) -> None:
+        """Pull one beacon to date the group's data."""
+        view = self._ports.views.get(self._group.name)
+        if view is not None:
+            await self._watch.check(view, fresh=False)
+
     async def opinion(self, term: int) -> bool:
         """Tell whether this host can reach the primary of ``term``.
 
@@ -254,7 +269,11 @@
         self._misplaced_count += 1
         if self._misplaced_count < _STABLE_COUNT:
             return
-        if not await self._request_handover(view):
+        # A host that can't reach the primary would stop all writes by taking
+        # the group over.
+        reached = await self._check_primary(view)
+        is_reached = isinstance(reached, Standing)
+        if not is_reached or not await self._request_handover(view):
             self._misplaced_count = -_HANDOVER_PAUSE_COUNT
             return
         self._misplaced_count = 0
