--- a/features/steps/reading_steps.py
+++ b/features/steps/reading_steps.py
@@ -21,6 +21,8 @@
 from mimosapond.floor import Floor
 from mimosapond.group_beacon import GroupBeacon
 from mimosapond.group_view import GroupView
+from mimosapond.decision_log import NullDecisionLog
+from mimosapond.draining import LeavingTargets
 from mimosapond.member_reader import MemberReader
 from mimosapond.metrics import NullMetrics
 from mimosapond.owner_registry import OwnerRegistry
@@ -133,6 +135,7 @@
         BeaconRefresher(context.ages, find_no_holder),
         context.clock,
         RecordingDecisions(),
+        LeavingTargets(NullDecisionLog()),
     )
     run = build_run(floor, bound)
     run = attrs.evolve(run, member=context.member)
--- a/mimosapond/composition.py
+++ b/mimosapond/composition.py
@@ -51,11 +51,13 @@
 from mimosapond.membership import Membership
 from mimosapond.metrics import Metrics, NullMetrics, StatsdMetrics
 from mimosapond.operator_handlers import operator_application
+from mimosapond.operator_promotion import OperatorPromotion
 from mimosapond.opinion_collector import OpinionCollector
 from mimosapond.options import Options
 from mimosapond.owner_operations import OwnerOperations
 from mimosapond.owner_registry import OwnerRegistry
 from mimosapond.peer_contacts import PeerContacts
+from mimosapond.planned_switchover import PlannedSwitchover
 from mimosapond.prober import Prober
 from mimosapond.read_planner import ReadPlanner
 from mimosapond.read_router import ReadRouter
@@ -100,6 +102,7 @@
                 options=self._options,
                 listeners=self._listeners,
                 in_flight=self._in_flight,
+                peer_calls=self._peer_calls,
                 supervisor=self._supervisor,
                 leave=HostLeave(
                     self._membership,
@@ -210,6 +213,7 @@
             BeaconRefresher(self._ages, self._refresh),
             self._clock,
             self._decisions,
+            self._leaving,
         )
 
     async def _refresh(self, group: str) -> None:
@@ -229,6 +233,13 @@
             TermClaims(self._term_parts, self._platform),
             self._views,
             HolderInstaller(self._term_parts, self._owners, self._holders),
+            self._leaving,
+        )
+        self._planned = PlannedSwitchover(
+            self._term_parts,
+            self._acquirer,
+            self._holders,
+            self._leaving,
         )
         self._supervisor = GroupSupervisor(
             SupervisedParts(
@@ -257,6 +268,7 @@
             placement=self._placement,
             ages=self._ages.tracker(group.name),
             degraded=self._degraded,
+            planned=self._planned,
             jitter=self._random,
         )
         return GroupKeeper(self._term_parts, ports, group)
@@ -298,6 +310,8 @@
             keepers=self._supervisor,
             views=self._views,
             clock=self._clock,
+            store=self._store,
+            planned=self._planned,
         ).operations()
         self._caller.serve(owner_side)
         spread = SpreadOperations(
@@ -306,8 +320,9 @@
             self._contacts,
             self._spreader,
         ).mapping()
-        self._operations = {**owner_side, **spread}
         self._in_flight = InFlight()
+        self._peer_calls = InFlight()
+        self._operations = {**self._peer_calls.counted(owner_side), **spread}
         self._listeners = Listeners(options)
 
     def _listen(self, host: Host) -> None:
@@ -368,7 +383,11 @@
             supervisor=self._supervisor,
             owners=self._owners,
             leaving=self._leaving,
-            acquirer=self._acquirer,
+            promoter=OperatorPromotion(
+                self._membership,
+                self._views,
+                self._caller,
+            ),
             degraded=self._degraded,
             request_leave=host.request_leave,
         )
--- a/mimosapond/host.py
+++ b/mimosapond/host.py
@@ -57,13 +57,25 @@
         except TimeoutError:
             logger.warning('drain_timeout')
         parts.listeners.refuse_new('callers')
-        await parts.in_flight.wait_idle(parts.options.drain_timeout_s)
+        await asyncio.gather(
+            parts.in_flight.wait_idle(parts.options.drain_timeout_s),
+            parts.peer_calls.wait_idle(parts.options.drain_timeout_s),
+        )
         logger.info('host_left')
 
     async def _wait_handover(self) -> None:
-        while self._parts.supervisor.held:
+        while self._is_needed():
             await asyncio.sleep(_POLL_S)
 
+    def _is_needed(self) -> bool:
+        """Tell whether a term is to be handed over, or a transaction open."""
+        held = self._parts.supervisor.held
+        for term in held:
+            term.gate.is_host_leaving = True
+        if self._parts.leave.has_successor:
+            return bool(held)
+        return any(holder.open_transaction_count for holder in held)
+
     async def _close(self) -> None:
         parts = self._parts
         await parts.listeners.close()
