--- a/mimosapond/member_reader.py
+++ b/mimosapond/member_reader.py
@@ -11,6 +11,7 @@
 from mimosapond.beacon_refresher import BeaconRefresher
 from mimosapond.beacon_source import BeaconSource
 from mimosapond.clock import MS_PER_S, Clock
+from mimosapond.cluster_map import Leaving
 from mimosapond.completed import Completed
 from mimosapond.decision_log import DecisionLog
 from mimosapond.errors import refuse
@@ -47,6 +48,7 @@
         refresher: BeaconRefresher,
         clock: Clock,
         decisions: DecisionLog,
+        leaving: Leaving,
     ) -> None:
         """Find term holders by group name with ``holder_of``."""
         self._owners = owners
@@ -55,6 +57,7 @@
         self._refresher = refresher
         self._clock = clock
         self._decisions = decisions
+        self._leaving = leaving
 
     async def read(self, run: PeerRun) -> Outcome:
         """Read at ``run.member``, or refuse what it can't prove.
@@ -66,10 +69,18 @@
         if owner is None:
             return refuse(RefusalReason.NOT_OWNER, member=run.member)
         deadline_s = self._deadline_s(run)
+        refused = await self._admit(run, deadline_s)
+        if refused is not None:
+            return refused
         await self._refresh(run, deadline_s)
         grant = await owner.acquire(_build_ticket(run, deadline_s))
         if isinstance(grant, Refused):
             return grant
+        # The target may have been marked while the read waited in the queue.
+        refused = await self._admit(run, deadline_s)
+        if refused is not None:
+            grant.release(reusable=True)
+            return refused
         target_result = await self._run(grant, run, deadline_s)
         match target_result:
             case TargetAnswered():
@@ -79,6 +90,22 @@
             case TargetSilent(problem=problem):
                 return _refuse_read(run, problem)
 
+    async def _admit(self, run: PeerRun, deadline_s: float) -> Refused | None:
+        """Refuse work at a leaving target, unless it is still the primary.
+
+        The holder of a leaving primary decides until when it takes work.
+        """
+        if not self._leaving.is_leaving(run.member):
+            return None
+        holder = self._holder_of(run.group)
+        if holder is None or holder.view.primary != run.member:
+            return refuse(
+                RefusalReason.TARGET_LEAVING,
+                member=run.member,
+                retry_after_ms=1,
+            )
+        return await holder.admit(deadline_s)
+
     async def _run(
         self,
         grant: SlotGrant,
