--- a/features/code_names.py
+++ b/features/code_names.py
@@ -36,8 +36,15 @@
 
 
 def read_rows(page: str) -> frozenset[str]:
-    """Return the names in the first column of the tables of a page."""
-    cells = re.findall(r'^\| ((?:`[^`]+`(?:, )?)+) \|', page, re.MULTILINE)
+    """Return the names in the tables that are headed "event" or "name"."""
+    tables = re.findall(
+        r'^\| (?:event|name) \|(?:.*\n\|)+.*', page, re.MULTILINE
+    )
+    cells = re.findall(
+        r'^\| ((?:`[^`]+`(?:, )?)+) \|',
+        '\n'.join(tables),
+        re.MULTILINE,
+    )
     return frozenset(
         name for cell in cells for name in re.findall('`([^`]+)`', cell)
     )
--- a/features/steps/pages_steps.py
+++ b/features/steps/pages_steps.py
@@ -18,8 +18,6 @@
 KINDS = MappingProxyType(
     {'metrics.md': ('metric',), 'logs.md': ('decision', 'log event')},
 )
-# Fields of every line, whose table has the form of the tables of events.
-FIXED_FIELDS = frozenset(('time', 'level', 'event', 'exception'))
 
 
 def list_words(kind: str) -> list[str]:
@@ -69,7 +67,7 @@
     ]
     stale = [
         row
-        for row in rows - FIXED_FIELDS
+        for row in rows
         if not any(is_listed(name, frozenset((row,))) for name in names)
     ]
     assert rows, page
