--- a/features/steps/reading_steps.py
+++ b/features/steps/reading_steps.py
@@ -134,6 +134,7 @@
         context.ages,
         BeaconRefresher(context.ages, find_no_holder),
         context.clock,
+        RecordingDecisions(),
         LeavingTargets(NullDecisionLog()),
     )
     run = build_run(floor, bound)
--- a/features/steps/transactions_steps.py
+++ b/features/steps/transactions_steps.py
@@ -255,10 +255,12 @@
     index: int,
 ) -> Outcome:
     world: LiveWorld = context.live
+    rows = (f'{name}-late',) if operation == 'statements' else ()
     return await world.transact(
         world.hosts[index],
         context.names[name],
         operation,
+        *rows,
         request_id=context.request_ids[name],
     )
 
--- a/loadtool/caller_client.py
+++ b/loadtool/caller_client.py
@@ -13,10 +13,17 @@
 from mimosapond.outcome_query import OutcomeQuery
 from mimosapond.statement_request import StatementRequest
 from mimosapond.transaction_call import TransactionCall
+from mimosapond.unknown import Unknown
 
 # Lets the host's own answer at the deadline arrive first.
 _ANSWER_MARGIN_S: Final = 1
 _DEFAULT_TIMEOUT_S: Final = 10
+_NO_ANSWER: Final = 'no answer reached the caller: '
+
+
+def is_broken(outcome: Outcome) -> bool:
+    """Tell whether no host answered, so that this module made the outcome."""
+    return isinstance(outcome, Unknown) and _NO_ANSWER in outcome.message
 
 
 @final
@@ -105,7 +112,7 @@
             ) as answer:
                 return codec.decode_outcome(await answer.json())
         except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
-            return unknown(request_id, repr(error))
+            return unknown(request_id, f'{_NO_ANSWER}{error!r}')
 
 
 def _without_none(request: StatementRequest) -> dict[str, Any]:
--- a/mimosapond/owner_operations.py
+++ b/mimosapond/owner_operations.py
@@ -63,6 +63,7 @@
         return {
             'run': self.run,
             'begin': self.begin,
+            'confirm': self.confirm,
             'execute': self.execute,
             'commit': self.commit,
             'rollback': self.rollback,
@@ -86,6 +87,11 @@
         run = codec.decode(PeerRun, body)
         return codec.encode(await self._lead(run, TermHolder.begin))
 
+    async def confirm(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Keep an interactive transaction whose begin was answered."""
+        self._holder(body).confirm_begun(body['transaction_id'])
+        return {}
+
     async def execute(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
         """Run statements in an interactive transaction."""
         holder = self._holder(body)
--- a/mimosapond/settle_router.py
+++ b/mimosapond/settle_router.py
@@ -63,6 +63,16 @@
         deadline_s: float,
     ) -> Outcome | None:
         left_s = deadline_s - self._services.clock.monotonic_s()
+        self._services.decisions.record(
+            'route_settle',
+            'holder of the newest known term',
+            request_id=request_id,
+            group=route.view.group,
+            member=route.view.primary,
+            term=route.view.term,
+            holder=route.host.host_id,
+            left_ms=int(left_s * MS_PER_S),
+        )
         body = {
             'group': route.view.group,
             'request_id': request_id,
--- a/mimosapond/transaction_router.py
+++ b/mimosapond/transaction_router.py
@@ -5,6 +5,7 @@
 the request id instead.
 """
 
+import asyncio
 from typing import Any, Final, final
 
 from mimosapond import codec
@@ -22,6 +23,8 @@
 
 _ANSWER_MARGIN_S: Final = 0.1
 _COMMIT: Final = 'commit'
+_CONFIRM_TRIES: Final = 3
+_CONFIRM_TIMEOUT_S: Final = 0.3
 _GONE: Final = frozenset(
     (
         RefusalReason.NO_TRANSACTION,
@@ -42,6 +45,17 @@
         """Take the shared parts of the entry host."""
         self._services = services
         self._settles = settles
+        self._confirming: set[asyncio.Task[None]] = set()
+
+    def confirm(self, name: TransactionName) -> None:
+        """Tell the holder that the answer of the begin arrived.
+
+        The caller need not wait for it: if the holder hears nothing, it rolls
+        back, and the caller's next call is told so.
+        """
+        task = asyncio.create_task(self._confirm(name))
+        self._confirming.add(task)
+        task.add_done_callback(self._confirming.discard)
 
     async def call(
         self,
@@ -78,6 +92,16 @@
         host = self._services.hosts.host(name.host_id)
         if host is None:
             return _gone(name)
+        self._services.decisions.record(
+            'route_transaction',
+            'host that keeps the transaction',
+            request_id=call.request_id,
+            group=name.group,
+            transaction_id=str(name),
+            operation=operation,
+            holder=name.host_id,
+            left_ms=call.deadline_ms,
+        )
         timeout_s = call.deadline_ms / MS_PER_S + _ANSWER_MARGIN_S
         answer = await self._services.caller.request(
             host,
@@ -98,6 +122,21 @@
             case _:
                 return answer
 
+    async def _confirm(self, name: TransactionName) -> None:
+        host = self._services.hosts.host(name.host_id)
+        body = {'group': name.group, 'transaction_id': name.holder_id}
+        for _ in range(_CONFIRM_TRIES):
+            if host is None:
+                return
+            answer = await self._services.caller.call(
+                host,
+                'confirm',
+                body,
+                _CONFIRM_TIMEOUT_S,
+            )
+            if not isinstance(answer, PeerSilent):
+                return
+
 
 def _is_proven(outcome: Outcome) -> bool:
     """Tell whether a commit's outcome holds for earlier tries as well.
