Wait without blocking while the holder of a group is not known

A restarted host learns a group's view from the members before its membership lists the holder. Ruled out: a longer poll of documents; the log shows gaps of 15 to 30 s between keeper steps that should come every 250 ms. Run: features/routes.feature, which fails without the change.

--- /dev/null
+++ b/features/routes.feature
@@ -0,0 +1,10 @@
+Feature: Finding the holder of a group
+  An entry host waits for a holder without holding up its other work.
+
+  Scenario: routes wait without blocking while the holder is unknown
+    A restarted host learns the view of a group from its members before it knows the
+    holder; each request that waited then blocked the whole host until its deadline.
+    Given a routes view of a group whose holder is not known
+    When a routes search for the holder runs beside other work
+    Then the routes search finds no holder
+    And the other work beside the routes search went on
--- a/mimosapond/holder_route.py
+++ b/mimosapond/holder_route.py
@@ -48,7 +48,10 @@
             route.view.term,
         ):
             return route
-        term = 0 if route is None else route.view.term
+        # Also when the view's holder is unknown: waiting for a view that is
+        # already there would return at once and keep the event loop busy.
+        view = services.views.get(group)
+        term = 0 if view is None else view.term
         await _wait(services, group, term, deadline_s)
     return None
 
