Wire the baseline policy direct

Every host keeps floor(limit / hosts) connections to every member, serves them first come, first served, and runs reads and writes itself at the newest known term.

Floors by session id are the primary's confirmed position, since no host knows of the writes a session made elsewhere. Ruled out: asking the term holder, which doesn't see those writes either.

--- a/mimosapond/composition.py
+++ b/mimosapond/composition.py
@@ -6,6 +6,7 @@
 
 import random
 import secrets
+from collections.abc import Mapping
 from typing import Final, final
 
 from tornado.web import Application
@@ -18,6 +19,8 @@
 from mimosapond.clock import MS_PER_S, SystemClock
 from mimosapond.decision_log import LoguruDecisionLog
 from mimosapond.degraded_paths import DegradedPaths
+from mimosapond.direct_members import DirectMembers
+from mimosapond.direct_terms import DirectTerms
 from mimosapond.document_editor import DocumentEditor
 from mimosapond.document_spreader import DocumentSpreader
 from mimosapond.document_store import DocumentStore
@@ -50,10 +53,11 @@
 from mimosapond.metrics import Metrics, NullMetrics, StatsdMetrics
 from mimosapond.operator_handlers import operator_application
 from mimosapond.opinion_collector import OpinionCollector
-from mimosapond.options import Options
+from mimosapond.options import Options, RoutingPolicy
 from mimosapond.owner_operations import OwnerOperations
 from mimosapond.owner_registry import OwnerRegistry
 from mimosapond.peer_contacts import PeerContacts
+from mimosapond.peer_port import PeerOperation
 from mimosapond.prober import Prober
 from mimosapond.read_planner import ReadPlanner
 from mimosapond.read_router import ReadRouter
@@ -71,6 +75,9 @@
 from mimosapond.websocket_target import WebsocketTarget
 
 _SUFFIX_BYTES: Final = 4
+# With the baseline policy, the entry host runs these itself.
+_ENTRY_OPERATIONS: Final = frozenset(('run', 'begin', 'floor', 'settle'))
+_TRANSACTION_OPERATIONS: Final = ('execute', 'commit', 'rollback')
 
 
 @final
@@ -115,6 +122,7 @@
                 peers=self._peers,
                 target=self._target,
                 platform=self._platform,
+                direct_terms=self._direct_terms,
             ),
         )
         self._listen(host)
@@ -215,11 +223,13 @@
             decisions=self._decisions,
             metrics=self._metrics,
         )
+        self._build_direct()
+        slots = self._direct_members or self._owners
         self._acquirer = TermAcquirer(
             self._term_parts,
             TermClaims(self._term_parts, self._platform),
             self._views,
-            HolderInstaller(self._term_parts, self._owners, self._holders),
+            HolderInstaller(self._term_parts, slots, self._holders),
         )
         self._supervisor = GroupSupervisor(
             SupervisedParts(
@@ -233,6 +243,25 @@
             ),
         )
 
+    def _build_direct(self) -> None:
+        self._direct_members: DirectMembers | None = None
+        self._direct_terms: DirectTerms | None = None
+        if self._options.routing_policy is not RoutingPolicy.DIRECT:
+            return
+        self._direct_members = DirectMembers(
+            self._store,
+            self._target,
+            self._options,
+            self._clock,
+        )
+        self._direct_terms = DirectTerms(
+            self._term_parts,
+            self._store,
+            self._views,
+            self._direct_members,
+            self._ages,
+        )
+
     def _build_keeper(self, group: GroupSpec) -> GroupKeeper:
         ports = KeeperPorts(
             views=self._views,
@@ -253,7 +282,12 @@
         return GroupKeeper(self._term_parts, ports, group)
 
     def _build_entry(self) -> None:
-        self._caller = HostCaller(self._own.host_id, self._peers)
+        is_direct = self._direct_terms is not None
+        self._caller = HostCaller(
+            self._own.host_id,
+            self._peers,
+            _ENTRY_OPERATIONS if is_direct else frozenset(),
+        )
         services = EntryServices(
             hosts=self._membership,
             owners=self._placement,
@@ -290,7 +324,12 @@
             views=self._views,
             clock=self._clock,
         ).operations()
-        self._caller.serve(owner_side)
+        entry_side = self._direct_operations() or owner_side
+        self._caller.serve(entry_side)
+        owner_side = {
+            **owner_side,
+            **{name: entry_side[name] for name in _TRANSACTION_OPERATIONS},
+        }
         spread = SpreadOperations(
             self._gossip,
             self._anti_entropy,
@@ -304,6 +343,20 @@
             options.header_timeout_s,
         )
 
+    def _direct_operations(self) -> Mapping[str, PeerOperation]:
+        terms, members = self._direct_terms, self._direct_members
+        if terms is None or members is None:
+            return {}
+        reader = MemberReader(members, terms.holder, self._ages, self._clock)
+        operations = OwnerOperations(
+            reader=reader,
+            holders=terms,
+            keepers=self._supervisor,
+            views=self._views,
+            clock=self._clock,
+        ).operations()
+        return {**operations, 'floor': terms.floor}
+
     def _listen(self, host: Host) -> None:
         options = self._options
         callers = build_caller_routes(
--- /dev/null
+++ b/mimosapond/direct_terms.py
@@ -0,0 +1,97 @@
+"""Lets every host of the baseline policy write at the newest known term.
+
+Terms are still acquired by one host per group. All hosts then send the term
+with their writes and check it at the members as the holder itself does.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any, final
+
+from mimosapond import codec
+from mimosapond.age_trackers import AgeTrackers
+from mimosapond.clock import MS_PER_S
+from mimosapond.direct_members import DirectMembers
+from mimosapond.document_store import DocumentStore
+from mimosapond.floor import Floor
+from mimosapond.group_view import GroupView
+from mimosapond.group_views import GroupViews
+from mimosapond.held_term import HeldTerm
+from mimosapond.rejected_call_error import RejectedCallError
+from mimosapond.term_holder import TermHolder
+from mimosapond.term_parts import TermParts
+
+
+@final
+class DirectTerms:
+    """A holder of this host's own for the newest view of each group."""
+
+    def __init__(
+        self,
+        parts: TermParts,
+        store: DocumentStore,
+        views: GroupViews,
+        members: DirectMembers,
+        ages: AgeTrackers,
+    ) -> None:
+        """Start without holders."""
+        self._parts = parts
+        self._store = store
+        self._views = views
+        self._members = members
+        self._ages = ages
+        self._holders: dict[str, TermHolder] = {}
+
+    def holder(self, group_name: str) -> TermHolder | None:
+        """Return the open holder of the newest known term."""
+        view = self._views.get(group_name)
+        if view is None:
+            return None
+        known = self._holders.get(group_name)
+        if known is None or known.view.term < view.term:
+            if known is not None:
+                known.close()
+            known = self._build(view)
+        if known is None or known.is_closed:
+            return None
+        return known
+
+    async def floor(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Return the primary's position as the floor of any session.
+
+        No host knows of the writes that a session made through the others,
+        so that only the newest entry is certain to include them.
+        """
+        holder = self.holder(body['group'])
+        deadline_s = self._parts.deadline_after(body['timeout_ms'])
+        beacon = None if holder is None else await holder.beacon(deadline_s)
+        if beacon is None:
+            raise RejectedCallError('not_holder', 'no term is confirmed')
+        return codec.encode(Floor(beacon.view.term, beacon.position))
+
+    async def run(self) -> None:
+        """Date the data of all groups, as every host reads all members."""
+        interval_s = self._parts.options.beacon_interval_ms / MS_PER_S
+        while True:
+            await asyncio.gather(*map(self._note_age, self._views.all()))
+            await self._parts.clock.sleep(interval_s)
+
+    async def _note_age(self, view: GroupView) -> None:
+        holder = self.holder(view.group)
+        if holder is None:
+            return
+        asked_s = self._parts.clock.monotonic_s()
+        beacon = await holder.beacon(asked_s + self._parts.check_timeout_s)
+        if beacon is not None:
+            self._ages.tracker(view.group).note(asked_s, beacon)
+
+    def _build(self, view: GroupView) -> TermHolder | None:
+        group = self._store.group(view.group)
+        if group is None:
+            return None
+        for member in group.members:
+            if member.name == view.primary:
+                slots = self._members.ensure(member)
+                held = HeldTerm(self._parts, group, view, 0, slots)
+                self._holders[view.group] = TermHolder(held)
+        return self._holders.get(view.group)
--- a/mimosapond/host.py
+++ b/mimosapond/host.py
@@ -37,6 +37,8 @@
             self._start(parts.host_list.run()),
             self._start(parts.supervisor.run()),
         ]
+        if parts.direct_terms is not None:
+            tasks.append(self._start(parts.direct_terms.run()))
         try:
             await self._leave_requested.wait()
             await self._drain()
--- a/mimosapond/host_caller.py
+++ b/mimosapond/host_caller.py
@@ -3,7 +3,7 @@
 A call to this host itself takes the same path without a connection.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import Any, final
 
 from mimosapond import codec
@@ -25,8 +25,17 @@
 class HostCaller:
     """Calls operations at a host and decodes the answers."""
 
-    def __init__(self, own_host_id: str, peers: PeerPort) -> None:
-        """Take the port for other hosts."""
+    def __init__(
+        self,
+        own_host_id: str,
+        peers: PeerPort,
+        own_operations: Collection[str] = (),
+    ) -> None:
+        """Take the port for other hosts.
+
+        ``own_operations`` run at this host whichever host is named.
+        """
+        self._own_operations = own_operations
         self._own_host_id = own_host_id
         self._peers = peers
         self._operations: Mapping[str, PeerOperation] = {}
@@ -83,7 +92,8 @@
         timeout_s: float,
     ) -> PeerResult:
         """Call ``operation`` at ``host``."""
-        if host.host_id != self._own_host_id:
+        is_own = operation in self._own_operations
+        if host.host_id != self._own_host_id and not is_own:
             return await self._peers.call(
                 host.address,
                 operation,
--- a/mimosapond/host_parts.py
+++ b/mimosapond/host_parts.py
@@ -5,6 +5,7 @@
 import attrs
 
 from mimosapond.anti_entropy import AntiEntropy
+from mimosapond.direct_terms import DirectTerms
 from mimosapond.document_spreader import DocumentSpreader
 from mimosapond.gossip_pusher import GossipPusher
 from mimosapond.group_supervisor import GroupSupervisor
@@ -22,7 +23,7 @@
 @final
 @attrs.frozen
 class HostParts:
-    """What a host runs, in no particular order."""
+    """What a host runs; ``direct_terms`` only with the baseline policy."""
 
     options: Options
     listeners: Listeners
@@ -37,3 +38,4 @@
     peers: JsonPeers
     target: WebsocketTarget
     platform: HttpPlatform
+    direct_terms: DirectTerms | None = None
--- a/mimosapond/member_reader.py
+++ b/mimosapond/member_reader.py
@@ -13,11 +13,10 @@
 from mimosapond.completed import Completed
 from mimosapond.errors import refuse
 from mimosapond.outcome import Outcome
-from mimosapond.owner_registry import OwnerRegistry
 from mimosapond.peer_run import PeerRun
 from mimosapond.refusal_reason import RefusalReason
 from mimosapond.refused import Refused
-from mimosapond.slot_grant import SlotGrant
+from mimosapond.slot_source import HeldSlot, SlotFinder
 from mimosapond.standing import Standing
 from mimosapond.target_results import (
     TargetAnswered,
@@ -39,7 +38,7 @@
 
     def __init__(
         self,
-        owners: OwnerRegistry,
+        owners: SlotFinder,
         holder_of: Callable[[str], BeaconSource | None],
         ages: AgeTrackers,
         clock: Clock,
@@ -74,7 +73,7 @@
 
     async def _run(
         self,
-        grant: SlotGrant,
+        grant: HeldSlot,
         run: PeerRun,
         deadline_s: float,
     ) -> TargetResult:
--- a/mimosapond/options.py
+++ b/mimosapond/options.py
@@ -52,6 +52,7 @@
     statsd_address: str | None = None
     log_level: str = 'INFO'
     routing_policy: RoutingPolicy = RoutingPolicy.OWNER
+    direct_host_count: int = 8
     body_limit_bytes: int = 1_048_576
     header_timeout_s: float = 10
     caller_connection_limit_count: int = 4096
--- a/mimosapond/owner_operations.py
+++ b/mimosapond/owner_operations.py
@@ -22,7 +22,6 @@
 from mimosapond.rejected_call_error import RejectedCallError
 from mimosapond.statement import Statement
 from mimosapond.term_holder import TermHolder
-from mimosapond.term_registry import TermRegistry
 
 _NOT_HOLDER: Final = 'not_holder'
 
@@ -34,13 +33,20 @@
         """Tell whether this host can reach the group's primary."""
 
 
+class Holders(Protocol):
+    """Term holders of this host."""
+
+    def holder(self, group_name: str) -> TermHolder | None:
+        """Return the open holder of the group."""
+
+
 @final
 @attrs.frozen
 class OwnerOperations:
     """Offered to peers and to this host's own router."""
 
     reader: MemberReader
-    holders: TermRegistry
+    holders: Holders
     keepers: Keepers
     views: GroupViews
     clock: Clock
--- a/mimosapond/settings_loader.py
+++ b/mimosapond/settings_loader.py
@@ -66,6 +66,7 @@
         'statsd_address': AddressRule(),
         'log_level': ChoiceRule(_LOG_LEVELS),
         'routing_policy': ChoiceRule(tuple(RoutingPolicy)),
+        'direct_host_count': WholeNumberRule(1, 100_000),
         'body_limit_bytes': WholeNumberRule(1, _GIBIBYTE),
         'header_timeout_s': NumberRule(0.1, _HOUR_S),
         'caller_connection_limit_count': WholeNumberRule(1, _MILLION),
--- a/mimosapond/slot_source.py
+++ b/mimosapond/slot_source.py
@@ -32,6 +32,13 @@
         """Wait for a slot and a connection."""
 
 
+class SlotFinder(Protocol):
+    """Existing queues of this host, by name of the member."""
+
+    def owner(self, member_name: str) -> SlotSource | None:
+        """Return the queue of the member, None when there is none here."""
+
+
 class SlotSources(Protocol):
     """Queues of this host, as ``OwnerRegistry`` gives them."""
 
