--- a/mimosapond/group_supervisor.py
+++ b/mimosapond/group_supervisor.py
@@ -5,6 +5,7 @@
 from typing import Final, TypeAlias, final
 
 import attrs
+from loguru import logger
 
 from mimosapond.clock import Clock
 from mimosapond.document_store import DocumentStore
@@ -73,12 +74,15 @@
     async def opinion(self, group: str, term: int) -> bool:
         """Tell whether this host can reach the group's primary."""
         kept = self._kept.get(group)
+        if kept is None:
+            raise RejectedCallError('no_keeper', f'{group} is not kept here')
+        return await kept.keeper.opinion(term)
+
+    async def refresh(self, group: str) -> None:
+        """Pull one beacon of a group that this host keeps."""
+        kept = self._kept.get(group)
         if kept is not None:
-            return await kept.keeper.opinion(term)
-        spec = self._parts.store.group(group)
-        if spec is None:
-            raise RejectedCallError('unknown_group', f'no group {group}')
-        return await self._parts.build_keeper(spec).opinion(term)
+            await kept.keeper.refresh()
 
     def step(self) -> None:
         """Start what is missing and stop what is no longer needed."""
@@ -139,9 +143,17 @@
         for name, group in kept.items():
             if name not in self._kept:
                 keeper = self._parts.build_keeper(group)
-                task = asyncio.create_task(keeper.run())
+                task = asyncio.create_task(self._keep(keeper, name))
                 self._kept[name] = _Kept(keeper, group, task)
 
+    async def _keep(self, keeper: GroupKeeper, name: str) -> None:
+        while True:
+            try:
+                await keeper.run()
+            except Exception:  # noqa: BLE001 # a group must stay watched
+                logger.bind(group=name).exception('keeper_failed')
+            await self._parts.clock.sleep(_INTERVAL_S)
+
     def _apply_sweepers(self, kept: dict[str, GroupSpec]) -> None:
         for name in kept:
             holder = self._parts.holders.holder(name)
--- a/mimosapond/member_reader.py
+++ b/mimosapond/member_reader.py
@@ -8,6 +8,7 @@
 from typing import Final, final
 
 from mimosapond.age_trackers import AgeTrackers
+from mimosapond.beacon_refresher import BeaconRefresher
 from mimosapond.beacon_source import BeaconSource
 from mimosapond.clock import MS_PER_S, Clock
 from mimosapond.completed import Completed
@@ -41,12 +42,14 @@
         owners: SlotFinder,
         holder_of: Callable[[str], BeaconSource | None],
         ages: AgeTrackers,
+        refresher: BeaconRefresher,
         clock: Clock,
     ) -> None:
         """Find term holders by group name with ``holder_of``."""
         self._owners = owners
         self._holder_of = holder_of
         self._ages = ages
+        self._refresher = refresher
         self._clock = clock
 
     async def read(self, run: PeerRun) -> Outcome:
@@ -59,6 +62,7 @@
         if owner is None:
             return refuse(RefusalReason.NOT_OWNER, member=run.member)
         deadline_s = self._deadline_s(run)
+        await self._refresh(run, deadline_s)
         grant = await owner.acquire(_build_ticket(run, deadline_s))
         if isinstance(grant, Refused):
             return grant
@@ -126,6 +130,17 @@
         self._ages.tracker(run.group).note(asked_s, beacon)
         return beacon.view.term == standing.term
 
+    async def _refresh(self, run: PeerRun, deadline_s: float) -> None:
+        # A primary's answer is confirmed afterwards and needs no pair.
+        if self._holder_of(run.group) is not None:
+            return
+        left_s = max(0, deadline_s - self._clock.monotonic_s())
+        await self._refresher.refresh(
+            run.group,
+            run.request.max_age_ms or 0,
+            left_s / 2,
+        )
+
     def _deadline_s(self, run: PeerRun) -> float:
         deadline_ms = run.request.deadline_ms
         if deadline_ms is None:
@@ -155,7 +170,7 @@
 ) -> Outcome:
     if not _includes_floor(run, answered.standing):
         if is_confirmed:
-            return _refuse_lost(run)
+            return _refuse_missing(run, answered.standing)
         return _refuse_read(run, 'it has not applied the last write yet')
     # A read without a bound is held to the strictest one.
     max_age_ms = run.request.max_age_ms or 0
@@ -180,8 +195,14 @@
     return floor is None or standing.contains(floor.term, floor.position)
 
 
-def _refuse_lost(run: PeerRun) -> Refused:
-    """Report a floor that the log of a confirmed primary does not hold."""
+def _refuse_missing(run: PeerRun, standing: Standing) -> Refused:
+    """Report a floor that the log of a confirmed primary does not show."""
+    floor = run.floor
+    if floor is not None and floor.term < standing.oldest_term:
+        return refuse(
+            RefusalReason.BAD_TOKEN,
+            problem='it is older than the changes of term that are remembered',
+        )
     token = run.request.token
     if token is None and run.floor is not None:
         token = str(Token(run.group, run.floor.term, run.floor.position))
