--- a/mimosapond/composition.py
+++ b/mimosapond/composition.py
@@ -352,7 +352,13 @@
         terms, members = self._direct_terms, self._direct_members
         if terms is None or members is None:
             return {}
-        reader = MemberReader(members, terms.holder, self._ages, self._clock)
+        reader = MemberReader(
+            members,
+            terms.holder,
+            self._ages,
+            BeaconRefresher(self._ages, terms.refresh),
+            self._clock,
+        )
         operations = OwnerOperations(
             reader=reader,
             holders=terms,
--- a/mimosapond/direct_terms.py
+++ b/mimosapond/direct_terms.py
@@ -73,17 +73,19 @@
         """Date the data of all groups, as every host reads all members."""
         interval_s = self._parts.options.beacon_interval_ms / MS_PER_S
         while True:
-            await asyncio.gather(*map(self._note_age, self._views.all()))
+            groups = [view.group for view in self._views.all()]
+            await asyncio.gather(*map(self.refresh, groups))
             await self._parts.clock.sleep(interval_s)
 
-    async def _note_age(self, view: GroupView) -> None:
-        holder = self.holder(view.group)
+    async def refresh(self, group_name: str) -> None:
+        """Date the data of one group."""
+        holder = self.holder(group_name)
         if holder is None:
             return
         asked_s = self._parts.clock.monotonic_s()
         beacon = await holder.beacon(asked_s + self._parts.check_timeout_s)
         if beacon is not None:
-            self._ages.tracker(view.group).note(asked_s, beacon)
+            self._ages.tracker(group_name).note(asked_s, beacon)
 
     def _build(self, view: GroupView) -> TermHolder | None:
         group = self._store.group(view.group)
