--- a/loadtool/measure_run.py
+++ b/loadtool/measure_run.py
@@ -28,6 +28,8 @@
 POLICIES: Final = types.MappingProxyType(
     {'chosen': 'owner', 'baseline': 'direct'},
 )
+_START_COUNT: Final = 3
+_TAIL_SIZE: Final = 200
 # Only faults need the fault proxy: as one process between all others, it
 # would itself limit throughput and latency.
 PLAIN_MEASURES: Final[Mapping[str, Measure]] = types.MappingProxyType(
@@ -76,7 +78,25 @@
 
 
 async def run_trial(trial: Trial, commit: str) -> list[Sample]:
-    """Start the deployment, run the measures and end all processes."""
+    """Run a trial, again from the start when a port was taken meanwhile."""
+    left_count = _START_COUNT
+    while True:
+        left_count -= 1
+        try:
+            return await _run_once(trial, commit)
+        except RuntimeError as error:
+            if not left_count:
+                raise
+            sys.stdout.write(f'not started: {str(error)[-_TAIL_SIZE:]}\n')
+
+
+def current_commit() -> str:
+    """Return the short id of the commit that is measured."""
+    command = ('git', 'rev-parse', '--short', 'HEAD')
+    return subprocess.check_output(command, text=True).strip()
+
+
+async def _run_once(trial: Trial, commit: str) -> list[Sample]:
     spec = attrs.evolve(
         SPECS[trial.deployment],
         routing_policy=POLICIES[trial.policy],
@@ -105,12 +125,6 @@
     ]
 
 
-def current_commit() -> str:
-    """Return the short id of the commit that is measured."""
-    command = ('git', 'rev-parse', '--short', 'HEAD')
-    return subprocess.check_output(command, text=True).strip()
-
-
 async def _run_measure(name: str, source: LoadSource) -> dict[str, float]:
     measure = {**PLAIN_MEASURES, **PROXIED_MEASURES}[name]
     begun_s = time.monotonic()
