Count all tally runs of a crest and keep more batch work waiting

An augmented assignment across an await lost counts: 11 were reported of 56 runs that completed. Few closed-loop callers left one replica's queue empty while the other's was long.

--- a/loadtool/crest_measure.py
+++ b/loadtool/crest_measure.py
@@ -27,9 +27,9 @@
 _BOARD_COST_MS: Final = 20
 _BOARD_DEADLINE_MS: Final = 5000
 _TALLY_COST_MS: Final = 300
-_TALLY_WORKER_COUNT: Final = 5
+_TALLY_WORKER_COUNT: Final = 8
 _PIECE_COST_MS: Final = 40
-_PIECE_WORKER_COUNT: Final = 8
+_PIECE_WORKER_COUNT: Final = 12
 _BATCH_DEADLINE_MS: Final = 60_000
 _MAX_AGE_MS: Final = 5000
 _PAUSE_S: Final = 0.1
@@ -112,7 +112,8 @@
         )
 
     async def _tally(self) -> None:
-        self._tally_count += await self._batch(_TALLY_COST_MS)
+        is_complete = await self._batch(_TALLY_COST_MS)
+        self._tally_count += is_complete
 
     async def _piece(self) -> None:
         await self._batch(_PIECE_COST_MS)
