--- a/loadtool/measure_run.py
+++ b/loadtool/measure_run.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
 from typing import Final, TypeAlias, final
 
+import aiohttp
 import attrs
 
 from loadtool.caller_client import CallerClient
@@ -30,6 +31,7 @@
 )
 _START_COUNT: Final = 3
 _TAIL_SIZE: Final = 200
+_START_FAULTS: Final = (RuntimeError, OSError, aiohttp.ClientError)
 # Only faults need the fault proxy: as one process between all others, it
 # would itself limit throughput and latency.
 PLAIN_MEASURES: Final[Mapping[str, Measure]] = types.MappingProxyType(
@@ -84,7 +86,7 @@
         left_count -= 1
         try:
             return await _run_once(trial, commit)
-        except RuntimeError as error:
+        except _START_FAULTS as error:
             if not left_count:
                 raise
             sys.stdout.write(f'not started: {str(error)[-_TAIL_SIZE:]}\n')
