Wait longer for the opinions of other keepers

Cause: a keeper that is asked checks the silent primary first, which takes the whole check timeout of 300 ms; 150 ms for the call itself were too short on a loaded machine, so no opinion counted and the next attempt came a second later. Change: 350 ms. Answers that are there are still used at once; only a silent keeper costs the longer wait. Ruled out: duelling promoters and the retry budget (the decision lines name 'no support of other keepers' with no answers at all).

--- a/mimosapond/opinion_collector.py
+++ b/mimosapond/opinion_collector.py
@@ -13,8 +13,10 @@
 from mimosapond.peer_results import PeerAnswered
 from mimosapond.term_parts import TermParts
 
-# A keeper checks the primary itself before it answers.
-_ANSWER_MARGIN_S: Final = 0.15
+# A keeper checks the primary itself before it answers, which takes the whole
+# check timeout when the primary is silent. With 0.15 s, answers came too late on
+# a loaded machine and a promotion waited for the next attempt.
+_ANSWER_MARGIN_S: Final = 0.35
 
 
 @final
