--- a/mimosapond/host_parts.py
+++ b/mimosapond/host_parts.py
@@ -5,6 +5,7 @@
 import attrs
 
 from mimosapond.anti_entropy import AntiEntropy
+from mimosapond.direct_terms import DirectTerms
 from mimosapond.document_spreader import DocumentSpreader
 from mimosapond.gossip_pusher import GossipPusher
 from mimosapond.group_supervisor import GroupSupervisor
@@ -30,6 +31,8 @@
         Requests of callers.
     peer_calls
         Work that other hosts sent to this owner.
+    direct_terms
+        Only with the baseline policy.
     """
 
     options: Options
@@ -46,3 +49,4 @@
     peers: JsonPeers
     target: WebsocketTarget
     platform: HttpPlatform
+    direct_terms: DirectTerms | None = None
--- a/mimosapond/owner_operations.py
+++ b/mimosapond/owner_operations.py
@@ -25,7 +25,6 @@
 from mimosapond.rejected_call_error import RejectedCallError
 from mimosapond.statement import Statement
 from mimosapond.term_holder import TermHolder
-from mimosapond.term_registry import TermRegistry
 
 _NOT_HOLDER: Final = 'not_holder'
 _Start: TypeAlias = Callable[[TermHolder, PeerRun], Awaitable[Outcome]]
@@ -45,13 +44,20 @@
         """Tell whether this host can reach the group's primary."""
 
 
+class Holders(Protocol):
+    """Term holders of this host."""
+
+    def holder(self, group_name: str) -> TermHolder | None:
+        """Return the open holder of the group."""
+
+
 @final
 @attrs.frozen
 class OwnerOperations:
     """Offered to peers and to this host's own router."""
 
     reader: MemberReader
-    holders: TermRegistry
+    holders: Holders
     keepers: Keepers
     views: GroupViews
     clock: Clock
