--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -29,15 +29,16 @@
       | slots | running       | new   | waited | state  |
       | 1     |               | long  | 0      | runs   |
       | 2     |               | long  | 0      | runs   |
-      | 2     | short         | long  | 0      | waits  |
+      | 2     | short         | long  | 0      | runs   |
       | 2     | short         | short | 0      | runs   |
-      | 2     | short         | long  | 9.9    | waits  |
-      | 2     | short         | long  | 10     | runs   |
+      | 2     | short short   | long  | 30     | waits  |
       | 2     | long          | long  | 0      | waits  |
       | 2     | long          | long  | 30     | waits  |
       | 2     | long          | short | 0      | runs   |
       | 3     | long          | long  | 0      | runs   |
-      | 3     | long short    | long  | 0      | waits  |
+      | 3     | long short    | long  | 0      | runs   |
+      | 4     | long long long | long | 30     | waits  |
+      | 4     | long long     | long  | 0      | runs   |
       | 3     | long long     | long  | 30     | waits  |
 
   Scenario: a statement is learned to be long from its runs
--- a/mimosapond/member_capacity.py
+++ b/mimosapond/member_capacity.py
@@ -61,8 +61,6 @@
             case WorkPace.SHORT:
                 return self.free_slot_count > 0
             case WorkPace.LONG:
-                return self.free_slot_count >= min(2, self.slot_count)
-            case WorkPace.AGED_LONG:
                 has_room = self.long_count < self.long_limit_count
                 return has_room and self.free_slot_count > 0
 
--- a/mimosapond/member_scheduler.py
+++ b/mimosapond/member_scheduler.py
@@ -169,7 +169,7 @@
     def _next_change_s(self, work: WaitingWork) -> float:
         """Return when ``work`` expires, or ages where that changes it."""
         deadline_s = work.ticket.deadline_s
-        if work.rank == 0 and work.pace is not WorkPace.LONG:
+        if work.rank == 0:
             return deadline_s
         steps_s = (work.raised_count + 1) * self._aging_step_s
         return min(deadline_s, work.arrived_s + steps_s)
--- a/mimosapond/waiting_work.py
+++ b/mimosapond/waiting_work.py
@@ -75,8 +75,6 @@
         self.raised_count += 1
         self.rank = max(0, self.rank - 1)
         self.due_s = min(self.due_s, now_s)
-        if self.is_long:
-            self.pace = WorkPace.AGED_LONG
 
     def notify(self) -> None:
         """Wake the task that waits for the work to leave the queue."""
--- a/mimosapond/work_pace.py
+++ b/mimosapond/work_pace.py
@@ -8,12 +8,10 @@
 class WorkPace(enum.Enum):
     """Long work must leave slots to short work.
 
-    ``LONG`` work never takes the last free slot. ``AGED_LONG`` work has waited
-    for an aging step. It may take the last free slot while another slot is
-    without long work: under steady short work two slots are rarely free at
-    once, and it would never start.
+    One slot always stays without ``LONG`` work, where there are two or more,
+    so the wait of short work is bounded by other short work. Requiring two free
+    slots instead kept slots idle and let long work start only after aging.
     """
 
     SHORT = enum.auto()
     LONG = enum.auto()
-    AGED_LONG = enum.auto()
