Answer a refused later try as unknown; roll back at a holder that was silent

Change: a caller sets may_have_run on such a try, and a refusal that proves nothing about the earlier one becomes unknown. Ruled out: remembering tries at the entry host, since sessions roam.

Silent holder. Change: the entry host goes on sending rollback until the holder answers. The scenario fails without it.

--- a/features/end_to_end.feature
+++ b/features/end_to_end.feature
@@ -40,3 +40,9 @@
       | victim | entry |
       | 0      | 1     |
       | 1      | 1     |
+
+  Scenario: a refusal of a later try does not deny an earlier one
+    The first try may have run at another host although this one is refused.
+    When a live write that fails is sent as a later try of its request id
+    Then the later live try is unknown
+    And settling the later live try gives request_cancelled
--- a/features/routes.feature
+++ b/features/routes.feature
@@ -8,3 +8,11 @@
     When a routes search for the holder runs beside other work
     Then the routes search finds no holder
     And the other work beside the routes search went on
+
+  Scenario: routes roll a transaction back once its silent holder answers again
+    The caller was told that the transaction is rolled back. Left alone, the holder
+    kept its locks for the idle limit of 30 s, and writes of the group waited.
+    Given a routes transaction whose holder is silent for 3 calls
+    When routes run statements in the transaction
+    Then the routes answer is refused as transaction_aborted
+    And the routes holder got rollback calls until it answered
--- a/features/steps/end_to_end_steps.py
+++ b/features/steps/end_to_end_steps.py
@@ -11,6 +11,7 @@
 from mimosapond.outcome import Outcome
 from mimosapond.outcome_query import OutcomeQuery
 from mimosapond.refused import Refused
+from mimosapond.statement import Statement
 from mimosapond.statement_request import StatementRequest
 from mimosapond.unknown import Unknown
 
@@ -200,3 +201,35 @@
         for entry in log['entries']
         for statement in entry['statements']
     )
+
+
+@when('a live write that fails is sent as a later try of its request id')
+def send_later_try(context: Any) -> None:
+    """Send a statement that the target rejects."""
+    live: LiveDeployment = context.live
+    request = attrs.evolve(
+        live.requests.insert(live.workspace, live.row_id()),
+        statements=(Statement('INSERT INTO absent VALUES (1)'),),
+        may_have_run=True,
+    )
+    address = live.host(0).caller_address
+    context.later = live.run(live.client.run(address, request))
+    query = OutcomeQuery(
+        request.service,
+        request.workspace,
+        request.request_id,
+    )
+    context.settled = live.run(live.client.settle(address, query))
+
+
+@then('the later live try is unknown')
+def check_later(context: Any) -> None:
+    """Check that nothing is claimed about the earlier try."""
+    assert isinstance(context.later, Unknown), context.later
+
+
+@then('settling the later live try gives {reason}')
+def check_later_settled(context: Any, reason: str) -> None:
+    """Check the settlement."""
+    assert isinstance(context.settled, Refused), context.settled
+    assert context.settled.reason == reason, context.settled
--- a/features/steps/routes_steps.py
+++ b/features/steps/routes_steps.py
@@ -7,10 +7,17 @@
 from behave import given, then, when
 
 from mimosapond.attempt_gate import AttemptGate
+from mimosapond.decision_log import NullDecisionLog
 from mimosapond.entry_services import EntryServices
 from mimosapond.group_view import GroupView
 from mimosapond.group_views import GroupViews
 from mimosapond.holder_route import HolderRoute, find_holder
+from mimosapond.outcome import Outcome
+from mimosapond.peer_results import PeerAnswered, PeerResult, PeerSilent
+from mimosapond.refused import Refused
+from mimosapond.transaction_call import TransactionCall
+from mimosapond.transaction_name import TransactionName
+from mimosapond.transaction_router import TransactionRouter
 
 _GROUP: Final = 'forge-0'
 _DEADLINE_S: Final = 3
@@ -77,3 +84,67 @@
     """Check that the loop was free in between."""
     _route, has_run = context.found
     assert has_run
+
+
+class _SilentHolder:
+    """Answers nothing for a number of calls."""
+
+    def __init__(self, silent_count: int) -> None:
+        self.operations: list[str] = []
+        self._silent_count = silent_count
+
+    async def call(self, _host: Any, operation: str, *_rest: Any) -> PeerResult:
+        """Take a call."""
+        self.operations.append(operation)
+        if len(self.operations) <= self._silent_count:
+            return PeerSilent('no answer', sent=True)
+        return PeerAnswered({})
+
+    request = call
+
+
+class _OneHost:
+    def host(self, _host_id: str) -> str:
+        """Know every host."""
+        return 'host'
+
+
+@given('a routes transaction whose holder is silent for {count:d} calls')
+def build_holder(context: Any, count: int) -> None:
+    """Build the holder."""
+    context.holder = _SilentHolder(count)
+
+
+@when('routes run statements in the transaction')
+def run_statements(context: Any) -> None:
+    """Run one call and let the background work end."""
+    context.answer = asyncio.run(_run_statements(context.holder))
+
+
+async def _run_statements(holder: _SilentHolder) -> Outcome:
+    services: Any = _Services()
+    services.hosts = _OneHost()
+    services.caller = holder
+    services.decisions = NullDecisionLog()
+    services.clock.sleep = asyncio.sleep
+    no_settles: Any = None
+    router = TransactionRouter(services, no_settles)
+    name = TransactionName(_GROUP, 'host', 'local')
+    answer = await router.call('execute', name, TransactionCall('', 100))
+    background = asyncio.all_tasks() - {asyncio.current_task()}
+    await asyncio.gather(*background)
+    return answer
+
+
+@then('the routes answer is refused as {reason}')
+def check_refused(context: Any, reason: str) -> None:
+    """Check the answer of the call."""
+    assert isinstance(context.answer, Refused), context.answer
+    assert context.answer.reason == reason, context.answer
+
+
+@then('the routes holder got rollback calls until it answered')
+def check_rollbacks(context: Any) -> None:
+    """Check the calls after the one that was not answered."""
+    expected = ['execute', 'rollback', 'rollback', 'rollback']
+    assert context.holder.operations == expected, context.holder.operations
--- a/mimosapond/refused.py
+++ b/mimosapond/refused.py
@@ -9,7 +9,7 @@
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
-    """The request did not run and will not run.
+    """This try of the request did not run and will not run.
 
     Attributes
     ----------
--- a/mimosapond/router.py
+++ b/mimosapond/router.py
@@ -7,7 +7,7 @@
 from mimosapond.clock import MS_PER_S, Clock
 from mimosapond.completed import Completed
 from mimosapond.entry_services import EntryServices
-from mimosapond.errors import refuse
+from mimosapond.errors import refuse, unknown
 from mimosapond.outcome import Outcome
 from mimosapond.outcome_query import OutcomeQuery
 from mimosapond.read_router import ReadRouter
@@ -26,6 +26,15 @@
 
 _RUN: Final = 'run'
 _BEGIN: Final = 'begin'
+# Refused for the state of this host or the age of the id, not for the request.
+_SAYS_NOTHING: Final = frozenset(
+    (
+        RefusalReason.NOT_READY,
+        RefusalReason.REQUEST_EXPIRED,
+        RefusalReason.UNKNOWN_SERVICE,
+        RefusalReason.UNKNOWN_WORKSPACE,
+    )
+)
 _EXECUTE: Final = 'execute'
 _SETTLE: Final = 'settle'
 
@@ -83,7 +92,7 @@
             return _no_statements()
         routed = self._resolver.resolve(request)
         if isinstance(routed, Refused):
-            return routed
+            return _refuse_try(request, routed)
         return await self._timed(routed)
 
     async def _begin(self, request: StatementRequest) -> Outcome:
@@ -95,7 +104,7 @@
             )
         routed = self._resolver.resolve(request)
         if isinstance(routed, Refused):
-            return routed
+            return _refuse_try(request, routed)
         outcome = await self._writes.run(routed, _BEGIN)
         if isinstance(outcome, Completed):
             name = f'{routed.group.name}/{outcome.transaction_id}'
@@ -181,6 +190,13 @@
                 )
 
 
+def _refuse_try(request: StatementRequest, refused: Refused) -> Outcome:
+    """Refuse a try, unless that would deny an earlier one that may have run."""
+    if request.may_have_run and refused.reason in _SAYS_NOTHING:
+        return unknown(request.request_id, refused.message)
+    return refused
+
+
 def _no_statements() -> Refused:
     return refuse(
         RefusalReason.BAD_FIELD,
--- a/mimosapond/statement_request.py
+++ b/mimosapond/statement_request.py
@@ -39,6 +39,9 @@
         Oldest data a read may return; None for the class default.
     durability
         None selects ``replicated``, or ``primary`` when repeatable.
+    may_have_run
+        An earlier try of this id ended as unknown or without an answer. A
+        refusal of this try then proves nothing, so it is answered as unknown.
     is_long
         Declares a long statement; None lets the owner learn it.
     """
@@ -55,6 +58,7 @@
     token: str | None = None
     max_age_ms: int | None = None
     durability: Durability | None = None
+    may_have_run: bool = False
     is_long: bool | None = None
 
     @property
--- a/mimosapond/transaction_router.py
+++ b/mimosapond/transaction_router.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Coroutine
 from typing import Any, Final, final
 
 from mimosapond import codec
@@ -25,6 +26,9 @@
 _COMMIT: Final = 'commit'
 _CONFIRM_TRIES: Final = 3
 _CONFIRM_TIMEOUT_S: Final = 0.3
+_ABANDON_TRIES: Final = 30
+_ABANDON_PAUSE_S: Final = 0.5
+_ABANDON_TIMEOUT_MS: Final = 500
 _GONE: Final = frozenset(
     (
         RefusalReason.NO_TRANSACTION,
@@ -45,7 +49,7 @@
         """Take the shared parts of the entry host."""
         self._services = services
         self._settles = settles
-        self._confirming: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def confirm(self, name: TransactionName) -> None:
         """Tell the holder that the answer of the begin arrived.
@@ -53,9 +57,7 @@
         The caller need not wait for it: if the holder hears nothing, it rolls
         back, and the caller's next call is told so.
         """
-        task = asyncio.create_task(self._confirm(name))
-        self._confirming.add(task)
-        task.add_done_callback(self._confirming.discard)
+        self._in_background(self._confirm(name))
 
     async def call(
         self,
@@ -113,6 +115,7 @@
             case PeerSilent(problem, sent) if operation == _COMMIT and sent:
                 return unknown(call.request_id, problem)
             case PeerSilent(problem):
+                self._in_background(self._abandon(name))
                 return refuse(
                     RefusalReason.TRANSACTION_ABORTED,
                     problem=f'its host did not answer: {problem}',
@@ -122,6 +125,32 @@
             case _:
                 return answer
 
+    def _in_background(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _abandon(self, name: TransactionName) -> None:
+        """Roll back at a holder that was silent, once it answers again.
+
+        The caller was told that the transaction is rolled back, and its locks
+        would keep other writes waiting until the idle limit.
+        """
+        host = self._services.hosts.host(name.host_id)
+        call = TransactionCall('', deadline_ms=_ABANDON_TIMEOUT_MS)
+        for _ in range(_ABANDON_TRIES):
+            if host is None:
+                return
+            answer = await self._services.caller.call(
+                host,
+                'rollback',
+                _body(name, call),
+                _ABANDON_TIMEOUT_MS / MS_PER_S,
+            )
+            if not isinstance(answer, PeerSilent):
+                return
+            await self._services.clock.sleep(_ABANDON_PAUSE_S)
+
     async def _confirm(self, name: TransactionName) -> None:
         host = self._services.hosts.host(name.host_id)
         body = {'group': name.group, 'transaction_id': name.holder_id}
--- a/mimosapond/write_router.py
+++ b/mimosapond/write_router.py
@@ -58,6 +58,8 @@
             ``run``, or ``begin`` for an interactive transaction.
         """
         attempts = AttemptLog(routed.request.request_id)
+        if routed.request.may_have_run:
+            attempts.note_unsettled('an earlier try of it ended as unknown')
         outcome: Outcome = _no_primary(routed, 'no holder is known')
         tried_term = 0
         while True:
