--- a/mimosapond/read_router.py
+++ b/mimosapond/read_router.py
@@ -3,9 +3,6 @@
 from collections.abc import Sequence
 from typing import Final, final
 
-import attrs
-
-from mimosapond.clock import MS_PER_S
 from mimosapond.completed import Completed
 from mimosapond.degraded_path import DegradedPath
 from mimosapond.entry_services import EntryServices
@@ -14,7 +11,6 @@
 from mimosapond.floor_finder import FloorFinder
 from mimosapond.outcome import Outcome
 from mimosapond.peer_results import PeerRejected, PeerSilent
-from mimosapond.peer_run import PeerRun
 from mimosapond.read_planner import ReadCandidate, ReadPlanner
 from mimosapond.refusal_reason import RefusalReason
 from mimosapond.refused import Refused
@@ -95,7 +91,7 @@
         answer = await self._services.caller.run(
             candidate.host,
             'run',
-            _peer_run(routed, floor, candidate, left_s),
+            routed.run_at(candidate.member.name, left_s, floor),
             left_s + _ANSWER_MARGIN_S,
         )
         match answer:
@@ -184,24 +180,6 @@
             return True
 
 
-def _peer_run(
-    routed: RoutedRequest,
-    floor: Floor | None,
-    candidate: ReadCandidate,
-    left_s: float,
-) -> PeerRun:
-    return PeerRun(
-        request=attrs.evolve(
-            routed.request,
-            deadline_ms=max(1, int(left_s * MS_PER_S)),
-        ),
-        group=routed.group.name,
-        member=candidate.member.name,
-        floor=floor,
-        connection_limit_count=routed.workspace.connection_limit_count,
-    )
-
-
 def _no_target(routed: RoutedRequest, problem: str) -> Refused:
     return refuse(
         RefusalReason.NO_TARGET,
--- a/mimosapond/write_router.py
+++ b/mimosapond/write_router.py
@@ -6,8 +6,6 @@
 
 from typing import Final, final
 
-import attrs
-
 from mimosapond.attempt_log import AttemptLog
 from mimosapond.clock import MS_PER_S
 from mimosapond.degraded_path import DegradedPath
@@ -16,7 +14,6 @@
 from mimosapond.holder_route import HolderRoute, find_holder
 from mimosapond.outcome import Outcome
 from mimosapond.peer_results import PeerRejected, PeerSilent
-from mimosapond.peer_run import PeerRun
 from mimosapond.refusal_reason import RefusalReason
 from mimosapond.refused import Refused
 from mimosapond.routed_request import RoutedRequest
@@ -113,7 +110,7 @@
         answer = await self._services.caller.run(
             route.host,
             operation,
-            _peer_run(routed, route, left_s),
+            routed.run_at(route.view.primary, left_s),
             left_s + _ANSWER_MARGIN_S,
         )
         match answer:
@@ -198,22 +195,6 @@
         )
 
 
-def _peer_run(
-    routed: RoutedRequest,
-    route: HolderRoute,
-    left_s: float,
-) -> PeerRun:
-    return PeerRun(
-        request=attrs.evolve(
-            routed.request,
-            deadline_ms=max(1, int(left_s * MS_PER_S)),
-        ),
-        group=routed.group.name,
-        member=route.view.primary,
-        connection_limit_count=routed.workspace.connection_limit_count,
-    )
-
-
 def _no_primary(routed: RoutedRequest, problem: str) -> Refused:
     return refuse(
         RefusalReason.NO_PRIMARY,
