Stop a host that the platform lists as leaving

Cause: the list only changed the host's own record, so it handed its terms over but never left. Change: the record's leaving state starts the same graceful stop as SIGTERM.

--- a/features/draining.feature
+++ b/features/draining.feature
@@ -72,6 +72,15 @@
       | the holder        | SIGTERM  |
       | a replica's owner | operator |
 
+  # Guards against a host that the platform takes away while it still holds terms.
+  Scenario: draining stops a host that the platform lists as leaving
+    Given draining deployment of 3 hosts
+    And draining write "listed" of durability "replicated" is completed
+    When draining host is stopped by the platform's list
+    Then draining stopped host exits with code 0
+    And draining group was handed over before the exit
+    And draining primary holds every acknowledged write
+
   # Guards against a stop that ends open transactions or cuts off the upload of a
   # body, and begins that fail because the group is being handed over.
   Scenario: draining finishes open transactions before the handover
--- a/features/steps/draining_steps.py
+++ b/features/steps/draining_steps.py
@@ -264,6 +264,8 @@
     child = world.deployment.processes.children[context.stopped.name]
     if way == 'SIGTERM':
         child.send_signal(signal.SIGTERM)
+    elif way == "the platform's list":
+        world.run(_list_as_leaving(world, context.stopped))
     else:
         call = world.deployment.operate(context.stopped, 'POST', '/v1/drain')
         assert world.run(call)['outcome'] == 'completed'
@@ -271,6 +273,22 @@
         context.stream.avoid(context.stopped)
 
 
+async def _list_as_leaving(world: LiveWorld, host: DeployedHost) -> None:
+    status = await world.deployment.status(host)
+    record = status['host']
+    listed = {
+        'host_id': record['host_id'],
+        'address': record['address'],
+        'data_centre': record['data_centre'],
+        'state': 'leaving',
+    }
+    address = world.deployment.platform_address
+    url = f'http://{address}/hosts/{record["host_id"]}'
+    async with aiohttp.ClientSession() as session:
+        async with session.put(url, json=listed) as answer:
+            answer.raise_for_status()
+
+
 @given('draining half of a request was sent to the holder')
 def send_half(context: Any) -> None:
     """Send headers and the first half of the body."""
--- a/mimosapond/composition.py
+++ b/mimosapond/composition.py
@@ -4,6 +4,7 @@
 here.
 """
 
+import functools
 import random
 import secrets
 from collections.abc import Mapping
@@ -43,6 +44,7 @@
 from mimosapond.host_list_poller import HostListPoller
 from mimosapond.host_parts import HostParts
 from mimosapond.host_record import HostRecord
+from mimosapond.host_state import HostState
 from mimosapond.http_platform import HttpPlatform
 from mimosapond.in_flight import InFlight
 from mimosapond.json_link import MAX_MESSAGE_BYTES
@@ -132,9 +134,18 @@
                 direct_terms=self._direct_terms,
             ),
         )
+        self._membership.subscribe(
+            functools.partial(self._follow_own_state, host),
+        )
         self._listen(host)
         return host
 
+    def _follow_own_state(self, host: Host, record: HostRecord) -> None:
+        # The platform's list may say that this host is to leave.
+        is_own = record.host_id == self._own.host_id
+        if is_own and record.state is HostState.LEAVING:
+            host.request_leave()
+
     def _build_base(self) -> None:
         options = self._options
         suffix = secrets.token_hex(_SUFFIX_BYTES)
