--- a/loadtool/capacity.py
+++ b/loadtool/capacity.py
@@ -119,7 +119,12 @@
 
 
 async def _measure_clients(count: int) -> CapacityPoint:
-    spec = attrs.evolve(FORGE, host_count=1, group_count=1)
+    spec = attrs.evolve(
+        FORGE,
+        host_count=1,
+        group_count=1,
+        host_settings={'caller_connection_limit_count': 2 * count},
+    )
     async with Deployment(spec) as deployment:
         async with IdleClients(deployment.hosts[0].caller_address, count):
             return await _observe(deployment, count, has_links=False)
