--- /dev/null
+++ b/mimosapond/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The routes and limits in force, and how a host follows their versions."""
--- /dev/null
+++ b/mimosapond/configuration/configuration_follower.py
@@ -0,0 +1,75 @@
+"""Keeps the configuration in force at the newest version."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, final
+
+from loguru import logger
+
+from mimosapond.configuration.active_configuration import ActiveConfiguration
+from mimosapond.configuration.configuration import Configuration
+from mimosapond.configuration.configuration_source import (
+    ConfigurationSource,
+    SourceGap,
+    SourceState,
+    SourceUnavailable,
+)
+
+# A silent feed is noticed after this wait, well inside the bound for
+# configurations.
+_WAIT_S: Final = 1.2
+_RETRY_S: Final = 0.15
+
+
+@final
+class ConfigurationFollower:
+    """Reads the whole state once, then follows changes."""
+
+    def __init__(
+        self,
+        source: ConfigurationSource,
+        active: ActiveConfiguration,
+        on_change: Callable[[Configuration], None],
+    ) -> None:
+        """Take the source and what is to know of each new version."""
+        self._source = source
+        self._active = active
+        self._on_change = on_change
+        self._mark: int | None = None
+        self._is_connected = True
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            await self._step()
+
+    async def _step(self) -> None:
+        if self._mark is None:
+            answer = await self._source.read()
+        else:
+            answer = await self._source.follow(self._mark, _WAIT_S)
+        match answer:
+            case SourceState(configuration=configuration, mark=mark):
+                self._note_connection(is_connected=True, reason='')
+                self._mark = mark
+                if configuration is not None:
+                    self._apply(configuration)
+            case SourceGap():
+                self._mark = None
+            case SourceUnavailable(reason=reason):
+                self._note_connection(is_connected=False, reason=reason)
+                self._mark = None
+                await asyncio.sleep(_RETRY_S)
+
+    def _apply(self, configuration: Configuration) -> None:
+        if self._active.put_in_force(configuration):
+            self._on_change(configuration)
+
+    def _note_connection(self, *, is_connected: bool, reason: str) -> None:
+        if is_connected != self._is_connected:
+            self._is_connected = is_connected
+            logger.bind(
+                is_connected=is_connected,
+                reason=reason,
+                version=self._active.version,
+            ).warning('configuration_source')
--- /dev/null
+++ b/mimosapond/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Life of the process of one host: start, readiness, graceful stop."""
--- /dev/null
+++ b/mimosapond/entry/caller_desk.py
@@ -0,0 +1,61 @@
+"""Sessions that are open on this host, and their end at a graceful stop."""
+
+import contextlib
+from collections.abc import Callable, Iterator
+from typing import final
+
+from mimosapond.sessions.session import Session, SessionServices
+from mimosapond.statements.reply import SessionState
+
+
+@final
+class CallerDesk:
+    """Opens sessions and closes idle ones when the host leaves."""
+
+    def __init__(self, services: SessionServices) -> None:
+        """Start without sessions."""
+        self._services = services
+        self._closers: dict[Session, Callable[[], None]] = {}
+        self._busy: set[Session] = set()
+        self.is_ending = False
+
+    @property
+    def session_count(self) -> int:
+        """Sessions that are open."""
+        return len(self._closers)
+
+    def open(self, database: str) -> Session | None:
+        """Return a session; None if there is no route for the database."""
+        if self._services.configuration.route(database) is None:
+            return None
+        return Session(database, self._services)
+
+    def enter(self, session: Session, close: Callable[[], None]) -> None:
+        """Count a session; ``close`` ends its connection."""
+        self._closers[session] = close
+
+    def leave(self, session: Session) -> None:
+        """Stop counting a session."""
+        self._closers.pop(session, None)
+        self._busy.discard(session)
+
+    @contextlib.contextmanager
+    def serving(self, session: Session) -> Iterator[None]:
+        """Mark that a request of the session is under way."""
+        self._busy.add(session)
+        try:
+            yield
+        finally:
+            self._busy.discard(session)
+
+    def may_end(self, session: Session) -> bool:
+        """Return whether to close a session after its answer."""
+        return self.is_ending and session.state is SessionState.idle
+
+    def close_idle(self) -> None:
+        """Close the sessions that are outside of transactions and requests."""
+        for session, close in tuple(self._closers.items()):
+            if session not in self._busy and (
+                session.state is SessionState.idle
+            ):
+                close()
--- /dev/null
+++ b/mimosapond/entry/platform_host.py
@@ -0,0 +1,101 @@
+"""The process of one host on the platform: start, serve, stop."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, Final, final
+
+import attrs
+from loguru import logger
+
+from mimosapond.boot_clock import Now
+from mimosapond.configuration.active_configuration import ActiveConfiguration
+from mimosapond.configuration.configuration_follower import (
+    ConfigurationFollower,
+)
+from mimosapond.entry.caller_desk import CallerDesk
+from mimosapond.failover.primary_change import PrimaryChange
+from mimosapond.failover.primary_watch import PrimaryWatch
+from mimosapond.groups.group_directory import GroupDirectory
+from mimosapond.groups.registration_follower import RegistrationFollower
+from mimosapond.routing.primary_probe import PrimaryProbe
+
+# The balancer takes a host out after two missed questions, one a second.
+_OUT_OF_ROTATION_S: Final = 2.3
+# Left for the last answers to reach their callers.
+_END_MARGIN_S: Final = 0.4
+_STEP_S: Final = 0.05
+
+
+@final
+@attrs.frozen
+class HostParts:
+    """What the host runs."""
+
+    active: ActiveConfiguration
+    directory: GroupDirectory
+    configuration_follower: ConfigurationFollower
+    registration_follower: RegistrationFollower
+    desk: CallerDesk
+    probe: PrimaryProbe
+    change: PrimaryChange
+    now: Now
+
+
+@final
+class PlatformHost:
+    """Runs the tasks of a host and ends them in order."""
+
+    def __init__(self, parts: HostParts, stop_grace_s: float) -> None:
+        """Take the parts and the time allowed for a stop."""
+        self._parts = parts
+        self._stop_grace_s = stop_grace_s
+        self._stop = asyncio.Event()
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def is_ready(self) -> bool:
+        """Whether new callers may be sent here."""
+        return (
+            not self._stop.is_set()
+            and self._parts.active.is_loaded
+            and self._parts.registration_follower.is_loaded
+        )
+
+    def request_stop(self) -> None:
+        """Begin a graceful stop."""
+        logger.info('stop_requested')
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Serve until a stop was requested and has ended."""
+        self._start('configuration', self._parts.configuration_follower.run())
+        self._start('registrations', self._parts.registration_follower.run())
+        stopping = asyncio.create_task(self._stop.wait())
+        while not self._stop.is_set():
+            self._watch_groups()
+            await asyncio.wait((stopping,), timeout=_STEP_S)
+        await self._end_sessions()
+        logger.bind(sessions=self._parts.desk.session_count).info('stopped')
+
+    def _start(self, name: str, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks[name] = asyncio.create_task(work, name=name)
+
+    def _watch_groups(self) -> None:
+        for group in self._parts.directory.groups.values():
+            if group.name not in self._tasks:
+                watch = PrimaryWatch(
+                    group,
+                    self._parts.probe,
+                    self._parts.change,
+                    self._parts.now,
+                )
+                self._start(group.name, watch.run())
+
+    async def _end_sessions(self) -> None:
+        desk = self._parts.desk
+        started_s = self._parts.now()
+        await asyncio.sleep(_OUT_OF_ROTATION_S)
+        desk.is_ending = True
+        end_s = started_s + self._stop_grace_s - _END_MARGIN_S
+        while desk.session_count and self._parts.now() < end_s:
+            desk.close_idle()
+            await asyncio.sleep(_STEP_S)
--- /dev/null
+++ b/mimosapond/failover/__init__.py
@@ -0,0 +1,1 @@
+"""Detection of a lost primary and promotion of a replica without loss."""
--- /dev/null
+++ b/mimosapond/failover/duty_port.py
@@ -0,0 +1,48 @@
+"""Claim on the replacement of a group's primary."""
+
+from typing import Protocol, TypeAlias, final
+
+import attrs
+
+
+@final
+@attrs.frozen
+class DutyClaim:
+    """The claim is held.
+
+    Parameters
+    ----------
+    token
+        Fencing token: higher than that of every earlier claim.
+    """
+
+    token: int
+
+
+@final
+@attrs.frozen
+class DutyTaken:
+    """Another host holds the claim."""
+
+    holder: str
+
+
+@final
+@attrs.frozen
+class DutyUnknown:
+    """The store did not answer."""
+
+    reason: str
+
+
+DutyOutcome: TypeAlias = DutyClaim | DutyTaken | DutyUnknown
+
+
+class DutyPort(Protocol):
+    """Claims on groups, one holder at a time."""
+
+    async def claim(self, group: str) -> DutyOutcome:
+        """Claim a group for a short time."""
+
+    async def release(self, group: str) -> None:
+        """Let other hosts claim the group at once."""
--- /dev/null
+++ b/mimosapond/failover/log_survey.py
@@ -0,0 +1,93 @@
+"""Pauses replicas and learns what their logs hold."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Final, TypeAlias, final
+
+import attrs
+from loguru import logger
+
+from mimosapond.groups.connection_pool import NoConnection
+from mimosapond.groups.member import Member
+from mimosapond.groups.member_answer import Rejected, RejectionKind
+from mimosapond.groups.member_port import MemberConnection, StatusAnswer
+from mimosapond.groups.member_status import MemberStatus
+
+_Call: TypeAlias = Callable[[MemberConnection], Awaitable[StatusAnswer]]
+
+_PRIORITY: Final = -2
+STEP_LIMIT_S: Final = 0.6
+_BUSY_PAUSE_S: Final = 0.02
+_BUSY_TRIES: Final = 20
+
+
+@final
+@attrs.frozen
+class SurveyedMember:
+    """A member and what it said of itself."""
+
+    member: Member
+    status: MemberStatus
+
+
+async def ask_member(member: Member, call: _Call) -> MemberStatus | None:
+    """Make a control request; None if the member did not carry it out."""
+    for _ in range(_BUSY_TRIES):
+        answer = await _ask_once(member, call)
+        if isinstance(answer, MemberStatus):
+            return answer
+        if not _is_busy(answer):
+            logger.bind(member=member.member_id, answer=str(answer)).warning(
+                'member_control_failed'
+            )
+            return None
+        await asyncio.sleep(_BUSY_PAUSE_S)
+    return None
+
+
+async def pause_all(
+    members: Iterable[Member], term: int
+) -> dict[str, SurveyedMember]:
+    """Stop replicas from receiving; return those that did, by id."""
+    return await _ask_all(members, lambda link: link.pause(term, STEP_LIMIT_S))
+
+
+async def resume_all(members: Iterable[Member]) -> None:
+    """Let replicas receive again."""
+    await _ask_all(members, lambda link: link.resume(STEP_LIMIT_S))
+
+
+async def survey_all(members: Iterable[Member]) -> dict[str, SurveyedMember]:
+    """Return the status of all members that answer, by id."""
+    return await _ask_all(members, lambda link: link.status(STEP_LIMIT_S))
+
+
+async def _ask_all(
+    members: Iterable[Member], call: _Call
+) -> dict[str, SurveyedMember]:
+    asked = tuple(members)
+    answers = await asyncio.gather(
+        *(ask_member(member, call) for member in asked),
+    )
+    return {
+        member.member_id: SurveyedMember(member, status)
+        for member, status in zip(asked, answers, strict=True)
+        if status is not None
+    }
+
+
+async def _ask_once(member: Member, call: _Call) -> StatusAnswer | NoConnection:
+    connection = await member.pool.borrow(_PRIORITY, STEP_LIMIT_S)
+    if isinstance(connection, NoConnection):
+        return connection
+    try:
+        answer = await call(connection.link)
+    finally:
+        member.pool.give_back(connection)
+    if isinstance(answer, MemberStatus):
+        member.load.hear(answer.received)
+    return answer
+
+
+def _is_busy(answer: StatusAnswer | NoConnection) -> bool:
+    return isinstance(answer, Rejected) and answer.kind is RejectionKind.busy
--- /dev/null
+++ b/mimosapond/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Database groups: members, their log positions, connections and primaries."""
--- /dev/null
+++ b/mimosapond/groups/connection_pool.py
@@ -0,0 +1,230 @@
+"""Connections of one host to one member, given to the most urgent first."""
+
+import asyncio
+import heapq
+import itertools
+import random
+from collections.abc import Mapping
+from typing import Final, final
+
+import attrs
+from loguru import logger
+
+from mimosapond.boot_clock import Now
+from mimosapond.groups.member_answer import LinkLost, Rejected, RejectionKind
+from mimosapond.groups.member_load import MemberLoad
+from mimosapond.groups.member_port import MemberDialer
+from mimosapond.groups.member_record import MemberRecord
+from mimosapond.groups.pooled_connection import PooledConnection
+
+# Pause before the next try when the member has all connections it accepts;
+# jittered, as other hosts wait for the same ones.
+_FULL_PAUSE_S: Final = 0.06
+_GONE: Final = (RejectionKind.wrong_member,)
+
+
+@final
+@attrs.frozen
+class NoConnection:
+    """No connection could be had.
+
+    Parameters
+    ----------
+    is_reachable
+        Whether the member lacks connections only.
+    """
+
+    reason: str
+    is_reachable: bool
+
+
+@final
+@attrs.define(order=True)
+class _Waiter:
+    priority: int
+    number: int
+    future: asyncio.Future[PooledConnection | NoConnection] = attrs.field(
+        order=False,
+    )
+
+
+@final
+class ConnectionPool:
+    """Open connections to one life of a member."""
+
+    def __init__(
+        self,
+        record: MemberRecord,
+        dialer: MemberDialer,
+        load: MemberLoad,
+        now: Now,
+    ) -> None:
+        """Start without connections."""
+        self._record = record
+        self._dialer = dialer
+        self._load = load
+        self._now = now
+        self._idle: list[PooledConnection] = []
+        self._waiters: list[_Waiter] = []
+        self._numbers = itertools.count()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._is_closed = False
+        self.open_count = 0
+        self.limit_count = 1
+
+    @property
+    def idle_count(self) -> int:
+        """Connections that nobody uses."""
+        return len(self._idle)
+
+    async def borrow(
+        self,
+        priority: int,
+        wait_s: float,
+        values: Mapping[str, str] | None = None,
+    ) -> PooledConnection | NoConnection:
+        """Take a connection, waiting up to ``wait_s``.
+
+        Parameters
+        ----------
+        priority
+            The lowest number is served first.
+        values
+            Session values wanted; a connection that has them is preferred.
+        """
+        if not self._waiters or priority < self._waiters[0].priority:
+            idle = self._take_idle(values or {})
+            if idle is not None:
+                return idle
+        if self._is_closed:
+            return NoConnection('the member has gone', is_reachable=False)
+        waiter = _Waiter(
+            priority,
+            next(self._numbers),
+            asyncio.get_running_loop().create_future(),
+        )
+        heapq.heappush(self._waiters, waiter)
+        self._grow()
+        try:
+            await asyncio.wait((waiter.future,), timeout=wait_s)
+        except asyncio.CancelledError:
+            self._withdraw(waiter)
+            raise
+        return self._withdraw(waiter, return_result=True)
+
+    def give_back(self, connection: PooledConnection) -> None:
+        """Return a connection; a closed one makes room for another."""
+        if self._is_closed:
+            connection.link.close()
+        if not connection.link.is_open:
+            self.open_count -= 1
+            self._grow()
+            return
+        connection.idle_since_s = self._now()
+        waiter = self._next_waiter()
+        if waiter is None:
+            self._idle.append(connection)
+        else:
+            waiter.future.set_result(connection)
+
+    def trim(self, keep_count: int, idle_s: float) -> None:
+        """Close connections that were idle long, beyond ``keep_count``."""
+        oldest_allowed_s = self._now() - idle_s
+        for connection in tuple(self._idle):
+            if not connection.link.is_open:
+                self._drop_idle(connection)
+            elif (
+                self.open_count > keep_count
+                and connection.idle_since_s < oldest_allowed_s
+            ):
+                self._drop_idle(connection)
+
+    def close(self) -> None:
+        """Close idle connections now and others when they come back."""
+        self._is_closed = True
+        for connection in tuple(self._idle):
+            self._drop_idle(connection)
+        self._fail_waiters(
+            NoConnection('the member has gone', is_reachable=False),
+        )
+
+    def drop_idle(self) -> None:
+        """Close all idle connections, as they may be silent."""
+        for connection in tuple(self._idle):
+            self._drop_idle(connection)
+
+    def _drop_idle(self, connection: PooledConnection) -> None:
+        self._idle.remove(connection)
+        connection.link.close()
+        self.open_count -= 1
+
+    def _take_idle(self, values: Mapping[str, str]) -> PooledConnection | None:
+        for connection in tuple(self._idle):
+            if not connection.link.is_open:
+                self._drop_idle(connection)
+        if not self._idle:
+            return None
+        for connection in reversed(self._idle):
+            if connection.values == values:
+                self._idle.remove(connection)
+                return connection
+        return self._idle.pop()
+
+    def _withdraw(
+        self, waiter: _Waiter, *, return_result: bool = False
+    ) -> PooledConnection | NoConnection:
+        if not waiter.future.done():
+            waiter.future.cancel()
+            return NoConnection('no connection in time', is_reachable=True)
+        found = waiter.future.result()
+        if not return_result and isinstance(found, PooledConnection):
+            self.give_back(found)
+        return found
+
+    def _next_waiter(self) -> _Waiter | None:
+        while self._waiters:
+            waiter = heapq.heappop(self._waiters)
+            if not waiter.future.done():
+                return waiter
+        return None
+
+    def _waiting_count(self) -> int:
+        return sum(not waiter.future.done() for waiter in self._waiters)
+
+    def _fail_waiters(self, failure: NoConnection) -> None:
+        waiter = self._next_waiter()
+        while waiter is not None:
+            waiter.future.set_result(failure)
+            waiter = self._next_waiter()
+
+    def _grow(self) -> None:
+        wanted_count = self._waiting_count() - len(self._tasks)
+        room_count = self.limit_count - self.open_count
+        for _ in range(min(wanted_count, room_count)):
+            self.open_count += 1
+            task = asyncio.create_task(self._dial())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _dial(self) -> None:
+        outcome = await self._dialer.dial(self._record)
+        match outcome:
+            case Rejected(kind=RejectionKind.wrong_member):
+                self.open_count -= 1
+                self._fail_waiters(
+                    NoConnection(outcome.text, is_reachable=False),
+                )
+            case Rejected():
+                self._load.hear(None)
+                await asyncio.sleep(_FULL_PAUSE_S * (1 + random.random()))
+                self.open_count -= 1
+                asyncio.get_running_loop().call_soon(self._grow)
+            case LinkLost(reason=reason):
+                self.open_count -= 1
+                logger.bind(member=self._record.member_id, reason=reason).debug(
+                    'member_connection_failed'
+                )
+                self._fail_waiters(NoConnection(reason, is_reachable=False))
+            case _:
+                self._load.hear(None)
+                self.give_back(PooledConnection(outcome, self._load))
--- /dev/null
+++ b/mimosapond/groups/member_load.py
@@ -0,0 +1,90 @@
+"""What a host sees of a member through its own requests."""
+
+from typing import Final, final
+
+import attrs
+
+from mimosapond.boot_clock import Now
+from mimosapond.groups.log_position import LogPosition
+from mimosapond.groups.member_answer import (
+    Completed,
+    LinkLost,
+    MemberAnswer,
+    Rejected,
+    RejectionKind,
+)
+
+_START_LATENCY_S: Final = 0.015
+# Weight of a new sample in the smoothed latency.
+_SMOOTHING: Final = 0.15
+# A member that refused as behind or busy is avoided this long.
+_AVOID_S: Final = 0.1
+# A member that gave no answer is avoided this long.
+_AVOID_SILENT_S: Final = 0.5
+
+
+@final
+@attrs.frozen(eq=False)
+class RequestTicket:
+    """A request that is under way."""
+
+    sent_s: float
+    is_write: bool
+
+
+@final
+class MemberLoad:
+    """Requests under way, latency, log position and last signs of life."""
+
+    def __init__(self, now: Now) -> None:
+        """Start without any knowledge of the member."""
+        self._now = now
+        self._tickets: dict[RequestTicket, None] = {}
+        self.latency_s = _START_LATENCY_S
+        self.position: LogPosition | None = None
+        self.heard_s: float = 0
+        self.avoid_until_s: float = 0
+
+    @property
+    def under_way_count(self) -> int:
+        """Requests without an answer yet."""
+        return len(self._tickets)
+
+    def oldest_age_s(self, *, writes_only: bool = False) -> float:
+        """Return the age of the oldest request under way; 0 if none is."""
+        sent = [
+            ticket.sent_s
+            for ticket in self._tickets
+            if ticket.is_write or not writes_only
+        ]
+        return self._now() - min(sent) if sent else 0
+
+    def start(self, *, is_write: bool) -> RequestTicket:
+        """Count a request."""
+        ticket = RequestTicket(self._now(), is_write=is_write)
+        self._tickets[ticket] = None
+        return ticket
+
+    def leave(self, ticket: RequestTicket) -> None:
+        """Stop counting a request."""
+        self._tickets.pop(ticket, None)
+
+    def record(self, ticket: RequestTicket, answer: MemberAnswer) -> None:
+        """Learn from an answer."""
+        match answer:
+            case Completed(position=position):
+                taken_s = self._now() - ticket.sent_s
+                self.latency_s += _SMOOTHING * (taken_s - self.latency_s)
+                self.hear(position)
+            case Rejected(position=position, kind=kind):
+                if kind in {RejectionKind.behind, RejectionKind.busy}:
+                    self.avoid_until_s = self._now() + _AVOID_S
+                self.hear(position)
+            case LinkLost():
+                self.avoid_until_s = self._now() + _AVOID_SILENT_S
+
+    def hear(self, position: LogPosition | None) -> None:
+        """Note a sign of life."""
+        self.heard_s = self._now()
+        if position is not None:
+            self.position = position
--- /dev/null
+++ b/mimosapond/groups/registration_follower.py
@@ -0,0 +1,49 @@
+"""Keeps the directory of groups up with the registrations."""
+
+import asyncio
+from typing import Final, final
+
+from loguru import logger
+
+from mimosapond.groups.group_directory import GroupDirectory
+from mimosapond.groups.registration_source import (
+    RegistrationSource,
+    RegistrationsUnavailable,
+)
+
+_PERIOD_S: Final = 1.0
+_RETRY_S: Final = 0.2
+
+
+@final
+class RegistrationFollower:
+    """Reads the registrations at intervals."""
+
+    def __init__(
+        self, source: RegistrationSource, directory: GroupDirectory
+    ) -> None:
+        """Take the source and the directory to keep up."""
+        self._source = source
+        self._directory = directory
+        self._is_connected = True
+        self.is_loaded = False
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            found = await self._source.read()
+            if isinstance(found, RegistrationsUnavailable):
+                self._note_connection(is_connected=False, reason=found.reason)
+                await asyncio.sleep(_RETRY_S)
+                continue
+            self._note_connection(is_connected=True, reason='')
+            self._directory.apply_registrations(found.records)
+            self.is_loaded = True
+            await asyncio.sleep(_PERIOD_S)
+
+    def _note_connection(self, *, is_connected: bool, reason: str) -> None:
+        if is_connected != self._is_connected:
+            self._is_connected = is_connected
+            logger.bind(is_connected=is_connected, reason=reason).warning(
+                'registration_source',
+            )
--- /dev/null
+++ b/mimosapond/platform/caller_link.py
@@ -0,0 +1,137 @@
+"""Connections of callers on the platform's wire."""
+
+import asyncio
+from typing import Final, final
+
+from loguru import logger
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from mimosapond.entry.caller_desk import CallerDesk
+from mimosapond.platform.line_stream import (
+    LineStream,
+    LineTooLongError,
+    LineUnreadableError,
+)
+from mimosapond.platform.statement_codec import decode_statement
+from mimosapond.platform.wire_names import FAILURE_CODES, STATE_LETTERS
+from mimosapond.routing import failures
+from mimosapond.sessions.session import Session
+from mimosapond.statements.reply import (
+    Failure,
+    FailureKind,
+    Reply,
+    SessionState,
+    Success,
+)
+
+_NO_POSITION: Final = '-'
+_UNREADABLE: Final = Failure(
+    FailureKind.malformed, 'not a message of the wire; see docs/platform.md'
+)
+_TOO_LONG: Final = Failure(
+    FailureKind.too_large, 'the message is longer than 1 MiB; split it'
+)
+
+
+class _ProtocolError(Exception):
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure)
+        self.failure = failure
+
+
+@final
+class CallerServer(TCPServer):
+    """Accepts callers; one task serves one connection."""
+
+    def __init__(self, desk: CallerDesk) -> None:
+        """Take what opens and ends sessions."""
+        super().__init__()
+        self._desk = desk
+
+    async def handle_stream(
+        self, stream: IOStream, address: tuple[str, int]
+    ) -> None:
+        """Serve a connection until either end closes it."""
+        link = _CallerLink(LineStream(stream), self._desk)
+        try:
+            await link.serve()
+        except StreamClosedError:
+            logger.bind(caller=address[0]).debug('caller_left')
+        except Exception:  # noqa: BLE001 -- one caller must not stop others
+            logger.bind(caller=address[0]).exception('caller_link_failed')
+        finally:
+            link.close()
+
+
+@final
+class _CallerLink:
+    def __init__(self, lines: LineStream, desk: CallerDesk) -> None:
+        self._lines = lines
+        self._desk = desk
+        self._session: Session | None = None
+        self._task: asyncio.Task[Reply] | None = None
+
+    async def serve(self) -> None:
+        try:
+            session = await self._start()
+            self._session = session
+            self._desk.enter(session, self._lines.close)
+            while await self._serve_one(session):
+                if self._desk.may_end(session):
+                    return
+        except _ProtocolError as error:
+            await self._lines.write(_error_line(error.failure))
+        except LineTooLongError:
+            await self._lines.write(_error_line(_TOO_LONG))
+        except LineUnreadableError:
+            await self._lines.write(_error_line(_UNREADABLE))
+
+    def close(self) -> None:
+        self._lines.close()
+        if self._session is not None:
+            self._desk.leave(self._session)
+            self._session.close()
+
+    async def _start(self) -> Session:
+        word, _, rest = (await self._lines.read()).partition(' ')
+        database = rest.partition(' ')[0]
+        if word != 'START' or not database:
+            raise _ProtocolError(_UNREADABLE)
+        session = self._desk.open(database)
+        if session is None:
+            raise _ProtocolError(failures.NO_SUCH_DATABASE)
+        await self._lines.write(_ready_line(session.state))
+        return session
+
+    async def _serve_one(self, session: Session) -> bool:
+        word, _, rest = (await self._lines.read()).partition(' ')
+        if word == 'TERMINATE':
+            return False
+        request_id, _, text = rest.partition(' ')
+        if word != 'QUERY' or not request_id or not text:
+            raise _ProtocolError(_UNREADABLE)
+        with self._desk.serving(session):
+            reply = await session.execute(request_id, decode_statement(text))
+            await self._lines.write(*_lines_of(reply, session.state))
+        return True
+
+
+def _lines_of(reply: Reply, state: SessionState) -> list[str]:
+    match reply:
+        case Success(rows=rows, signature=signature):
+            return [
+                *(f'DATAROW {row}' for row in rows),
+                f'COMPLETE {signature or _NO_POSITION}',
+                _ready_line(state),
+            ]
+        case Failure():
+            return [_error_line(reply), _ready_line(state)]
+
+
+def _ready_line(state: SessionState) -> str:
+    return f'READY {STATE_LETTERS[state]} {_NO_POSITION}'
+
+
+def _error_line(failure: Failure) -> str:
+    return f'ERROR {FAILURE_CODES[failure.kind]} {failure.text}'
--- /dev/null
+++ b/mimosapond/platform/composition.py
@@ -0,0 +1,110 @@
+"""Connects the parts of a host that runs on the platform."""
+
+from typing import Final, final
+
+from mimosapond.boot_clock import boot_time_s
+from mimosapond.configuration.active_configuration import ActiveConfiguration
+from mimosapond.configuration.configuration_follower import (
+    ConfigurationFollower,
+)
+from mimosapond.entry.caller_desk import CallerDesk
+from mimosapond.entry.host_settings import HostSettings
+from mimosapond.entry.platform_host import HostParts, PlatformHost
+from mimosapond.entry.ready_server import build_ready_application
+from mimosapond.failover.primary_change import PrimaryChange
+from mimosapond.groups.group_directory import GroupDirectory
+from mimosapond.groups.registration_follower import RegistrationFollower
+from mimosapond.platform.caller_link import CallerServer
+from mimosapond.platform.member_link import WireMemberDialer
+from mimosapond.platform.promotion_client import PromotionClient
+from mimosapond.platform.store_client import StoreClient
+from mimosapond.platform.store_configuration import StoreConfiguration
+from mimosapond.platform.store_duties import StoreDuties
+from mimosapond.platform.store_registrations import StoreRegistrations
+from mimosapond.routing.member_choice import MemberChoice
+from mimosapond.routing.primary_probe import PrimaryProbe
+from mimosapond.routing.read_positions import ReadPositions
+from mimosapond.routing.read_router import ReadRouter
+from mimosapond.routing.write_router import WriteRouter
+from mimosapond.sessions.session import SessionServices
+from mimosapond.sessions.transaction import TransactionRouting
+
+_READY_PATH: Final = '/api/ready'
+_CONNECT_LIMIT_S: Final = 0.3
+# A member at work on other requests starts a connection later.
+_START_LIMIT_S: Final = 1.0
+_BACKLOG_COUNT: Final = 1024
+
+
+@final
+class PlatformComposition:
+    """Builds a host from its settings."""
+
+    def __init__(self, settings: HostSettings) -> None:
+        """Create the parts that others share."""
+        self._settings = settings
+        self._now = boot_time_s
+        self._store = StoreClient(settings.store_address)
+        self._active = ActiveConfiguration()
+        self._directory = GroupDirectory(
+            WireMemberDialer(_CONNECT_LIMIT_S, _START_LIMIT_S), self._now
+        )
+        self._probe = PrimaryProbe(self._now)
+        self._desk = CallerDesk(self._session_services())
+
+    def build_host(self) -> PlatformHost:
+        """Return the host, with its listeners open."""
+        host = PlatformHost(self._host_parts(), self._settings.stop_grace_s)
+        ready_ip, ready_port = _split(self._settings.ready_address)
+        build_ready_application(_READY_PATH, host.is_ready).listen(
+            ready_port, ready_ip
+        )
+        caller_ip, caller_port = _split(self._settings.caller_address)
+        CallerServer(self._desk).listen(
+            caller_port, caller_ip, backlog=_BACKLOG_COUNT
+        )
+        return host
+
+    def _session_services(self) -> SessionServices:
+        positions = ReadPositions(self._probe, self._now)
+        choice = MemberChoice(self._settings.data_centre, self._now)
+        return SessionServices(
+            configuration=self._active,
+            directory=self._directory,
+            reads=ReadRouter(positions, choice, self._now),
+            routing=TransactionRouting(
+                positions, choice, WriteRouter(self._now), self._now
+            ),
+        )
+
+    def _host_parts(self) -> HostParts:
+        return HostParts(
+            active=self._active,
+            directory=self._directory,
+            configuration_follower=ConfigurationFollower(
+                StoreConfiguration(self._store),
+                self._active,
+                self._directory.apply_limits,
+            ),
+            registration_follower=RegistrationFollower(
+                StoreRegistrations(self._store), self._directory
+            ),
+            desk=self._desk,
+            probe=self._probe,
+            change=self._primary_change(),
+            now=self._now,
+        )
+
+    def _primary_change(self) -> PrimaryChange:
+        host = self._settings.host
+        return PrimaryChange(
+            StoreDuties(self._store, host),
+            PromotionClient(self._settings.promotion_address, host),
+            self._probe,
+            self._now,
+        )
+
+
+def _split(address: str) -> tuple[str, int]:
+    ip, _, port = address.rpartition(':')
+    return ip, int(port)
--- /dev/null
+++ b/mimosapond/platform/configuration_codec.py
@@ -0,0 +1,46 @@
+"""Decodes the operators' configuration."""
+
+import json
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, Final
+
+from mimosapond.configuration.configuration import Configuration, GroupLimits
+from mimosapond.configuration.route import Freshness, Route
+
+_FRESHNESS: Final = MappingProxyType(
+    {
+        'primary': Freshness.latest,
+        'bounded_stale': Freshness.bounded,
+        'own_writes': Freshness.own_writes,
+    },
+)
+
+
+def decode_configuration(content: bytes) -> Configuration | str:
+    """Return the configuration, or why it cannot be read."""
+    try:
+        body = json.loads(content)
+        return Configuration(
+            version=int(body['version']),
+            routes={entry['host']: _route(entry) for entry in body['routes']},
+            groups={
+                entry['name']: GroupLimits(entry['name'], entry['max_conns'])
+                for entry in body['services']
+            },
+            transaction_idle_ms=float(body['limits']['tx_idle_ms']),
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        return repr(error)
+
+
+def _route(entry: Mapping[str, Any]) -> Route:
+    return Route(
+        database=entry['host'],
+        group=entry['service'],
+        freshness=_FRESHNESS[entry['kind']],
+        max_age_ms=float(entry.get('max_staleness_ms', 0)),
+        statement_timeout_ms=float(entry['timeout_ms']),
+        objective_ms=float(entry['target_latency_ms']),
+        priority=int(entry.get('priority', 0)),
+    )
--- /dev/null
+++ b/mimosapond/platform/member_link.py
@@ -0,0 +1,267 @@
+"""Connections to members on the platform's wire."""
+
+import asyncio
+from typing import Final, final
+
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from mimosapond.groups.log_position import LogPosition
+from mimosapond.groups.member_answer import (
+    Completed,
+    LinkLost,
+    MemberAnswer,
+    Rejected,
+    RejectionKind,
+)
+from mimosapond.groups.member_port import StatusAnswer
+from mimosapond.groups.member_record import MemberRecord
+from mimosapond.groups.member_status import MemberStatus
+from mimosapond.platform.line_stream import (
+    LineStream,
+    LineTooLongError,
+    LineUnreadableError,
+)
+from mimosapond.platform.position_codec import (
+    decode_position,
+    encode_position,
+)
+from mimosapond.platform.statement_codec import encode_prepare
+from mimosapond.platform.wire_names import REJECTIONS, STATES
+from mimosapond.statements.reply import SessionState
+from mimosapond.statements.statement import Begin, Commit, Direct, Shape
+
+# Requests of the product itself, which no caller sent.
+_OWN_ID: Final = '-'
+_CALLER_NAME: Final = 'mimosapond'
+_STATUS_FIELDS: Final = 4
+
+
+class _NoMessageError(Exception):
+    """The member sent something that is no message of the wire."""
+
+
+_BROKEN: Final = (
+    StreamClosedError,
+    LineTooLongError,
+    LineUnreadableError,
+    _NoMessageError,
+)
+
+
+@final
+class WireMemberConnection:
+    """An open connection to a member; see ``MemberConnection``."""
+
+    def __init__(self, lines: LineStream) -> None:
+        """Take a stream on which the member said that it is ready."""
+        self._lines = lines
+
+    @property
+    def is_open(self) -> bool:
+        """Whether requests can be made."""
+        return self._lines.is_open
+
+    async def run(
+        self,
+        request_id: str,
+        statement: Direct | Commit,
+        wait_for: LogPosition | None,
+        limit_s: float,
+    ) -> MemberAnswer:
+        """Run a read, a write or the end of a transaction."""
+        text = 'COMMIT' if isinstance(statement, Commit) else statement.text
+        return await self._ask(request_id, _after(wait_for, text), limit_s)
+
+    async def run_prepared(
+        self,
+        request_id: str,
+        name: str,
+        arguments: str,
+        wait_for: LogPosition | None,
+        limit_s: float,
+    ) -> MemberAnswer:
+        """Run a prepared name."""
+        text = _after(wait_for, f'EXECUTE {name} {arguments}')
+        return await self._ask(request_id, text, limit_s)
+
+    async def begin(
+        self,
+        statement: Begin,
+        wait_for: LogPosition | None,
+        limit_s: float,
+    ) -> MemberAnswer:
+        """Start a transaction; a plain one proves that the member leads."""
+        text = 'BEGIN READ' if statement.is_read_only else 'BEGIN'
+        return await self._ask(_OWN_ID, _after(wait_for, text), limit_s)
+
+    async def rollback(self, limit_s: float) -> MemberAnswer:
+        """End a transaction without keeping it."""
+        return await self._ask(_OWN_ID, 'ROLLBACK', limit_s)
+
+    async def set_value(
+        self, name: str, value: str, limit_s: float
+    ) -> MemberAnswer:
+        """Assign a session value."""
+        return await self._ask(_OWN_ID, f'SET {name} {value}', limit_s)
+
+    async def prepare(
+        self, name: str, shape: Shape, limit_s: float
+    ) -> MemberAnswer:
+        """Define a prepared name."""
+        return await self._ask(_OWN_ID, encode_prepare(name, shape), limit_s)
+
+    async def discard(self, limit_s: float) -> MemberAnswer:
+        """Clear the session values and prepared names."""
+        return await self._ask(_OWN_ID, 'DISCARD', limit_s)
+
+    async def status(self, limit_s: float) -> StatusAnswer:
+        """Ask for role and log position."""
+        return _status(await self._ask(_OWN_ID, 'STATUS', limit_s))
+
+    async def pause(self, term: int, limit_s: float) -> StatusAnswer:
+        """Stop a replica from receiving."""
+        return _status(await self._ask(_OWN_ID, f'PAUSE {term}', limit_s))
+
+    async def resume(self, limit_s: float) -> StatusAnswer:
+        """Let a paused replica receive again."""
+        return _status(await self._ask(_OWN_ID, 'RESUME', limit_s))
+
+    async def step_down(self, term: int, limit_s: float) -> StatusAnswer:
+        """Make a primary of a lower term a replica."""
+        return _status(await self._ask(_OWN_ID, f'STEPDOWN {term}', limit_s))
+
+    def close(self) -> None:
+        """Close; the member rolls back an open transaction."""
+        if self._lines.is_open:
+            self._lines.send('TERMINATE')
+        self._lines.close()
+
+    async def _ask(
+        self, request_id: str, text: str, limit_s: float
+    ) -> MemberAnswer:
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._lines.write(f'QUERY {request_id} {text}')
+                return await self._answer()
+        except TimeoutError:
+            self._lines.close()
+            return LinkLost('no answer in time')
+        except _BROKEN as error:
+            self._lines.close()
+            return LinkLost(repr(error))
+        except asyncio.CancelledError:
+            # Half of an answer would be taken for that of the next request.
+            self._lines.close()
+            raise
+
+    async def _answer(self) -> MemberAnswer:
+        rows: list[str] = []
+        while True:
+            word, _, rest = (await self._lines.read()).partition(' ')
+            match word:
+                case 'DATAROW':
+                    rows.append(rest)
+                case 'COMPLETE':
+                    state, position = await self._end()
+                    return Completed(tuple(rows), rest, state, position)
+                case 'ERROR':
+                    state, position = await self._end()
+                    return _rejected(rest, state, position)
+                case _:
+                    raise _NoMessageError(word)
+
+    async def _end(self) -> tuple[SessionState, LogPosition | None]:
+        fields = (await self._lines.read()).split(' ')
+        if len(fields) != 3 or fields[0] != 'READY':
+            raise _NoMessageError(fields[0])
+        state = STATES.get(fields[1])
+        if state is None:
+            raise _NoMessageError(fields[1])
+        return state, decode_position(fields[2])
+
+
+@final
+class WireMemberDialer:
+    """Opens connections to members; see ``MemberDialer``."""
+
+    def __init__(self, connect_limit_s: float, start_limit_s: float) -> None:
+        """Take the limits of the two steps.
+
+        Parameters
+        ----------
+        connect_limit_s
+            Until the network answers; short, as a silent address is common.
+        start_limit_s
+            Until the member is ready; it may work on others before.
+        """
+        self._connect_limit_s = connect_limit_s
+        self._start_limit_s = start_limit_s
+        self._client = TCPClient()
+
+    async def dial(
+        self, record: MemberRecord
+    ) -> WireMemberConnection | Rejected | LinkLost:
+        """Open a connection to exactly this life of the member."""
+        try:
+            stream = await self._client.connect(
+                record.ip, record.port, timeout=self._connect_limit_s
+            )
+        except (OSError, TimeoutError) as error:
+            return LinkLost(f'connect: {error!r}')
+        lines = LineStream(stream)
+        try:
+            async with asyncio.timeout(self._start_limit_s):
+                return await _start(lines, record)
+        except TimeoutError:
+            lines.close()
+            return LinkLost('start: no answer in time')
+        except _BROKEN as error:
+            lines.close()
+            return LinkLost(f'start: {error!r}')
+
+
+async def _start(
+    lines: LineStream, record: MemberRecord
+) -> WireMemberConnection | Rejected:
+    await lines.write(f'START {record.group} {_CALLER_NAME} {record.member_id}')
+    word, _, rest = (await lines.read()).partition(' ')
+    if word == 'READY':
+        return WireMemberConnection(lines)
+    lines.close()
+    if word != 'ERROR':
+        raise _NoMessageError(word)
+    return _rejected(rest, SessionState.idle, None)
+
+
+def _after(position: LogPosition | None, text: str) -> str:
+    if position is None:
+        return text
+    return f'WAITLSN {encode_position(position)} {text}'
+
+
+def _rejected(
+    rest: str, state: SessionState, position: LogPosition | None
+) -> Rejected:
+    code, _, text = rest.partition(' ')
+    kind = REJECTIONS.get(code, RejectionKind.other)
+    return Rejected(kind, f'{code} {text}', state, position)
+
+
+def _status(answer: MemberAnswer) -> StatusAnswer:
+    if not isinstance(answer, Completed):
+        return answer
+    fields = answer.rows[0].split(' ') if answer.rows else []
+    if len(fields) < _STATUS_FIELDS:
+        return LinkLost('a status without its fields')
+    received = decode_position(fields[2])
+    if received is None or not fields[1].isdecimal():
+        return LinkLost('a status that cannot be read')
+    # The fourth field is the term of the pause that the member holds.
+    paused_term = int(fields[3]) if fields[3].isdecimal() else 0
+    return MemberStatus(
+        is_primary=fields[0] == 'primary',
+        term=int(fields[1]),
+        received=received,
+        paused_term=paused_term,
+    )
--- /dev/null
+++ b/mimosapond/platform/promotion_client.py
@@ -0,0 +1,54 @@
+"""The platform's call that promotes a replica."""
+
+import asyncio
+import json
+from typing import Final, final
+
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
+
+from mimosapond.failover.promotion_port import (
+    Promoted,
+    PromotionOutcome,
+    PromotionRefused,
+    PromotionUnknown,
+)
+
+_OK: Final = 200
+_CONFLICT: Final = 409
+
+
+@final
+class PromotionClient:
+    """Promotes through the platform; see ``PromotionPort``."""
+
+    def __init__(self, address: str, holder: str) -> None:
+        """Take ``ip:port`` of the platform and the name of this host."""
+        self._url = f'http://{address}/promote'
+        self._holder = holder
+        self._client = AsyncHTTPClient(force_instance=True)
+
+    async def promote(
+        self, group: str, member_id: str, token: int, limit_s: float
+    ) -> PromotionOutcome:
+        """Make a member lead the next term."""
+        request = HTTPRequest(
+            self._url,
+            method='POST',
+            headers={
+                'Content-Type': 'application/json',
+                'Duty-Holder': self._holder,
+                'Fence-Token': str(token),
+            },
+            body=json.dumps({'service': group, 'id': member_id}),
+            connect_timeout=limit_s,
+            request_timeout=limit_s,
+        )
+        try:
+            found = await self._client.fetch(request, raise_error=False)
+        except (HTTPError, OSError, asyncio.TimeoutError) as error:
+            return PromotionUnknown(repr(error))
+        if found.code == _OK:
+            return Promoted()
+        if found.code == _CONFLICT:
+            return PromotionRefused(found.body.decode(errors='replace'))
+        return PromotionUnknown(f'status {found.code}')
--- /dev/null
+++ b/mimosapond/platform/store_configuration.py
@@ -0,0 +1,70 @@
+"""The operators' configuration in the platform's store."""
+
+from typing import Final, final
+
+from loguru import logger
+
+from mimosapond.configuration.configuration import Configuration
+from mimosapond.configuration.configuration_source import (
+    SourceAnswer,
+    SourceGap,
+    SourceState,
+    SourceUnavailable,
+)
+from mimosapond.platform.configuration_codec import decode_configuration
+from mimosapond.platform.store_client import (
+    HistoryGone,
+    StoreClient,
+    StoredRows,
+    Unavailable,
+)
+
+_TABLE: Final = 'op'
+_KEY: Final = 'config'
+_READ_LIMIT_S: Final = 1.0
+# Beyond the wait that the store was asked for.
+_FOLLOW_SLACK_S: Final = 0.5
+
+
+@final
+class StoreConfiguration:
+    """Source of configurations; see ``ConfigurationSource``."""
+
+    def __init__(self, store: StoreClient) -> None:
+        """Take the store."""
+        self._store = store
+
+    async def read(self) -> SourceAnswer:
+        """Return the newest configuration."""
+        return _state(await self._store.read_table(_TABLE, _READ_LIMIT_S))
+
+    async def follow(self, mark: int, wait_s: float) -> SourceAnswer:
+        """Return what changed after ``mark``, waiting for it."""
+        return _state(
+            await self._store.await_changes(
+                _TABLE, mark, wait_s, wait_s + _FOLLOW_SLACK_S
+            ),
+        )
+
+
+def _state(found: StoredRows | HistoryGone | Unavailable) -> SourceAnswer:
+    match found:
+        case HistoryGone():
+            return SourceGap()
+        case Unavailable(reason=reason):
+            return SourceUnavailable(reason)
+        case StoredRows(version=version):
+            return SourceState(_newest(found), version)
+
+
+def _newest(found: StoredRows) -> Configuration | None:
+    newest = None
+    for row in found.rows:
+        if row.key != _KEY or row.content is None:
+            continue
+        decoded = decode_configuration(row.content)
+        if isinstance(decoded, Configuration):
+            newest = decoded
+        else:
+            logger.bind(problem=decoded).error('configuration_unreadable')
+    return newest
--- /dev/null
+++ b/mimosapond/platform/store_duties.py
@@ -0,0 +1,98 @@
+"""Claims kept as rows of the platform's store.
+
+The version that the store gives to the writing of a claim is the fencing
+token: it comes from one counter of the store, so it is never used twice and
+grows with each claim.
+"""
+
+import json
+from typing import Final, final
+
+import attrs
+from loguru import logger
+
+from mimosapond.failover.duty_port import (
+    DutyClaim,
+    DutyOutcome,
+    DutyTaken,
+    DutyUnknown,
+)
+from mimosapond.platform.store_client import (
+    ConditionFailed,
+    StoreClient,
+    StoredRow,
+    StoredRows,
+    Unavailable,
+)
+
+TABLE: Final = 'mimosapond-duties'
+# A holder that has not ended its work after this time is taken for lost.
+CLAIM_HOLD_MS: Final = 2500
+_CALL_LIMIT_S: Final = 0.8
+
+
+@final
+@attrs.define
+class _Claims:
+    rows: dict[str, StoredRow] = attrs.field(factory=dict)
+    now_ms: int = 0
+
+
+@final
+class StoreDuties:
+    """Claims of one host; see ``DutyPort``."""
+
+    def __init__(self, store: StoreClient, host: str) -> None:
+        """Take the store and the name under which this host claims."""
+        self._store = store
+        self._host = host
+
+    async def claim(self, group: str) -> DutyOutcome:
+        """Claim a group for a short time."""
+        found = await self._store.read_table(TABLE, _CALL_LIMIT_S)
+        if isinstance(found, Unavailable):
+            return DutyUnknown(found.reason)
+        row = _row_of(found, group)
+        holder = _holder(row, found.now_ms)
+        if holder not in {'', self._host}:
+            return DutyTaken(holder)
+        return await self._write(row, found.now_ms)
+
+    async def release(self, group: str) -> None:
+        """Let other hosts claim the group at once."""
+        found = await self._store.read_table(TABLE, _CALL_LIMIT_S)
+        if isinstance(found, Unavailable):
+            logger.bind(group=group, reason=found.reason).warning(
+                'duty_not_released',
+            )
+            return
+        row = _row_of(found, group)
+        if _holder(row, found.now_ms) == self._host:
+            ended = StoredRow(group, b'{}', row.version)
+            await self._store.write_if(TABLE, ended, _CALL_LIMIT_S)
+
+    async def _write(self, row: StoredRow, now_ms: int) -> DutyOutcome:
+        content = json.dumps({'holder': self._host, 'claimed_ms': now_ms})
+        claim = StoredRow(row.key, content.encode(), row.version)
+        written = await self._store.write_if(TABLE, claim, _CALL_LIMIT_S)
+        match written:
+            case StoredRows(version=version):
+                return DutyClaim(version)
+            case ConditionFailed():
+                return DutyTaken('another host, just now')
+            case Unavailable(reason=reason):
+                return DutyUnknown(reason)
+
+
+def _row_of(found: StoredRows, group: str) -> StoredRow:
+    for row in found.rows:
+        if row.key == group:
+            return row
+    return StoredRow(group, None, 0)
+
+
+def _holder(row: StoredRow, now_ms: int) -> str:
+    body = json.loads(row.content or b'{}')
+    if now_ms - body.get('claimed_ms', 0) > CLAIM_HOLD_MS:
+        return ''
+    return str(body.get('holder', ''))
--- /dev/null
+++ b/mimosapond/platform/store_registrations.py
@@ -0,0 +1,51 @@
+"""Registrations of members in the platform's store."""
+
+from typing import Final, final
+
+from loguru import logger
+
+from mimosapond.groups.member_record import MemberRecord
+from mimosapond.groups.registration_source import (
+    Registrations,
+    RegistrationsUnavailable,
+)
+from mimosapond.platform.registration_codec import decode_registration
+from mimosapond.platform.store_client import (
+    StoreClient,
+    StoredRow,
+    Unavailable,
+)
+
+_TABLE: Final = 'servers'
+_LIMIT_S: Final = 1.0
+
+
+@final
+class StoreRegistrations:
+    """Source of registrations; see ``RegistrationSource``."""
+
+    def __init__(self, store: StoreClient) -> None:
+        """Take the store."""
+        self._store = store
+        self._reported: dict[str, str] = {}
+
+    async def read(self) -> Registrations | RegistrationsUnavailable:
+        """Return the members that are registered now."""
+        found = await self._store.read_table(_TABLE, _LIMIT_S)
+        if isinstance(found, Unavailable):
+            return RegistrationsUnavailable(found.reason)
+        decoded = [self._decode(row) for row in found.rows]
+        return Registrations(
+            tuple(record for record in decoded if record is not None),
+        )
+
+    def _decode(self, row: StoredRow) -> MemberRecord | None:
+        decoded = decode_registration(row.key, row.content or b'')
+        if isinstance(decoded, MemberRecord):
+            return decoded
+        if self._reported.get(row.key) != decoded:
+            self._reported[row.key] = decoded
+            logger.bind(member=row.key, problem=decoded).warning(
+                'registration_unreadable',
+            )
+        return None
--- /dev/null
+++ b/mimosapond/routing/primary_probe.py
@@ -0,0 +1,73 @@
+"""Asks a member whether it leads, and for its log position.
+
+An empty transaction costs the member no slot and is refused by one that has
+lost the lead. Callers that wait at the same time share one probe.
+"""
+
+import asyncio
+from typing import Final, final
+
+from mimosapond.boot_clock import Now
+from mimosapond.groups.group import Group
+from mimosapond.groups.member import Member
+from mimosapond.groups.member_answer import Completed, Rejected, RejectionKind
+from mimosapond.groups.pooled_connection import PooledConnection
+from mimosapond.groups.connection_pool import NoConnection
+from mimosapond.statements.statement import Begin
+
+# More urgent than any statement.
+PROBE_PRIORITY: Final = -1
+PROBE_LIMIT_S: Final = 0.3
+
+
+@final
+class PrimaryProbe:
+    """Proves primaries and refreshes the positions that cover reads."""
+
+    def __init__(self, now: Now) -> None:
+        """Start without probes under way."""
+        self._now = now
+        self._under_way: dict[str, asyncio.Task[None]] = {}
+
+    async def refresh(self, group: Group, limit_s: float) -> None:
+        """Wait for one probe that starts now or later."""
+        under_way = self._under_way.get(group.name)
+        if under_way is not None:
+            await asyncio.wait((under_way,), timeout=limit_s)
+        if self._under_way.get(group.name) is under_way:
+            self._under_way[group.name] = asyncio.create_task(
+                self._refresh(group, limit_s),
+            )
+        await asyncio.wait((self._under_way[group.name],), timeout=limit_s)
+
+    async def ask(self, group: Group, member: Member) -> bool | None:
+        """Return whether the member leads; None if it did not answer."""
+        connection = await member.pool.borrow(PROBE_PRIORITY, PROBE_LIMIT_S)
+        if isinstance(connection, NoConnection):
+            return None
+        try:
+            return await self._ask_on(connection, group, member)
+        finally:
+            member.pool.give_back(connection)
+
+    async def _refresh(self, group: Group, limit_s: float) -> None:
+        primary = await group.await_primary(limit_s)
+        if primary is not None:
+            await self.ask(group, primary)
+
+    async def _ask_on(
+        self, connection: PooledConnection, group: Group, member: Member
+    ) -> bool | None:
+        asked_s = self._now()
+        begin = connection.link.begin(Begin(False), None, PROBE_LIMIT_S)
+        answer = await connection.ask(begin)
+        match answer:
+            case Completed(position=position):
+                group.prove_primary(member, asked_s, position)
+                await connection.ask(connection.link.rollback(PROBE_LIMIT_S))
+                return True
+            case Rejected(kind=RejectionKind.not_primary):
+                group.doubt_primary(member, 'it refused a transaction')
+                return False
+            case _:
+                return None
--- /dev/null
+++ b/mimosapond/routing/read_positions.py
@@ -0,0 +1,50 @@
+"""The log position that a member needs before it may answer a read."""
+
+from typing import Final, final
+
+from mimosapond.boot_clock import Now
+from mimosapond.configuration.route import Freshness, Route
+from mimosapond.groups.group import Group
+from mimosapond.groups.log_position import LogPosition
+from mimosapond.routing.primary_probe import PrimaryProbe
+from mimosapond.routing.work import Work
+
+_MS_PER_S: Final = 1000
+
+
+@final
+class ReadPositions:
+    """Finds positions that cover what a read has to see."""
+
+    def __init__(self, probe: PrimaryProbe, now: Now) -> None:
+        """Take the probe that learns new positions."""
+        self._probe = probe
+        self._now = now
+
+    async def find(self, work: Work) -> LogPosition | None:
+        """Return the position to wait for; None if none is known in time."""
+        moment_s = work.arrived_s - _allowed_age_s(work.route)
+        position = work.group.observations.covering(moment_s)
+        while position is None:
+            remaining_s = work.deadline_s - self._now()
+            if remaining_s <= 0:
+                return None
+            await self._probe.refresh(work.group, remaining_s)
+            position = work.group.observations.covering(moment_s)
+        if work.floor is not None and work.floor > position:
+            return work.floor
+        return position
+
+
+def _allowed_age_s(route: Route) -> float:
+    if route.freshness is Freshness.latest:
+        return 0
+    return route.max_age_ms / _MS_PER_S
+
+
+def is_covered(group: Group, position: LogPosition) -> bool:
+    """Return whether some replica is known to have the position."""
+    return any(
+        member.load.position is not None and member.load.position >= position
+        for member in group.replicas
+    )
--- /dev/null
+++ b/mimosapond/routing/read_router.py
@@ -0,0 +1,155 @@
+"""Answers single reads from any member that has the right position."""
+
+import asyncio
+from typing import Final, TypeAlias, final
+
+from loguru import logger
+
+from mimosapond.boot_clock import Now
+from mimosapond.groups.connection_pool import NoConnection
+from mimosapond.groups.log_position import LogPosition
+from mimosapond.groups.member import Member
+from mimosapond.groups.member_answer import (
+    NOT_RUN,
+    Completed,
+    LinkLost,
+    MemberAnswer,
+    Rejected,
+)
+from mimosapond.routing.member_choice import MemberChoice
+from mimosapond.routing.read_positions import ReadPositions
+from mimosapond.routing import failures
+from mimosapond.statements.reply import Reply, Success
+from mimosapond.routing.statement_runner import RestoreFailed, run_work
+from mimosapond.routing.work import Work
+
+_Attempt: TypeAlias = asyncio.Task[MemberAnswer | NoConnection]
+
+# A second member is asked when the first took this many times its usual
+# latency; its answer may be lost.
+_HEDGE_FACTOR: Final = 6
+_HEDGE_MIN_S: Final = 0.1
+# Wait for a connection to one member before another is tried.
+_BORROW_S: Final = 0.15
+_ROUND_PAUSE_S: Final = 0.02
+
+
+@final
+class ReadRouter:
+    """Tries members, one after another or two at a time."""
+
+    def __init__(
+        self, positions: ReadPositions, choice: MemberChoice, now: Now
+    ) -> None:
+        """Take what decides on position and member."""
+        self._positions = positions
+        self._choice = choice
+        self._now = now
+
+    async def run(self, work: Work) -> Reply:
+        """Answer a read before its deadline."""
+        position = await self._positions.find(work)
+        if position is None:
+            return failures.NO_FRESH_MEMBER
+        return await _ReadAttempts(
+            work, position, self._choice, self._now
+        ).run()
+
+
+@final
+class _ReadAttempts:
+    """The tries of one read."""
+
+    def __init__(
+        self,
+        work: Work,
+        position: LogPosition,
+        choice: MemberChoice,
+        now: Now,
+    ) -> None:
+        self._work = work
+        self._position = position
+        self._choice = choice
+        self._now = now
+        self._tried: list[Member] = []
+        self._pending: set[_Attempt] = set()
+        self._was_sent = False
+
+    async def run(self) -> Reply:
+        while True:
+            limit_s = self._start_next()
+            remaining_s = self._work.deadline_s - self._now()
+            if remaining_s <= 0:
+                return self._give_up()
+            reply = await self._wait(min(limit_s, remaining_s))
+            if reply is not None:
+                return reply
+
+    def _give_up(self) -> Reply:
+        logger.bind(
+            request=self._work.request_id,
+            tried=[member.member_id for member in self._tried],
+            at=str(self._position),
+            was_sent=self._was_sent,
+        ).warning('read_given_up')
+        if self._was_sent:
+            return failures.READ_UNANSWERED
+        return failures.NO_CONNECTION
+
+    def _start_next(self) -> float:
+        """Start a try and return how long it may take before the next."""
+        member = self._choice.choose(
+            self._work.group, self._position, self._tried
+        )
+        if member is None:
+            if not self._pending:
+                self._tried.clear()
+            return _ROUND_PAUSE_S
+        self._tried.append(member)
+        self._pending.add(asyncio.create_task(self._attempt(member)))
+        return max(_HEDGE_MIN_S, member.load.latency_s * _HEDGE_FACTOR)
+
+    async def _wait(self, limit_s: float) -> Reply | None:
+        if not self._pending:
+            await asyncio.sleep(limit_s)
+            return None
+        done, _ = await asyncio.wait(
+            self._pending,
+            timeout=limit_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        self._pending -= done
+        for attempt in done:
+            reply = self._judge(attempt.result())
+            if reply is not None:
+                return reply
+        return None
+
+    def _judge(self, answer: MemberAnswer | NoConnection) -> Reply | None:
+        match answer:
+            case Completed(rows=rows, signature=signature):
+                return Success(rows, signature)
+            case Rejected(kind=kind) if kind in NOT_RUN:
+                return None
+            case Rejected():
+                return failures.from_rejection(answer)
+            case _:
+                return None
+
+    async def _attempt(self, member: Member) -> MemberAnswer | NoConnection:
+        work = self._work
+        connection = await member.pool.borrow(
+            work.route.priority,
+            min(_BORROW_S, work.deadline_s - self._now()),
+            work.definitions.values,
+        )
+        if isinstance(connection, NoConnection):
+            return connection
+        limit_s = max(work.deadline_s - self._now(), 0)
+        try:
+            self._was_sent = True
+            return await run_work(connection, work, self._position, limit_s)
+        except RestoreFailed as error:
+            return LinkLost(str(error))
+        finally:
+            member.pool.give_back(connection)
--- /dev/null
+++ b/mimosapond/routing/statement_runner.py
@@ -0,0 +1,98 @@
+"""Runs statements on a connection that first gets the session's values."""
+
+from typing import final
+
+from mimosapond.groups.log_position import LogPosition
+from mimosapond.groups.member_answer import (
+    Completed,
+    LinkLost,
+    MemberAnswer,
+    Rejected,
+)
+from mimosapond.groups.pooled_connection import PooledConnection
+from mimosapond.routing.definitions import Definitions
+from mimosapond.statements.statement import Shape
+from mimosapond.routing.work import Prepared, Work
+
+
+@final
+class RestoreFailed(Exception):  # noqa: N818 -- not an error of the caller
+    """The connection could not take the session's values."""
+
+    def __init__(self, answer: Rejected | LinkLost) -> None:
+        """Keep the member's answer."""
+        super().__init__(answer)
+        self.answer = answer
+
+
+async def restore_values(
+    connection: PooledConnection,
+    definitions: Definitions,
+    limit_s: float,
+) -> None:
+    """Give the connection exactly the session's values.
+
+    Raises
+    ------
+    RestoreFailed
+        The connection is closed, as its values are not certain.
+    """
+    wanted = definitions.values
+    if connection.values == wanted:
+        return
+    if not connection.values.keys() <= wanted.keys():
+        answer = await connection.ask(connection.link.discard(limit_s))
+        _require(connection, answer)
+        connection.values.clear()
+        connection.names.clear()
+    for name, value in wanted.items():
+        if connection.values.get(name) != value:
+            answer = await connection.ask(
+                connection.link.set_value(name, value, limit_s),
+            )
+            _require(connection, answer)
+            connection.values[name] = value
+
+
+async def run_work(
+    connection: PooledConnection,
+    work: Work,
+    wait_for: LogPosition | None,
+    limit_s: float,
+) -> MemberAnswer:
+    """Run a statement.
+
+    Raises
+    ------
+    RestoreFailed
+        Nothing of the statement was sent.
+    """
+    await restore_values(connection, work.definitions, limit_s)
+    access = work.access
+    if isinstance(access, Prepared):
+        name = await _prepared_name(connection, access.shape, limit_s)
+        call = connection.link.run_prepared(
+            work.request_id, name, access.arguments, wait_for, limit_s
+        )
+    else:
+        call = connection.link.run(work.request_id, access, wait_for, limit_s)
+    return await connection.ask(call, is_write=access.is_write)
+
+
+async def _prepared_name(
+    connection: PooledConnection, shape: Shape, limit_s: float
+) -> str:
+    if shape not in connection.names:
+        name = f'm{len(connection.names)}'
+        answer = await connection.ask(
+            connection.link.prepare(name, shape, limit_s),
+        )
+        _require(connection, answer)
+        connection.names[shape] = name
+    return connection.names[shape]
+
+
+def _require(connection: PooledConnection, answer: MemberAnswer) -> None:
+    if not isinstance(answer, Completed):
+        connection.link.close()
+        raise RestoreFailed(answer)
--- /dev/null
+++ b/mimosapond/routing/work.py
@@ -0,0 +1,51 @@
+"""A read or a write of a caller, ready to be sent to a member."""
+
+from typing import TypeAlias, final
+
+import attrs
+
+from mimosapond.configuration.route import Route
+from mimosapond.groups.group import Group
+from mimosapond.groups.log_position import LogPosition
+from mimosapond.routing.definitions import Definitions
+from mimosapond.statements.statement import Direct, Shape
+
+
+@final
+@attrs.frozen
+class Prepared:
+    """A run of a prepared statement, by its shape."""
+
+    shape: Shape
+    arguments: str
+
+    @property
+    def is_write(self) -> bool:
+        """Whether it writes."""
+        return self.shape.is_write
+
+
+Access: TypeAlias = Direct | Prepared
+
+
+@final
+@attrs.frozen
+class Work:
+    """A statement with all that routing needs to know.
+
+    Parameters
+    ----------
+    arrived_s, deadline_s
+        On the host's boot clock.
+    floor
+        Position of the session's last commit.
+    """
+
+    request_id: str
+    access: Access
+    definitions: Definitions
+    route: Route
+    group: Group
+    arrived_s: float
+    deadline_s: float
+    floor: LogPosition | None
--- /dev/null
+++ b/mimosapond/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions of callers: values, prepared names, transactions and outcomes."""
--- /dev/null
+++ b/mimosapond/sessions/session.py
@@ -0,0 +1,226 @@
+"""A caller's session: state of its transaction and what it has defined."""
+
+import asyncio
+from typing import Final, final
+
+import attrs
+from loguru import logger
+
+from mimosapond.configuration.active_configuration import ActiveConfiguration
+from mimosapond.configuration.route import Route
+from mimosapond.groups.group_directory import GroupDirectory
+from mimosapond.groups.log_position import LogPosition
+from mimosapond.routing.read_router import ReadRouter
+from mimosapond.routing import failures
+from mimosapond.routing.definitions import Definitions
+from mimosapond.statements.reply import (
+    Failure,
+    FailureKind,
+    Reply,
+    SessionState,
+    Success,
+)
+from mimosapond.statements.statement import (
+    Begin,
+    Commit,
+    Direct,
+    Execute,
+    Forget,
+    Prepare,
+    Rollback,
+    SetValue,
+    Statement,
+    Unreadable,
+)
+from mimosapond.sessions.transaction import Transaction, TransactionRouting
+from mimosapond.routing.work import Access, Prepared, Work
+
+_MS_PER_S: Final = 1000
+_NOTHING: Final = Direct('', is_write=False)
+
+
+@final
+@attrs.frozen
+class SessionServices:
+    """What all sessions of a host share."""
+
+    configuration: ActiveConfiguration
+    directory: GroupDirectory
+    reads: ReadRouter
+    routing: TransactionRouting
+
+
+@final
+class Session:
+    """Runs the statements of one caller, one after another."""
+
+    def __init__(self, database: str, services: SessionServices) -> None:
+        """Start outside of a transaction."""
+        self._database = database
+        self._services = services
+        self._definitions = Definitions()
+        self._transaction: Transaction | None = None
+        self._idle_timer: asyncio.TimerHandle | None = None
+        self._floor: LogPosition | None = None
+        self._route: Route | None = None
+        self._lost_while_idle = False
+        self.state = SessionState.idle
+
+    async def execute(self, request_id: str, statement: Statement) -> Reply:
+        """Return the reply to a statement; ``state`` is that after it."""
+        self._stop_idle_timer()
+        reply = await self._execute(request_id, statement)
+        if isinstance(reply, Failure) and reply.kind in {
+            FailureKind.unknown,
+            FailureKind.not_run,
+        }:
+            logger.bind(
+                request=request_id,
+                database=self._database,
+                kind=reply.kind.value,
+                text=reply.text,
+            ).info('request_refused')
+        if self.state is SessionState.in_transaction:
+            self._start_idle_timer()
+        return reply
+
+    def close(self) -> None:
+        """Roll back what is open, as the caller has gone."""
+        self._stop_idle_timer()
+        self._end()
+
+    async def _execute(self, request_id: str, statement: Statement) -> Reply:
+        match statement:
+            case Begin():
+                return self._start(statement)
+            case Commit():
+                return await self._commit(request_id)
+            case Rollback():
+                return self._roll_back()
+            case _ if self.state is SessionState.failed:
+                return self._refuse_in_failed()
+            case Direct():
+                return await self._access(request_id, statement)
+            case Execute(name=name, arguments=arguments):
+                shape = self._definitions.names.get(name)
+                if shape is None:
+                    return failures.NO_SUCH_STATEMENT
+                access = Prepared(shape, arguments)
+                return await self._access(request_id, access)
+            case _:
+                return self._define(statement)
+
+    def _refuse_in_failed(self) -> Failure:
+        if self._lost_while_idle:
+            self._lost_while_idle = False
+            return failures.IDLE_TOO_LONG
+        return failures.TRANSACTION_FAILED
+
+    def _define(self, statement: Statement) -> Reply:
+        match statement:
+            case SetValue(name=name, value=value):
+                self._definitions.values[name] = value
+            case Prepare(name=name, shape=shape):
+                self._definitions.names[name] = shape
+            case Forget(name=name):
+                if self._definitions.names.pop(name, None) is None:
+                    return failures.NO_SUCH_STATEMENT
+            case Unreadable(problem=problem):
+                return Failure(FailureKind.malformed, problem)
+        return Success()
+
+    def _start(self, begin: Begin) -> Reply:
+        if self.state is not SessionState.idle:
+            return failures.IN_TRANSACTION
+        route = self._services.configuration.route(self._database)
+        if route is None:
+            return failures.NO_SUCH_DATABASE
+        # A changed route applies from the next transaction on.
+        self._route = route
+        self._transaction = Transaction(begin, self._services.routing)
+        self.state = SessionState.in_transaction
+        return Success()
+
+    async def _commit(self, request_id: str) -> Reply:
+        if self.state is SessionState.failed:
+            self._end()
+            return failures.ROLLED_BACK
+        if self._transaction is None or self._route is None:
+            return failures.NOT_IN_TRANSACTION
+        work = self._work(request_id, _NOTHING, self._route)
+        reply, position = await self._transaction.commit(work)
+        if position is not None:
+            self._raise_floor(position)
+        self._end()
+        return reply
+
+    def _roll_back(self) -> Reply:
+        if self.state is SessionState.idle:
+            return failures.NOT_IN_TRANSACTION
+        self._end()
+        return Success()
+
+    async def _access(self, request_id: str, access: Access) -> Reply:
+        if self._transaction is not None and self._route is not None:
+            work = self._work(request_id, access, self._route)
+            reply = await self._transaction.run(work)
+            if isinstance(reply, Failure):
+                self._fail()
+            return reply
+        route = self._services.configuration.route(self._database)
+        if route is None:
+            return failures.NO_SUCH_DATABASE
+        work = self._work(request_id, access, route)
+        if not access.is_write:
+            return await self._services.reads.run(work)
+        reply, position = await self._services.routing.writes.run(work)
+        if position is not None:
+            self._raise_floor(position)
+        return reply
+
+    def _work(self, request_id: str, access: Access, route: Route) -> Work:
+        arrived_s = self._services.routing.now()
+        return Work(
+            request_id=request_id,
+            access=access,
+            definitions=self._definitions,
+            route=route,
+            group=self._services.directory.find(route.group),
+            arrived_s=arrived_s,
+            deadline_s=arrived_s + route.statement_timeout_ms / _MS_PER_S,
+            floor=self._floor,
+        )
+
+    def _raise_floor(self, position: LogPosition) -> None:
+        if self._floor is None or position > self._floor:
+            self._floor = position
+
+    def _fail(self) -> None:
+        if self._transaction is not None:
+            self._transaction.abandon()
+        self._transaction = None
+        self.state = SessionState.failed
+
+    def _end(self) -> None:
+        if self._transaction is not None:
+            self._transaction.abandon()
+        self._transaction = None
+        self._route = None
+        self._lost_while_idle = False
+        self.state = SessionState.idle
+
+    def _start_idle_timer(self) -> None:
+        limit_ms = self._services.configuration.transaction_idle_ms
+        self._idle_timer = asyncio.get_running_loop().call_later(
+            limit_ms / _MS_PER_S, self._idle_too_long
+        )
+
+    def _stop_idle_timer(self) -> None:
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+
+    def _idle_too_long(self) -> None:
+        if self.state is SessionState.in_transaction:
+            self._fail()
+            self._lost_while_idle = True
--- /dev/null
+++ b/mimosapond/statements/__init__.py
@@ -0,0 +1,1 @@
+"""Statements of callers and the replies to them."""
