--- a/mimosapond/failover/log_survey.py
+++ b/mimosapond/failover/log_survey.py
@@ -45,6 +45,16 @@
     return None
 
 
+async def status_of(member: Member) -> MemberStatus | None:
+    """Return the status of a member; None if it does not answer."""
+    return await ask_member(member, lambda link: link.status(STEP_LIMIT_S))
+
+
+async def step_down(member: Member, term: int) -> None:
+    """Make a primary of a lower term a replica, if it can be reached."""
+    await ask_member(member, lambda link: link.step_down(term, STEP_LIMIT_S))
+
+
 async def pause_all(
     members: Iterable[Member], term: int
 ) -> dict[str, SurveyedMember]:
--- /dev/null
+++ b/mimosapond/failover/paused_group.py
@@ -0,0 +1,76 @@
+"""What is certain about a group after its members were told to pause."""
+
+from collections.abc import Mapping
+from typing import final
+
+from mimosapond.failover.log_survey import SurveyedMember
+from mimosapond.groups.group import Group
+from mimosapond.groups.member import Member
+
+
+@final
+class PausedGroup:
+    """Members that were asked, and the answers of those that paused."""
+
+    def __init__(
+        self,
+        asked: tuple[Member, ...],
+        answers: Mapping[str, SurveyedMember],
+    ) -> None:
+        """Take the members of the group and the answers by id."""
+        self._answers = answers
+        self.silent = [
+            member for member in asked if member.member_id not in answers
+        ]
+
+    @property
+    def members(self) -> list[Member]:
+        """Members that answered."""
+        return [each.member for each in self._answers.values()]
+
+    @property
+    def primary(self) -> SurveyedMember | None:
+        """The member that leads the newest term, if it answered."""
+        newest = max(
+            (each.status.term for each in self._answers.values()), default=0
+        )
+        for each in self._answers.values():
+            if each.status.is_primary and each.status.term == newest:
+                return each
+        return None
+
+    @property
+    def holds_all_commits(self) -> bool:
+        """Whether the answers include every replica.
+
+        With one silent member and no primary among the others, the silent
+        one is the primary.
+        """
+        return self.primary is None and len(self.silent) <= 1
+
+    def most_advanced(self, avoided: Member | None) -> SurveyedMember | None:
+        """Return the member to promote."""
+        candidates = [
+            each
+            for each in self._answers.values()
+            if each.member is not avoided and not each.status.is_primary
+        ]
+        return max(candidates, key=_rank, default=None)
+
+
+def next_term(group: Group) -> int:
+    """Return a term above all that this host has seen of a group."""
+    terms = [
+        member.load.position.term
+        for member in group.members.values()
+        if member.load.position is not None
+    ]
+    return max(group.term, *terms, 0) + 1
+
+
+def _rank(each: SurveyedMember) -> tuple[object, ...]:
+    return (
+        each.status.received,
+        each.member.takes_new_work,
+        each.member.member_id,
+    )
--- /dev/null
+++ b/mimosapond/failover/promotion_call.py
@@ -0,0 +1,65 @@
+"""Has a member promoted and waits until it leads."""
+
+import asyncio
+from typing import Final, final
+
+from loguru import logger
+
+from mimosapond.boot_clock import Now
+from mimosapond.failover.log_survey import SurveyedMember
+from mimosapond.failover.promotion_port import Promoted, PromotionPort
+from mimosapond.failover.promotion_port import PromotionRefused
+from mimosapond.groups.group import Group
+from mimosapond.groups.member import Member
+from mimosapond.routing.primary_probe import PrimaryProbe, ProbeResult
+
+_CALL_LIMIT_S: Final = 1.0
+_TRY_COUNT: Final = 4
+# The platform needs up to a second from the call until the member leads.
+_LEAD_LIMIT_S: Final = 2.0
+_LEAD_PAUSE_S: Final = 0.02
+
+
+@final
+class PromotionCall:
+    """Repeats the platform's call until its outcome is known."""
+
+    def __init__(
+        self, port: PromotionPort, probe: PrimaryProbe, now: Now
+    ) -> None:
+        """Take the platform's call and what shows the new primary."""
+        self._port = port
+        self._probe = probe
+        self._now = now
+
+    async def run(self, group: Group, best: SurveyedMember, token: int) -> bool:
+        """Return whether the outcome is known.
+
+        The claim is held meanwhile, so that no other host starts a change
+        before the member leads.
+        """
+        for _ in range(_TRY_COUNT):
+            outcome = await self._port.promote(
+                group.name, best.member.member_id, token, _CALL_LIMIT_S
+            )
+            logger.bind(
+                group=group.name,
+                member=best.member.member_id,
+                at=str(best.status.received),
+                token=token,
+                outcome=str(outcome),
+            ).info('promotion')
+            if isinstance(outcome, Promoted):
+                await self._await_lead(group, best.member)
+                return True
+            if isinstance(outcome, PromotionRefused):
+                return True
+        return False
+
+    async def _await_lead(self, group: Group, member: Member) -> None:
+        deadline_s = self._now() + _LEAD_LIMIT_S
+        while self._now() < deadline_s:
+            result = await self._probe.ask(group, member)
+            if result is ProbeResult.leads:
+                return
+            await asyncio.sleep(_LEAD_PAUSE_S)
--- a/mimosapond/groups/group_directory.py
+++ b/mimosapond/groups/group_directory.py
@@ -17,6 +17,10 @@
 # An unlisted member is still asked during a promotion: it may have received
 # commits while only the store cannot see it.
 _FORGET_S: Final = 20.0
+# Part of a member's connections that one host may open; the rest is for
+# other hosts, whose callers are fewer or more at times.
+_CONNECTION_RATIO: Final = 0.2
+_MIN_CONNECTION_COUNT: Final = 2
 
 
 @final
@@ -37,9 +41,13 @@
     def apply_limits(self, configuration: Configuration) -> None:
         """Take over the limits of a configuration."""
         for limits in configuration.groups.values():
-            self._limit_counts[limits.group] = limits.connection_count
+            limit_count = max(
+                _MIN_CONNECTION_COUNT,
+                int(limits.connection_count * _CONNECTION_RATIO),
+            )
+            self._limit_counts[limits.group] = limit_count
             for member in self.find(limits.group).members.values():
-                member.pool.limit_count = limits.connection_count
+                member.pool.limit_count = limit_count
 
     def apply_registrations(self, records: Iterable[MemberRecord]) -> None:
         """Take over the members that are registered now."""
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -12,6 +12,7 @@
 from mimosapond.entry.platform_host import HostParts, PlatformHost
 from mimosapond.entry.ready_server import build_ready_application
 from mimosapond.failover.primary_change import PrimaryChange
+from mimosapond.failover.promotion_call import PromotionCall
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.registration_follower import RegistrationFollower
 from mimosapond.platform.caller_link import CallerServer
@@ -99,8 +100,11 @@
         host = self._settings.host
         return PrimaryChange(
             StoreDuties(self._store, host),
-            PromotionClient(self._settings.promotion_address, host),
-            self._probe,
+            PromotionCall(
+                PromotionClient(self._settings.promotion_address, host),
+                self._probe,
+                self._now,
+            ),
             self._now,
         )
 
--- a/mimosapond/platform/store_duties.py
+++ b/mimosapond/platform/store_duties.py
@@ -8,7 +8,6 @@
 import json
 from typing import Final, final
 
-import attrs
 from loguru import logger
 
 from mimosapond.failover.duty_port import (
@@ -28,16 +27,11 @@
 TABLE: Final = 'mimosapond-duties'
 # A holder that has not ended its work after this time is taken for lost.
 CLAIM_HOLD_MS: Final = 2500
+# A call of a lost holder takes place at most this late.
+LATE_CALL_MS: Final = 15_000
 _CALL_LIMIT_S: Final = 0.8
 
 
-@final
-@attrs.define
-class _Claims:
-    rows: dict[str, StoredRow] = attrs.field(factory=dict)
-    now_ms: int = 0
-
-
 @final
 class StoreDuties:
     """Claims of one host; see ``DutyPort``."""
@@ -77,7 +71,7 @@
         written = await self._store.write_if(TABLE, claim, _CALL_LIMIT_S)
         match written:
             case StoredRows(version=version):
-                return DutyClaim(version)
+                return DutyClaim(version, _is_done(row, now_ms))
             case ConditionFailed():
                 return DutyTaken('another host, just now')
             case Unavailable(reason=reason):
@@ -96,3 +90,10 @@
     if now_ms - body.get('claimed_ms', 0) > CLAIM_HOLD_MS:
         return ''
     return str(body.get('holder', ''))
+
+
+def _is_done(row: StoredRow, now_ms: int) -> bool:
+    body = json.loads(row.content or b'{}')
+    if 'claimed_ms' not in body:
+        return True
+    return bool(now_ms - body['claimed_ms'] > LATE_CALL_MS)
--- a/mimosapond/routing/primary_probe.py
+++ b/mimosapond/routing/primary_probe.py
@@ -5,14 +5,15 @@
 """
 
 import asyncio
+import enum
 from typing import Final, final
 
 from mimosapond.boot_clock import Now
+from mimosapond.groups.connection_pool import NoConnection
 from mimosapond.groups.group import Group
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_answer import Completed, Rejected, RejectionKind
 from mimosapond.groups.pooled_connection import PooledConnection
-from mimosapond.groups.connection_pool import NoConnection
 from mimosapond.statements.statement import Begin
 
 # More urgent than any statement.
@@ -20,6 +21,17 @@
 PROBE_LIMIT_S: Final = 0.3
 
 
+@final
+class ProbeResult(enum.Enum):
+    """What a probe showed."""
+
+    leads = 'leads'
+    follows = 'follows'
+    # It accepts no further connection, so it lives.
+    crowded = 'crowded'
+    silent = 'silent'
+
+
 @final
 class PrimaryProbe:
     """Proves primaries and refreshes the positions that cover reads."""
@@ -40,11 +52,13 @@
             )
         await asyncio.wait((self._under_way[group.name],), timeout=limit_s)
 
-    async def ask(self, group: Group, member: Member) -> bool | None:
-        """Return whether the member leads; None if it did not answer."""
+    async def ask(self, group: Group, member: Member) -> ProbeResult:
+        """Return whether the member leads."""
         connection = await member.pool.borrow(PROBE_PRIORITY, PROBE_LIMIT_S)
         if isinstance(connection, NoConnection):
-            return None
+            if connection.is_reachable:
+                return ProbeResult.crowded
+            return ProbeResult.silent
         try:
             return await self._ask_on(connection, group, member)
         finally:
@@ -57,7 +71,7 @@
 
     async def _ask_on(
         self, connection: PooledConnection, group: Group, member: Member
-    ) -> bool | None:
+    ) -> ProbeResult:
         asked_s = self._now()
         begin = connection.link.begin(Begin(False), None, PROBE_LIMIT_S)
         answer = await connection.ask(begin)
@@ -65,9 +79,9 @@
             case Completed(position=position):
                 group.prove_primary(member, asked_s, position)
                 await connection.ask(connection.link.rollback(PROBE_LIMIT_S))
-                return True
+                return ProbeResult.leads
             case Rejected(kind=RejectionKind.not_primary):
                 group.doubt_primary(member, 'it refused a transaction')
-                return False
+                return ProbeResult.follows
             case _:
-                return None
+                return ProbeResult.silent
