--- a/mimosapond/entry/platform_host.py
+++ b/mimosapond/entry/platform_host.py
@@ -13,8 +13,10 @@
     ConfigurationFollower,
 )
 from mimosapond.entry.caller_desk import CallerDesk
+from mimosapond.entry.reachability import Reachability
 from mimosapond.failover.primary_change import PrimaryChange
 from mimosapond.failover.primary_watch import PrimaryWatch
+from mimosapond.failover.reserved_duties import ReservedDuties
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.registration_follower import RegistrationFollower
 from mimosapond.routing.primary_probe import PrimaryProbe
@@ -37,7 +39,9 @@
     registration_follower: RegistrationFollower
     desk: CallerDesk
     probe: PrimaryProbe
+    duties: ReservedDuties
     change: PrimaryChange
+    reachability: Reachability
     now: Now
 
 
@@ -50,6 +54,7 @@
         self._parts = parts
         self._stop_grace_s = stop_grace_s
         self._stop = asyncio.Event()
+        self._reached_s = parts.now()
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     def is_ready(self) -> bool:
@@ -57,7 +62,7 @@
         return (
             not self._stop.is_set()
             and self._parts.active.is_loaded
-            and self._parts.registration_follower.is_loaded
+            and self._parts.reachability.is_sufficient()
         )
 
     def request_stop(self) -> None:
@@ -69,9 +74,11 @@
         """Serve until a stop was requested and has ended."""
         self._start('configuration', self._parts.configuration_follower.run())
         self._start('registrations', self._parts.registration_follower.run())
+        self._start('duties', self._parts.duties.run())
         stopping = asyncio.create_task(self._stop.wait())
         while not self._stop.is_set():
             self._watch_groups()
+            self._redirect_callers()
             await asyncio.wait((stopping,), timeout=_STEP_S)
         await self._end_sessions()
         logger.bind(sessions=self._parts.desk.session_count).info('stopped')
@@ -79,6 +86,16 @@
     def _start(self, name: str, work: Coroutine[Any, Any, None]) -> None:
         self._tasks[name] = asyncio.create_task(work, name=name)
 
+    def _redirect_callers(self) -> None:
+        """Close idle sessions here once new ones go to other hosts."""
+        now_s = self._parts.now()
+        if self._parts.reachability.is_sufficient():
+            self._reached_s = now_s
+        is_cut_off = now_s - self._reached_s > _OUT_OF_ROTATION_S
+        self._parts.desk.is_ending = is_cut_off
+        if is_cut_off:
+            self._parts.desk.close_idle()
+
     def _watch_groups(self) -> None:
         for group in self._parts.directory.groups.values():
             if group.name not in self._tasks:
--- a/mimosapond/failover/duty_port.py
+++ b/mimosapond/failover/duty_port.py
@@ -47,5 +47,8 @@
     async def claim(self, group: str) -> DutyOutcome:
         """Claim a group for a short time."""
 
+    async def reserve(self) -> int | None:
+        """Take a token in advance; None if the store did not answer."""
+
     async def release(self, group: str) -> None:
         """Let other hosts claim the group at once."""
--- a/mimosapond/failover/primary_watch.py
+++ b/mimosapond/failover/primary_watch.py
@@ -28,9 +28,9 @@
 # Pause after a change that could not be made; doubled each time.
 _CHANGE_PAUSE_S: Final = 0.15
 _CHANGE_PAUSE_MAX_S: Final = 1.2
-# Idle connections beyond the kept ones are closed after this time, as other
-# hosts need them.
-_IDLE_S: Final = 3.0
+# Idle connections beyond the kept ones are closed after this time: other
+# hosts need them, and those of a host that lost power count for seconds.
+_IDLE_S: Final = 0.5
 _KEEP_COUNT: Final = 1
 
 
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -10,9 +10,11 @@
 from mimosapond.entry.caller_desk import CallerDesk
 from mimosapond.entry.host_settings import HostSettings
 from mimosapond.entry.platform_host import HostParts, PlatformHost
+from mimosapond.entry.reachability import Reachability
 from mimosapond.entry.ready_server import build_ready_application
 from mimosapond.failover.primary_change import PrimaryChange
 from mimosapond.failover.promotion_call import PromotionCall
+from mimosapond.failover.reserved_duties import ReservedDuties
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.registration_follower import RegistrationFollower
 from mimosapond.platform.caller_link import CallerServer
@@ -51,6 +53,9 @@
             WireMemberDialer(_CONNECT_LIMIT_S, _START_LIMIT_S), self._now
         )
         self._probe = PrimaryProbe(self._now)
+        self._duties = ReservedDuties(
+            StoreDuties(self._store, settings.host),
+        )
         self._desk = CallerDesk(self._session_services())
 
     def build_host(self) -> PlatformHost:
@@ -92,14 +97,16 @@
             ),
             desk=self._desk,
             probe=self._probe,
+            duties=self._duties,
             change=self._primary_change(),
+            reachability=Reachability(self._directory, self._now),
             now=self._now,
         )
 
     def _primary_change(self) -> PrimaryChange:
         host = self._settings.host
         return PrimaryChange(
-            StoreDuties(self._store, host),
+            self._duties,
             PromotionCall(
                 PromotionClient(self._settings.promotion_address, host),
                 self._probe,
--- a/mimosapond/platform/store_duties.py
+++ b/mimosapond/platform/store_duties.py
@@ -30,6 +30,7 @@
 # A call of a lost holder takes place at most this late.
 LATE_CALL_MS: Final = 15_000
 _CALL_LIMIT_S: Final = 0.8
+_RESERVE_PREFIX: Final = 'reserve/'
 
 
 @final
@@ -41,6 +42,20 @@
         self._store = store
         self._host = host
 
+    async def reserve(self) -> int | None:
+        """Take a token for a time in which the store does not answer.
+
+        Its row belongs to this host alone, so no other can take the same.
+        """
+        found = await self._store.read_table(TABLE, _CALL_LIMIT_S)
+        if isinstance(found, Unavailable):
+            return None
+        row = _row_of(found, f'{_RESERVE_PREFIX}{self._host}')
+        written = await self._store.write_if(TABLE, row, _CALL_LIMIT_S)
+        if isinstance(written, StoredRows):
+            return written.version
+        return None
+
     async def claim(self, group: str) -> DutyOutcome:
         """Claim a group for a short time."""
         found = await self._store.read_table(TABLE, _CALL_LIMIT_S)
