--- /dev/null
+++ b/features/group_builders.py
@@ -0,0 +1,138 @@
+"""Builders of groups, routes and sessions for tests."""
+
+from typing import final
+
+import attrs
+
+from features.group_fakes import (
+    FakeDialer,
+    FakeDuties,
+    FakeMember,
+    FakePromotions,
+)
+from mimosapond.boot_clock import boot_time_s
+from mimosapond.configuration.active_configuration import ActiveConfiguration
+from mimosapond.configuration.configuration import Configuration, GroupLimits
+from mimosapond.configuration.route import Freshness, Route
+from mimosapond.failover.primary_change import PrimaryChange
+from mimosapond.failover.promotion_call import PromotionCall
+from mimosapond.groups.group import Group
+from mimosapond.groups.group_directory import GroupDirectory
+from mimosapond.groups.member_record import MemberRecord
+from mimosapond.routing.member_choice import MemberChoice
+from mimosapond.routing.primary_probe import PrimaryProbe
+from mimosapond.routing.read_positions import ReadPositions
+from mimosapond.routing.read_router import ReadRouter
+from mimosapond.routing.write_router import WriteRouter
+from mimosapond.sessions.session import Session, SessionServices
+from mimosapond.sessions.transaction import TransactionRouting
+
+GROUP = 'orders'
+DATABASE = 'book'
+CENTRE = 'centre-a'
+
+
+def build_route(
+    freshness: Freshness = Freshness.latest,
+    timeout_ms: float = 400,
+    max_age_ms: float = 1500,
+) -> Route:
+    """Build the route of the one database."""
+    return Route(
+        database=DATABASE,
+        group=GROUP,
+        freshness=freshness,
+        max_age_ms=max_age_ms,
+        statement_timeout_ms=timeout_ms,
+        objective_ms=100,
+        priority=1,
+    )
+
+
+def build_configuration(
+    route: Route, version: int = 1, idle_ms: float = 3000
+) -> Configuration:
+    """Build a configuration with one route."""
+    return Configuration(
+        version=version,
+        routes={route.database: route},
+        groups={GROUP: GroupLimits(GROUP, 15)},
+        transaction_idle_ms=idle_ms,
+    )
+
+
+def build_record(
+    member_id: str, *, is_leaving: bool = False, reports_primary: bool = False
+) -> MemberRecord:
+    """Build a registration."""
+    return MemberRecord(
+        member_id=member_id,
+        group=GROUP,
+        ip='127.0.0.1',
+        port=1,
+        data_centre=CENTRE,
+        is_leaving=is_leaving,
+        reports_primary=reports_primary,
+    )
+
+
+@final
+@attrs.define
+class GroupWorld:
+    """A group in memory with all that decides about it."""
+
+    fakes: dict[str, FakeMember]
+    directory: GroupDirectory
+    group: Group
+    probe: PrimaryProbe
+    duties: FakeDuties
+    promotions: FakePromotions
+    change: PrimaryChange
+    services: SessionServices
+
+    def open_session(self) -> Session:
+        """Open a session of the one database."""
+        return Session(DATABASE, self.services)
+
+
+def build_world(
+    route: Route | None = None, idle_ms: float = 3000
+) -> GroupWorld:
+    """Build a group of a primary ``p`` and the replicas ``a`` and ``b``."""
+    fakes = {name: FakeMember(name) for name in ('p', 'a', 'b')}
+    fakes['p'].is_primary = True
+    directory = GroupDirectory(FakeDialer(fakes), boot_time_s)
+    configuration = build_configuration(route or build_route(), idle_ms=idle_ms)
+    directory.apply_limits(configuration)
+    directory.apply_registrations([build_record(name) for name in fakes])
+    active = ActiveConfiguration()
+    active.put_in_force(configuration)
+    probe = PrimaryProbe(boot_time_s)
+    duties = FakeDuties()
+    promotions = FakePromotions(fakes)
+    return GroupWorld(
+        fakes=fakes,
+        directory=directory,
+        group=directory.find(GROUP),
+        probe=probe,
+        duties=duties,
+        promotions=promotions,
+        change=PrimaryChange(
+            duties, PromotionCall(promotions, probe, boot_time_s), boot_time_s
+        ),
+        services=_build_services(active, directory, probe),
+    )
+
+
+def _build_services(
+    active: ActiveConfiguration, directory: GroupDirectory, probe: PrimaryProbe
+) -> SessionServices:
+    positions = ReadPositions(probe, boot_time_s)
+    choice = MemberChoice(CENTRE, boot_time_s)
+    writes = WriteRouter(boot_time_s)
+    return SessionServices(
+        configuration=active,
+        directory=directory,
+        reads=ReadRouter(positions, choice, boot_time_s),
+        routing=TransactionRouting(positions, choice, writes, boot_time_s),
+    )
--- /dev/null
+++ b/features/platform_wire.feature
@@ -0,0 +1,99 @@
+Feature: The platform's wire
+  Every message is decoded once; what is no message gets a named error or a
+  close, runs nothing and leaves other sessions alone.
+
+  Scenario Outline: texts of queries
+    When the text <text> is decoded
+    Then the statement is <statement>
+
+    Examples:
+      | text                | statement                                         |
+      | BEGIN               | Begin(is_read_only=False)                         |
+      | BEGIN READ          | Begin(is_read_only=True)                          |
+      | BEGIN WRITE         | Unreadable                                        |
+      | COMMIT              | Commit()                                          |
+      | COMMIT now          | Unreadable                                        |
+      | ROLLBACK            | Rollback()                                        |
+      | READ 1a4            | Direct(text='READ 1a4', is_write=False)           |
+      | READ                | Unreadable                                        |
+      | WRITE 1a4 xk qp     | Direct(text='WRITE 1a4 xk qp', is_write=True)     |
+      | WRITE 1a4           | Unreadable                                        |
+      | SET a b c           | SetValue(name='a', value='b c')                   |
+      | SET a               | Unreadable                                        |
+      | PARSE s1 WRITE q2c  | Prepare(name='s1', shape=Shape(text='q2c', is_write=True)) |
+      | PARSE s1 DROP q2c   | Unreadable                                        |
+      | PARSE s1 READ       | Unreadable                                        |
+      | EXECUTE s1 1a4 xk   | Execute(name='s1', arguments='1a4 xk')            |
+      | EXECUTE s1          | Unreadable                                        |
+      | CLOSE s1            | Forget(name='s1')                                 |
+      | CLOSE               | Unreadable                                        |
+      | STATUS              | Unreadable                                        |
+      | WAITLSN 3.1 READ 1  | Unreadable                                        |
+      | PAUSE 4             | Unreadable                                        |
+      | begin               | Unreadable                                        |
+
+  Scenario: no text makes the decoder fail, and reads and writes stay as sent
+    Then any text is decoded, and a read or a write keeps its text
+
+  Scenario Outline: registrations of other writers name no member
+    When the registration <entry> is decoded
+    Then the registration is <verdict>
+
+    Examples:
+      | entry                                                                     | verdict |
+      | {"service":"s","addr":"10.0.0.1:80","zone":"z","state":"ready"}           | a member |
+      | {"service":"s","addr":"10.0.0.1:80","zone":"z","state":"draining"}        | leaving |
+      | {"service":"s","addr":"10.0.0.1:80","zone":"z","state":"asleep"}          | refused |
+      | {"service":7,"addr":"10.0.0.1:80","zone":"z","state":"ready"}             | refused |
+      | {"addr":"10.0.0.1:80","zone":"z","state":"ready"}                         | refused |
+      | {"service":"s","addr":"10.0.0.1","zone":"z","state":"ready"}              | refused |
+      | {"service":"s","addr":":80","zone":"z","state":"ready"}                   | refused |
+      | []                                                                        | refused |
+      | no JSON                                                                   | refused |
+
+  Scenario Outline: answers of a member
+    When a member answers <answer> to a read
+    Then the answer is <outcome>
+    And the connection is <state>
+
+    Examples:
+      | answer                                      | outcome   | state  |
+      | DATAROW x/COMPLETE sig/READY I 3.7/         | Completed | open   |
+      | ERROR LAGGING i-1/READY I 3.7/              | behind    | open   |
+      | ERROR READONLY i-1/READY E 3.7/             | not_primary | open |
+      | ERROR WHATEVER x/READY I -/                 | other     | open   |
+      | DATAROW x/                                  | LinkLost  | closed |
+      | DATAROW x/COMPLETE sig/READY Q 3.7/         | LinkLost  | closed |
+      | NONSENSE/                                   | LinkLost  | closed |
+      | close                                       | LinkLost  | closed |
+
+  Scenario Outline: a status of a member
+    When a member reports the status <row>
+    Then the reported status is <status>
+
+    Examples:
+      | row                        | status         |
+      | replica 3 3.1209 0 12 2 17 | replica 3.1209 |
+      | primary 4 4.7 0 0 0 3      | primary 4.7    |
+      | replica 3 - 0 12 2 17      | unreadable     |
+      | replica                    | unreadable     |
+
+  Scenario Outline: bad messages of a caller
+    Given a host that listens for callers
+    And another caller with an open session
+    When a caller sends <lines>
+    Then the caller gets <answer>
+    And the other caller is still served
+
+    Examples:
+      | lines                                | answer                                 |
+      | START book me/QUERY 1 BEGIN/         | READY I -/COMPLETE -/READY T -/        |
+      | START nobody me/                     | ERROR NOSUCHDB                         |
+      | HELLO/                               | ERROR MALFORMED                        |
+      | START/                               | ERROR MALFORMED                        |
+      | START book me/START book me/         | READY I -/ERROR MALFORMED              |
+      | START book me/QUERY 1/               | READY I -/ERROR MALFORMED              |
+      | START book me/QUERY 1 JUMP/          | READY I -/ERROR MALFORMED              |
+      | START book me/no text: \xff\xfe/     | READY I -/ERROR MALFORMED              |
+      | START book me/a line of 1.5 MiB/     | READY I -/ERROR TOOBIG                 |
+      | START book me/a line of 3 MiB/       | READY I -                              |
--- /dev/null
+++ b/features/primary_change.feature
@@ -0,0 +1,88 @@
+Feature: Change of a primary
+  An acknowledged commit must be in the log of the member that is promoted,
+  and no late promotion may take effect after replicas receive again.
+
+  Scenario Outline: a lost primary is replaced only if no commit can be lost
+    Given a group whose primary is p
+    And the members <silent> are silent
+    And member a has received up to 1.<a>
+    And member b has received up to 1.<b>
+    When a host replaces the lost primary
+    Then the promoted member is <promoted>
+
+    Examples:
+      | silent | a  | b  | promoted |
+      | p      | 12 | 11 | a        |
+      | p      | 11 | 12 | b        |
+      | p,a    | 12 | 11 | none     |
+      | p,b    | 12 | 11 | none     |
+      | a      | 12 | 11 | none     |
+
+  Scenario: a former primary that is a replica now is paused too
+    # LOST on trouble-1, seed 682287380935: it went on to acknowledge.
+    Given a group whose primary is p
+    And member a was promoted without this host seeing it
+    And the members a are silent
+    When a host replaces the lost primary
+    Then member p was paused before the promotion
+    And the promoted member is b
+
+  Scenario Outline: replicas receive again after a change that was not made
+    Given a group whose primary is p
+    And an earlier claim that <ended>
+    And the members a are silent
+    When a host replaces the lost primary
+    Then replica b is <state>
+    And the promotion calls are <calls>
+
+    Examples:
+      | ended     | state     | calls |
+      | ended     | receiving | none  |
+      | may go on | receiving | p     |
+
+  Scenario: replicas stay paused while a late promotion may still come
+    Given a group whose primary is p
+    And an earlier claim that may go on
+    And the members p,a are silent
+    When a host replaces the lost primary
+    Then replica b is paused
+
+  Scenario: a promotion without an answer keeps the claim
+    Given a group whose primary is p
+    And the members p are silent
+    And the platform does not answer promotions
+    When a host replaces the lost primary
+    Then the claim is still held
+
+  Scenario: a leaving primary hands over to a replica that has all it has
+    Given a group whose primary is p
+    And member p has received up to 1.20
+    And member a has received up to 1.20
+    And member b has received up to 1.15
+    When the leaving primary hands over
+    Then the promoted member is a
+
+  Scenario: a leaving primary does not hand over past a silent replica
+    Given a group whose primary is p
+    And member a has received up to 1.20
+    And the members b are silent
+    When the leaving primary hands over
+    Then the promoted member is none
+
+  Scenario: a host without connections does not take the primary for lost
+    # The host had reserved none of the member's 16 connections for itself.
+    Given a group whose primary is p
+    And member p accepts no more connections
+    When the watch of the group runs for 700 ms
+    Then the promoted member is none
+
+  Scenario: a silent primary is replaced by the watch
+    Given a group whose primary is p
+    And the members p are silent
+    When the watch of the group runs for 900 ms
+    Then a replica leads
+
+  Scenario: a token taken in advance serves while the store is down
+    Given a group whose primary is p
+    When the store is down and a host claims with a reserved token
+    Then the claim has the reserved token and an unfinished predecessor
--- /dev/null
+++ b/features/sessions.feature
@@ -0,0 +1,115 @@
+Feature: Sessions on members' connections
+  A caller is told the truth about what was kept, sees its own writes, and
+  finds its session values on whichever connection serves it.
+
+  Scenario Outline: replies while a primary leads
+    Given a session on a group whose primary is p
+    When the caller sends <statements>
+    Then the last reply is <reply>
+    And the session is <state>
+
+    Examples:
+      | statements                                  | reply             | state          |
+      | read                                        | success           | idle           |
+      | write                                       | success           | idle           |
+      | begin, write, commit                        | success           | idle           |
+      | begin, read, rollback                       | success           | idle           |
+      | begin                                       | success           | in_transaction |
+      | begin, commit                               | success           | idle           |
+      | begin, begin                                | malformed         | in_transaction |
+      | commit                                      | malformed         | idle           |
+      | execute                                     | no_such_statement | idle           |
+      | prepare, execute                            | success           | idle           |
+      | prepare, forget, execute                    | no_such_statement | idle           |
+      | forget                                      | no_such_statement | idle           |
+      | begin, write, nonsense                      | malformed         | in_transaction |
+
+  Scenario Outline: replies when the member's answer is lost
+    # A promise that nothing was kept would be false for a write.
+    Given a session on a group whose primary is p
+    When the caller sends <before>
+    And the members lose their answers
+    And the caller sends <statements>
+    Then the last reply is <reply>
+    And the session is <state>
+
+    Examples:
+      | before       | statements | reply       | state  |
+      | read         | write      | unknown     | idle   |
+      | begin, write | commit     | unknown     | idle   |
+      | begin, read  | commit     | rolled_back | idle   |
+      | begin, write | write      | rolled_back | failed |
+      | read         | read       | timed_out   | idle   |
+
+  Scenario: a transaction that failed takes nothing but its end
+    Given a session on a group whose primary is p
+    When the caller sends begin, write
+    And the members lose their answers
+    And the caller sends write, read
+    Then the last reply is malformed
+    When the caller sends commit
+    Then the last reply is rolled_back
+
+  Scenario Outline: a refusal of the member is not seen by the caller
+    Given a session on a group whose primary is p
+    And member p refuses the next request as <kind>
+    When the caller sends <statements>
+    Then the last reply is success
+
+    Examples:
+      | kind        | statements           |
+      | busy        | write                |
+      | busy        | begin, write, commit |
+
+  Scenario: a write without any primary is refused as not run in time
+    Given a session on a group whose primary is p
+    And no member leads
+    When the caller sends write
+    Then the last reply is not_run
+    And no member ran a write
+
+  Scenario: another session's values are cleared from a connection
+    Given a session on a group whose primary is p
+    When the caller sends set, write
+    And another caller sends write on the same connection
+    Then the member cleared the values before the second write
+
+  Scenario: a transaction that rests too long is rolled back
+    Given a session whose transactions may rest 50 ms
+    When the caller sends begin, write
+    And 120 ms pass
+    And the caller sends read
+    Then the last reply is rolled_back
+
+  Scenario: a connection is given back when the caller leaves
+    Given a session on a group whose primary is p
+    When the caller sends begin, write
+    And the caller leaves
+    Then the transaction was rolled back at p
+
+  Scenario: a caller without a route is told so
+    Given a session of a database without a route
+    When the caller sends read
+    Then the last reply is no_such_database
+
+  Scenario: a read goes to a replica behind the position of the primary
+    Given a session on a group whose primary is p
+    And member p has received up to 1.30
+    And member a has received up to 1.30
+    When the caller sends read
+    Then member b ran nothing
+
+  Scenario: a bounded read is served while the primary is lost
+    Given a session with reads up to 1500 ms old
+    And the primary was proven just now
+    And the members p are silent
+    When the caller sends read
+    Then the last reply is success
+
+  Scenario: a fresh read is not served by a replica while the primary is lost
+    # A commit may have been acknowledged that no replica has shown yet.
+    Given a session on a group whose primary is p
+    And the primary was proven just now
+    And the members p are silent
+    When the caller sends read
+    Then the last reply is not_run
--- /dev/null
+++ b/features/steps/platform_wire_steps.py
@@ -0,0 +1,211 @@
+"""Steps of platform_wire.feature."""
+
+import asyncio
+import json
+from typing import Any, Final
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+from tornado.netutil import bind_sockets
+
+from features.group_builders import build_world
+from features.wire_server import ScriptedMember
+from mimosapond.entry.caller_desk import CallerDesk
+from mimosapond.groups.member_answer import Rejected
+from mimosapond.groups.member_record import MemberRecord
+from mimosapond.groups.member_status import MemberStatus
+from mimosapond.platform.caller_link import CallerServer
+from mimosapond.platform.member_link import WireMemberDialer
+from mimosapond.platform.registration_codec import decode_registration
+from mimosapond.platform.statement_codec import decode_statement
+from mimosapond.statements.statement import Direct
+
+_LIMIT_S: Final = 0.3
+_SETTLE_S: Final = 0.1
+_MIB: Final = 1024 * 1024
+_LOOPBACK: Final = '127.0.0.1'
+_READY: Final = 'READY I 3.1/'
+
+
+_WORDS: Final = st.sampled_from(('READ', 'WRITE', 'EXECUTE', 'PARSE', 'SET'))
+
+
+@for_all(st.tuples(_WORDS, st.text()).map(' '.join) | st.text())
+def _check_text(text: str) -> None:
+    statement = decode_statement(text)
+    if isinstance(statement, Direct):
+        assert statement.text == text
+
+
+@when('the text {text} is decoded')
+def decode_text(context: Any, text: str) -> None:
+    """Decode one query."""
+    context.statement = decode_statement(text)
+
+
+@then('the statement is {expected}')
+def check_statement(context: Any, expected: str) -> None:
+    """Compare the representation."""
+    found = repr(context.statement)
+    if expected == 'Unreadable':
+        assert found.startswith('Unreadable('), found
+    else:
+        assert found == expected, found
+
+
+@then('any text is decoded, and a read or a write keeps its text')
+def check_any_text(context: Any) -> None:
+    """Decode generated texts."""
+    _check_text()
+
+
+@when('the registration {entry} is decoded')
+def decode_entry(context: Any, entry: str) -> None:
+    """Decode one registration."""
+    context.record = decode_registration('i-1', entry.encode())
+
+
+@then('the registration is {verdict}')
+def check_registration(context: Any, verdict: str) -> None:
+    """Compare the kind of the result."""
+    record = context.record
+    if verdict == 'refused':
+        assert isinstance(record, str), record
+        return
+    assert isinstance(record, MemberRecord), record
+    assert record.is_leaving == (verdict == 'leaving')
+
+
+@when('a member answers {answer} to a read')
+def read_from_member(context: Any, answer: str) -> None:
+    """Read once."""
+    read = Direct('READ 1', is_write=False)
+    context.talk = asyncio.run(
+        _ask(answer, lambda link: link.run('r1', read, None, _LIMIT_S))
+    )
+
+
+@when('a member reports the status {row}')
+def ask_status(context: Any, row: str) -> None:
+    """Ask for the status once."""
+    answer = f'DATAROW {row}/COMPLETE -/READY I 3.1/'
+    context.talk = asyncio.run(_ask(answer, lambda link: link.status(_LIMIT_S)))
+
+
+async def _ask(answer: str, call: Any) -> tuple[Any, bool]:
+    server = ScriptedMember([_READY, answer])
+    sockets = bind_sockets(0, _LOOPBACK)
+    server.add_sockets(sockets)
+    record = MemberRecord(
+        member_id='i-1',
+        group='orders',
+        ip=_LOOPBACK,
+        port=sockets[0].getsockname()[1],
+        data_centre='centre-a',
+        is_leaving=False,
+        reports_primary=False,
+    )
+    link = await WireMemberDialer(_LIMIT_S, _LIMIT_S).dial(record)
+    found = await call(link)
+    is_open = link.is_open
+    link.close()
+    server.stop()
+    assert server.received[0] == 'START orders mimosapond i-1'
+    return found, is_open
+
+
+@then('the answer is {outcome}')
+def check_answer(context: Any, outcome: str) -> None:
+    """Compare the type, or the kind of a rejection."""
+    answer = context.talk[0]
+    found = type(answer).__name__
+    if isinstance(answer, Rejected):
+        found = answer.kind.value
+    assert found == outcome, answer
+
+
+@then('the connection is {state}')
+def check_connection(context: Any, state: str) -> None:
+    """Check that half an answer leaves no usable connection."""
+    assert context.talk[1] == (state == 'open')
+
+
+@then('the reported status is {status}')
+def check_status(context: Any, status: str) -> None:
+    """Compare role and position."""
+    answer = context.talk[0]
+    if status == 'unreadable':
+        assert not isinstance(answer, MemberStatus), answer
+        return
+    role = 'primary' if answer.is_primary else 'replica'
+    assert f'{role} {answer.received}' == status, answer
+
+
+@given('a host that listens for callers')
+def listen(context: Any) -> None:
+    """Build the desk of a host; connections follow in the when step."""
+    context.desk = CallerDesk(build_world().services)
+
+
+@given('another caller with an open session')
+def note_other(context: Any) -> None:
+    """Open it with the caller under test, in the same loop."""
+    context.has_other = True
+
+
+@when('a caller sends {lines}')
+def send_lines(context: Any, lines: str) -> None:
+    """Send bytes and collect what comes back."""
+    context.talk = asyncio.run(_talk(context.desk, lines))
+
+
+async def _talk(desk: CallerDesk, lines: str) -> tuple[bytes, bytes]:
+    server = CallerServer(desk)
+    sockets = bind_sockets(0, _LOOPBACK)
+    server.add_sockets(sockets)
+    port = sockets[0].getsockname()[1]
+    other_reader, other_writer = await asyncio.open_connection(_LOOPBACK, port)
+    other_writer.write(b'START book other\r\n')
+    await other_reader.readline()
+    reader, writer = await asyncio.open_connection(_LOOPBACK, port)
+    writer.write(_bytes_of(lines))
+    got = await _read_all(reader)
+    other_writer.write(b'QUERY 1 SET a b\r\n')
+    other_got = await other_reader.readline()
+    writer.close()
+    other_writer.close()
+    server.stop()
+    await asyncio.sleep(_SETTLE_S)
+    return got, other_got
+
+
+async def _read_all(reader: asyncio.StreamReader) -> bytes:
+    got = bytearray()
+    try:
+        async with asyncio.timeout(_LIMIT_S):
+            while not reader.at_eof():
+                got += await reader.read(_MIB)
+    except (TimeoutError, ConnectionResetError):
+        return bytes(got)
+    return bytes(got)
+
+
+def _bytes_of(lines: str) -> bytes:
+    text = lines.replace('a line of 1.5 MiB', 'x' * (_MIB + _MIB // 2))
+    text = text.replace('a line of 3 MiB', 'x' * 3 * _MIB)
+    plain = text.replace('/', '\r\n').encode()
+    return plain.replace(rb'\xff\xfe', b'\xff\xfe')
+
+
+@then('the caller gets {answer}')
+def check_got(context: Any, answer: str) -> None:
+    """Compare the beginning; the texts of errors may change."""
+    got = context.talk[0].decode().replace('\r\n', '/')
+    assert got.startswith(answer), json.dumps(got)
+
+
+@then('the other caller is still served')
+def check_other(context: Any) -> None:
+    """Check the answer to its statement."""
+    assert context.talk[1] == b'COMPLETE -\r\n', context.talk
--- /dev/null
+++ b/features/steps/primary_change_steps.py
@@ -0,0 +1,177 @@
+"""Steps of primary_change.feature."""
+
+import asyncio
+import contextlib
+from typing import Any
+
+from behave import given, then, when
+
+from features.group_builders import build_world
+from mimosapond.boot_clock import boot_time_s
+from mimosapond.failover.duty_port import DutyClaim
+from mimosapond.failover.primary_watch import PrimaryWatch
+from mimosapond.failover.reserved_duties import ReservedDuties
+from mimosapond.groups.log_position import LogPosition
+
+_MS_PER_S = 1000
+
+
+def _listed(names: str) -> str:
+    return '' if names == 'none' else names
+
+
+@given('a group whose primary is p')
+def build_group(context: Any) -> None:
+    """Build the group."""
+    context.world = build_world()
+
+
+@given('the members {names} are silent')
+def silence(context: Any, names: str) -> None:
+    """Let members answer nothing."""
+    for name in names.split(','):
+        context.world.fakes[name].is_silent = True
+
+
+@given('member {name} has received up to {position}')
+def set_position(context: Any, name: str, position: str) -> None:
+    """Set the end of a member's log."""
+    term, _, number = position.partition('.')
+    fake = context.world.fakes[name]
+    fake.position = LogPosition(int(term), int(number))
+
+
+@given('member a was promoted without this host seeing it')
+def promote_unseen(context: Any) -> None:
+    """Let the host go on believing in the former primary."""
+    fakes = context.world.fakes
+    member = context.world.group.members['p']
+    context.world.group.prove_primary(member, boot_time_s(), LogPosition(1, 10))
+    fakes['p'].is_primary = False
+    fakes['a'].is_primary = True
+    for name in ('a', 'b', 'p'):
+        fakes[name].position = LogPosition(2, 11)
+    fakes['b'].position = LogPosition(2, 12)
+
+
+@given('an earlier claim that ended')
+def end_claim(context: Any) -> None:
+    """Leave nothing of an earlier holder."""
+    context.world.duties.outcome = DutyClaim(7, is_predecessor_done=True)
+
+
+@given('an earlier claim that may go on')
+def leave_claim(context: Any) -> None:
+    """Let a call of an earlier holder be possible."""
+    context.world.duties.outcome = DutyClaim(7, is_predecessor_done=False)
+
+
+@given('the platform does not answer promotions')
+def silence_promotions(context: Any) -> None:
+    """Let all calls end without an answer."""
+    context.world.promotions.is_silent = True
+
+
+@given('member p accepts no more connections')
+def fill_member(context: Any) -> None:
+    """Refuse new connections."""
+    context.world.fakes['p'].is_full = True
+
+
+@when('a host replaces the lost primary')
+def replace_lost(context: Any) -> None:
+    """Try to replace it once."""
+    asyncio.run(context.world.change.replace_lost(context.world.group))
+
+
+@when('the leaving primary hands over')
+def hand_over(context: Any) -> None:
+    """Try to hand over once."""
+    world = context.world
+    member = world.group.members['p']
+    asyncio.run(world.change.hand_over(world.group, member))
+
+
+@when('the watch of the group runs for {duration_ms:d} ms')
+def watch(context: Any, duration_ms: int) -> None:
+    """Run the watch as the daemon does."""
+    asyncio.run(_watch(context.world, duration_ms / _MS_PER_S))
+
+
+async def _watch(world: Any, duration_s: float) -> None:
+    task = asyncio.create_task(
+        PrimaryWatch(world.group, world.probe, world.change, boot_time_s).run()
+    )
+    await asyncio.sleep(duration_s)
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+@when('the store is down and a host claims with a reserved token')
+def claim_reserved(context: Any) -> None:
+    """Reserve while the store answers, claim when it does not."""
+    context.claim = asyncio.run(_claim_reserved(context.world.duties))
+
+
+async def _claim_reserved(store: Any) -> Any:
+    duties = ReservedDuties(store)
+    task = asyncio.create_task(duties.run())
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    store.fall_silent()
+    outcome = await duties.claim('orders')
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+    return outcome
+
+
+@then('the promoted member is {name}')
+def check_promoted(context: Any, name: str) -> None:
+    """Compare with the calls of the platform."""
+    calls = context.world.promotions.calls
+    named = {member_id for member_id, _ in calls if member_id != 'p'}
+    assert ','.join(named) == _listed(name), calls
+
+
+@then('member p was paused before the promotion')
+def check_paused(context: Any) -> None:
+    """Check that it could not acknowledge any more.
+
+    The promotion ends the pause, so the pauses are counted.
+    """
+    assert context.world.fakes['p'].pause_count == 1
+
+
+@then('replica b is {state}')
+def check_state(context: Any, state: str) -> None:
+    """Check whether it receives."""
+    is_paused = context.world.fakes['b'].paused_term > 0
+    assert is_paused == (state == 'paused'), is_paused
+
+
+@then('the promotion calls are {names}')
+def check_calls(context: Any, names: str) -> None:
+    """Compare the members named."""
+    called = [name for name, _ in context.world.promotions.calls]
+    assert ','.join(called) == _listed(names), called
+
+
+@then('the claim is still held')
+def check_held(context: Any) -> None:
+    """Check that nobody else may act yet."""
+    assert not context.world.duties.is_released
+
+
+@then('a replica leads')
+def check_leads(context: Any) -> None:
+    """Check the new primary."""
+    fakes = context.world.fakes
+    assert fakes['a'].is_primary or fakes['b'].is_primary
+
+
+@then('the claim has the reserved token and an unfinished predecessor')
+def check_reserved(context: Any) -> None:
+    """Compare the claim."""
+    assert context.claim == DutyClaim(5, is_predecessor_done=False)
--- /dev/null
+++ b/features/steps/sessions_steps.py
@@ -0,0 +1,210 @@
+"""Steps of sessions.feature."""
+
+import asyncio
+from types import MappingProxyType
+from typing import Any, Final
+
+from behave import given, then, when
+
+from features.group_builders import (
+    GroupWorld,
+    build_route,
+    build_world,
+)
+from mimosapond.boot_clock import boot_time_s
+from mimosapond.configuration.route import Freshness
+from mimosapond.groups.member_answer import RejectionKind
+from mimosapond.sessions.session import Session
+from mimosapond.statements.reply import Failure
+from mimosapond.statements.statement import (
+    Begin,
+    Commit,
+    Direct,
+    Execute,
+    Forget,
+    Prepare,
+    Rollback,
+    SetValue,
+    Shape,
+    Unreadable,
+)
+
+_MS_PER_S: Final = 1000
+_SETTLE_S: Final = 0.05
+_STATEMENTS: Final = MappingProxyType(
+    {
+        'begin': Begin(is_read_only=False),
+        'commit': Commit(),
+        'rollback': Rollback(),
+        'read': Direct('read x', is_write=False),
+        'write': Direct('write x', is_write=True),
+        'set': SetValue('limit', '5'),
+        'prepare': Prepare('s1', Shape('q', is_write=False)),
+        'execute': Execute('s1', 'x'),
+        'forget': Forget('s1'),
+        'nonsense': Unreadable('unknown'),
+    },
+)
+
+
+def _open(context: Any, world: GroupWorld) -> None:
+    context.world = world
+    context.session = world.open_session()
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(_close, context)
+    context.loop.run_until_complete(
+        world.probe.ask(world.group, world.group.members['p'])
+    )
+
+
+def _close(context: Any) -> None:
+    context.loop.run_until_complete(_end(context.session))
+    context.loop.close()
+
+
+async def _end(session: Session) -> None:
+    session.close()
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
+
+
+async def _leave(session: Session) -> None:
+    session.close()
+    await asyncio.sleep(_SETTLE_S)
+
+
+async def _send(session: Session, names: str) -> Any:
+    reply = None
+    for number, name in enumerate(names.split(',')):
+        statement = _STATEMENTS[name.strip()]
+        reply = await session.execute(f'r{number}', statement)
+    return reply
+
+
+@given('a session on a group whose primary is p')
+def open_fresh(context: Any) -> None:
+    """Open a session whose reads are fresh."""
+    _open(context, build_world())
+
+
+@given('a session with reads up to {age_ms:d} ms old')
+def open_bounded(context: Any, age_ms: int) -> None:
+    """Open a session whose reads may be old."""
+    route = build_route(Freshness.bounded, max_age_ms=age_ms)
+    _open(context, build_world(route))
+
+
+@given('a session whose transactions may rest {idle_ms:d} ms')
+def open_impatient(context: Any, idle_ms: int) -> None:
+    """Open a session with a short idle limit."""
+    _open(context, build_world(idle_ms=idle_ms))
+
+
+@given('a session of a database without a route')
+def open_unrouted(context: Any) -> None:
+    """Open a session of a database that is not configured."""
+    world = build_world()
+    _open(context, world)
+    context.session = Session('elsewhere', world.services)
+
+
+@given('member {name} refuses the next request as {kind}')
+def refuse_next(context: Any, name: str, kind: str) -> None:
+    """Queue a refusal."""
+    context.world.fakes[name].rejects.append(RejectionKind(kind))
+
+
+@given('no member leads')
+def depose(context: Any) -> None:
+    """Let the primary lose the lead; it refuses what it gets."""
+    context.world.fakes['p'].is_primary = False
+    kind = RejectionKind.not_primary
+    context.world.fakes['p'].rejects.extend((kind, kind))
+
+
+@given('the primary was proven just now')
+def prove(context: Any) -> None:
+    """Note a proof of leadership."""
+    world = context.world
+    world.group.prove_primary(
+        world.group.members['p'], boot_time_s(), world.fakes['p'].position
+    )
+
+
+@when('the members lose their answers')
+def lose_answers(context: Any) -> None:
+    """Let statements run without an answer."""
+    for fake in context.world.fakes.values():
+        fake.loses_answers = True
+
+
+@when('the caller sends {names}')
+def send(context: Any, names: str) -> None:
+    """Send statements one after another."""
+    context.reply = context.loop.run_until_complete(
+        _send(context.session, names)
+    )
+
+
+@when('another caller sends write on the same connection')
+def send_other(context: Any) -> None:
+    """Send a write of a session without values."""
+    other = context.world.open_session()
+    context.loop.run_until_complete(_send(other, 'write'))
+
+
+@when('{pause_ms:d} ms pass')
+def pause(context: Any, pause_ms: int) -> None:
+    """Let timers run."""
+    context.loop.run_until_complete(asyncio.sleep(pause_ms / _MS_PER_S))
+
+
+@when('the caller leaves')
+def leave(context: Any) -> None:
+    """Close the session and let its rollback run."""
+    context.loop.run_until_complete(_leave(context.session))
+
+
+@then('the last reply is {kind}')
+def check_reply(context: Any, kind: str) -> None:
+    """Compare the kind of the reply."""
+    reply = context.reply
+    found = reply.kind.value if isinstance(reply, Failure) else 'success'
+    assert found == kind, reply
+
+
+@then('the session is {state}')
+def check_state(context: Any, state: str) -> None:
+    """Compare the state of the session."""
+    assert context.session.state.value == state, context.session.state
+
+
+@then('no member ran a write')
+def check_no_write(context: Any) -> None:
+    """Check what the members ran."""
+    for fake in context.world.fakes.values():
+        assert 'write x' not in fake.runs, fake.runs
+
+
+@then('the member cleared the values before the second write')
+def check_cleared(context: Any) -> None:
+    """Check the order at the primary."""
+    runs = context.world.fakes['p'].runs
+    assert runs[-2:] == ['DISCARD', 'write x'], runs
+
+
+@then('the transaction was rolled back at p')
+def check_rolled_back(context: Any) -> None:
+    """Check the last request and that the connection is free again."""
+    assert context.world.fakes['p'].runs[-1] == 'ROLLBACK'
+    member = context.world.group.members['p']
+    assert member.pool.idle_count == 1
+
+
+@then('member {name} ran nothing')
+def check_idle(context: Any, name: str) -> None:
+    """Check that the member was left alone."""
+    runs = context.world.fakes[name].runs
+    assert not runs, runs
--- a/mimosapond/platform/line_stream.py
+++ b/mimosapond/platform/line_stream.py
@@ -7,6 +7,7 @@
 
 MAX_LINE_BYTES: Final = 1024 * 1024
 LINE_END: Final = b'\r\n'
+# Beyond this, tornado closes the stream, and no error can be told.
 _BUFFER_BYTES: Final = 2 * MAX_LINE_BYTES
 
 
@@ -44,12 +45,14 @@
         """
         try:
             line = await self._stream.read_until(
-                LINE_END, max_bytes=MAX_LINE_BYTES
+                LINE_END, max_bytes=_BUFFER_BYTES
             )
         except StreamClosedError as error:
             if isinstance(error.real_error, UnsatisfiableReadError):
                 raise LineTooLongError from error
             raise
+        if len(line) > MAX_LINE_BYTES:
+            raise LineTooLongError
         return _decode(line)
 
     async def write(self, *lines: str) -> None:
--- a/tools/run_behave.py
+++ b/tools/run_behave.py
@@ -14,6 +14,7 @@
 from typing import Any, Final
 
 from behave.__main__ import main as run_behave
+from loguru import logger
 
 _KNOWN_RED: Final = pathlib.Path('KNOWN-RED.txt')
 _PREFIX: Final = 'scenario:'
@@ -58,6 +59,8 @@
 
 def main(arguments: list[str]) -> int:
     """Run the features and return the exit code."""
+    # Lines of the tested parts would hide those of the report.
+    logger.remove()
     with tempfile.TemporaryDirectory() as folder:
         report_path = pathlib.Path(folder) / 'report.json'
         behave_code = run_behave(
