Accept a primary by the newest proof; depose a stalled one only if every replica answers

A replica was deaf, another had crashed; the primary was taken for cut off from its replicas, stepped down, and the deaf replica was promoted although the crashed one had the commits. After that no host believed in the new primary for 20 s: a position has the term of the last commit, which was lower than one seen before.

Change: a stalled primary is deposed only if no other member is silent; the newest accepted request proves a primary, and positions of the former one are forgotten with it; terms come from the members' status; a survey precedes a pause, so a primary that answers is not disturbed. A session waits for its own commits at the lower of their position and one that was asked for later.

Ruled out: comparing positions by number alone, which would accept a former primary again.

Scenarios of primary_change.feature fail on the former code.

--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -86,3 +86,36 @@
     Given a group whose primary is p
     When the store is down and a host claims with a reserved token
     Then the claim has the reserved token and an unfinished predecessor
+
+  Scenario Outline: a primary that reaches no replica is replaced
+    # LOST on scale-1: a crashed replica had the commits that the other lacked.
+    Given a group whose primary is p
+    And member p has received up to 1.20
+    And member a has received up to 1.10
+    And member b has received up to 1.12
+    And the members <silent> are silent
+    When a host replaces the stalled primary
+    Then the promoted member is <promoted>
+    And member p leads: <still>
+
+    Examples:
+      | silent | promoted | still |
+      | none   | b        | no    |
+      | a      | none     | yes   |
+      | b      | none     | yes   |
+
+  Scenario: a primary without commits of its own is found
+    # On scale-1 its position had the term of the last commit, and all hosts
+    # refused for 20 s to believe that it led.
+    Given a group whose primary is p
+    And the former primary was proven at 2.102
+    And member a leads with its log at 1.84
+    When the watch of the group runs for 900 ms
+    Then the host knows member a as the primary
+    And reads wait for 1.84
+
+  Scenario: a primary that answers is not disturbed
+    Given a group whose primary is p
+    When a host replaces the lost primary
+    Then the promoted member is none
+    And nobody was paused
--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -29,7 +29,7 @@
 @given('the members {names} are silent')
 def silence(context: Any, names: str) -> None:
     """Let members answer nothing."""
-    for name in names.split(','):
+    for name in filter(None, _listed(names).split(',')):
         context.world.fakes[name].is_silent = True
 
 
@@ -175,3 +175,57 @@
 def check_reserved(context: Any) -> None:
     """Compare the claim."""
     assert context.claim == DutyClaim(5, is_predecessor_done=False)
+
+
+@when('a host replaces the stalled primary')
+def replace_stalled(context: Any) -> None:
+    """Try to replace it once."""
+    world = context.world
+    member = world.group.members['p']
+    asyncio.run(world.change.replace_stalled(world.group, member))
+
+
+@then('member p leads: {answer}')
+def check_still(context: Any, answer: str) -> None:
+    """Check whether the former primary was deposed."""
+    assert context.world.fakes['p'].is_primary == (answer == 'yes')
+
+
+@given('the former primary was proven at {position}')
+def prove_former(context: Any, position: str) -> None:
+    """Note a proof of leadership of p."""
+    term, _, number = position.partition('.')
+    group = context.world.group
+    group.prove_primary(
+        group.members['p'], boot_time_s(), LogPosition(int(term), int(number))
+    )
+
+
+@given('member a leads with its log at {position}')
+def let_lead(context: Any, position: str) -> None:
+    """Let the platform have promoted a replica."""
+    set_position(context, 'a', position)
+    context.world.fakes['a'].is_primary = True
+    context.world.fakes['p'].is_primary = False
+
+
+@then('the host knows member a as the primary')
+def check_known(context: Any) -> None:
+    """Compare the primary."""
+    primary = context.world.group.primary
+    assert primary is not None and primary.member_id == 'a'
+
+
+@then('reads wait for {position}')
+def check_waits(context: Any, position: str) -> None:
+    """Compare the lowest position that covers the last second."""
+    observations = context.world.group.observations
+    covering = observations.covering(boot_time_s() - 1)
+    assert str(covering) == position, covering
+
+
+@then('nobody was paused')
+def check_nobody_paused(context: Any) -> None:
+    """Check the pauses of all members."""
+    counts = [fake.pause_count for fake in context.world.fakes.values()]
+    assert not any(counts), counts
--- a/mimosapond/failover/log_survey.py
+++ b/mimosapond/failover/log_survey.py
@@ -96,6 +96,7 @@
         member.pool.give_back(connection)
     if isinstance(answer, MemberStatus):
         member.load.hear(answer.received)
+        member.load.term = max(answer.term, answer.paused_term)
     return answer
 
 
--- a/mimosapond/failover/paused_group.py
+++ b/mimosapond/failover/paused_group.py
@@ -39,14 +39,14 @@
                 return each
         return None
 
-    @property
-    def holds_all_commits(self) -> bool:
-        """Whether the answers include every replica.
+    def holds_all_commits(self, deposed: Member | None) -> bool:
+        """Return whether the answers include every replica.
 
         With one silent member and no primary among the others, the silent
-        one is the primary.
+        one is the primary, unless the primary was deposed before.
         """
-        return self.primary is None and len(self.silent) <= 1
+        silent_count = 1 if deposed is None else 0
+        return self.primary is None and len(self.silent) <= silent_count
 
     def most_advanced(self, avoided: Member | None) -> SurveyedMember | None:
         """Return the member to promote."""
@@ -60,12 +60,8 @@
 
 def next_term(group: Group) -> int:
     """Return a term above all that this host has seen of a group."""
-    terms = [
-        member.load.position.term
-        for member in group.members.values()
-        if member.load.position is not None
-    ]
-    return max(group.term, *terms, 0) + 1
+    terms = [member.load.term for member in group.members.values()]
+    return max(terms, default=0) + 1
 
 
 def _rank(each: SurveyedMember) -> tuple[object, ...]:
--- a/mimosapond/failover/primary_change.py
+++ b/mimosapond/failover/primary_change.py
@@ -51,6 +51,15 @@
         claim = await self._claim(group, 'primary lost')
         if claim is None:
             return False
+        # The answers also give the terms, above which a pause has to be.
+        members = self._members(group)
+        found = PausedGroup(members, await survey_all(members))
+        if found.primary is not None and claim.is_predecessor_done:
+            logger.bind(
+                group=group.name, member=found.primary.member.member_id
+            ).info('primary_alive')
+            await self._duties.release(group.name)
+            return False
         return await self._replace(group, claim, None)
 
     async def replace_stalled(self, group: Group, primary: Member) -> bool:
@@ -96,7 +105,7 @@
             members, await pause_all(members, next_term(group))
         )
         best = paused.most_advanced(avoided)
-        if best is None or not paused.holds_all_commits:
+        if best is None or not paused.holds_all_commits(avoided):
             logger.bind(
                 group=group.name,
                 silent=[member.member_id for member in paused.silent],
@@ -182,19 +191,15 @@
 
     async def _is_stalled(self, group: Group, primary: Member) -> bool:
         """Return whether no replica receives what the primary commits."""
-        before = await self._replicated(group, primary)
         status = await status_of(primary)
-        if before is None or status is None or not status.is_primary:
+        if status is None or not status.is_primary:
             return False
         await asyncio.sleep(_STALL_CHECK_S)
-        after = await self._replicated(group, primary)
-        if after is None:
-            return False
-        return after < status.received.number
-
-    async def _replicated(self, group: Group, primary: Member) -> int | None:
-        found = await survey_all(
+        replicas = tuple(
             member for member in self._members(group) if member is not primary
         )
-        numbers = [each.status.received.number for each in found.values()]
-        return max(numbers, default=None)
+        found = PausedGroup(replicas, await survey_all(replicas))
+        best = found.most_advanced(primary)
+        if best is None or found.silent:
+            return False
+        return best.status.received < status.received
--- a/mimosapond/groups/group.py
+++ b/mimosapond/groups/group.py
@@ -1,7 +1,6 @@
 """A database group: its members, its primary and what covers its reads."""
 
 import asyncio
-from collections.abc import Iterable
 from typing import final
 
 from loguru import logger
@@ -20,10 +19,10 @@
         self.name = name
         self.members: dict[str, Member] = {}
         self.observations = LeaderObservations()
-        self.term = 0
+        self.proven_s: float = 0
         self.doubt = asyncio.Event()
-        self.observed = asyncio.Event()
         self._primary: Member | None = None
+        self._last_proven: Member | None = None
         self._proven = asyncio.Event()
 
     @property
@@ -31,29 +30,28 @@
         """The member that led when it last proved it; None if in doubt."""
         return self._primary
 
-    @property
-    def replicas(self) -> Iterable[Member]:
-        """All members but the primary."""
-        return [
-            member
-            for member in self.members.values()
-            if member is not self._primary
-        ]
-
     def prove_primary(
         self, member: Member, asked_s: float, position: LogPosition | None
     ) -> None:
-        """Record that a member accepted work that only a primary accepts."""
-        if position is None or position.term < self.term:
+        """Record that a member accepted work that only a primary accepts.
+
+        The newest request decides: the term of a position is that of the last
+        commit, so it does not tell an earlier primary from a later one.
+        """
+        is_new = self._last_proven is not member
+        if position is None or (is_new and asked_s < self.proven_s):
             return
-        self.term = position.term
-        self.observations.add(asked_s, position)
-        self.observed.set()
-        if self._primary is not member:
+        if is_new:
             logger.bind(
                 group=self.name, member=member.member_id, at=str(position)
             ).info('primary_found')
-            self._primary = member
+            # Its log may lack commits of the former one that were never
+            # acknowledged; no member would reach their positions.
+            self.observations.clear()
+        self.proven_s = max(asked_s, self.proven_s)
+        self.observations.add(asked_s, position)
+        self._last_proven = member
+        self._primary = member
         self._proven.set()
 
     def doubt_primary(self, member: Member, reason: str) -> None:
--- a/mimosapond/groups/leader_observations.py
+++ b/mimosapond/groups/leader_observations.py
@@ -48,6 +48,10 @@
                 return entry.position
         return None
 
+    def clear(self) -> None:
+        """Forget all."""
+        self._entries.clear()
+
     @property
     def newest(self) -> LeaderObservation | None:
         """The latest observation."""
--- a/mimosapond/groups/member_load.py
+++ b/mimosapond/groups/member_load.py
@@ -42,6 +42,7 @@
         self._tickets: dict[RequestTicket, None] = {}
         self.latency_s = _START_LATENCY_S
         self.position: LogPosition | None = None
+        self.term = 0
         self.heard_s: float = 0
         self.avoid_until_s: float = 0
 
@@ -88,3 +89,4 @@
         self.heard_s = self._now()
         if position is not None:
             self.position = position
+            self.term = max(self.term, position.term)
--- a/mimosapond/routing/read_positions.py
+++ b/mimosapond/routing/read_positions.py
@@ -4,7 +4,6 @@
 
 from mimosapond.boot_clock import Now
 from mimosapond.configuration.route import Freshness, Route
-from mimosapond.groups.group import Group
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.routing.primary_probe import PrimaryProbe
 from mimosapond.routing.work import Work
@@ -31,9 +30,7 @@
                 return None
             await self._probe.refresh(work.group, remaining_s)
             position = work.group.observations.covering(moment_s)
-        if work.floor is not None and work.floor > position:
-            return work.floor
-        return position
+        return max(position, _floor(work) or position)
 
 
 def _allowed_age_s(route: Route) -> float:
@@ -42,9 +39,15 @@
     return route.max_age_ms / _MS_PER_S
 
 
-def is_covered(group: Group, position: LogPosition) -> bool:
-    """Return whether some replica is known to have the position."""
-    return any(
-        member.load.position is not None and member.load.position >= position
-        for member in group.replicas
-    )
+def _floor(work: Work) -> LogPosition | None:
+    """Return the position that shows the session its own commits.
+
+    The position after a commit may include commits of others that were lost
+    with the primary; one that was asked for later does not.
+    """
+    if work.floor is None:
+        return None
+    covering = work.group.observations.covering(work.floor.acknowledged_s)
+    if covering is None:
+        return work.floor.position
+    return min(covering, work.floor.position)
--- a/mimosapond/routing/work.py
+++ b/mimosapond/routing/work.py
@@ -28,6 +28,21 @@
 Access: TypeAlias = Direct | Prepared
 
 
+@final
+@attrs.frozen
+class SessionFloor:
+    """Log position after the session's last commit.
+
+    Parameters
+    ----------
+    acknowledged_s
+        When the commit was acknowledged, on the host's boot clock.
+    """
+
+    position: LogPosition
+    acknowledged_s: float
+
+
 @final
 @attrs.frozen
 class Work:
@@ -37,8 +52,6 @@
     ----------
     arrived_s, deadline_s
         On the host's boot clock.
-    floor
-        Position of the session's last commit.
     """
 
     request_id: str
@@ -48,4 +61,4 @@
     group: Group
     arrived_s: float
     deadline_s: float
-    floor: LogPosition | None
+    floor: SessionFloor | None
--- a/mimosapond/sessions/session.py
+++ b/mimosapond/sessions/session.py
@@ -33,7 +33,7 @@
     Unreadable,
 )
 from mimosapond.sessions.transaction import Transaction, TransactionRouting
-from mimosapond.routing.work import Access, Prepared, Work
+from mimosapond.routing.work import Access, Prepared, SessionFloor, Work
 
 _MS_PER_S: Final = 1000
 _NOTHING: Final = Direct('', is_write=False)
@@ -61,7 +61,7 @@
         self._definitions = Definitions()
         self._transaction: Transaction | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
-        self._floor: LogPosition | None = None
+        self._floor: SessionFloor | None = None
         self._route: Route | None = None
         self._lost_while_idle = False
         self.state = SessionState.idle
@@ -192,8 +192,7 @@
         )
 
     def _raise_floor(self, position: LogPosition) -> None:
-        if self._floor is None or position > self._floor:
-            self._floor = position
+        self._floor = SessionFloor(position, self._services.routing.now())
 
     def _fail(self) -> None:
         if self._transaction is not None:
