Stop new work at a leaving primary in time; refuse at once when a change is overdue

Other hosts repeated a hand-over that had been made.

Change: a leaving primary gets no new work from 2.5 s before the bound on; a search longer than 2.5 s refuses callers at once; a hand-over first asks whether the member still leads.

Ruled out: refusing as soon as the primary leaves, as the hand-over usually takes 0.4 s.

--- a/features/group_builders.py
+++ b/features/group_builders.py
@@ -30,6 +30,7 @@
 GROUP = 'orders'
 DATABASE = 'book'
 CENTRE = 'centre-a'
+LEAVING_LIMIT_S = 0.1
 
 
 def build_route(
@@ -129,7 +130,7 @@
 ) -> SessionServices:
     positions = ReadPositions(probe, boot_time_s)
     choice = MemberChoice(CENTRE, boot_time_s)
-    writes = WriteRouter(boot_time_s)
+    writes = WriteRouter(boot_time_s, LEAVING_LIMIT_S)
     return SessionServices(
         configuration=active,
         directory=directory,
--- a/features/sessions.feature
+++ b/features/sessions.feature
@@ -113,3 +113,25 @@
     And the members p are silent
     When the caller sends read
     Then the last reply is not_run
+
+  Scenario Outline: a leaving primary gets no new work for long
+    # DRAIN on scale-2: it was not replaced in time and went on serving.
+    Given a session on a group whose primary is p
+    And member p has been leaving for <leaving_ms> ms
+    When the caller sends <statements>
+    Then the last reply is <reply>
+
+    Examples:
+      | leaving_ms | statements   | reply   |
+      | 0          | write        | success |
+      | 200        | write        | not_run |
+      | 200        | begin, write | not_run |
+
+  Scenario: callers are refused at once when a change of primary is overdue
+    # Holding them until their time-out keeps them from other hosts.
+    Given a session on a group whose primary is p
+    And no member leads
+    And the last proof of a primary is 5 s old
+    When the caller sends write
+    Then the last reply is not_run
+    And the reply took less than 200 ms
--- a/features/steps/sessions_steps.py
+++ b/features/steps/sessions_steps.py
@@ -143,9 +143,11 @@
 @when('the caller sends {names}')
 def send(context: Any, names: str) -> None:
     """Send statements one after another."""
+    started_s = boot_time_s()
     context.reply = context.loop.run_until_complete(
         _send(context.session, names)
     )
+    context.taken_s = boot_time_s() - started_s
 
 
 @when('another caller sends write on the same connection')
@@ -208,3 +210,22 @@
     """Check that the member was left alone."""
     runs = context.world.fakes[name].runs
     assert not runs, runs
+
+
+@given('member p has been leaving for {leaving_ms:d} ms')
+def let_leave(context: Any, leaving_ms: int) -> None:
+    """Let the host have learned it some time ago."""
+    member = context.world.group.members['p']
+    member.leaving_since_s = boot_time_s() - leaving_ms / _MS_PER_S
+
+
+@given('the last proof of a primary is {age_s:d} s old')
+def age_proof(context: Any, age_s: int) -> None:
+    """Let the host have searched for long."""
+    context.world.group.proven_s = boot_time_s() - age_s
+
+
+@then('the reply took less than {limit_ms:d} ms')
+def check_time(context: Any, limit_ms: int) -> None:
+    """Compare with the time that the last statements took."""
+    assert context.taken_s < limit_ms / _MS_PER_S, context.taken_s
--- a/mimosapond/entry/host_settings.py
+++ b/mimosapond/entry/host_settings.py
@@ -19,6 +19,8 @@
         ``ip:port``.
     stop_grace_s
         From the signal to stop until the process is killed.
+    member_drain_ms
+        After a member said that it leaves, work must stop within this time.
     """
 
     host: str
@@ -28,6 +30,7 @@
     store_address: str
     promotion_address: str
     stop_grace_s: float = 6.0
+    member_drain_ms: float = 7000
     log_level: str = 'INFO'
 
 
--- a/mimosapond/failover/primary_change.py
+++ b/mimosapond/failover/primary_change.py
@@ -74,6 +74,10 @@
 
     async def hand_over(self, group: Group, leaving: Member) -> bool:
         """Replace a primary that is leaving, while it serves."""
+        status = await status_of(leaving)
+        if status is not None and not status.is_primary:
+            group.doubt_primary(leaving, 'it has handed over')
+            return False
         successor = await self._successor(group, leaving)
         if successor is None:
             return False
--- a/mimosapond/groups/group.py
+++ b/mimosapond/groups/group.py
@@ -1,7 +1,7 @@
 """A database group: its members, its primary and what covers its reads."""
 
 import asyncio
-from typing import final
+from typing import Final, final
 
 from loguru import logger
 
@@ -9,17 +9,22 @@
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member import Member
 
+# The detection of a lost primary and its replacement take this long at most,
+# if they succeed at once. Later, callers are refused without delay.
+_CHANGE_S: Final = 2.5
+_MIN_WAIT_S: Final = 0.02
+
 
 @final
 class Group:
     """State of a group, shared by sessions and the primary's watch."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, created_s: float) -> None:
         """Start without members."""
         self.name = name
         self.members: dict[str, Member] = {}
         self.observations = LeaderObservations()
-        self.proven_s: float = 0
+        self.proven_s = created_s
         self.doubt = asyncio.Event()
         self._primary: Member | None = None
         self._last_proven: Member | None = None
@@ -64,6 +69,14 @@
             self._proven.clear()
             self.doubt.set()
 
+    def patience_s(self, now_s: float) -> float:
+        """Return how much longer a change of primary is worth waiting for."""
+        return max(self.proven_s + _CHANGE_S - now_s, _MIN_WAIT_S)
+
+    def is_overdue(self, now_s: float) -> bool:
+        """Return whether a change of primary takes longer than usual."""
+        return now_s - self.proven_s > _CHANGE_S
+
     async def await_primary(self, limit_s: float) -> Member | None:
         """Return the primary, waiting while it is in doubt."""
         if self._primary is None and limit_s > 0:
--- a/mimosapond/groups/group_directory.py
+++ b/mimosapond/groups/group_directory.py
@@ -36,7 +36,9 @@
 
     def find(self, name: str) -> Group:
         """Return a group; one without members if it is not known yet."""
-        return self.groups.setdefault(name, Group(name))
+        if name not in self.groups:
+            self.groups[name] = Group(name, self._now())
+        return self.groups[name]
 
     def apply_limits(self, configuration: Configuration) -> None:
         """Take over the limits of a configuration."""
@@ -73,6 +75,7 @@
                 'member_leaving'
             )
             group.doubt.set()
+            member.leaving_since_s = self._now()
         member.record = record
         member.unlisted_since_s = None
 
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -37,6 +37,9 @@
 # A member at work on other requests starts a connection later.
 _START_LIMIT_S: Final = 1.0
 _BACKLOG_COUNT: Final = 1024
+_MS_PER_S: Final = 1000
+# A host learns late that a member leaves, and what it sends may wait there.
+_DRAIN_MARGIN_S: Final = 2.5
 
 
 @final
@@ -79,10 +82,14 @@
             directory=self._directory,
             reads=ReadRouter(positions, choice, self._now),
             routing=TransactionRouting(
-                positions, choice, WriteRouter(self._now), self._now
+                positions, choice, self._write_router(), self._now
             ),
         )
 
+    def _write_router(self) -> WriteRouter:
+        drain_s = self._settings.member_drain_ms / _MS_PER_S
+        return WriteRouter(self._now, drain_s - _DRAIN_MARGIN_S)
+
     def _host_parts(self) -> HostParts:
         return HostParts(
             active=self._active,
--- a/mimosapond/routing/read_positions.py
+++ b/mimosapond/routing/read_positions.py
@@ -25,13 +25,22 @@
         moment_s = work.arrived_s - _allowed_age_s(work.route)
         position = work.group.observations.covering(moment_s)
         while position is None:
-            remaining_s = work.deadline_s - self._now()
-            if remaining_s <= 0:
+            limit_s = min(
+                work.deadline_s - self._now(),
+                work.group.patience_s(self._now()),
+            )
+            if limit_s <= 0:
                 return None
-            await self._probe.refresh(work.group, remaining_s)
+            await self._probe.refresh(work.group, limit_s)
             position = work.group.observations.covering(moment_s)
+            if position is None and self._is_hopeless(work):
+                return None
         return max(position, _floor(work) or position)
 
+    def _is_hopeless(self, work: Work) -> bool:
+        group = work.group
+        return group.primary is None and group.is_overdue(self._now())
+
 
 def _allowed_age_s(route: Route) -> float:
     if route.freshness is Freshness.latest:
--- a/mimosapond/routing/write_router.py
+++ b/mimosapond/routing/write_router.py
@@ -32,9 +32,17 @@
 class WriteRouter:
     """Repeats a write only when the member says that it did not run."""
 
-    def __init__(self, now: Now) -> None:
-        """Take the clock of deadlines."""
+    def __init__(self, now: Now, leaving_limit_s: float) -> None:
+        """Take the clock of deadlines.
+
+        Parameters
+        ----------
+        leaving_limit_s
+            How long a primary that leaves and has not been replaced still
+            gets new work.
+        """
         self._now = now
+        self._leaving_limit_s = leaving_limit_s
 
     async def run(
         self, work: Work
@@ -64,11 +72,10 @@
     ) -> tuple[Member, PooledConnection] | Failure:
         """Return the primary and a connection to it."""
         while True:
-            remaining_s = work.deadline_s - self._now() - _MARGIN_S
-            primary = await work.group.await_primary(remaining_s)
+            primary = await self._primary(work)
             if primary is None:
                 return failures.NO_PRIMARY
-            remaining_s = work.deadline_s - self._now() - _MARGIN_S
+            remaining_s = self._remaining_s(work)
             if remaining_s <= 0:
                 return failures.NO_CONNECTION
             connection = await primary.pool.borrow(
@@ -78,6 +85,20 @@
                 return primary, connection
             self._note_missing(work, primary, connection)
 
+    async def _primary(self, work: Work) -> Member | None:
+        limit_s = min(
+            self._remaining_s(work), work.group.patience_s(self._now())
+        )
+        primary = await work.group.await_primary(limit_s)
+        if primary is None:
+            return None
+        if primary.leaving_s(self._now()) > self._leaving_limit_s:
+            return None
+        return primary
+
+    def _remaining_s(self, work: Work) -> float:
+        return work.deadline_s - self._now() - _MARGIN_S
+
     def _note_missing(
         self, work: Work, primary: Member, missing: NoConnection
     ) -> None:
