Let replicas receive again after every change of primary

Cause: a promotion ends only the pause of the promoted member.

Change: the holder resumes the others once the new primary has been proven, not before, as the former one could go on acknowledging. Commits that stall because replicas were left paused are mended by resuming, behind a newer token if an earlier promotion may still come. A refused token no longer counts as settled. A reserved token is used three times a group at most.

Ruled out: resuming right after the platform's answer, 0.3 to 1 s before the member leads.

--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -14,6 +14,7 @@
 from mimosapond.failover.promotion_port import (
     Promoted,
     PromotionOutcome,
+    PromotionRefused,
     PromotionUnknown,
 )
 from mimosapond.groups.log_position import LogPosition
@@ -257,6 +258,7 @@
         self._members = members
         self.calls: list[tuple[str, int]] = []
         self.is_silent = False
+        self.is_refusing = False
 
     async def promote(
         self, group: str, member_id: str, token: int, limit_s: float
@@ -265,12 +267,15 @@
         self.calls.append((member_id, token))
         if self.is_silent:
             return PromotionUnknown('no answer')
+        if self.is_refusing:
+            return PromotionRefused('a higher token was seen')
         chosen = self._members[member_id]
         if not chosen.is_primary:
             for member in self._members.values():
                 member.is_primary = False
-                member.paused_term = 0
             chosen.is_primary = True
+            # The pauses of the others stay.
+            chosen.paused_term = 0
             chosen.position = LogPosition(
                 chosen.position.term + 1, chosen.position.number
             )
--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -18,6 +18,35 @@
       | p,b    | 12 | 11 | none     |
       | a      | 12 | 11 | none     |
 
+  Scenario: replicas receive again from a new primary
+    # On scale-2 of the desk they stayed paused; writes stalled for 12 s.
+    Given a group whose primary is p
+    And the members p are silent
+    When a host replaces the lost primary
+    Then nobody is paused
+
+  Scenario Outline: replicas that a lost host left paused receive again
+    Given a group whose primary is p
+    And an earlier claim that <ended>
+    And members a and b are paused
+    When a host replaces the stalled primary
+    Then nobody is paused
+    And member p leads: yes
+    And the promotion calls are <calls>
+
+    Examples:
+      | ended     | calls |
+      | ended     | none  |
+      | may go on | p     |
+
+  Scenario: replicas stay paused if the platform refuses the newer token
+    Given a group whose primary is p
+    And an earlier claim that may go on
+    And members a and b are paused
+    And the platform has seen a higher token
+    When a host replaces the stalled primary
+    Then replica b is paused
+
   Scenario: a former primary that is a replica now is paused too
     # LOST on trouble-1, seed 682287380935: it went on to acknowledge.
     Given a group whose primary is p
--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -229,3 +229,27 @@
     """Check the pauses of all members."""
     counts = [fake.pause_count for fake in context.world.fakes.values()]
     assert not any(counts), counts
+
+
+@given('members a and b are paused')
+def pause_replicas(context: Any) -> None:
+    """Let an earlier holder have paused them."""
+    for name in ('a', 'b'):
+        context.world.fakes[name].paused_term = 2
+
+
+@given('the platform has seen a higher token')
+def raise_fence(context: Any) -> None:
+    """Refuse the token of this host."""
+    context.world.promotions.is_refusing = True
+
+
+@then('nobody is paused')
+def check_none_paused(context: Any) -> None:
+    """Check that all that live receive."""
+    paused = [
+        fake.member_id
+        for fake in context.world.fakes.values()
+        if fake.paused_term > 0
+    ]
+    assert not paused, paused
--- a/mimosapond/failover/paused_group.py
+++ b/mimosapond/failover/paused_group.py
@@ -18,7 +18,7 @@
         answers: Mapping[str, SurveyedMember],
     ) -> None:
         """Take the members of the group and the answers by id."""
-        self._answers = answers
+        self._answers = dict(answers)
         self.silent = [
             member for member in asked if member.member_id not in answers
         ]
@@ -28,6 +28,27 @@
         """Members that answered."""
         return [each.member for each in self._answers.values()]
 
+    @property
+    def replicas(self) -> list[Member]:
+        """Members that answered and do not lead the newest term."""
+        primary = self.primary
+        return [
+            each.member
+            for each in self._answers.values()
+            if each is not primary
+        ]
+
+    @property
+    def has_paused(self) -> bool:
+        """Whether any member does not receive."""
+        return any(
+            each.status.paused_term > 0 for each in self._answers.values()
+        )
+
+    def add(self, answer: SurveyedMember) -> None:
+        """Add what a member said that was not paused."""
+        self._answers[answer.member.member_id] = answer
+
     @property
     def primary(self) -> SurveyedMember | None:
         """The member that leads the newest term, if it answered."""
--- a/mimosapond/failover/primary_change.py
+++ b/mimosapond/failover/primary_change.py
@@ -22,7 +22,10 @@
     survey_all,
 )
 from mimosapond.failover.paused_group import PausedGroup, next_term
-from mimosapond.failover.promotion_call import PromotionCall
+from mimosapond.failover.promotion_call import (
+    PromotionCall,
+    PromotionEnd,
+)
 from mimosapond.groups.group import Group
 from mimosapond.groups.member import Member
 
@@ -54,17 +57,30 @@
         # The answers also give the terms, above which a pause has to be.
         members = self._members(group)
         found = PausedGroup(members, await survey_all(members))
-        if found.primary is not None and claim.is_predecessor_done:
+        if found.primary is not None:
             logger.bind(
                 group=group.name, member=found.primary.member.member_id
             ).info('primary_alive')
-            await self._duties.release(group.name)
+            await self._undo(group, claim, found)
             return False
         return await self._replace(group, claim, None)
 
     async def replace_stalled(self, group: Group, primary: Member) -> bool:
-        """Replace a primary whose commits do not reach its replicas."""
-        if not await self._is_stalled(group, primary):
+        """Find out why a primary's commits are not acknowledged.
+
+        Replicas that an earlier change left paused receive again; a primary
+        that reaches no replica is replaced.
+        """
+        members = self._members(group)
+        found = PausedGroup(members, await survey_all(members))
+        if found.primary is None or found.primary.member is not primary:
+            return False
+        if found.has_paused:
+            claim = await self._claim(group, 'replicas left paused')
+            if claim is not None:
+                await self._undo(group, claim, found)
+            return claim is not None
+        if found.silent or not await self._is_cut_off(found):
             return False
         claim = await self._claim(group, 'primary cut off from its replicas')
         if claim is None:
@@ -75,7 +91,9 @@
     async def hand_over(self, group: Group, leaving: Member) -> bool:
         """Replace a primary that is leaving, while it serves."""
         status = await status_of(leaving)
-        if status is not None and not status.is_primary:
+        if status is None:
+            return False
+        if not status.is_primary:
             group.doubt_primary(leaving, 'it has handed over')
             return False
         successor = await self._successor(group, leaving)
@@ -97,9 +115,10 @@
             found = await self._catch_up(leaving, successor)
         if found is None:
             logger.bind(group=group.name).warning('hand_over_not_safe')
+            paused.add(SurveyedMember(leaving, status))
             await self._undo(group, claim, paused)
             return False
-        return await self._promote(group, found, claim)
+        return await self._promote(group, found, claim, paused)
 
     async def _replace(
         self, group: Group, claim: DutyClaim, avoided: Member | None
@@ -118,15 +137,24 @@
             await self._undo(group, claim, paused)
             return False
         group.observations.add(self._now(), best.status.received)
-        return await self._promote(group, best, claim)
+        return await self._promote(group, best, claim, paused)
 
     async def _promote(
-        self, group: Group, best: SurveyedMember, claim: DutyClaim
+        self,
+        group: Group,
+        best: SurveyedMember,
+        claim: DutyClaim,
+        paused: PausedGroup,
     ) -> bool:
-        is_settled = await self._promotion.run(group, best, claim.token)
-        if is_settled:
+        end = await self._promotion.run(group, best, claim.token)
+        if end is PromotionEnd.leads:
+            # Earlier, a former primary that lives could go on acknowledging.
+            await resume_all(
+                member for member in paused.members if member is not best.member
+            )
+        if end in {PromotionEnd.leads, PromotionEnd.refused}:
             await self._duties.release(group.name)
-        return is_settled
+        return end is PromotionEnd.leads
 
     async def _undo(
         self, group: Group, claim: DutyClaim, paused: PausedGroup
@@ -139,11 +167,10 @@
         """
         is_fenced = claim.is_predecessor_done
         if not is_fenced and paused.primary is not None:
-            is_fenced = await self._promotion.run(
-                group, paused.primary, claim.token
-            )
+            end = await self._promotion.run(group, paused.primary, claim.token)
+            is_fenced = end is PromotionEnd.leads
         if is_fenced:
-            await resume_all(paused.members)
+            await resume_all(paused.replicas)
             await self._duties.release(group.name)
 
     async def _claim(self, group: Group, reason: str) -> DutyClaim | None:
@@ -193,17 +220,17 @@
             await asyncio.sleep(_CATCH_UP_PAUSE_S)
         return None
 
-    async def _is_stalled(self, group: Group, primary: Member) -> bool:
-        """Return whether no replica receives what the primary commits."""
-        status = await status_of(primary)
-        if status is None or not status.is_primary:
+    async def _is_cut_off(self, before: PausedGroup) -> bool:
+        """Return whether no replica receives what the primary committed."""
+        if before.primary is None:
             return False
         await asyncio.sleep(_STALL_CHECK_S)
+        primary = before.primary
         replicas = tuple(
-            member for member in self._members(group) if member is not primary
+            member for member in before.members if member is not primary.member
         )
         found = PausedGroup(replicas, await survey_all(replicas))
-        best = found.most_advanced(primary)
+        best = found.most_advanced(primary.member)
         if best is None or found.silent:
             return False
-        return best.status.received < status.received
+        return best.status.received < primary.status.received
--- a/mimosapond/failover/promotion_call.py
+++ b/mimosapond/failover/promotion_call.py
@@ -1,6 +1,7 @@
 """Has a member promoted and waits until it leads."""
 
 import asyncio
+import enum
 from typing import Final, final
 
 from loguru import logger
@@ -20,6 +21,17 @@
 _LEAD_PAUSE_S: Final = 0.02
 
 
+@final
+class PromotionEnd(enum.Enum):
+    """What became of a promotion."""
+
+    leads = 'leads'
+    # The platform agreed, but the member has not been seen to lead yet.
+    accepted = 'accepted'
+    refused = 'refused'
+    unknown = 'unknown'
+
+
 @final
 class PromotionCall:
     """Repeats the platform's call until its outcome is known."""
@@ -32,8 +44,10 @@
         self._probe = probe
         self._now = now
 
-    async def run(self, group: Group, best: SurveyedMember, token: int) -> bool:
-        """Return whether the outcome is known.
+    async def run(
+        self, group: Group, best: SurveyedMember, token: int
+    ) -> PromotionEnd:
+        """Return what became of the promotion.
 
         The claim is held meanwhile, so that no other host starts a change
         before the member leads.
@@ -50,16 +64,16 @@
                 outcome=str(outcome),
             ).info('promotion')
             if isinstance(outcome, Promoted):
-                await self._await_lead(group, best.member)
-                return True
+                return await self._await_lead(group, best.member)
             if isinstance(outcome, PromotionRefused):
-                return True
-        return False
+                return PromotionEnd.refused
+        return PromotionEnd.unknown
 
-    async def _await_lead(self, group: Group, member: Member) -> None:
+    async def _await_lead(self, group: Group, member: Member) -> PromotionEnd:
         deadline_s = self._now() + _LEAD_LIMIT_S
         while self._now() < deadline_s:
             result = await self._probe.ask(group, member)
             if result is ProbeResult.leads:
-                return
+                return PromotionEnd.leads
             await asyncio.sleep(_LEAD_PAUSE_S)
+        return PromotionEnd.accepted
--- a/mimosapond/failover/reserved_duties.py
+++ b/mimosapond/failover/reserved_duties.py
@@ -1,11 +1,12 @@
 """Claims that are possible also while the store does not answer.
 
-Each host takes a token in advance. In an outage it may use that token once:
-the tokens of hosts differ, and the platform refuses the lower of two.
+Each host takes a token in advance for use in an outage. The tokens of hosts
+differ, and the platform refuses the lower of two.
 """
 
 import asyncio
 import random
+from collections import Counter
 from typing import Final, final
 
 from loguru import logger
@@ -20,6 +21,8 @@
 # Hosts that see a primary lost at the same time act one after another.
 _STAGGER_S: Final = 0.4
 _RETRY_S: Final = 1.0
+# A token that was refused as too low will be refused again.
+_USE_COUNT: Final = 3
 # Tokens that were taken before those of later claims are refused.
 _RENEW_S: Final = 20.0
 
@@ -32,6 +35,7 @@
         """Take the claims at the store."""
         self._store = store
         self._token: int | None = None
+        self._uses: Counter[str] = Counter()
         self._renew = asyncio.Event()
 
     async def run(self) -> None:
@@ -43,6 +47,7 @@
                 await asyncio.sleep(_RETRY_S)
                 continue
             self._token = token
+            self._uses.clear()
             try:
                 async with asyncio.timeout(_RENEW_S):
                     await self._renew.wait()
@@ -53,9 +58,12 @@
     async def claim(self, group: str) -> DutyOutcome:
         """Claim a group for a short time."""
         outcome = await self._store.claim(group)
-        if not isinstance(outcome, DutyUnknown) or self._token is None:
+        if not isinstance(outcome, DutyUnknown):
             self._renew.set()
             return outcome
+        if self._token is None or self._uses[group] >= _USE_COUNT:
+            return outcome
+        self._uses[group] += 1
         await asyncio.sleep(random.random() * _STAGGER_S)
         logger.bind(
             group=group, token=self._token, reason=outcome.reason
