--- a/features/code_names.py
+++ b/features/code_names.py
@@ -28,7 +28,7 @@
     """
     trees = [
         ast.parse(path.read_text(encoding='utf-8'))
-        for path in sorted(folder.glob('*.py'))
+        for path in sorted(folder.rglob('*.py'))
     ]
     nodes = itertools.chain.from_iterable(map(ast.walk, trees))
     calls = [node for node in nodes if isinstance(node, ast.Call)]
--- a/mimosapond/entry/platform_host.py
+++ b/mimosapond/entry/platform_host.py
@@ -70,6 +70,10 @@
         logger.info('stop_requested')
         self._stop.set()
 
+    def note_reload(self) -> None:
+        """Note a reload; addresses, the only settings, do not change."""
+        logger.info('reload_not_needed')
+
     async def run(self) -> None:
         """Serve until a stop was requested and has ended."""
         self._start('configuration', self._parts.configuration_follower.run())
--- a/mimosapond/failover/primary_change.py
+++ b/mimosapond/failover/primary_change.py
@@ -175,12 +175,10 @@
 
     async def _claim(self, group: Group, reason: str) -> DutyClaim | None:
         outcome = await self._duties.claim(group.name)
-        log = logger.bind(group=group.name, reason=reason, outcome=str(outcome))
-        if isinstance(outcome, DutyClaim):
-            log.info('duty_claimed')
-            return outcome
-        log.info('duty_not_claimed')
-        return None
+        logger.bind(group=group.name, reason=reason, outcome=str(outcome)).info(
+            'duty_claim'
+        )
+        return outcome if isinstance(outcome, DutyClaim) else None
 
     def _members(self, group: Group) -> tuple[Member, ...]:
         return tuple(
--- a/mimosapond/platform/daemon.py
+++ b/mimosapond/platform/daemon.py
@@ -23,8 +23,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, host.request_stop)
-    # Addresses do not change during a life, so there is nothing to reload.
-    loop.add_signal_handler(signal.SIGHUP, logger.info, 'reload_not_needed')
+    loop.add_signal_handler(signal.SIGHUP, host.note_reload)
     logger.bind(host=settings.host).info('host_started')
     await host.run()
 
