--- a/features/group_builders.py
+++ b/features/group_builders.py
@@ -14,6 +14,7 @@
 from mimosapond.configuration.active_configuration import ActiveConfiguration
 from mimosapond.configuration.configuration import Configuration, GroupLimits
 from mimosapond.configuration.route import Freshness, Route
+from mimosapond.failover.departures import Departures
 from mimosapond.failover.primary_change import PrimaryChange
 from mimosapond.failover.promotion_call import PromotionCall
 from mimosapond.groups.group import Group
@@ -31,6 +32,7 @@
 DATABASE = 'book'
 CENTRE = 'centre-a'
 LEAVING_LIMIT_S = 0.1
+DRAIN_S = 7
 
 
 def build_route(
@@ -106,6 +108,7 @@
     configuration = build_configuration(route or build_route(), idle_ms=idle_ms)
     directory.apply_limits(configuration)
     directory.apply_registrations([build_record(name) for name in fakes])
+    directory.is_current = True
     active = ActiveConfiguration()
     active.put_in_force(configuration)
     probe = PrimaryProbe(boot_time_s)
@@ -119,7 +122,10 @@
         duties=duties,
         promotions=promotions,
         change=PrimaryChange(
-            duties, PromotionCall(promotions, probe, boot_time_s), boot_time_s
+            duties,
+            PromotionCall(promotions, probe, boot_time_s),
+            Departures(directory, DRAIN_S, boot_time_s),
+            boot_time_s,
         ),
         services=_build_services(active, directory, probe),
     )
--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -148,3 +148,35 @@
     When a host replaces the lost primary
     Then the promoted member is none
     And nobody was paused
+
+  Scenario Outline: a member that left with notice is not waited for
+    # On trouble-1 a replaced replica blocked the change of a lost primary.
+    Given a group whose primary is p
+    And member a announced <leaving_s> s ago that it leaves
+    And member a is <listing>
+    And the registry <answers>
+    And the members p,a are silent
+    When a host replaces the lost primary
+    Then the promoted member is <promoted>
+
+    Examples:
+      | leaving_s | listing  | answers        | promoted |
+      | 8         | unlisted | answers        | b        |
+      | 3         | unlisted | answers        | none     |
+      | 13        | listed   | does not       | b        |
+      | 13        | listed   | answers        | none     |
+      | 8         | listed   | does not       | none     |
+
+  Scenario: a host that has just started is not in rotation yet
+    Given a group whose primary is p
+    Then the host is not ready
+
+  Scenario Outline: a host is in rotation while it serves as well as others
+    Given a group whose primary is p
+    And the primary was last proven <age_ms> ms ago
+    Then the host is <state>
+
+    Examples:
+      | age_ms | state     |
+      | 100    | ready     |
+      | 1500   | not ready |
--- a/features/sessions.feature
+++ b/features/sessions.feature
@@ -135,3 +135,19 @@
     When the caller sends write
     Then the last reply is not_run
     And the reply took less than 200 ms
+
+  Scenario: callers that come to a cut-off host later keep their sessions
+    # On trouble-1 all hosts were cut off from one group, and closing every
+    # session again and again cut 656 requests.
+    Given a session on a group whose primary is p
+    And the host ends its sessions
+    When another session begins
+    And idle sessions are closed
+    Then the first session is closed and the other is open
+
+  Scenario: a session inside a transaction is not closed
+    Given a session on a group whose primary is p
+    When the caller sends begin, write
+    And the host ends its sessions
+    And idle sessions are closed
+    Then no session is closed
--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -8,6 +8,7 @@
 
 from features.group_builders import build_world
 from mimosapond.boot_clock import boot_time_s
+from mimosapond.entry.reachability import Reachability
 from mimosapond.failover.duty_port import DutyClaim
 from mimosapond.failover.primary_watch import PrimaryWatch
 from mimosapond.failover.reserved_duties import ReservedDuties
@@ -253,3 +254,40 @@
         if fake.paused_term > 0
     ]
     assert not paused, paused
+
+
+@given('member a announced {age_s:d} s ago that it leaves')
+def announce(context: Any, age_s: int) -> None:
+    """Let the host have learned it then."""
+    member = context.world.group.members['a']
+    member.leaving_since_s = boot_time_s() - age_s
+
+
+@given('member a is {listing}')
+def unlist(context: Any, listing: str) -> None:
+    """Remove its registration, or leave it."""
+    if listing == 'unlisted':
+        member = context.world.group.members['a']
+        member.unlisted_since_s = boot_time_s()
+
+
+@given('the registry {answers}')
+def set_registry(context: Any, answers: str) -> None:
+    """Let the last question have been answered or not."""
+    context.world.directory.is_current = answers == 'answers'
+
+
+@given('the primary was last proven {age_ms:d} ms ago')
+def prove_earlier(context: Any, age_ms: int) -> None:
+    """Note a proof of that age."""
+    group = context.world.group
+    asked_s = boot_time_s() - age_ms / _MS_PER_S
+    group.proven_s = asked_s
+    group.prove_primary(group.members['p'], asked_s, LogPosition(1, 10))
+
+
+@then('the host is {state}')
+def check_ready(context: Any, state: str) -> None:
+    """Ask as the balancer does."""
+    reach = Reachability(context.world.directory, boot_time_s)
+    assert reach.is_sufficient() == (state == 'ready')
--- a/features/steps/sessions_steps.py
+++ b/features/steps/sessions_steps.py
@@ -1,6 +1,7 @@
 """Steps of sessions.feature."""
 
 import asyncio
+import functools
 from types import MappingProxyType
 from typing import Any, Final
 
@@ -13,6 +14,7 @@
 )
 from mimosapond.boot_clock import boot_time_s
 from mimosapond.configuration.route import Freshness
+from mimosapond.entry.caller_desk import CallerDesk
 from mimosapond.groups.member_answer import RejectionKind
 from mimosapond.sessions.session import Session
 from mimosapond.statements.reply import Failure
@@ -50,6 +52,9 @@
 def _open(context: Any, world: GroupWorld) -> None:
     context.world = world
     context.session = world.open_session()
+    context.closed = []
+    context.desk = CallerDesk(world.services)
+    _enter(context, context.session, 'first')
     context.loop = asyncio.new_event_loop()
     context.add_cleanup(_close, context)
     context.loop.run_until_complete(
@@ -57,6 +62,11 @@
     )
 
 
+def _enter(context: Any, session: Session, name: str) -> None:
+    close = functools.partial(context.closed.append, name)
+    context.desk.enter(session, close)
+
+
 def _close(context: Any) -> None:
     context.loop.run_until_complete(_end(context.session))
     context.loop.close()
@@ -229,3 +239,34 @@
 def check_time(context: Any, limit_ms: int) -> None:
     """Compare with the time that the last statements took."""
     assert context.taken_s < limit_ms / _MS_PER_S, context.taken_s
+
+
+@given('the host ends its sessions')
+@when('the host ends its sessions')
+def end_sessions(context: Any) -> None:
+    """Do as at a stop, or when the host is cut off."""
+    context.desk.end_sessions()
+
+
+@when('another session begins')
+def begin_other(context: Any) -> None:
+    """Open one more session."""
+    _enter(context, context.world.open_session(), 'other')
+
+
+@when('idle sessions are closed')
+def close_idle(context: Any) -> None:
+    """Do as the host does at each step."""
+    context.desk.close_idle()
+
+
+@then('the first session is closed and the other is open')
+def check_first_closed(context: Any) -> None:
+    """Compare the closed sessions."""
+    assert context.closed == ['first'], context.closed
+
+
+@then('no session is closed')
+def check_none_closed(context: Any) -> None:
+    """Compare the closed sessions."""
+    assert not context.closed, context.closed
--- a/mimosapond/entry/caller_desk.py
+++ b/mimosapond/entry/caller_desk.py
@@ -17,7 +17,7 @@
         self._services = services
         self._closers: dict[Session, Callable[[], None]] = {}
         self._busy: set[Session] = set()
-        self.is_ending = False
+        self._ending: set[Session] = set()
 
     @property
     def session_count(self) -> int:
@@ -38,6 +38,7 @@
         """Stop counting a session."""
         self._closers.pop(session, None)
         self._busy.discard(session)
+        self._ending.discard(session)
 
     @contextlib.contextmanager
     def serving(self, session: Session) -> Iterator[None]:
@@ -50,12 +51,17 @@
 
     def may_end(self, session: Session) -> bool:
         """Return whether to close a session after its answer."""
-        return self.is_ending and session.state is SessionState.idle
+        return session in self._ending and session.state is SessionState.idle
+
+    def end_sessions(self) -> None:
+        """Close the present sessions, each when it is idle.
+
+        Sessions that begin later stay: the balancer had no better host.
+        """
+        self._ending.update(self._closers)
 
     def close_idle(self) -> None:
-        """Close the sessions that are outside of transactions and requests."""
-        for session, close in tuple(self._closers.items()):
-            if session not in self._busy and (
-                session.state is SessionState.idle
-            ):
-                close()
+        """Close ending sessions outside of transactions and requests."""
+        for session in tuple(self._ending):
+            if session not in self._busy and self.may_end(session):
+                self._closers[session]()
--- a/mimosapond/entry/platform_host.py
+++ b/mimosapond/entry/platform_host.py
@@ -55,6 +55,7 @@
         self._stop_grace_s = stop_grace_s
         self._stop = asyncio.Event()
         self._reached_s = parts.now()
+        self._has_redirected = False
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     def is_ready(self) -> bool:
@@ -95,10 +96,15 @@
         now_s = self._parts.now()
         if self._parts.reachability.is_sufficient():
             self._reached_s = now_s
+            self._has_redirected = False
         is_cut_off = now_s - self._reached_s > _OUT_OF_ROTATION_S
-        self._parts.desk.is_ending = is_cut_off
-        if is_cut_off:
-            self._parts.desk.close_idle()
+        if is_cut_off and not self._has_redirected:
+            self._has_redirected = True
+            logger.bind(sessions=self._parts.desk.session_count).info(
+                'callers_redirected',
+            )
+            self._parts.desk.end_sessions()
+        self._parts.desk.close_idle()
 
     def _watch_groups(self) -> None:
         for group in self._parts.directory.groups.values():
@@ -115,8 +121,8 @@
         desk = self._parts.desk
         started_s = self._parts.now()
         await asyncio.sleep(_OUT_OF_ROTATION_S)
-        desk.is_ending = True
         end_s = started_s + self._stop_grace_s - _END_MARGIN_S
         while desk.session_count and self._parts.now() < end_s:
+            desk.end_sessions()
             desk.close_idle()
             await asyncio.sleep(_STEP_S)
--- a/mimosapond/entry/reachability.py
+++ b/mimosapond/entry/reachability.py
@@ -1,17 +1,18 @@
 """Whether this host reaches what it needs to serve its callers.
 
-A host that is cut off from most primaries asks to be taken out of rotation,
-so that its callers reach hosts that serve them.
+A host that is cut off from primaries asks to be taken out of rotation, so that
+its callers reach hosts that serve them.
 """
 
+import math
 from typing import Final, final
 
 from mimosapond.boot_clock import Now
-from mimosapond.groups.group import Group
 from mimosapond.groups.group_directory import GroupDirectory
 
 # Longer than the usual change of a primary takes to show.
 _LOST_AFTER_S: Final = 1.0
+_OVERDUE_AFTER_S: Final = 2.5
 
 
 @final
@@ -24,15 +25,19 @@
         self._now = now
 
     def is_sufficient(self) -> bool:
-        """Return whether at least half of the primaries are in reach."""
-        groups = [
-            group for group in self._directory.groups.values() if group.members
+        """Return whether this host serves as well as others may.
+
+        Half of the primaries have to be in reach now, and none may be out of
+        reach for longer than a change of primary takes: other hosts may have
+        found the new one.
+        """
+        now_s = self._now()
+        ages_s = [
+            now_s - group.proven_s if group.was_proven else math.inf
+            for group in self._directory.groups.values()
+            if group.members
         ]
-        reached_count = sum(self._is_reached(group) for group in groups)
-        return bool(groups) and reached_count * 2 >= len(groups)
-
-    def _is_reached(self, group: Group) -> bool:
-        newest = group.observations.newest
-        if group.primary is None or newest is None:
+        if not ages_s or max(ages_s) > _OVERDUE_AFTER_S:
             return False
-        return self._now() - newest.asked_s < _LOST_AFTER_S
+        lost_count = sum(age_s > _LOST_AFTER_S for age_s in ages_s)
+        return lost_count * 2 <= len(ages_s)
--- a/mimosapond/failover/primary_change.py
+++ b/mimosapond/failover/primary_change.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from mimosapond.boot_clock import Now
+from mimosapond.failover.departures import Departures
 from mimosapond.failover.duty_port import DutyClaim, DutyPort
 from mimosapond.failover.log_survey import (
     SurveyedMember,
@@ -33,8 +34,6 @@
 _CATCH_UP_PAUSE_S: Final = 0.02
 # Between two looks at a primary whose commits seem not to be replicated.
 _STALL_CHECK_S: Final = 0.25
-# A member that is unlisted and silent this long is gone with its log.
-GONE_AFTER_S: Final = 10.0
 
 
 @final
@@ -42,9 +41,14 @@
     """One change at a time for each group."""
 
     def __init__(
-        self, duties: DutyPort, promotion: PromotionCall, now: Now
+        self,
+        duties: DutyPort,
+        promotion: PromotionCall,
+        departures: Departures,
+        now: Now,
     ) -> None:
-        """Take the claims and the platform's promotion."""
+        """Take the claims, the platform's promotion and who has left."""
+        self._departures = departures
         self._duties = duties
         self._promotion = promotion
         self._now = now
@@ -55,8 +59,7 @@
         if claim is None:
             return False
         # The answers also give the terms, above which a pause has to be.
-        members = self._members(group)
-        found = PausedGroup(members, await survey_all(members))
+        found = await self._survey(group)
         if found.primary is not None:
             logger.bind(
                 group=group.name, member=found.primary.member.member_id
@@ -71,8 +74,7 @@
         Replicas that an earlier change left paused receive again; a primary
         that reaches no replica is replaced.
         """
-        members = self._members(group)
-        found = PausedGroup(members, await survey_all(members))
+        found = await self._survey(group)
         if found.primary is None or found.primary.member is not primary:
             return False
         if found.has_paused:
@@ -104,7 +106,7 @@
             return False
         others = [
             member
-            for member in self._members(group)
+            for member in self._expected(group)
             if member not in {successor, leaving}
         ]
         paused = PausedGroup(
@@ -123,10 +125,7 @@
     async def _replace(
         self, group: Group, claim: DutyClaim, avoided: Member | None
     ) -> bool:
-        members = self._members(group)
-        paused = PausedGroup(
-            members, await pause_all(members, next_term(group))
-        )
+        paused = await self._pause(group)
         best = paused.most_advanced(avoided)
         if best is None or not paused.holds_all_commits(avoided):
             logger.bind(
@@ -180,24 +179,28 @@
         )
         return outcome if isinstance(outcome, DutyClaim) else None
 
-    def _members(self, group: Group) -> tuple[Member, ...]:
+    async def _survey(self, group: Group) -> PausedGroup:
+        members = tuple(group.members.values())
+        return PausedGroup(self._expected(group), await survey_all(members))
+
+    async def _pause(self, group: Group) -> PausedGroup:
+        members = tuple(group.members.values())
+        return PausedGroup(
+            self._expected(group), await pause_all(members, next_term(group))
+        )
+
+    def _expected(self, group: Group) -> tuple[Member, ...]:
+        """Return the members that may hold commits of the present term."""
         return tuple(
             member
             for member in group.members.values()
-            if not self._is_gone(member)
+            if not self._departures.has_left(member)
         )
 
-    def _is_gone(self, member: Member) -> bool:
-        since_s = member.unlisted_since_s
-        if since_s is None:
-            return False
-        silent_s = self._now() - max(since_s, member.load.heard_s)
-        return silent_s > GONE_AFTER_S
-
     async def _successor(self, group: Group, leaving: Member) -> Member | None:
         found = await survey_all(
             member
-            for member in self._members(group)
+            for member in self._expected(group)
             if member is not leaving and member.takes_new_work
         )
         best = PausedGroup((), found).most_advanced(leaving)
--- a/mimosapond/groups/group.py
+++ b/mimosapond/groups/group.py
@@ -30,6 +30,11 @@
         self._last_proven: Member | None = None
         self._proven = asyncio.Event()
 
+    @property
+    def was_proven(self) -> bool:
+        """Whether this host has seen any primary."""
+        return self._last_proven is not None
+
     @property
     def primary(self) -> Member | None:
         """The member that led when it last proved it; None if in doubt."""
--- a/mimosapond/groups/group_directory.py
+++ b/mimosapond/groups/group_directory.py
@@ -33,6 +33,8 @@
         self._now = now
         self._limit_counts: dict[str, int] = {}
         self.groups: dict[str, Group] = {}
+        # Whether the registry answered when it was last asked.
+        self.is_current = False
 
     def find(self, name: str) -> Group:
         """Return a group; one without members if it is not known yet."""
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -12,6 +12,7 @@
 from mimosapond.entry.platform_host import HostParts, PlatformHost
 from mimosapond.entry.reachability import Reachability
 from mimosapond.entry.ready_server import build_ready_application
+from mimosapond.failover.departures import Departures
 from mimosapond.failover.primary_change import PrimaryChange
 from mimosapond.failover.promotion_call import PromotionCall
 from mimosapond.failover.reserved_duties import ReservedDuties
@@ -87,8 +88,10 @@
         )
 
     def _write_router(self) -> WriteRouter:
-        drain_s = self._settings.member_drain_ms / _MS_PER_S
-        return WriteRouter(self._now, drain_s - _DRAIN_MARGIN_S)
+        return WriteRouter(self._now, self._drain_s() - _DRAIN_MARGIN_S)
+
+    def _drain_s(self) -> float:
+        return self._settings.member_drain_ms / _MS_PER_S
 
     def _host_parts(self) -> HostParts:
         return HostParts(
@@ -119,6 +122,7 @@
                 self._probe,
                 self._now,
             ),
+            Departures(self._directory, self._drain_s(), self._now),
             self._now,
         )
 
