Keep lapsed registrations after an outage; take few connections at a start

(1) After the store came back, all members were unlisted for a second and no replica was asked. (2) After the loss of power at 41 s, four hosts took all connections that the members still had; the other four found no primary until 44.3 s. (3) A change that was not safe was tried again only 2.4 s later.

Ruled out: closing all idle connections, as each probe would open one.

--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -180,3 +180,31 @@
       | age_ms | state     |
       | 100    | ready     |
       | 1500   | not ready |
+
+  Scenario Outline: registrations that lapsed in an outage are waited for
+    # On trouble-1 all members were unlisted for a second after the store was
+    # back, and no replica was asked.
+    Given a group whose primary is p
+    And reads of the registry <outage>
+    When the registry lists nobody
+    Then member a <use> new work
+
+    Examples:
+      | outage    | use          |
+      | failed    | gets         |
+      | succeeded | does not get |
+
+  Scenario Outline: a host that starts takes few of a member's connections
+    # After a loss of power, four hosts took all that were left (trouble-1).
+    Given a group whose members accept <count> connections
+    And the host started <age_s> s ago
+    When the registry lists all members
+    Then the host may open <share> connections to each
+
+    Examples:
+      | count | age_s | share |
+      | 16    | 0     | 1     |
+      | 16    | 4     | 3     |
+      | 32    | 0     | 2     |
+      | 32    | 4     | 6     |
+      | 4     | 4     | 2     |
--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -4,14 +4,24 @@
 import contextlib
 from typing import Any
 
+import attrs
 from behave import given, then, when
 
-from features.group_builders import build_world
+from features.group_builders import (
+    GROUP,
+    build_configuration,
+    build_record,
+    build_route,
+    build_world,
+)
+from features.group_fakes import FakeDialer
 from mimosapond.boot_clock import boot_time_s
+from mimosapond.configuration.configuration import GroupLimits
 from mimosapond.entry.reachability import Reachability
 from mimosapond.failover.duty_port import DutyClaim
 from mimosapond.failover.primary_watch import PrimaryWatch
 from mimosapond.failover.reserved_duties import ReservedDuties
+from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.log_position import LogPosition
 
 _MS_PER_S = 1000
@@ -291,3 +301,55 @@
     """Ask as the balancer does."""
     reach = Reachability(context.world.directory, boot_time_s)
     assert reach.is_sufficient() == (state == 'ready')
+
+
+@given('reads of the registry {outcome}')
+def read_registry(context: Any, outcome: str) -> None:
+    """Let the last read have failed or not."""
+    if outcome == 'failed':
+        context.world.directory.note_outage()
+
+
+@given('a group whose members accept {count:d} connections')
+def accept_connections(context: Any, count: int) -> None:
+    """Set the limit of the members."""
+    context.now_s = 0
+    context.directory = GroupDirectory(FakeDialer({}), lambda: context.now_s)
+    route = build_route()
+    configuration = attrs.evolve(
+        build_configuration(route),
+        groups={GROUP: GroupLimits(GROUP, count)},
+    )
+    context.directory.apply_limits(configuration)
+
+
+@given('the host started {age_s:d} s ago')
+def age_host(context: Any, age_s: int) -> None:
+    """Move the clock."""
+    context.now_s = age_s
+
+
+@when('the registry lists all members')
+def list_all(context: Any) -> None:
+    """Read the registrations."""
+    context.directory.apply_registrations([build_record('a')])
+
+
+@then('the host may open {share:d} connections to each')
+def check_share(context: Any, share: int) -> None:
+    """Compare the limit of the pool."""
+    member = context.directory.find(GROUP).members['a']
+    assert member.pool.limit_count == share, member.pool.limit_count
+
+
+@when('the registry lists nobody')
+def list_nobody(context: Any) -> None:
+    """Read an empty registry."""
+    context.world.directory.apply_registrations(())
+
+
+@then('member a {use} new work')
+def check_use(context: Any, use: str) -> None:
+    """Compare."""
+    member = context.world.group.members['a']
+    assert member.takes_new_work == (use == 'gets'), use
--- a/mimosapond/failover/primary_watch.py
+++ b/mimosapond/failover/primary_watch.py
@@ -27,7 +27,7 @@
 _STALLED_S: Final = 0.5
 # Pause after a change that could not be made; doubled each time.
 _CHANGE_PAUSE_S: Final = 0.15
-_CHANGE_PAUSE_MAX_S: Final = 1.2
+_CHANGE_PAUSE_MAX_S: Final = 0.6
 # Idle connections beyond the kept ones are closed after this time: other
 # hosts need them, and those of a host that lost power count for seconds.
 _IDLE_S: Final = 0.5
--- a/mimosapond/groups/group_directory.py
+++ b/mimosapond/groups/group_directory.py
@@ -17,10 +17,16 @@
 # An unlisted member is still asked during a promotion: it may have received
 # commits while only the store cannot see it.
 _FORGET_S: Final = 20.0
+# Members that live have registered again this long after an outage.
+_RETURN_S: Final = 2.5
 # Part of a member's connections that one host may open; the rest is for
 # other hosts, whose callers are fewer or more at times.
 _CONNECTION_RATIO: Final = 0.2
 _MIN_CONNECTION_COUNT: Final = 2
+# After a loss of power, members count the connections of the former processes
+# for some seconds; a host that starts leaves the rest to the others.
+_LINGER_S: Final = 3.5
+_START_RATIO: Final = 0.0625
 
 
 @final
@@ -31,10 +37,12 @@
         """Start without groups."""
         self._dialer = dialer
         self._now = now
-        self._limit_counts: dict[str, int] = {}
+        self._created_s = now()
+        self._connection_counts: dict[str, int] = {}
         self.groups: dict[str, Group] = {}
         # Whether the registry answered when it was last asked.
         self.is_current = False
+        self._unlist_from_s: float = 0
 
     def find(self, name: str) -> Group:
         """Return a group; one without members if it is not known yet."""
@@ -45,19 +53,26 @@
     def apply_limits(self, configuration: Configuration) -> None:
         """Take over the limits of a configuration."""
         for limits in configuration.groups.values():
-            limit_count = max(
-                _MIN_CONNECTION_COUNT,
-                int(limits.connection_count * _CONNECTION_RATIO),
-            )
-            self._limit_counts[limits.group] = limit_count
-            for member in self.find(limits.group).members.values():
-                member.pool.limit_count = limit_count
+            self._connection_counts[limits.group] = limits.connection_count
+        self._share_connections()
+
+    def note_outage(self) -> None:
+        """Note that the registry did not answer.
+
+        Registrations that lapsed meanwhile come back after its return.
+        """
+        self.is_current = False
+        self._unlist_from_s = self._now() + _RETURN_S
 
     def apply_registrations(self, records: Iterable[MemberRecord]) -> None:
         """Take over the members that are registered now."""
         listed = {record.member_id: record for record in records}
         for record in listed.values():
             self._apply(record)
+        self._share_connections()
+        self.is_current = True
+        if self._now() < self._unlist_from_s:
+            return
         for group in tuple(self.groups.values()):
             for member in tuple(group.members.values()):
                 if member.member_id not in listed:
@@ -84,9 +99,21 @@
     def _create(self, record: MemberRecord) -> Member:
         load = MemberLoad(self._now)
         pool = ConnectionPool(record, self._dialer, load, self._now)
-        pool.limit_count = self._limit_counts.get(record.group, 1)
+        pool.limit_count = self._share(record.group)
         return Member(record, pool, load)
 
+    def _share_connections(self) -> None:
+        for group in self.groups.values():
+            for member in group.members.values():
+                member.pool.limit_count = self._share(group.name)
+
+    def _share(self, group: str) -> int:
+        """Return how many connections to each member this host may open."""
+        count = self._connection_counts.get(group, 1)
+        if self._now() - self._created_s < _LINGER_S:
+            return max(1, int(count * _START_RATIO))
+        return max(_MIN_CONNECTION_COUNT, int(count * _CONNECTION_RATIO))
+
     def _unlist(self, group: Group, member: Member) -> None:
         if member.unlisted_since_s is None:
             member.unlisted_since_s = self._now()
--- a/mimosapond/groups/registration_follower.py
+++ b/mimosapond/groups/registration_follower.py
@@ -32,13 +32,12 @@
         while True:
             found = await self._source.read()
             if isinstance(found, RegistrationsUnavailable):
-                self._directory.is_current = False
+                self._directory.note_outage()
                 self._note_connection(is_connected=False, reason=found.reason)
                 await asyncio.sleep(_RETRY_S)
                 continue
             self._note_connection(is_connected=True, reason='')
             self._directory.apply_registrations(found.records)
-            self._directory.is_current = True
             await asyncio.sleep(_PERIOD_S)
 
     def _note_connection(self, *, is_connected: bool, reason: str) -> None:
