Promote nobody from registrations that are out of date when all known members follow

A host that the store refused since 17.5 s did not know the new member that led from 22.8 s on; it found all members it knew answering and none leading, and asked twice for a promotion. Its reserved token was older, so the platform refused; a newer one would have been taken.

Change: with nobody silent and nobody leading, a promotion needs current registrations.

Ruled out: refusing all changes while the store is out of reach, which would leave a lost primary unreplaced.

The first example of the new scenario fails on the former code.

--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -208,3 +208,16 @@
       | 32    | 0     | 2     |
       | 32    | 4     | 6     |
       | 4     | 4     | 2     |
+
+  Scenario Outline: a host that may not know the primary promotes nobody
+    # In inc-8031 a host that the store refused did not know the new member
+    # that led, and asked for the promotion of another.
+    Given a group whose primary is a member that this host does not know
+    And reads of the registry <outcome>
+    When a host replaces the lost primary
+    Then the promoted member is <promoted>
+
+    Examples:
+      | outcome   | promoted |
+      | failed    | none     |
+      | succeeded | b        |
--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -37,6 +37,14 @@
     context.world = build_world()
 
 
+@given('a group whose primary is a member that this host does not know')
+def build_without_primary(context: Any) -> None:
+    """Let all known members be replicas."""
+    build_group(context)
+    context.world.fakes['p'].is_primary = False
+    context.world.fakes['b'].position = LogPosition(1, 11)
+
+
 @given('the members {names} are silent')
 def silence(context: Any, names: str) -> None:
     """Let members answer nothing."""
--- a/mimosapond/failover/primary_change.py
+++ b/mimosapond/failover/primary_change.py
@@ -127,7 +127,12 @@
     ) -> bool:
         paused = await self._pause(group)
         best = paused.most_advanced(avoided)
-        if best is None or not paused.holds_all_commits(avoided):
+        is_safe = paused.holds_all_commits(avoided)
+        if avoided is None and not paused.silent:
+            # Nobody leads and nobody is silent: with registrations that are
+            # out of date, the primary may be a member this host never saw.
+            is_safe = is_safe and self._departures.is_complete
+        if best is None or not is_safe:
             logger.bind(
                 group=group.name,
                 silent=[member.member_id for member in paused.silent],
