--- a/tools/run_behave.py
+++ b/tools/run_behave.py
@@ -18,6 +18,7 @@
 
 _KNOWN_RED: Final = pathlib.Path('KNOWN-RED.txt')
 _PREFIX: Final = 'scenario:'
+_FINE_STATUSES: Final = ('passed', 'skipped', 'untested', None)
 _SCENARIO_TYPES: Final = ('scenario', 'scenario_outline')
 
 
@@ -32,17 +33,29 @@
     )
 
 
-def _scenarios(report: list[dict[str, Any]]) -> Iterator[tuple[str, str]]:
+def _scenarios(report: list[dict[str, Any]]) -> Iterator[dict[str, Any]]:
     for feature in report:
         for element in feature.get('elements', ()):
             if element['type'] in _SCENARIO_TYPES:
-                yield element['name'], element['status']
+                yield element
+
+
+def _print_causes(scenario: dict[str, Any]) -> None:
+    """Print the steps that failed, as the failure may not show again."""
+    for step in scenario.get('steps', ()):
+        found = step.get('result', {})
+        if found.get('status') not in _FINE_STATUSES:
+            message = found.get('error_message', '')
+            lines = [message] if isinstance(message, str) else message
+            text = '\n'.join(lines)
+            sys.stdout.write(f'  {step["name"]}\n{text}\n')
 
 
 def _verdict(report: list[dict[str, Any]]) -> int:
     known = _known_failures()
     counts: collections.Counter[str] = collections.Counter()
-    for name, status in _scenarios(report):
+    for scenario in _scenarios(report):
+        name, status = scenario['name'], scenario['status']
         if status == 'passed' or status == 'skipped':
             counts[status] += 1
         elif name in known:
@@ -50,6 +63,7 @@
             counts['skipped'] += 1
         else:
             sys.stdout.write(f'{status}: {name}\n')
+            _print_causes(scenario)
             counts['failed'] += 1
     passed, failed = counts['passed'], counts['failed']
     skipped = counts['skipped']
