--- a/features/platform_wire.feature
+++ b/features/platform_wire.feature
@@ -97,3 +97,14 @@
       | START book me/no text: \xff\xfe/     | READY I -/ERROR MALFORMED              |
       | START book me/a line of 1.5 MiB/     | READY I -/ERROR TOOBIG                 |
       | START book me/a line of 3 MiB/       | READY I -                              |
+
+  Scenario Outline: the settings of a host on the platform
+    # A host that starts with half of its settings fails at its first call.
+    When the host settings are <text>
+    Then the host settings are <verdict>
+
+    Examples:
+      | text                                                                        | verdict                |
+      | {host: h, data_centre: d, caller_address: a, ready_address: a, store_address: a, promotion_address: a} | accepted |
+      | {host: h, data_centre: d}                                                   | faulty: promotion_address |
+      | [                                                                           | faulty: while parsing  |
--- a/features/steps/platform_wire_steps.py
+++ b/features/steps/platform_wire_steps.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import pathlib
+import tempfile
 from typing import Any, Final
 
 from behave import given, then, when
@@ -12,6 +14,7 @@
 from features.group_builders import build_world
 from features.wire_server import ScriptedMember
 from mimosapond.entry.caller_desk import CallerDesk
+from mimosapond.entry.host_settings import HostSettings, load_host_settings
 from mimosapond.groups.member_answer import Rejected
 from mimosapond.groups.member_record import MemberRecord
 from mimosapond.groups.member_status import MemberStatus
@@ -209,3 +212,25 @@
 def check_other(context: Any) -> None:
     """Check the answer to its statement."""
     assert context.talk[1] == b'COMPLETE -\r\n', context.talk
+
+
+@when('the host settings are {text}')
+def load_settings(context: Any, text: str) -> None:
+    """Write and read a settings file."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / 'settings.yaml'
+        path.write_text(text, encoding='utf-8')
+        context.settings = load_host_settings(path)
+
+
+@then('the host settings are accepted')
+def check_accepted(context: Any) -> None:
+    """Check the type."""
+    assert isinstance(context.settings, HostSettings), context.settings
+
+
+@then('the host settings are faulty: {problem}')
+def check_faulty(context: Any, problem: str) -> None:
+    """Look for the fault in the text."""
+    assert isinstance(context.settings, str)
+    assert problem in context.settings, context.settings
