Refuse reads at a cut-off primary beyond what a majority holds

Cause: a primary that is cut off still answered reads whose age bound its older beacons met.

Change: a holder learns from the standings of its rounds which position a majority holds at its term. A read at a primary whose term is not confirmed is returned only up to that position, and at a replica only if its log is matched to the end; otherwise another member is asked.

Ruled out: waiting for replication at a confirmed primary as well.

Test: the row "is cut off" of reading.feature allowed the fault (log at 50, beacon at 40).

--- a/features/reading.feature
+++ b/features/reading.feature
@@ -4,7 +4,8 @@
 
   Scenario Outline: an answer is returned only with proof of its freshness
     Guards against stale boards, against a replaced primary that still
-    answers, and against a lost write that is passed over in silence.
+    answers, against a lost write that is passed over in silence, and against
+    a write that a read shows although a newer primary drops it (seed 91).
     Given a member reader whose member answers as <role> at <log>
     And the reader's beacons were "<beacons>"
     And the reader's term holder <holder>
@@ -25,9 +26,13 @@
       | replica | 1:1@50       |               | is absent  | none  | 9000  | no_target          |
       | primary | 1:1@50       |               | confirms 1 | none  | 0     | completed 0        |
       | primary | 1:1@50       |               | confirms 2 | none  | 0     | no_target          |
-      | primary | 1:1@50       |               | is cut off | none  | 9000  | no_target          |
-      | primary | 1:1@50       | 2/1/40        | is cut off | none  | 2000  | completed 2000     |
-      | primary | 1:1@50       | 2/1/40        | is cut off | none  | 1000  | too_stale          |
+      | primary | 1:1@50       |               | is cut off at 50 | none  | 9000  | no_target          |
+      | primary | 1:1@50       | 2/1/40        | is cut off at 50 | none  | 2000  | completed 2000     |
+      | primary | 1:1@50       | 2/1/40        | is cut off at 50 | none  | 1000  | too_stale          |
+      | primary | 1:1@50       | 2/1/40        | is cut off at 49 | none  | 2000  | no_target          |
+      | primary | 1:1,2:45@50  | 2/1/40        | is cut off at 50 | none  | 2000  | no_target          |
+      | primary | 1:1@50       | 2/1/40        | is absent  | none  | 2000  | no_target          |
+      | replica with a tail | 1:1@50 | 2/1/40  | is absent  | none  | 2000  | no_target          |
       | primary | 1:1,2:45@50  |               | confirms 2 | 1/46  | 0     | session_write_lost |
       | primary | 1:1,2:45@50  |               | confirms 2 | 1/44  | 0     | completed 0        |
 
--- a/features/steps/reading_steps.py
+++ b/features/steps/reading_steps.py
@@ -42,14 +42,20 @@
 class FakeHolder:
     """Confirms a term, or nothing when there is none."""
 
-    def __init__(self, term: int | None) -> None:
-        """Confirm ``term``."""
+    def __init__(self, term: int | None, replicated: int = 0) -> None:
+        """Confirm ``term``; a majority holds ``replicated`` at term 1."""
         self._term = term
+        self._replicated = replicated
+        self.view = GroupView(GROUP, 1, MEMBER, 'host')
 
     async def beacon(self, deadline_s: float) -> GroupBeacon | None:
         """Return the beacon."""
         return None if self._term is None else build_beacon(self._term, 1)
 
+    def is_replicated(self, position: int) -> bool:
+        """Compare with what a majority holds."""
+        return position <= self._replicated
+
 
 def build_beacon(term: int, position: int) -> GroupBeacon:
     """Build a beacon of the group."""
@@ -70,6 +76,10 @@
     context.holder = None
     context.member = MEMBER
     standing = build_standing(history, int(position), role)
+    if role == 'replica with a tail':
+        standing = attrs.evolve(
+            standing, role='replica', matched_position=int(position) - 1
+        )
     context.target.answer = TargetAnswered((), standing)
 
 
@@ -87,8 +97,9 @@
 @given("the reader's term holder {holder}")
 def set_holder(context: Any, holder: str) -> None:
     """Set what the term holder says."""
-    if holder == 'is cut off':
-        context.holder = FakeHolder(None)
+    if holder.startswith('is cut off at '):
+        replicated = int(holder.removeprefix('is cut off at '))
+        context.holder = FakeHolder(None, replicated)
     elif holder != 'is absent':
         context.holder = FakeHolder(int(holder.removeprefix('confirms ')))
 
--- a/mimosapond/beacon_source.py
+++ b/mimosapond/beacon_source.py
@@ -17,3 +17,6 @@
 
     async def beacon(self, deadline_s: float) -> GroupBeacon | None:
         """Confirm the term after this call began; None: not confirmed."""
+
+    def is_replicated(self, position: int) -> bool:
+        """Return whether a majority is known to hold a log position."""
--- a/mimosapond/member_reader.py
+++ b/mimosapond/member_reader.py
@@ -1,7 +1,8 @@
 """Serves reads at a member that this host owns.
 
 An answer is returned only if the member's standing, taken with the answer,
-proves that the data includes the session's writes and is young enough.
+proves that the data includes the session's writes, is young enough, and that no
+newer primary will drop it.
 """
 
 from collections.abc import Callable
@@ -136,8 +137,13 @@
         is_confirmed = await self._is_confirmed(run, standing, deadline_s)
         if not is_confirmed:
             age_ms = self._ages.tracker(run.group).age_ms(standing)
-        if age_ms is None:
+        if not is_confirmed and self._may_show_lost_entries(run, standing):
             outcome: Outcome = _refuse_read(
+                run,
+                'its last entries may be dropped by a newer primary',
+            )
+        elif age_ms is None:
+            outcome = _refuse_read(
                 run,
                 'the age of its data is not known',
             )
@@ -194,6 +200,21 @@
         self._ages.tracker(run.group).note(asked_s, beacon)
         return beacon.view.term == standing.term
 
+    def _may_show_lost_entries(self, run: PeerRun, standing: Standing) -> bool:
+        """Return whether the log may hold entries that no other member has.
+
+        Callers were told that such writes are unknown, and a newer primary
+        drops them.
+        """
+        if not standing.is_primary:
+            return standing.position > standing.matched_position
+        holder = self._holder_of(run.group)
+        return (
+            holder is None
+            or holder.view.term != standing.term
+            or not holder.is_replicated(standing.position)
+        )
+
     async def _refresh(self, run: PeerRun, deadline_s: float) -> None:
         # A primary's answer is confirmed afterwards and needs no pair.
         if self._holder_of(run.group) is not None:
--- a/mimosapond/replication_watch.py
+++ b/mimosapond/replication_watch.py
@@ -13,6 +13,7 @@
 from mimosapond.group_spec import GroupSpec
 from mimosapond.group_view import GroupView
 from mimosapond.member_address import MemberAddress
+from mimosapond.replicated_position import ReplicatedPosition
 from mimosapond.standing import Standing
 from mimosapond.superseded_members import SupersededMembers
 from mimosapond.target_results import (
@@ -42,6 +43,7 @@
         group: GroupSpec,
         view: GroupView,
         superseded: SupersededMembers,
+        replicated: ReplicatedPosition,
     ) -> None:
         """Watch the members of ``group`` other than the primary."""
         self._parts = parts
@@ -51,6 +53,7 @@
             member for member in group.members if member.name != view.primary
         )
         self._superseded = superseded
+        self._replicated = replicated
         self._waiters: list[_Waiter] = []
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
@@ -127,6 +130,7 @@
         match answer:
             case Standing():
                 self._superseded.note(answer)
+                self._replicated.note(answer)
                 if answer.term == self._term:
                     return answer.matched_position
             case TargetRejected():
--- a/mimosapond/standing_round.py
+++ b/mimosapond/standing_round.py
@@ -13,6 +13,7 @@
 from mimosapond.group_spec import GroupSpec
 from mimosapond.group_view import GroupView
 from mimosapond.member_survey import Answers, survey
+from mimosapond.replicated_position import ReplicatedPosition
 from mimosapond.replication_watch import ReplicationWatch
 from mimosapond.standing import Standing
 from mimosapond.superseded_members import SupersededMembers
@@ -36,11 +37,13 @@
         self._group = group
         self._view = view
         self._superseded = SupersededMembers(group, view, on_superseded)
+        self._replicated = ReplicatedPosition(group, view)
         self._replication = ReplicationWatch(
             parts,
             group,
             view,
             self._superseded,
+            self._replicated,
         )
         self._waiting: list[asyncio.Future[int | None]] = []
         self._silent: set[str] = set()
@@ -83,6 +86,10 @@
             return False
         return await self._replication.replicated(position, deadline_s)
 
+    def is_replicated(self, position: int) -> bool:
+        """Return whether a majority is already known to hold ``position``."""
+        return not self._is_closed and self._replicated.covers(position)
+
     def note(self, standing: Standing | None) -> None:
         """Take a standing that another call returned."""
         self._superseded.note(standing)
@@ -156,6 +163,7 @@
                     self._superseded.note(answer.standing)
                 case Standing():
                     self._superseded.note(answer)
+                    self._replicated.note(answer)
             self._silent.discard(name)
 
     def _is_confirmed(self, answers: Answers) -> bool:
--- a/mimosapond/term_holder.py
+++ b/mimosapond/term_holder.py
@@ -197,6 +197,10 @@
         position = await self._held.round.confirm(deadline_s)
         return None if position is None else GroupBeacon(self.view, position)
 
+    def is_replicated(self, position: int) -> bool:
+        """Return whether a majority is known to hold a log position."""
+        return self._held.round.is_replicated(position)
+
     async def release(self, timeout_s: float) -> bool:
         """Finish open work, so that another host can take the term over."""
         if self.gate.is_paused:
