Replace a lost primary without waiting for it; know a cut-off host by its members

One group was not replaced at all: a probe that waited for a connection until its limit took the silent member for one that lacks connections. Hosts outside the cut left the rotation, as two of three primaries were lost. Hosts inside sent their callers away only after 3.1 s, and sessions that came later stayed until the end of the cut.

It counts as out of reach by a failed connection, not by a time-out in the pool, and probes may open one connection more than the host's share. The survey comes before the claim, so that a host which sees too few members neither claims nor pauses. A host is cut off if it misses the majority of the members of most groups. The host counts its own answers to the balancer and sends callers away as soon as it is out of rotation; later sessions get one answer each.

Two older ones are replaced: a host touches nothing when it sees too few members (they expected an undo after a needless pause), and the undo is now tested with a primary that answers late. A primary unproven for 1.5 s no longer takes a host out of rotation by itself; a majority out of reach does.

--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -44,11 +44,16 @@
     paused_term: int = 0
     is_silent: bool = False
     is_full: bool = False
+    # How long an attempt to connect to a silent member takes.
+    dial_limit_s: float = 0
     loses_answers: bool = False
     rejects: list[RejectionKind] = attrs.field(factory=list)
     runs: list[str] = attrs.field(factory=list)
     values: dict[str, str] = attrs.field(factory=dict)
     pause_count: int = 0
+    # Numbers of the control questions, from 1, that get no answer.
+    unanswered: set[int] = attrs.field(factory=set)
+    question_count: int = 0
 
     @property
     def status(self) -> MemberStatus:
@@ -159,7 +164,9 @@
         self.is_open = False
 
     def _control(self) -> LinkLost | None:
-        if not self._member.is_silent:
+        self._member.question_count += 1
+        is_missed = self._member.question_count in self._member.unanswered
+        if not (self._member.is_silent or is_missed):
             return None
         self.close()
         return LinkLost('silent')
@@ -208,6 +215,7 @@
                 RejectionKind.wrong_member, 'other', SessionState.idle, None
             )
         if member.is_silent:
+            await asyncio.sleep(member.dial_limit_s)
             return LinkLost('refused')
         if member.is_full:
             kind = RejectionKind.too_many_connections
@@ -224,9 +232,11 @@
         self.outcome: DutyOutcome = DutyClaim(7, is_predecessor_done=True)
         self.is_released = False
         self.reserve_token: int | None = 5
+        self.claim_count = 0
 
     async def claim(self, group: str) -> DutyOutcome:
         """Return the outcome that the test set."""
+        self.claim_count += 1
         return self.outcome
 
     async def reserve(self) -> int | None:
--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -59,9 +59,9 @@
   Scenario Outline: replicas receive again after a change that was not made
     Given a group whose primary is p
     And an earlier claim that <ended>
-    And the members a are silent
+    And member p does not answer question 1
     When a host replaces the lost primary
-    Then replica b is <state>
+    Then replica b was paused and is <state>
     And the promotion calls are <calls>
 
     Examples:
@@ -69,10 +69,26 @@
       | ended     | receiving | none  |
       | may go on | receiving | p     |
 
+  Scenario Outline: a host that sees too few members touches nothing
+    # Guards against cut-off hosts that hold the claim or pause replicas while
+    # other hosts could replace the primary.
+    Given a group whose primary is p
+    And the members <silent> are silent
+    When a host replaces the lost primary
+    Then the claim was not asked for
+    And nobody was paused
+
+    Examples:
+      | silent |
+      | a      |
+      | p,a    |
+      | p,a,b  |
+
   Scenario: replicas stay paused while a late promotion may still come
     Given a group whose primary is p
     And an earlier claim that may go on
-    And the members p,a are silent
+    And the members p are silent
+    And member a does not answer question 2
     When a host replaces the lost primary
     Then replica b is paused
 
@@ -105,6 +121,23 @@
     When the watch of the group runs for 700 ms
     Then the promoted member is none
 
+  Scenario: a lost primary is replaced without waiting for it at each step
+    # A zone cut on trouble-1 kept two groups without primary for 2.2 s: search,
+    # survey and pause each waited until the lost member timed out.
+    Given a group whose primary is p
+    And new connections to the members p time out after 300 ms
+    When the watch of the group runs for 1000 ms
+    Then a replica leads
+
+  Scenario: a silent primary with all its connections in use is found out
+    # Its host took it for crowded as it could open no further connection, and
+    # nothing was replaced for 5 s.
+    Given a group whose primary is p
+    And requests hang on all connections to p
+    And new connections to the members p time out after 300 ms
+    When the watch of the group runs for 1200 ms
+    Then a replica leads
+
   Scenario: a silent primary is replaced by the watch
     Given a group whose primary is p
     And the members p are silent
@@ -174,12 +207,36 @@
   Scenario Outline: a host is in rotation while it serves as well as others
     Given a group whose primary is p
     And the primary was last proven <age_ms> ms ago
+    And the host cannot connect to <missed>
+    Then the host is <state>
+
+    # All hosts miss a lost primary; in a zone cut on trouble-1 two of three
+    # were lost, and hosts that were not cut off left the rotation.
+    Examples:
+      | age_ms | missed | state     |
+      | 100    | none   | ready     |
+      | 1500   | p      | ready     |
+      | 2600   | p      | not ready |
+      | 100    | p,a    | not ready |
+      | 100    | a,b    | not ready |
+
+  Scenario: a host that was cut off is in rotation again once it reaches members
+    Given a group whose primary is p
+    And the host cannot connect to a,b
+    When the watch of the group runs for 700 ms
+    Then the host is ready
+
+  Scenario Outline: the balancer takes a host out after two refusals in a row
+    # Callers that are sent away earlier come back to the same data centre.
+    When the balancer is told <answers>
     Then the host is <state>
 
     Examples:
-      | age_ms | state     |
-      | 100    | ready     |
-      | 1500   | not ready |
+      | answers                     | state           |
+      | refused                     | in rotation     |
+      | refused, refused            | out of rotation |
+      | refused, ready, refused     | in rotation     |
+      | refused, refused, ready     | in rotation     |
 
   Scenario Outline: registrations that lapsed in an outage are waited for
     # On trouble-1 all members were unlisted for a second after the store was
--- a/features/sessions.feature
+++ b/features/sessions.feature
@@ -151,3 +151,16 @@
     And the host ends its sessions
     And idle sessions are closed
     Then no session is closed
+
+  Scenario Outline: callers of a cut-off host are sent away after one answer
+    # In a zone cut on trouble-1, sessions that began after the first ones were
+    # closed stayed for the rest of the cut, and all their requests failed.
+    Given a session on a group whose primary is p
+    And the host turns callers away
+    When the caller sends <statements>
+    Then the session <may> end
+
+    Examples:
+      | statements   | may     |
+      | read         | may     |
+      | begin, write | may not |
--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -18,13 +18,16 @@
 from mimosapond.boot_clock import boot_time_s
 from mimosapond.configuration.configuration import GroupLimits
 from mimosapond.entry.reachability import Reachability
+from mimosapond.entry.rotation import Rotation
 from mimosapond.failover.duty_port import DutyClaim
 from mimosapond.failover.primary_watch import PrimaryWatch
 from mimosapond.failover.reserved_duties import ReservedDuties
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.log_position import LogPosition
+from mimosapond.groups.pooled_connection import PooledConnection
 
 _MS_PER_S = 1000
+_BORROW_S = 0.5
 
 
 def _listed(names: str) -> str:
@@ -60,6 +63,56 @@
     fake.position = LogPosition(int(term), int(number))
 
 
+@given('member {name} does not answer question {number:d}')
+def miss_question(context: Any, name: str, number: int) -> None:
+    """Let one control question get no answer."""
+    context.world.fakes[name].unanswered.add(number)
+
+
+@given('new connections to the members {names} time out after {limit_ms:d} ms')
+def time_out(context: Any, names: str, limit_ms: int) -> None:
+    """Let members be out of reach, as behind a partition."""
+    for name in names.split(','):
+        context.world.fakes[name].is_silent = True
+        context.world.fakes[name].dial_limit_s = limit_ms / _MS_PER_S
+
+
+@given('requests hang on all connections to {name}')
+def hang_requests(context: Any, name: str) -> None:
+    """Take all connections that this host may open, with a request on each."""
+    context.hanging = name
+
+
+@given('the host cannot connect to {names}')
+def miss_members(context: Any, names: str) -> None:
+    """Let the last attempts to connect have failed."""
+    members = context.world.group.members
+    for name in filter(None, _listed(names).split(',')):
+        members[name].load.is_unreachable = True
+
+
+@when('the balancer is told {answers}')
+def tell_balancer(context: Any, answers: str) -> None:
+    """Answer its question some times."""
+    context.rotation = Rotation(boot_time_s)
+    for answer in answers.split(', '):
+        is_ready = answer == 'ready'
+        context.rotation.note_state(is_ready=is_ready)
+        context.rotation.note_answer(is_ready=is_ready)
+
+
+@then('the host is in rotation')
+def check_in(context: Any) -> None:
+    """New callers still come."""
+    assert not context.rotation.is_out
+
+
+@then('the host is out of rotation')
+def check_out(context: Any) -> None:
+    """New callers go elsewhere."""
+    assert context.rotation.is_out
+
+
 @given('member a was promoted without this host seeing it')
 def promote_unseen(context: Any) -> None:
     """Let the host go on believing in the former primary."""
@@ -114,10 +167,26 @@
 @when('the watch of the group runs for {duration_ms:d} ms')
 def watch(context: Any, duration_ms: int) -> None:
     """Run the watch as the daemon does."""
-    asyncio.run(_watch(context.world, duration_ms / _MS_PER_S))
-
-
-async def _watch(world: Any, duration_s: float) -> None:
+    hanging = getattr(context, 'hanging', '')
+    asyncio.run(_watch(context.world, duration_ms / _MS_PER_S, hanging))
+
+
+async def _hang(world: Any, name: str) -> None:
+    """Use up the pool of a member that proved its lead and then fell silent."""
+    member = world.group.members[name]
+    fake = world.fakes[name]
+    fake.is_silent = False
+    await world.probe.ask(world.group, member)
+    for _ in range(member.pool.limit_count):
+        connection = await member.pool.borrow(1, _BORROW_S)
+        member.load.start(is_write=False)
+        assert isinstance(connection, PooledConnection), connection
+    fake.is_silent = True
+
+
+async def _watch(world: Any, duration_s: float, hanging: str) -> None:
+    if hanging:
+        await _hang(world, hanging)
     task = asyncio.create_task(
         PrimaryWatch(world.group, world.probe, world.change, boot_time_s).run()
     )
@@ -163,6 +232,19 @@
     assert context.world.fakes['p'].pause_count == 1
 
 
+@then('the claim was not asked for')
+def check_unclaimed(context: Any) -> None:
+    """Check that other hosts are not kept from acting."""
+    assert not context.world.duties.claim_count
+
+
+@then('replica b was paused and is {state}')
+def check_paused_before(context: Any, state: str) -> None:
+    """Check that a pause was made, and whether it has ended."""
+    assert context.world.fakes['b'].pause_count
+    check_state(context, state)
+
+
 @then('replica b is {state}')
 def check_state(context: Any, state: str) -> None:
     """Check whether it receives."""
--- a/features/steps/sessions_steps.py
+++ b/features/steps/sessions_steps.py
@@ -270,3 +270,15 @@
 def check_none_closed(context: Any) -> None:
     """Compare the closed sessions."""
     assert not context.closed, context.closed
+
+
+@given('the host turns callers away')
+def turn_away(context: Any) -> None:
+    """Let the balancer have better hosts."""
+    context.desk.turns_away = True
+
+
+@then('the session {may} end')
+def check_may_end(context: Any, may: str) -> None:
+    """Look at what happens after the answer."""
+    assert context.desk.may_end(context.session) == (may == 'may')
--- a/mimosapond/entry/caller_desk.py
+++ b/mimosapond/entry/caller_desk.py
@@ -18,6 +18,8 @@
         self._closers: dict[Session, Callable[[], None]] = {}
         self._busy: set[Session] = set()
         self._ending: set[Session] = set()
+        # Whether callers are served better elsewhere.
+        self.turns_away = False
 
     @property
     def session_count(self) -> int:
@@ -51,7 +53,8 @@
 
     def may_end(self, session: Session) -> bool:
         """Return whether to close a session after its answer."""
-        return session in self._ending and session.state is SessionState.idle
+        is_ending = self.turns_away or session in self._ending
+        return is_ending and session.state is SessionState.idle
 
     def end_sessions(self) -> None:
         """Close the present sessions, each when it is idle.
--- a/mimosapond/entry/platform_host.py
+++ b/mimosapond/entry/platform_host.py
@@ -14,6 +14,7 @@
 )
 from mimosapond.entry.caller_desk import CallerDesk
 from mimosapond.entry.reachability import Reachability
+from mimosapond.entry.rotation import Rotation
 from mimosapond.failover.primary_change import PrimaryChange
 from mimosapond.failover.primary_watch import PrimaryWatch
 from mimosapond.failover.reserved_duties import ReservedDuties
@@ -21,8 +22,8 @@
 from mimosapond.groups.registration_follower import RegistrationFollower
 from mimosapond.routing.primary_probe import PrimaryProbe
 
-# The balancer takes a host out after two missed questions, one a second.
-_OUT_OF_ROTATION_S: Final = 2.3
+# Callers that the balancer sent just before it took the host out.
+_LAST_CALLERS_S: Final = 0.3
 # Left for the last answers to reach their callers.
 _END_MARGIN_S: Final = 0.4
 _STEP_S: Final = 0.05
@@ -42,6 +43,7 @@
     duties: ReservedDuties
     change: PrimaryChange
     reachability: Reachability
+    rotation: Rotation
     now: Now
 
 
@@ -54,17 +56,13 @@
         self._parts = parts
         self._stop_grace_s = stop_grace_s
         self._stop = asyncio.Event()
-        self._reached_s = parts.now()
-        self._has_redirected = False
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
-    def is_ready(self) -> bool:
-        """Whether new callers may be sent here."""
-        return (
-            not self._stop.is_set()
-            and self._parts.active.is_loaded
-            and self._parts.reachability.is_sufficient()
-        )
+    def answer_balancer(self) -> bool:
+        """Return whether new callers may be sent here."""
+        is_ready = self._is_ready()
+        self._parts.rotation.note_answer(is_ready=is_ready)
+        return is_ready
 
     def request_stop(self) -> None:
         """Begin a graceful stop."""
@@ -88,23 +86,28 @@
         await self._end_sessions()
         logger.bind(sessions=self._parts.desk.session_count).info('stopped')
 
+    def _is_ready(self) -> bool:
+        return (
+            not self._stop.is_set()
+            and self._parts.active.is_loaded
+            and self._parts.reachability.is_sufficient()
+        )
+
     def _start(self, name: str, work: Coroutine[Any, Any, None]) -> None:
         self._tasks[name] = asyncio.create_task(work, name=name)
 
     def _redirect_callers(self) -> None:
         """Close idle sessions here once new ones go to other hosts."""
-        now_s = self._parts.now()
-        if self._parts.reachability.is_sufficient():
-            self._reached_s = now_s
-            self._has_redirected = False
-        is_cut_off = now_s - self._reached_s > _OUT_OF_ROTATION_S
-        if is_cut_off and not self._has_redirected:
-            self._has_redirected = True
-            logger.bind(sessions=self._parts.desk.session_count).info(
+        parts = self._parts
+        parts.rotation.note_state(is_ready=self._is_ready())
+        is_away = parts.rotation.is_out and parts.reachability.is_cut_off
+        if is_away and not parts.desk.turns_away:
+            logger.bind(sessions=parts.desk.session_count).info(
                 'callers_redirected',
             )
-            self._parts.desk.end_sessions()
-        self._parts.desk.close_idle()
+            parts.desk.end_sessions()
+        parts.desk.turns_away = is_away
+        parts.desk.close_idle()
 
     def _watch_groups(self) -> None:
         for group in self._parts.directory.groups.values():
@@ -119,10 +122,17 @@
 
     async def _end_sessions(self) -> None:
         desk = self._parts.desk
-        started_s = self._parts.now()
-        await asyncio.sleep(_OUT_OF_ROTATION_S)
-        end_s = started_s + self._stop_grace_s - _END_MARGIN_S
-        while desk.session_count and self._parts.now() < end_s:
-            desk.end_sessions()
-            desk.close_idle()
+        rotation = self._parts.rotation
+        now = self._parts.now
+        end_s = now() + self._stop_grace_s - _END_MARGIN_S
+        last_caller_s = now() + _LAST_CALLERS_S
+        rotation.note_state(is_ready=False)
+        while now() < end_s:
+            if not rotation.is_out or desk.session_count:
+                last_caller_s = now() + _LAST_CALLERS_S
+            if rotation.is_out:
+                desk.end_sessions()
+                desk.close_idle()
+            if now() > last_caller_s:
+                return
             await asyncio.sleep(_STEP_S)
--- a/mimosapond/failover/log_survey.py
+++ b/mimosapond/failover/log_survey.py
@@ -7,6 +7,7 @@
 import attrs
 from loguru import logger
 
+from mimosapond.failover.member_round import ask_all
 from mimosapond.groups.connection_pool import NoConnection
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_answer import Rejected, RejectionKind
@@ -75,13 +76,10 @@
 async def _ask_all(
     members: Iterable[Member], call: _Call
 ) -> dict[str, SurveyedMember]:
-    asked = tuple(members)
-    answers = await asyncio.gather(
-        *(ask_member(member, call) for member in asked),
-    )
+    answers = await ask_all(members, lambda member: ask_member(member, call))
     return {
         member.member_id: SurveyedMember(member, status)
-        for member, status in zip(asked, answers, strict=True)
+        for member, status in answers.items()
         if status is not None
     }
 
--- a/mimosapond/failover/primary_change.py
+++ b/mimosapond/failover/primary_change.py
@@ -55,17 +55,16 @@
 
     async def replace_lost(self, group: Group) -> bool:
         """Promote the most advanced replica of a primary that is lost."""
+        # Before the claim, so that a host which sees too few members does not
+        # keep it from others. The answers also give the terms, above which a
+        # pause has to be.
+        found = await self._survey(group)
+        if not found.holds_all_commits(None):
+            _log_unsafe(group, found)
+            return False
         claim = await self._claim(group, 'primary lost')
         if claim is None:
             return False
-        # The answers also give the terms, above which a pause has to be.
-        found = await self._survey(group)
-        if found.primary is not None:
-            logger.bind(
-                group=group.name, member=found.primary.member.member_id
-            ).info('primary_alive')
-            await self._undo(group, claim, found)
-            return False
         return await self._replace(group, claim, None)
 
     async def replace_stalled(self, group: Group, primary: Member) -> bool:
@@ -133,11 +132,7 @@
             # out of date, the primary may be a member this host never saw.
             is_safe = is_safe and self._departures.is_complete
         if best is None or not is_safe:
-            logger.bind(
-                group=group.name,
-                silent=[member.member_id for member in paused.silent],
-                primary=str(paused.primary),
-            ).warning('promotion_not_safe')
+            _log_unsafe(group, paused)
             await self._undo(group, claim, paused)
             return False
         group.observations.add(self._now(), best.status.received)
@@ -240,3 +235,12 @@
         if best is None or found.silent:
             return False
         return best.status.received < primary.status.received
+
+
+def _log_unsafe(group: Group, answers: PausedGroup) -> None:
+    primary = answers.primary
+    logger.bind(
+        group=group.name,
+        silent=[member.member_id for member in answers.silent],
+        primary=primary.member.member_id if primary else '',
+    ).warning('promotion_not_safe')
--- a/mimosapond/failover/primary_watch.py
+++ b/mimosapond/failover/primary_watch.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from mimosapond.boot_clock import Now
+from mimosapond.failover.member_round import ask_all
 from mimosapond.failover.primary_change import PrimaryChange
 from mimosapond.groups.group import Group
 from mimosapond.groups.member import Member
@@ -16,10 +17,16 @@
 _TICK_S: Final = 0.1
 _SEARCH_PAUSE_S: Final = 0.04
 # Silence of a primary that has requests under way before it is probed.
-_SILENT_S: Final = 0.25
+_SILENT_S: Final = 0.2
+# An empty transaction waits for no slot, so an answer takes a few milliseconds.
+_FIRST_PROBE_S: Final = 0.15
+# On a new connection, whose opening waits for a slot.
+_SECOND_PROBE_S: Final = 0.3
 # A primary without requests is probed this often, so that positions that
 # cover reads of a bounded age are at hand.
 _QUIET_S: Final = 0.5
+# Between two checks of a replica.
+_RECHECK_S: Final = 0.5
 # A search this long without any primary counts as the loss of the primary.
 _LOST_AFTER_S: Final = 0.15
 # A write this long without an answer raises the question whether the primary
@@ -53,6 +60,8 @@
         self._lost_since_s: float | None = None
         self._change_pause_s = _CHANGE_PAUSE_S
         self._next_change_s: float = 0
+        self._checked_s: dict[str, float] = {}
+        self._checks: set[asyncio.Task[ProbeResult]] = set()
 
     async def run(self) -> None:
         """Follow the primary until cancelled."""
@@ -70,6 +79,7 @@
             return
         self._lost_since_s = None
         self._trim()
+        self._check_replicas(primary)
         if primary.record.is_leaving:
             await self._attempt(self._change.hand_over(self._group, primary))
         await self._check(primary)
@@ -84,50 +94,79 @@
             return
 
     async def _check(self, primary: Member) -> None:
-        load = primary.load
-        is_suspect = load.oldest_age_s() > _SILENT_S and self._is_silent(
-            primary
-        )
         newest = self._group.observations.newest
         proof_age_s = self._now() - newest.asked_s if newest else _QUIET_S
-        if is_suspect or proof_age_s > _QUIET_S:
-            result = await self._probe.ask(self._group, primary)
-            if result is ProbeResult.silent:
-                await self._confirm(primary)
+        if self._is_suspect(primary) or proof_age_s > _QUIET_S:
+            result = await self._ask_twice(primary)
+            if result is ProbeResult.silent and self._is_silent(primary):
+                self._group.doubt_primary(primary, 'no answer')
                 return
-        if load.oldest_age_s(writes_only=True) > _STALLED_S:
+        if primary.load.oldest_age_s(writes_only=True) > _STALLED_S:
             await self._attempt(
                 self._change.replace_stalled(self._group, primary),
             )
 
-    async def _confirm(self, primary: Member) -> None:
+    async def _ask_twice(self, member: Member) -> ProbeResult:
         """Ask again on a new connection, as the old ones may be silent."""
-        primary.pool.drop_idle()
-        result = await self._probe.ask(self._group, primary)
-        if result is ProbeResult.silent and self._is_silent(primary):
-            self._group.doubt_primary(primary, 'no answer')
+        result = await self._probe.ask(self._group, member, _FIRST_PROBE_S)
+        if result is not ProbeResult.silent:
+            return result
+        member.pool.drop_idle()
+        return await self._probe.ask(self._group, member, _SECOND_PROBE_S)
+
+    def _check_replicas(self, primary: Member) -> None:
+        """Learn which replicas are in reach, without waiting for them."""
+        for member in tuple(self._group.members.values()):
+            is_due = member.load.is_unreachable or self._is_suspect(member)
+            if member is not primary and is_due:
+                self._start_check(member)
+
+    def _start_check(self, member: Member) -> None:
+        last_s = self._checked_s.get(member.member_id, -_RECHECK_S)
+        if self._now() - last_s < _RECHECK_S:
+            return
+        self._checked_s[member.member_id] = self._now()
+        task = asyncio.create_task(self._ask_twice(member))
+        self._checks.add(task)
+        task.add_done_callback(self._checks.discard)
+
+    def _is_suspect(self, member: Member) -> bool:
+        """Return whether the member may be out of reach.
+
+        Members that are cut off together are found out together.
+        """
+        if member.unlisted_since_s is not None or not self._is_silent(member):
+            return False
+        is_other_missing = any(
+            other.load.is_unreachable
+            for other in self._group.members.values()
+            if other is not member and other.unlisted_since_s is None
+        )
+        return is_other_missing or member.load.oldest_age_s() > _SILENT_S
 
     def _is_silent(self, member: Member) -> bool:
-        return self._now() - member.load.heard_s > _SILENT_S
+        return not member.load.was_heard_within(_SILENT_S)
 
     async def _search(self) -> None:
         group = self._group
         if self._lost_since_s is None:
             self._lost_since_s = self._now()
-        results = await asyncio.gather(
-            *(
-                self._probe.ask(group, member)
-                for member in tuple(group.members.values())
-                if member.unlisted_since_s is None
-            ),
+        listed = [
+            member
+            for member in group.members.values()
+            if member.unlisted_since_s is None
+        ]
+        results = await ask_all(
+            listed, lambda member: self._probe.ask(group, member)
         )
         if group.primary is not None:
             return
         is_lost = self._now() - self._lost_since_s > _LOST_AFTER_S
         # A crowded member may be the primary.
-        if results and is_lost and ProbeResult.crowded not in results:
+        is_crowded = ProbeResult.crowded in results.values()
+        if listed and is_lost and not is_crowded:
             await self._attempt(self._change.replace_lost(group))
-        await asyncio.sleep(_SEARCH_PAUSE_S if results else _TICK_S)
+        await asyncio.sleep(_SEARCH_PAUSE_S if listed else _TICK_S)
 
     async def _attempt(self, change: Coroutine[Any, Any, bool]) -> None:
         if self._now() < self._next_change_s:
--- a/mimosapond/groups/connection_pool.py
+++ b/mimosapond/groups/connection_pool.py
@@ -20,6 +20,10 @@
 # Pause before the next try when the member has all connections it accepts;
 # jittered, as other hosts wait for the same ones.
 _FULL_PAUSE_S: Final = 0.06
+# A member that gave a sign of life this recently lacks connections only.
+_ALIVE_S: Final = 0.25
+# Probes must not wait for connections on which requests hang.
+_CONTROL_SPARE_COUNT: Final = 1
 
 
 @final
@@ -174,7 +178,10 @@
     ) -> PooledConnection | NoConnection:
         if not waiter.future.done():
             waiter.future.cancel()
-            return NoConnection('no connection in time', is_reachable=True)
+            return NoConnection(
+                'no connection in time',
+                is_reachable=self._load.was_heard_within(_ALIVE_S),
+            )
         found = waiter.future.result()
         if not return_result and isinstance(found, PooledConnection):
             self.give_back(found)
@@ -190,6 +197,13 @@
     def _waiting_count(self) -> int:
         return sum(not waiter.future.done() for waiter in self._waiters)
 
+    def _control_spare_count(self) -> int:
+        is_control_waiting = any(
+            waiter.priority < 0 and not waiter.future.done()
+            for waiter in self._waiters
+        )
+        return _CONTROL_SPARE_COUNT if is_control_waiting else 0
+
     def _fail_waiters(self, failure: NoConnection) -> None:
         waiter = self._next_waiter()
         while waiter is not None:
@@ -198,7 +212,9 @@
 
     def _grow(self) -> None:
         wanted_count = self._waiting_count() - len(self._tasks)
-        room_count = self.limit_count - self.open_count
+        room_count = (
+            self.limit_count + self._control_spare_count() - self.open_count
+        )
         for _ in range(min(wanted_count, room_count)):
             self.open_count += 1
             task = asyncio.create_task(self._dial())
@@ -220,6 +236,7 @@
                 asyncio.get_running_loop().call_soon(self._grow)
             case LinkLost(reason=reason):
                 self.open_count -= 1
+                self._load.is_unreachable = True
                 logger.bind(member=self._record.member_id, reason=reason).debug(
                     'member_connection_failed'
                 )
--- a/mimosapond/groups/group.py
+++ b/mimosapond/groups/group.py
@@ -35,6 +35,17 @@
         """Whether this host has seen any primary."""
         return self._last_proven is not None
 
+    @property
+    def is_majority_unreachable(self) -> bool:
+        """Whether this host can open connections to less than half."""
+        listed = [
+            member
+            for member in self.members.values()
+            if member.unlisted_since_s is None
+        ]
+        missed_count = sum(member.load.is_unreachable for member in listed)
+        return missed_count * 2 > len(listed)
+
     @property
     def primary(self) -> Member | None:
         """The member that led when it last proved it; None if in doubt."""
@@ -75,7 +86,12 @@
             self.doubt.set()
 
     def patience_s(self, now_s: float) -> float:
-        """Return how much longer a change of primary is worth waiting for."""
+        """Return how much longer a change of primary is worth waiting for.
+
+        Without a majority in reach, none can be made or noticed here.
+        """
+        if self.is_majority_unreachable:
+            return 0
         return max(self.proven_s + _CHANGE_S - now_s, _MIN_WAIT_S)
 
     def is_overdue(self, now_s: float) -> bool:
--- a/mimosapond/groups/member_load.py
+++ b/mimosapond/groups/member_load.py
@@ -1,5 +1,6 @@
 """What a host sees of a member through its own requests."""
 
+import math
 from typing import Final, final
 
 import attrs
@@ -43,7 +44,9 @@
         self.latency_s = _START_LATENCY_S
         self.position: LogPosition | None = None
         self.term = 0
-        self.heard_s: float = 0
+        self.heard_s = -math.inf
+        # Whether a new connection failed after the last sign of life.
+        self.is_unreachable = False
         self.avoid_until_s: float = 0
 
     @property
@@ -51,6 +54,10 @@
         """Requests without an answer yet."""
         return len(self._tickets)
 
+    def was_heard_within(self, age_s: float) -> bool:
+        """Return whether the member gave a sign of life this recently."""
+        return self._now() - self.heard_s < age_s
+
     def oldest_age_s(self, *, writes_only: bool = False) -> float:
         """Return the age of the oldest request under way; 0 if none is."""
         sent = [
@@ -87,6 +94,7 @@
     def hear(self, position: LogPosition | None) -> None:
         """Note a sign of life."""
         self.heard_s = self._now()
+        self.is_unreachable = False
         if position is not None:
             self.position = position
             self.term = max(self.term, position.term)
--- a/mimosapond/routing/primary_probe.py
+++ b/mimosapond/routing/primary_probe.py
@@ -52,15 +52,23 @@
             )
         await asyncio.wait((self._under_way[group.name],), timeout=limit_s)
 
-    async def ask(self, group: Group, member: Member) -> ProbeResult:
-        """Return whether the member leads."""
-        connection = await member.pool.borrow(PROBE_PRIORITY, PROBE_LIMIT_S)
+    async def ask(
+        self, group: Group, member: Member, limit_s: float = PROBE_LIMIT_S
+    ) -> ProbeResult:
+        """Return whether the member leads.
+
+        Parameters
+        ----------
+        limit_s
+            For the connection, and once more for the answer.
+        """
+        connection = await member.pool.borrow(PROBE_PRIORITY, limit_s)
         if isinstance(connection, NoConnection):
             if connection.is_reachable:
                 return ProbeResult.crowded
             return ProbeResult.silent
         try:
-            return await self._ask_on(connection, group, member)
+            return await self._ask_on(connection, group, member, limit_s)
         finally:
             member.pool.give_back(connection)
 
@@ -70,15 +78,19 @@
             await self.ask(group, primary)
 
     async def _ask_on(
-        self, connection: PooledConnection, group: Group, member: Member
+        self,
+        connection: PooledConnection,
+        group: Group,
+        member: Member,
+        limit_s: float,
     ) -> ProbeResult:
         asked_s = self._now()
-        begin = connection.link.begin(Begin(False), None, PROBE_LIMIT_S)
+        begin = connection.link.begin(Begin(False), None, limit_s)
         answer = await connection.ask(begin)
         match answer:
             case Completed(position=position):
                 group.prove_primary(member, asked_s, position)
-                await connection.ask(connection.link.rollback(PROBE_LIMIT_S))
+                await connection.ask(connection.link.rollback(limit_s))
                 return ProbeResult.leads
             case Rejected(kind=RejectionKind.not_primary):
                 group.doubt_primary(member, 'it refused a transaction')
