Check the settings of a host in full; start with fewer imports

Cause: `caller_address: x` was accepted and failed later, and numbers were taken as text.

Change: the settings of a host on the platform are read with the checks that the other settings have (line, field, problem, remedy, all faults at once). The balancer's question is answered by the HTTP server without the web framework.

Ruled out: `python3 -S`; the import took as long (0.35 s) without `site`.

Tests: 13 rows of settings, 4 of the balancer's question.

--- a/features/platform_wire.feature
+++ b/features/platform_wire.feature
@@ -99,12 +99,34 @@
       | START book me/a line of 3 MiB/       | READY I -                              |
 
   Scenario Outline: the settings of a host on the platform
-    # A host that starts with half of its settings fails at its first call.
+    # A host that starts with half of its settings fails at its first call, and
+    # caller_address x was accepted and failed later.
     When the host settings are <text>
     Then the host settings are <verdict>
 
     Examples:
       | text                                                                        | verdict                |
-      | {host: h, data_centre: d, caller_address: a, ready_address: a, store_address: a, promotion_address: a} | accepted |
-      | {host: h, data_centre: d}                                                   | faulty: promotion_address |
-      | [                                                                           | faulty: while parsing  |
+      | complete                                    | accepted                                          |
+      | complete, with log_level: DEBUG             | accepted                                          |
+      | {host: h, data_centre: d}                   | faulty: store_address: the field is missing       |
+      | {host: h, data_centre: d}                   | faulty: promotion_address: the field is missing   |
+      | complete, with caller_address: x            | faulty: caller_address: 'x' is not an address     |
+      | complete, with ready_address: 10.0.0.1      | faulty: ready_address: '10.0.0.1' is not an addr  |
+      | complete, with host: 7                      | faulty: host: '7' is not text                     |
+      | complete, with stop_grace_s: soon           | faulty: stop_grace_s: 'soon' is not a number      |
+      | complete, with member_drain_ms: -1          | faulty: member_drain_ms: -1.0 is out of range     |
+      | complete, with log_level: LOUD              | faulty: log_level: 'LOUD' is not known            |
+      | complete, with stop_graze_s: 6              | faulty: stop_graze_s: there is no such field      |
+      | [                                           | faulty: the YAML is malformed                     |
+      | missing                                     | faulty: could not be read                         |
+
+  Scenario Outline: the balancer's question
+    When a host that is <state> gets <request>
+    Then the ready server answers <status>
+
+    Examples:
+      | state     | request         | status |
+      | ready     | GET /api/ready  | 200    |
+      | not ready | GET /api/ready  | 503    |
+      | ready     | POST /api/ready | 405    |
+      | ready     | GET /other      | 404    |
--- a/features/product_builders.py
+++ b/features/product_builders.py
@@ -1,6 +1,7 @@
 """Builders of files and statuses for the operator areas."""
 
 import pathlib
+from collections.abc import Sequence
 from typing import Final
 
 from mimosapond.document_loader import parse_document
@@ -24,6 +25,14 @@
     f'peer_secret: {PEER_SECRET}',
     f'operator_secret: {OPERATOR_SECRET}',
 )
+_HOST_SETTINGS: Final = (
+    'host: kig-a-1',
+    'data_centre: kig-a',
+    'caller_address: 127.0.0.1:17001',
+    'ready_address: 127.0.0.1:17002',
+    'store_address: 127.0.0.1:17090',
+    'promotion_address: 127.0.0.1:17091',
+)
 
 
 def build_settings_text(change: str) -> str:
@@ -34,9 +43,18 @@
     change
         ``name: value``, or ``-name`` to remove a line.
     """
+    return _changed(_SETTINGS, change)
+
+
+def build_host_settings_text(change: str) -> str:
+    """Build valid settings of a host on the platform; see above."""
+    return _changed(_HOST_SETTINGS, change)
+
+
+def _changed(settings: Sequence[str], change: str) -> str:
     name = change.removeprefix('-').partition(':')[0]
-    lines = [line for line in _SETTINGS if not line.startswith(f'{name}:')]
-    if not change.startswith('-'):
+    lines = [line for line in settings if not line.startswith(f'{name}:')]
+    if change and not change.startswith('-'):
         lines.append(change)
     return '\n'.join(lines)
 
--- a/features/steps/platform_wire_steps.py
+++ b/features/steps/platform_wire_steps.py
@@ -9,12 +9,16 @@
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import strategies as st
+from tornado.httpclient import AsyncHTTPClient
 from tornado.netutil import bind_sockets
 
 from features.group_builders import build_world
+from features.product_builders import build_host_settings_text
 from features.wire_server import ScriptedMember
 from mimosapond.entry.caller_desk import CallerDesk
 from mimosapond.entry.host_settings import HostSettings, load_host_settings
+from mimosapond.entry.ready_server import build_ready_server
+from mimosapond.file_problem import InvalidFile
 from mimosapond.groups.member_answer import Rejected
 from mimosapond.groups.member_record import MemberRecord
 from mimosapond.groups.member_status import MemberStatus
@@ -217,9 +221,13 @@
 @when('the host settings are {text}')
 def load_settings(context: Any, text: str) -> None:
     """Write and read a settings file."""
+    change = text.removeprefix('complete').removeprefix(', with ')
+    if text.startswith('complete'):
+        text = build_host_settings_text(change)
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / 'settings.yaml'
-        path.write_text(text, encoding='utf-8')
+        if text != 'missing':
+            path.write_text(text, encoding='utf-8')
         context.settings = load_host_settings(path)
 
 
@@ -232,5 +240,34 @@
 @then('the host settings are faulty: {problem}')
 def check_faulty(context: Any, problem: str) -> None:
     """Look for the fault in the text."""
-    assert isinstance(context.settings, str)
-    assert problem in context.settings, context.settings
+    assert isinstance(context.settings, InvalidFile), context.settings
+    texts = [str(fault) for fault in context.settings.problems]
+    assert any(problem in text for text in texts), texts
+
+
+@when('a host that is {state} gets {method} {path}')
+def ask_ready(context: Any, state: str, method: str, path: str) -> None:
+    """Ask over a socket, as the balancer does."""
+    context.status = asyncio.run(_ask_ready(state == 'ready', method, path))
+
+
+async def _ask_ready(is_ready: bool, method: str, path: str) -> int:
+    server = build_ready_server('/api/ready', lambda: is_ready)
+    sockets = bind_sockets(0, '127.0.0.1')
+    server.add_sockets(sockets)
+    port = sockets[0].getsockname()[1]
+    body = b'' if method == 'POST' else None
+    found = await AsyncHTTPClient(force_instance=True).fetch(
+        f'http://127.0.0.1:{port}{path}',
+        method=method,
+        body=body,
+        raise_error=False,
+    )
+    server.stop()
+    return found.code
+
+
+@then('the ready server answers {status:d}')
+def check_ready_status(context: Any, status: int) -> None:
+    """Compare the status."""
+    assert context.status == status, context.status
--- a/mimosapond/entry/host_settings.py
+++ b/mimosapond/entry/host_settings.py
@@ -1,11 +1,55 @@
-"""Settings of one host on the platform, in the product's own names."""
+"""Settings of one host on the platform, in the product's own names.
+
+All faults of the file are reported at once, as for the settings of a host that
+runs with stand-ins.
+"""
 
 import pathlib
-from typing import Any, final
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, Final, TypeAlias, final
 
 import attrs
-import cattrs
-import yaml
+
+from mimosapond.field_rule import (
+    AddressRule,
+    ChoiceRule,
+    FieldRule,
+    NameRule,
+    NumberRule,
+)
+from mimosapond.file_problem import (
+    FileProblem,
+    InvalidFile,
+    invalid_file,
+    unreadable_file,
+)
+from mimosapond.yaml_mapping import compose_mapping
+
+_LOG_LEVELS: Final = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
+_DAY_MS: Final = 86_400_000
+_HOUR_S: Final = 3600
+_REQUIRED: Final = (
+    'host',
+    'data_centre',
+    'caller_address',
+    'ready_address',
+    'store_address',
+    'promotion_address',
+)
+_RULES: Final[Mapping[str, FieldRule]] = MappingProxyType(
+    {
+        'host': NameRule(),
+        'data_centre': NameRule(),
+        'caller_address': AddressRule(),
+        'ready_address': AddressRule(),
+        'store_address': AddressRule(),
+        'promotion_address': AddressRule(),
+        'stop_grace_s': NumberRule(0.1, _HOUR_S),
+        'member_drain_ms': NumberRule(1, _DAY_MS),
+        'log_level': ChoiceRule(_LOG_LEVELS),
+    },
+)
 
 
 @final
@@ -34,15 +78,29 @@
     log_level: str = 'INFO'
 
 
-def load_host_settings(path: pathlib.Path) -> HostSettings | str:
-    """Return the settings, or what is wrong with the file."""
+LoadedHostSettings: TypeAlias = HostSettings | InvalidFile
+
+
+def load_host_settings(path: pathlib.Path) -> LoadedHostSettings:
+    """Return the settings of a file, or all that is wrong with it."""
     try:
-        body: Any = yaml.safe_load(path.read_text(encoding='utf-8'))
-        return cattrs.structure(body, HostSettings)
-    except (OSError, yaml.YAMLError, cattrs.BaseValidationError) as error:
-        problems = (
-            '; '.join(cattrs.transform_error(error))
-            if isinstance(error, cattrs.BaseValidationError)
-            else str(error)
-        )
-        return f'{path}: {problems}'
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return InvalidFile((unreadable_file(path, error),))
+    return parse_host_settings(text)
+
+
+def parse_host_settings(text: str) -> LoadedHostSettings:
+    """Return the settings of a text, or all that is wrong with it."""
+    problems: list[FileProblem] = []
+    mapping = compose_mapping(text, problems)
+    if mapping is None:
+        return invalid_file(problems)
+    mapping.require(*_REQUIRED)
+    fields: dict[str, Any] = {
+        name: content
+        for name, rule in _RULES.items()
+        if (content := mapping.read(name, rule)) is not None
+    }
+    mapping.report_unknown()
+    return invalid_file(problems) if problems else HostSettings(**fields)
--- a/mimosapond/entry/ready_server.py
+++ b/mimosapond/entry/ready_server.py
@@ -1,30 +1,51 @@
-"""Answers the balancer's question whether this host takes new callers."""
+"""Answers the balancer's question whether this host takes new callers.
+
+It uses the HTTP server without the web framework, whose import would add to
+the time until a restarted host serves.
+"""
 
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import final
 
-from tornado.web import Application, RequestHandler
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPServerRequest,
+    ResponseStartLine,
+)
 
 
 @final
-class ReadyHandler(RequestHandler):
-    """Answers 200 or 503."""
+class ReadyAnswers:
+    """Answers 200 or 503 on one path and 404 on others, without a body."""
 
-    def initialize(self, is_ready: Callable[[], bool]) -> None:
-        """Take what decides."""
+    def __init__(self, path: str, is_ready: Callable[[], bool]) -> None:
+        """Take the path and what decides."""
+        self._path = path
         self._is_ready = is_ready
 
-    def get(self) -> None:
-        """Answer without a body."""
+    def __call__(self, request: HTTPServerRequest) -> None:
+        """Answer one request."""
+        status = self._status(request)
+        connection = request.connection
+        if connection is not None:
+            connection.write_headers(
+                ResponseStartLine('HTTP/1.1', status, status.phrase),
+                HTTPHeaders({'Content-Length': '0'}),
+            )
+            connection.finish()
+
+    def _status(self, request: HTTPServerRequest) -> HTTPStatus:
+        if request.path != self._path:
+            return HTTPStatus.NOT_FOUND
+        if request.method != 'GET':
+            return HTTPStatus.METHOD_NOT_ALLOWED
         if self._is_ready():
-            self.set_status(HTTPStatus.OK)
-        else:
-            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
+            return HTTPStatus.OK
+        return HTTPStatus.SERVICE_UNAVAILABLE
 
 
-def build_ready_application(
-    path: str, is_ready: Callable[[], bool]
-) -> Application:
-    """Return the HTTP application of the ready address."""
-    return Application([(path, ReadyHandler, {'is_ready': is_ready})])
+def build_ready_server(path: str, is_ready: Callable[[], bool]) -> HTTPServer:
+    """Return the HTTP server of the ready address."""
+    return HTTPServer(ReadyAnswers(path, is_ready))
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -12,7 +12,7 @@
 from mimosapond.entry.platform_host import HostParts, PlatformHost
 from mimosapond.entry.reachability import Reachability
 from mimosapond.entry.rotation import Rotation
-from mimosapond.entry.ready_server import build_ready_application
+from mimosapond.entry.ready_server import build_ready_server
 from mimosapond.failover.departures import Departures
 from mimosapond.failover.primary_change import PrimaryChange
 from mimosapond.failover.promotion_call import PromotionCall
@@ -67,7 +67,7 @@
         """Return the host, with its listeners open."""
         host = PlatformHost(self._host_parts(), self._settings.stop_grace_s)
         ready_ip, ready_port = _split(self._settings.ready_address)
-        build_ready_application(_READY_PATH, host.answer_balancer).listen(
+        build_ready_server(_READY_PATH, host.answer_balancer).listen(
             ready_port, ready_ip
         )
         caller_ip, caller_port = _split(self._settings.caller_address)
--- a/mimosapond/platform/daemon.py
+++ b/mimosapond/platform/daemon.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from mimosapond.entry.host_settings import HostSettings, load_host_settings
+from mimosapond.file_problem import InvalidFile
 from mimosapond.log_setup import JsonLineSink, set_up_library_logging
 from mimosapond.platform.composition import PlatformComposition
 
@@ -32,8 +33,9 @@
     """Serve until SIGTERM; return the exit code."""
     path = os.environ.get(_SETTINGS_VARIABLE, _SETTINGS_PATH)
     settings = load_host_settings(pathlib.Path(path))
-    if isinstance(settings, str):
-        sys.stderr.write(f'{settings}\nremedy: Correct the settings file.\n')
+    if isinstance(settings, InvalidFile):
+        for problem in settings.problems:
+            sys.stderr.write(f'{path}: {problem}\n')
         return _BAD_SETTINGS
     logger.remove()
     logger.add(
