Pass work on to hosts that reach a primary

Cause: a primary that was cut off from some hosts (primary_cut) was replaced, although others reached it; hosts that were cut off with it refused everything.

Change: hosts announce themselves in the store and listen for each other (HTTP with JSON). A host without a way to a primary asks four hosts, of as many data centres as possible; one that has proven the primary gives its position and carries out single writes and transactions. A primary that another host reaches is not replaced. Work is passed on once only. Moments travel as ages, so a read never gets an older position.

Ruled out: a tunnel for each connection (it would need as many connections at the members), and fewer connections in normal service (a transaction that rests would block its host's other work at the member).

--- a/features/group_builders.py
+++ b/features/group_builders.py
@@ -1,6 +1,6 @@
 """Builders of groups, routes and sessions for tests."""
 
-from typing import final
+from typing import Final, final
 
 import attrs
 
@@ -21,9 +21,11 @@
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.member_record import MemberRecord
 from mimosapond.routing.member_choice import MemberChoice
+from mimosapond.routing.primary_path import PrimaryPaths
 from mimosapond.routing.primary_probe import PrimaryProbe
 from mimosapond.routing.read_positions import ReadPositions
 from mimosapond.routing.read_router import ReadRouter
+from mimosapond.routing.relay_port import NoRelays, RelayFinder
 from mimosapond.routing.write_router import WriteRouter
 from mimosapond.sessions.session import Session, SessionServices
 from mimosapond.sessions.transaction import TransactionRouting
@@ -33,6 +35,7 @@
 CENTRE = 'centre-a'
 LEAVING_LIMIT_S = 0.1
 DRAIN_S = 7
+_NO_RELAYS: Final = NoRelays()
 
 
 def build_route(
@@ -98,7 +101,9 @@
 
 
 def build_world(
-    route: Route | None = None, idle_ms: float = 3000
+    route: Route | None = None,
+    idle_ms: float = 3000,
+    relays: RelayFinder = _NO_RELAYS,
 ) -> GroupWorld:
     """Build a group of a primary ``p`` and the replicas ``a`` and ``b``."""
     fakes = {name: FakeMember(name) for name in ('p', 'a', 'b')}
@@ -110,7 +115,7 @@
     directory.is_current = True
     active = ActiveConfiguration()
     active.put_in_force(configuration)
-    probe = PrimaryProbe(boot_time_s)
+    probe = PrimaryProbe(boot_time_s, relays)
     duties = FakeDuties()
     promotions = FakePromotions(fakes)
     return GroupWorld(
@@ -126,19 +131,25 @@
             Departures(directory, DRAIN_S, boot_time_s),
             boot_time_s,
         ),
-        services=_build_services(active, directory, probe),
+        services=_build_services(active, directory, probe, relays),
     )
 
 
 def _build_services(
-    active: ActiveConfiguration, directory: GroupDirectory, probe: PrimaryProbe
+    active: ActiveConfiguration,
+    directory: GroupDirectory,
+    probe: PrimaryProbe,
+    relays: RelayFinder,
 ) -> SessionServices:
     positions = ReadPositions(probe, boot_time_s)
     choice = MemberChoice(CENTRE, boot_time_s)
-    writes = WriteRouter(boot_time_s, LEAVING_LIMIT_S)
+    paths = PrimaryPaths(relays, boot_time_s, LEAVING_LIMIT_S)
+    writes = WriteRouter(paths, boot_time_s)
     return SessionServices(
         configuration=active,
         directory=directory,
         reads=ReadRouter(positions, choice, boot_time_s),
-        routing=TransactionRouting(positions, choice, writes, boot_time_s),
+        routing=TransactionRouting(
+            positions, choice, paths, writes, boot_time_s
+        ),
     )
--- a/features/product_builders.py
+++ b/features/product_builders.py
@@ -30,6 +30,7 @@
     'data_centre: kig-a',
     'caller_address: 127.0.0.1:17001',
     'ready_address: 127.0.0.1:17002',
+    'peer_address: 127.0.0.1:17003',
     'store_address: 127.0.0.1:17090',
     'promotion_address: 127.0.0.1:17091',
 )
--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -25,6 +25,7 @@
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.pooled_connection import PooledConnection
+from mimosapond.routing.relay_port import NoRelays
 
 _MS_PER_S = 1000
 _BORROW_S = 0.5
@@ -188,7 +189,13 @@
     if hanging:
         await _hang(world, hanging)
     task = asyncio.create_task(
-        PrimaryWatch(world.group, world.probe, world.change, boot_time_s).run()
+        PrimaryWatch(
+            world.group,
+            world.probe,
+            world.change,
+            NoRelays(),
+            boot_time_s,
+        ).run()
     )
     await asyncio.sleep(duration_s)
     task.cancel()
--- a/mimosapond/entry/host_settings.py
+++ b/mimosapond/entry/host_settings.py
@@ -34,6 +34,7 @@
     'data_centre',
     'caller_address',
     'ready_address',
+    'peer_address',
     'store_address',
     'promotion_address',
 )
@@ -43,6 +44,7 @@
         'data_centre': NameRule(),
         'caller_address': AddressRule(),
         'ready_address': AddressRule(),
+        'peer_address': AddressRule(),
         'store_address': AddressRule(),
         'promotion_address': AddressRule(),
         'stop_grace_s': NumberRule(0.1, _HOUR_S),
@@ -59,8 +61,10 @@
 
     Parameters
     ----------
-    caller_address, ready_address, store_address, promotion_address
-        ``ip:port``.
+    caller_address, ready_address, peer_address
+        ``ip:port`` of the listeners for callers, balancer and other hosts.
+    store_address, promotion_address
+        ``ip:port`` of the platform's services.
     stop_grace_s
         From the signal to stop until the process is killed.
     member_drain_ms
@@ -71,6 +75,7 @@
     data_centre: str
     caller_address: str
     ready_address: str
+    peer_address: str
     store_address: str
     promotion_address: str
     stop_grace_s: float = 6.0
--- a/mimosapond/entry/platform_host.py
+++ b/mimosapond/entry/platform_host.py
@@ -20,7 +20,10 @@
 from mimosapond.failover.reserved_duties import ReservedDuties
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.registration_follower import RegistrationFollower
+from mimosapond.peers.peer_desk import PeerDesk
+from mimosapond.peers.peer_follower import PeerFollower
 from mimosapond.routing.primary_probe import PrimaryProbe
+from mimosapond.routing.relay_port import RelayFinder
 
 # Callers that the balancer sent just before it took the host out.
 _LAST_CALLERS_S: Final = 0.3
@@ -38,8 +41,11 @@
     directory: GroupDirectory
     configuration_follower: ConfigurationFollower
     registration_follower: RegistrationFollower
+    peer_follower: PeerFollower
     desk: CallerDesk
+    peer_desk: PeerDesk
     probe: PrimaryProbe
+    relays: RelayFinder
     duties: ReservedDuties
     change: PrimaryChange
     reachability: Reachability
@@ -78,6 +84,7 @@
         self._start('configuration', self._parts.configuration_follower.run())
         self._start('registrations', self._parts.registration_follower.run())
         self._start('duties', self._parts.duties.run())
+        self._start('peers', self._parts.peer_follower.run())
         stopping = asyncio.create_task(self._stop.wait())
         while not self._stop.is_set():
             self._watch_groups()
@@ -116,6 +123,7 @@
                     group,
                     self._parts.probe,
                     self._parts.change,
+                    self._parts.relays,
                     self._parts.now,
                 )
                 self._start(group.name, watch.run())
@@ -127,8 +135,10 @@
         end_s = now() + self._stop_grace_s - _END_MARGIN_S
         last_caller_s = now() + _LAST_CALLERS_S
         rotation.note_state(is_ready=False)
+        self._parts.peer_desk.turns_away = True
         while now() < end_s:
-            if not rotation.is_out or desk.session_count:
+            is_busy = desk.session_count or self._parts.peer_desk.open_count
+            if is_busy or not rotation.is_out:
                 last_caller_s = now() + _LAST_CALLERS_S
             if rotation.is_out:
                 desk.end_sessions()
--- a/mimosapond/failover/primary_watch.py
+++ b/mimosapond/failover/primary_watch.py
@@ -13,9 +13,12 @@
 from mimosapond.groups.group import Group
 from mimosapond.groups.member import Member
 from mimosapond.routing.primary_probe import PrimaryProbe, ProbeResult
+from mimosapond.routing.relay_port import RelayFinder
 
 _TICK_S: Final = 0.1
 _SEARCH_PAUSE_S: Final = 0.04
+# Between two searches while another host reaches the primary.
+_RELAYED_PAUSE_S: Final = 0.25
 # Silence of a primary that has requests under way before it is probed.
 _SILENT_S: Final = 0.2
 # An empty transaction waits for no slot, so an answer takes a few milliseconds.
@@ -50,12 +53,14 @@
         group: Group,
         probe: PrimaryProbe,
         change: PrimaryChange,
+        relays: RelayFinder,
         now: Now,
     ) -> None:
-        """Take the group to follow."""
+        """Take the group to follow, and who may reach its primary."""
         self._group = group
         self._probe = probe
         self._change = change
+        self._relays = relays
         self._now = now
         self._lost_since_s: float | None = None
         self._change_pause_s = _CHANGE_PAUSE_S
@@ -156,14 +161,19 @@
             for member in group.members.values()
             if member.unlisted_since_s is None
         ]
-        results = await ask_all(
-            listed, lambda member: self._probe.ask(group, member)
+        results, relay = await asyncio.gather(
+            ask_all(listed, lambda member: self._probe.ask(group, member)),
+            self._relays.find(group),
         )
         if group.primary is not None:
             return
         is_lost = self._now() - self._lost_since_s > _LOST_AFTER_S
         # A crowded member may be the primary.
         is_crowded = ProbeResult.crowded in results.values()
+        if relay is not None:
+            # The primary leads on; only this host does not reach it.
+            await asyncio.sleep(_RELAYED_PAUSE_S)
+            return
         if listed and is_lost and not is_crowded:
             await self._attempt(self._change.replace_lost(group))
         await asyncio.sleep(_SEARCH_PAUSE_S if listed else _TICK_S)
--- a/mimosapond/groups/group.py
+++ b/mimosapond/groups/group.py
@@ -12,7 +12,6 @@
 # The detection of a lost primary and its replacement take this long at most,
 # if they succeed at once. Later, callers are refused without delay.
 _CHANGE_S: Final = 2.5
-_MIN_WAIT_S: Final = 0.02
 
 
 @final
@@ -27,13 +26,13 @@
         self.proven_s = created_s
         self.doubt = asyncio.Event()
         self._primary: Member | None = None
-        self._last_proven: Member | None = None
+        self._last_proven_id = ''
         self._proven = asyncio.Event()
 
     @property
     def was_proven(self) -> bool:
         """Whether this host has seen any primary."""
-        return self._last_proven is not None
+        return bool(self._last_proven_id)
 
     @property
     def is_majority_unreachable(self) -> bool:
@@ -59,22 +58,39 @@
         The newest request decides: the term of a position is that of the last
         commit, so it does not tell an earlier primary from a later one.
         """
-        is_new = self._last_proven is not member
+        is_new = self._last_proven_id != member.member_id
         if position is None or (is_new and asked_s < self.proven_s):
             return
-        if is_new:
+        if self._primary is not member:
             logger.bind(
                 group=self.name, member=member.member_id, at=str(position)
             ).info('primary_found')
+        if is_new:
             # Its log may lack commits of the former one that were never
             # acknowledged; no member would reach their positions.
             self.observations.clear()
         self.proven_s = max(asked_s, self.proven_s)
         self.observations.add(asked_s, position)
-        self._last_proven = member
+        self._last_proven_id = member.member_id
         self._primary = member
         self._proven.set()
 
+    def note_relayed(
+        self, member_id: str, asked_s: float, position: LogPosition
+    ) -> None:
+        """Record what another host learned from a primary that it reaches.
+
+        The member need not be in reach of this host, or known to it.
+        """
+        is_new = self._last_proven_id != member_id
+        if is_new and asked_s < self.proven_s:
+            return
+        if is_new:
+            self.observations.clear()
+        self._last_proven_id = member_id
+        self.proven_s = max(asked_s, self.proven_s)
+        self.observations.add(asked_s, position)
+
     def doubt_primary(self, member: Member, reason: str) -> None:
         """Record that a member may lead no longer."""
         if self._primary is member:
@@ -90,13 +106,11 @@
 
         Without a majority in reach, none can be made or noticed here.
         """
+        if self._primary is not None:
+            return _CHANGE_S
         if self.is_majority_unreachable:
             return 0
-        return max(self.proven_s + _CHANGE_S - now_s, _MIN_WAIT_S)
-
-    def is_overdue(self, now_s: float) -> bool:
-        """Return whether a change of primary takes longer than usual."""
-        return now_s - self.proven_s > _CHANGE_S
+        return max(self.proven_s + _CHANGE_S - now_s, 0)
 
     async def await_primary(self, limit_s: float) -> Member | None:
         """Return the primary, waiting while it is in doubt."""
--- /dev/null
+++ b/mimosapond/peers/peer_desk.py
@@ -0,0 +1,138 @@
+"""Work that this host carries out for other hosts."""
+
+import asyncio
+import contextlib
+from collections.abc import Iterator
+from typing import Final, final
+
+import attrs
+from loguru import logger
+
+from mimosapond.configuration.active_configuration import ActiveConfiguration
+from mimosapond.groups.group_directory import GroupDirectory
+from mimosapond.groups.log_position import LogPosition
+from mimosapond.peers.peer_client import PrimaryNews
+from mimosapond.routing import failures
+from mimosapond.routing.primary_probe import PrimaryProbe, ProbeResult
+from mimosapond.routing.relay_port import Relayed
+from mimosapond.routing.work import Work
+from mimosapond.sessions.transaction import Transaction, TransactionRouting
+from mimosapond.statements.reply import Failure
+from mimosapond.statements.statement import Begin
+
+_MS_PER_S: Final = 1000
+# The other host ends a transaction that rests too long; if it is lost, this
+# host does so a little later.
+_IDLE_SLACK_S: Final = 1.0
+
+
+@final
+@attrs.frozen
+class PeerServices:
+    """What the desk uses; its routing passes nothing on to other hosts."""
+
+    configuration: ActiveConfiguration
+    directory: GroupDirectory
+    probe: PrimaryProbe
+    routing: TransactionRouting
+
+
+@final
+@attrs.define(eq=False)
+class _Open:
+    transaction: Transaction
+    timer: asyncio.TimerHandle | None = None
+
+
+@final
+class PeerDesk:
+    """Carries out single writes and keeps transactions by their key."""
+
+    def __init__(self, services: PeerServices) -> None:
+        """Start without work."""
+        self._services = services
+        self._open: dict[str, _Open] = {}
+        self._running_count = 0
+        # Whether other hosts should look elsewhere, as this one stops.
+        self.turns_away = False
+
+    @property
+    def open_count(self) -> int:
+        """Requests under way and transactions that have not ended."""
+        return len(self._open) + self._running_count
+
+    async def find_primary(self, name: str) -> PrimaryNews | None:
+        """Probe the primary of a group; None if it is not reached."""
+        group = self._services.directory.groups.get(name)
+        if group is None or group.primary is None or self.turns_away:
+            return None
+        primary = group.primary
+        result = await self._services.probe.ask(group, primary)
+        newest = group.observations.newest
+        if result is not ProbeResult.leads or newest is None:
+            return None
+        return PrimaryNews(primary.member_id, newest.position)
+
+    async def write(self, work: Work) -> Relayed:
+        """Carry out a single write."""
+        with self._running():
+            reply, position = await self._services.routing.writes.run(work)
+        return Relayed(reply, position)
+
+    async def run_in(
+        self, key: str, begin: Begin, work: Work, *, is_first: bool
+    ) -> Relayed:
+        """Run a statement of a transaction; the first one opens it."""
+        if is_first:
+            self._open[key] = _Open(Transaction(begin, self._services.routing))
+        entry = self._open.get(key)
+        if entry is None:
+            return Relayed(failures.ROLLED_BACK, None)
+        self._stop_timer(entry)
+        with self._running():
+            reply = await entry.transaction.run(work)
+        if isinstance(reply, Failure):
+            self.roll_back(key)
+        else:
+            self._start_timer(key, entry)
+        return Relayed(reply, None)
+
+    async def commit(self, key: str, work: Work) -> Relayed:
+        """End a transaction."""
+        entry = self._open.pop(key, None)
+        if entry is None:
+            return Relayed(failures.ROLLED_BACK, None)
+        self._stop_timer(entry)
+        with self._running():
+            reply, position = await entry.transaction.commit(work)
+        return Relayed(reply, position)
+
+    def roll_back(self, key: str) -> None:
+        """Roll a transaction back, if it is open."""
+        entry = self._open.pop(key, None)
+        if entry is not None:
+            self._stop_timer(entry)
+            entry.transaction.abandon()
+
+    def _start_timer(self, key: str, entry: _Open) -> None:
+        idle_ms = self._services.configuration.transaction_idle_ms
+        entry.timer = asyncio.get_running_loop().call_later(
+            idle_ms / _MS_PER_S + _IDLE_SLACK_S, self._expire, key
+        )
+
+    def _stop_timer(self, entry: _Open) -> None:
+        if entry.timer is not None:
+            entry.timer.cancel()
+            entry.timer = None
+
+    def _expire(self, key: str) -> None:
+        logger.bind(key=key).info('relayed_transaction_expired')
+        self.roll_back(key)
+
+    @contextlib.contextmanager
+    def _running(self) -> Iterator[None]:
+        self._running_count += 1
+        try:
+            yield
+        finally:
+            self._running_count -= 1
--- /dev/null
+++ b/mimosapond/peers/peer_directory.py
@@ -0,0 +1,54 @@
+"""The other hosts that this host knows."""
+
+import itertools
+import random
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import Final, final
+
+from mimosapond.boot_clock import Now
+from mimosapond.peers.peer import Peer
+
+# A peer that gave no answer is not asked again for this time.
+_AVOID_S: Final = 1.0
+
+
+@final
+class PeerDirectory:
+    """Peers by host name."""
+
+    def __init__(self, own: Peer, now: Now) -> None:
+        """Start without peers."""
+        self._own = own
+        self._now = now
+        self._peers: dict[str, Peer] = {}
+        self._failed_s: dict[str, float] = {}
+
+    def update(self, peers: Iterable[Peer]) -> None:
+        """Take over the hosts that announced themselves."""
+        self._peers = {
+            peer.host: peer for peer in peers if peer.host != self._own.host
+        }
+
+    def note_failure(self, peer: Peer) -> None:
+        """Note that a peer gave no answer."""
+        self._failed_s[peer.host] = self._now()
+
+    def choose(self, count: int) -> list[Peer]:
+        """Return some peers, from as many data centres as possible.
+
+        The peers of one data centre may all be cut off, together with this
+        host or by themselves.
+        """
+        places: dict[str, list[Peer]] = defaultdict(list)
+        for peer in self._peers.values():
+            failed_s = self._failed_s.get(peer.host, -_AVOID_S)
+            if self._now() - failed_s >= _AVOID_S:
+                places[peer.data_centre].append(peer)
+        for peers in places.values():
+            random.shuffle(peers)
+        by_place = random.sample(list(places.values()), len(places))
+        in_turn = itertools.chain.from_iterable(
+            itertools.zip_longest(*by_place),
+        )
+        return [peer for peer in in_turn if peer is not None][:count]
--- /dev/null
+++ b/mimosapond/peers/peer_follower.py
@@ -0,0 +1,48 @@
+"""Announces this host and keeps the directory of peers up."""
+
+import asyncio
+from typing import Final, final
+
+from loguru import logger
+
+from mimosapond.peers.peer import Peer
+from mimosapond.peers.peer_directory import PeerDirectory
+from mimosapond.peers.peer_source import PeerSource, PeersUnavailable
+
+# Peers are of use only if they have been up for some time, so a new one may
+# be learned late.
+PERIOD_S: Final = 10.0
+_RETRY_S: Final = 1.0
+
+
+@final
+class PeerFollower:
+    """Announces and reads at intervals."""
+
+    def __init__(
+        self, own: Peer, source: PeerSource, directory: PeerDirectory
+    ) -> None:
+        """Take where to announce and what to keep up."""
+        self._own = own
+        self._source = source
+        self._directory = directory
+        self._is_connected = True
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            found = await self._source.announce(self._own)
+            if isinstance(found, PeersUnavailable):
+                self._note_connection(is_connected=False, reason=found.reason)
+                await asyncio.sleep(_RETRY_S)
+                continue
+            self._note_connection(is_connected=True, reason='')
+            self._directory.update(found.peers)
+            await asyncio.sleep(PERIOD_S)
+
+    def _note_connection(self, *, is_connected: bool, reason: str) -> None:
+        if is_connected != self._is_connected:
+            self._is_connected = is_connected
+            logger.bind(is_connected=is_connected, reason=reason).warning(
+                'peer_source',
+            )
--- /dev/null
+++ b/mimosapond/peers/peer_paths.py
@@ -0,0 +1,9 @@
+"""Paths of the requests between hosts."""
+
+from typing import Final
+
+PRIMARY: Final = '/v1/primary'
+WRITES: Final = '/v1/writes'
+TRANSACTIONS: Final = '/v1/transactions'
+COMMITS: Final = '/v1/commits'
+ROLLBACKS: Final = '/v1/rollbacks'
--- /dev/null
+++ b/mimosapond/peers/peer_relay.py
@@ -0,0 +1,113 @@
+"""Work that a peer carries out at a primary."""
+
+import asyncio
+import itertools
+from typing import Final, Protocol, final
+
+from mimosapond.peers.peer import Peer
+from mimosapond.peers.peer_client import PeerClient
+from mimosapond.routing.relay_port import (
+    Relayed,
+    RelayedTransaction,
+    RelayLost,
+    RelayOutcome,
+)
+from mimosapond.routing.work import Work
+from mimosapond.statements.reply import Success
+from mimosapond.statements.statement import Begin
+
+_NUMBERS: Final = itertools.count(1)
+
+
+class _Forgets(Protocol):
+    def forget(self, group: str) -> None:
+        """Have peers asked again, as the known one failed."""
+
+
+@final
+class PeerRelay:
+    """One peer that has proven the primary; see ``Relay``."""
+
+    def __init__(
+        self, peer: Peer, client: PeerClient, finder: _Forgets
+    ) -> None:
+        """Take the peer and what to tell of its failure."""
+        self._peer = peer
+        self._client = client
+        self._finder = finder
+
+    def __str__(self) -> str:
+        """Return the name of the host."""
+        return self._peer.host
+
+    async def write(self, work: Work) -> RelayOutcome:
+        """Have a single write carried out."""
+        return self._judge(work, await self._client.write(self._peer, work))
+
+    def open(self, begin: Begin) -> RelayedTransaction:
+        """Return a transaction, which begins with its first statement."""
+        return _PeerTransaction(self, begin)
+
+    async def run_in(
+        self, key: str, begin: Begin, work: Work, *, is_first: bool
+    ) -> RelayOutcome:
+        """Run a statement of a transaction."""
+        outcome = await self._client.run_in(
+            self._peer, key, begin, work, is_first=is_first
+        )
+        return self._judge(work, outcome)
+
+    async def commit(self, key: str, work: Work) -> RelayOutcome:
+        """End a transaction."""
+        outcome = await self._client.commit(self._peer, key, work)
+        return self._judge(work, outcome)
+
+    async def roll_back(self, key: str) -> None:
+        """Have a transaction rolled back; an idle one ends by itself."""
+        await self._client.roll_back(self._peer, key)
+
+    def _judge(self, work: Work, outcome: RelayOutcome) -> RelayOutcome:
+        if isinstance(outcome, RelayLost):
+            self._finder.forget(work.group.name)
+        return outcome
+
+
+@final
+class _PeerTransaction:
+    """See ``RelayedTransaction``."""
+
+    def __init__(self, relay: PeerRelay, begin: Begin) -> None:
+        self._relay = relay
+        self._begin = begin
+        self._key = f'{id(self):x}-{next(_NUMBERS)}'
+        self._is_open = False
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, work: Work) -> RelayOutcome:
+        is_first = not self._is_open
+        self._is_open = True
+        outcome = await self._relay.run_in(
+            self._key, self._begin, work, is_first=is_first
+        )
+        match outcome:
+            case Relayed(reply=Success()):
+                return outcome
+            case RelayLost():
+                self.abandon()
+            case _:
+                # The peer has rolled it back.
+                self._is_open = False
+        return outcome
+
+    async def commit(self, work: Work) -> RelayOutcome:
+        outcome = await self._relay.commit(self._key, work)
+        if isinstance(outcome, Relayed):
+            self._is_open = False
+        return outcome
+
+    def abandon(self) -> None:
+        if self._is_open:
+            self._is_open = False
+            task = asyncio.create_task(self._relay.roll_back(self._key))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/mimosapond/peers/primary_finder.py
@@ -0,0 +1,125 @@
+"""Finds hosts that reach a primary which this host does not reach."""
+
+import asyncio
+from typing import Final, final
+
+import attrs
+from loguru import logger
+
+from mimosapond.boot_clock import Now
+from mimosapond.groups.group import Group
+from mimosapond.peers.peer import Peer
+from mimosapond.peers.peer_client import PeerClient, PrimaryNews
+from mimosapond.peers.peer_directory import PeerDirectory
+from mimosapond.peers.peer_relay import PeerRelay
+from mimosapond.routing.relay_port import Relay
+
+_ASKED_COUNT: Final = 4
+# A peer probes the primary before it answers.
+_ASK_LIMIT_S: Final = 0.2
+# How long a peer that reached the primary is used without asking again.
+_KEEP_S: Final = 0.4
+# How long nobody is asked after no peer reached it.
+_PAUSE_S: Final = 0.15
+
+
+@final
+@attrs.frozen
+class _Found:
+    relay: Relay | None
+    until_s: float
+
+
+@final
+class PrimaryFinder:
+    """Asks some peers at the same time; see ``RelayFinder``."""
+
+    def __init__(
+        self, directory: PeerDirectory, client: PeerClient, now: Now
+    ) -> None:
+        """Take the peers and the way to ask them."""
+        self._directory = directory
+        self._client = client
+        self._now = now
+        self._found: dict[str, _Found] = {}
+        self._under_way: dict[str, asyncio.Task[Relay | None]] = {}
+
+    async def find(self, group: Group) -> Relay | None:
+        """Return a peer that reached the primary lately."""
+        found = self._found.get(group.name)
+        if found is not None and self._now() < found.until_s:
+            return found.relay
+        task = self._under_way.get(group.name)
+        return await (self._start(group) if task is None else _wait(task))
+
+    async def refresh(self, group: Group) -> Relay | None:
+        """Return a peer that reached the primary after this call."""
+        found = self._found.get(group.name)
+        if found is not None and found.relay is None:
+            if self._now() < found.until_s:
+                return None
+        task = self._under_way.get(group.name)
+        if task is not None:
+            await _wait(task)
+        task = self._under_way.get(group.name)
+        return await (self._start(group) if task is None else _wait(task))
+
+    def forget(self, group: str) -> None:
+        """Have peers asked again, as the known one failed."""
+        self._found.pop(group, None)
+
+    async def _start(self, group: Group) -> Relay | None:
+        task = asyncio.create_task(self._ask(group))
+        self._under_way[group.name] = task
+        task.add_done_callback(lambda _: self._under_way.pop(group.name, None))
+        return await _wait(task)
+
+    async def _ask(self, group: Group) -> Relay | None:
+        asked_s = self._now()
+        peers = self._directory.choose(_ASKED_COUNT)
+        tasks = {
+            asyncio.create_task(
+                self._client.ask_primary(peer, group.name, _ASK_LIMIT_S),
+            ): peer
+            for peer in peers
+        }
+        relay = await self._first(group, asked_s, tasks)
+        before = self._found.get(group.name)
+        if (before is not None and before.relay is not None) != bool(relay):
+            logger.bind(
+                group=group.name,
+                asked=[peer.host for peer in peers],
+                relay=str(relay) if relay else '',
+            ).info('relay_sought')
+        keep_s = _PAUSE_S if relay is None else _KEEP_S
+        self._found[group.name] = _Found(relay, self._now() + keep_s)
+        return relay
+
+    async def _first(
+        self,
+        group: Group,
+        asked_s: float,
+        tasks: dict[asyncio.Task[PrimaryNews | None], Peer],
+    ) -> Relay | None:
+        pending = set(tasks)
+        while pending:
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                news = task.result()
+                if news is not None:
+                    group.note_relayed(news.member_id, asked_s, news.position)
+                    _cancel(pending)
+                    return PeerRelay(tasks[task], self._client, self)
+        return None
+
+
+def _cancel(tasks: set[asyncio.Task[PrimaryNews | None]]) -> None:
+    for task in tasks:
+        task.cancel()
+
+
+async def _wait(task: asyncio.Task[Relay | None]) -> Relay | None:
+    """Wait for a question that others wait for as well."""
+    return await asyncio.shield(task)
--- /dev/null
+++ b/mimosapond/peers/work_codec.py
@@ -0,0 +1,150 @@
+"""JSON bodies of the requests between hosts.
+
+Clocks of hosts differ, so moments are sent as ages. An age that was measured
+before the way to the other host makes the other host wait for a newer
+position, never for an older one.
+"""
+
+from collections.abc import Mapping
+from typing import Any, Final
+
+from mimosapond.configuration.route import Freshness, Route
+from mimosapond.groups.group_directory import GroupDirectory
+from mimosapond.groups.log_position import LogPosition
+from mimosapond.routing.definitions import Definitions
+from mimosapond.routing.relay_port import Relayed
+from mimosapond.routing.work import Access, Prepared, SessionFloor, Work
+from mimosapond.statements.reply import Failure, FailureKind, Reply, Success
+from mimosapond.statements.statement import Direct, Shape
+
+_MS_PER_S: Final = 1000
+
+
+def encode_work(work: Work, now_s: float) -> dict[str, Any]:
+    """Return the body for a piece of work."""
+    return {
+        'request_id': work.request_id,
+        'access': _encode_access(work.access),
+        'values': work.definitions.values,
+        'route': {
+            'database': work.route.database,
+            'group': work.route.group,
+            'freshness': work.route.freshness.value,
+            'max_age_ms': work.route.max_age_ms,
+            'statement_timeout_ms': work.route.statement_timeout_ms,
+            'priority': work.route.priority,
+        },
+        'remaining_ms': (work.deadline_s - now_s) * _MS_PER_S,
+        'floor': _encode_floor(work.floor, now_s),
+    }
+
+
+def decode_work(
+    body: Mapping[str, Any], directory: GroupDirectory, now_s: float
+) -> Work:
+    """Return the work of a body.
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError
+        The body is no work.
+    """
+    route = Route(
+        **{
+            **body['route'],
+            'freshness': Freshness(body['route']['freshness']),
+        },
+    )
+    return Work(
+        request_id=str(body['request_id']),
+        access=_decode_access(body['access']),
+        definitions=Definitions(values=dict(body['values'])),
+        route=route,
+        group=directory.find(route.group),
+        arrived_s=now_s,
+        deadline_s=now_s + body['remaining_ms'] / _MS_PER_S,
+        floor=_decode_floor(body['floor'], now_s),
+    )
+
+
+def encode_outcome(
+    reply: Reply, position: LogPosition | None
+) -> dict[str, Any]:
+    """Return the body for a reply."""
+    match reply:
+        case Success(rows=rows, signature=signature):
+            body: dict[str, Any] = {'rows': rows, 'signature': signature}
+        case Failure(kind=kind, text=text):
+            body = {'failure': kind.value, 'text': text}
+    return {**body, 'position': encode_position(position)}
+
+
+def decode_outcome(body: Mapping[str, Any]) -> Relayed:
+    """Return the reply of a body.
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError
+        The body is no reply.
+    """
+    position = decode_position(body['position'])
+    if 'failure' in body:
+        kind = FailureKind(body['failure'])
+        return Relayed(Failure(kind, str(body['text'])), position)
+    rows = tuple(str(row) for row in body['rows'])
+    return Relayed(Success(rows, str(body['signature'])), position)
+
+
+def encode_position(position: LogPosition | None) -> list[int] | None:
+    """Return term and number."""
+    return None if position is None else [position.term, position.number]
+
+
+def decode_position(content: list[int] | None) -> LogPosition | None:
+    """Return the position of term and number."""
+    if content is None:
+        return None
+    term, number = content
+    return LogPosition(int(term), int(number))
+
+
+def _encode_access(access: Access) -> dict[str, Any]:
+    match access:
+        case Prepared(shape=shape, arguments=arguments):
+            return {
+                'shape': shape.text,
+                'arguments': arguments,
+                'is_write': shape.is_write,
+            }
+        case Direct(text=text, is_write=is_write):
+            return {'text': text, 'is_write': is_write}
+
+
+def _decode_access(body: Mapping[str, Any]) -> Access:
+    is_write = bool(body['is_write'])
+    if 'shape' in body:
+        shape = Shape(str(body['shape']), is_write=is_write)
+        return Prepared(shape, str(body['arguments']))
+    return Direct(str(body['text']), is_write=is_write)
+
+
+def _encode_floor(
+    floor: SessionFloor | None, now_s: float
+) -> dict[str, Any] | None:
+    if floor is None:
+        return None
+    return {
+        'position': encode_position(floor.position),
+        'age_ms': (now_s - floor.acknowledged_s) * _MS_PER_S,
+    }
+
+
+def _decode_floor(
+    body: Mapping[str, Any] | None, now_s: float
+) -> SessionFloor | None:
+    if body is None:
+        return None
+    position = decode_position(body['position'])
+    if position is None:
+        return None
+    return SessionFloor(position, now_s - body['age_ms'] / _MS_PER_S)
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -19,17 +19,27 @@
 from mimosapond.failover.reserved_duties import ReservedDuties
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.registration_follower import RegistrationFollower
+from mimosapond.peers.peer import Peer
+from mimosapond.peers.peer_client import PeerClient
+from mimosapond.peers.peer_desk import PeerDesk, PeerServices
+from mimosapond.peers.peer_directory import PeerDirectory
+from mimosapond.peers.peer_follower import PeerFollower
+from mimosapond.peers.peer_server import build_peer_server
+from mimosapond.peers.primary_finder import PrimaryFinder
 from mimosapond.platform.caller_link import CallerServer
 from mimosapond.platform.member_link import WireMemberDialer
 from mimosapond.platform.promotion_client import PromotionClient
 from mimosapond.platform.store_client import StoreClient
 from mimosapond.platform.store_configuration import StoreConfiguration
 from mimosapond.platform.store_duties import StoreDuties
+from mimosapond.platform.store_peers import StorePeers
 from mimosapond.platform.store_registrations import StoreRegistrations
 from mimosapond.routing.member_choice import MemberChoice
+from mimosapond.routing.primary_path import PrimaryPaths
 from mimosapond.routing.primary_probe import PrimaryProbe
 from mimosapond.routing.read_positions import ReadPositions
 from mimosapond.routing.read_router import ReadRouter
+from mimosapond.routing.relay_port import NoRelays, RelayFinder
 from mimosapond.routing.write_router import WriteRouter
 from mimosapond.sessions.session import SessionServices
 from mimosapond.sessions.transaction import TransactionRouting
@@ -57,11 +67,19 @@
         self._directory = GroupDirectory(
             WireMemberDialer(_CONNECT_LIMIT_S, _START_LIMIT_S), self._now
         )
-        self._probe = PrimaryProbe(self._now)
+        self._own = Peer(
+            settings.host, settings.peer_address, settings.data_centre
+        )
+        self._peers = PeerDirectory(self._own, self._now)
+        self._finder = PrimaryFinder(
+            self._peers, PeerClient(self._peers, self._now), self._now
+        )
+        self._probe = PrimaryProbe(self._now, self._finder)
         self._duties = ReservedDuties(
             StoreDuties(self._store, settings.host),
         )
         self._desk = CallerDesk(self._session_services())
+        self._peer_desk = PeerDesk(self._peer_services())
 
     def build_host(self) -> PlatformHost:
         """Return the host, with its listeners open."""
@@ -74,22 +92,43 @@
         CallerServer(self._desk).listen(
             caller_port, caller_ip, backlog=_BACKLOG_COUNT
         )
+        peer_ip, peer_port = _split(self._settings.peer_address)
+        build_peer_server(self._peer_desk, self._directory, self._now).listen(
+            peer_port, peer_ip
+        )
         return host
 
     def _session_services(self) -> SessionServices:
-        positions = ReadPositions(self._probe, self._now)
-        choice = MemberChoice(self._settings.data_centre, self._now)
+        routing = self._routing(self._probe, self._finder)
         return SessionServices(
             configuration=self._active,
             directory=self._directory,
-            reads=ReadRouter(positions, choice, self._now),
-            routing=TransactionRouting(
-                positions, choice, self._write_router(), self._now
-            ),
+            reads=ReadRouter(routing.positions, routing.choice, self._now),
+            routing=routing,
+        )
+
+    def _peer_services(self) -> PeerServices:
+        probe = PrimaryProbe(self._now, NoRelays())
+        return PeerServices(
+            configuration=self._active,
+            directory=self._directory,
+            probe=probe,
+            routing=self._routing(probe, NoRelays()),
         )
 
-    def _write_router(self) -> WriteRouter:
-        return WriteRouter(self._now, self._drain_s() - _DRAIN_MARGIN_S)
+    def _routing(
+        self, probe: PrimaryProbe, relays: RelayFinder
+    ) -> TransactionRouting:
+        paths = PrimaryPaths(
+            relays, self._now, self._drain_s() - _DRAIN_MARGIN_S
+        )
+        return TransactionRouting(
+            positions=ReadPositions(probe, self._now),
+            choice=MemberChoice(self._settings.data_centre, self._now),
+            paths=paths,
+            writes=WriteRouter(paths, self._now),
+            now=self._now,
+        )
 
     def _drain_s(self) -> float:
         return self._settings.member_drain_ms / _MS_PER_S
@@ -106,8 +145,13 @@
             registration_follower=RegistrationFollower(
                 StoreRegistrations(self._store), self._directory
             ),
+            peer_follower=PeerFollower(
+                self._own, StorePeers(self._store), self._peers
+            ),
             desk=self._desk,
+            peer_desk=self._peer_desk,
             probe=self._probe,
+            relays=self._finder,
             duties=self._duties,
             change=self._primary_change(),
             reachability=Reachability(self._directory, self._now),
--- /dev/null
+++ b/mimosapond/platform/store_peers.py
@@ -0,0 +1,70 @@
+"""Announcements of hosts, kept as rows of the platform's store."""
+
+import json
+from typing import Final, final
+
+from loguru import logger
+
+from mimosapond.peers.peer import Peer
+from mimosapond.peers.peer_follower import PERIOD_S
+from mimosapond.peers.peer_source import Peers, PeersUnavailable
+from mimosapond.platform.store_client import (
+    StoreClient,
+    StoredRow,
+    StoredRows,
+    Unavailable,
+)
+
+_TABLE: Final = 'mimosapond-hosts'
+_LIMIT_S: Final = 1.0
+_MS_PER_S: Final = 1000
+# A host that missed this many announcements is gone.
+_MISSED_COUNT: Final = 6
+_LAPSE_MS: Final = _MISSED_COUNT * PERIOD_S * _MS_PER_S
+_BODY_ERRORS: Final = (KeyError, TypeError, ValueError)
+
+
+@final
+class StorePeers:
+    """Source of peers; see ``PeerSource``."""
+
+    def __init__(self, store: StoreClient) -> None:
+        """Take the store."""
+        self._store = store
+
+    async def announce(self, own: Peer) -> Peers | PeersUnavailable:
+        """Announce this host and return all that did so lately."""
+        found = await self._store.read_table(_TABLE, _LIMIT_S)
+        if isinstance(found, Unavailable):
+            return PeersUnavailable(found.reason)
+        await self._write(own, found)
+        peers = [_decode(row, found.now_ms) for row in found.rows]
+        return Peers(tuple(peer for peer in peers if peer is not None))
+
+    async def _write(self, own: Peer, found: StoredRows) -> None:
+        content = json.dumps(
+            {
+                'address': own.address,
+                'data_centre': own.data_centre,
+                'announced_ms': found.now_ms,
+            },
+        )
+        versions = {row.key: row.version for row in found.rows}
+        version = versions.get(own.host, 0)
+        row = StoredRow(own.host, content.encode(), version)
+        written = await self._store.write_if(_TABLE, row, _LIMIT_S)
+        if not isinstance(written, StoredRows):
+            logger.bind(outcome=str(written)).warning('host_not_announced')
+
+
+def _decode(row: StoredRow, now_ms: int) -> Peer | None:
+    try:
+        body = json.loads(row.content or b'')
+        if now_ms - body['announced_ms'] > _LAPSE_MS:
+            return None
+        return Peer(row.key, str(body['address']), str(body['data_centre']))
+    except _BODY_ERRORS as error:
+        logger.bind(row=row.key, problem=repr(error)).warning(
+            'announcement_unreadable',
+        )
+        return None
--- /dev/null
+++ b/mimosapond/routing/primary_path.py
@@ -0,0 +1,107 @@
+"""The way to a primary: a connection of this host, or another host's."""
+
+from typing import Final, TypeAlias, final
+
+import attrs
+
+from mimosapond.boot_clock import Now
+from mimosapond.groups.member import Member
+from mimosapond.groups.pooled_connection import PooledConnection
+from mimosapond.routing import failures
+from mimosapond.routing.relay_port import Relay, RelayFinder
+from mimosapond.routing.work import Work
+from mimosapond.statements.reply import Failure
+
+# A request that cannot reach its member before its deadline is refused.
+_MARGIN_S: Final = 0.005
+# While the primary is in doubt, other hosts are asked again this often.
+_DOUBT_WAIT_S: Final = 0.1
+# A host without any connection to a crowded member tries others after this.
+_CROWDED_WAIT_S: Final = 0.2
+
+
+@final
+@attrs.frozen
+class LocalPath:
+    """A borrowed connection of this host to the primary."""
+
+    member: Member
+    connection: PooledConnection
+
+
+@final
+@attrs.frozen
+class RelayPath:
+    """Another host that reaches the primary."""
+
+    relay: Relay
+
+
+Path: TypeAlias = LocalPath | RelayPath | Failure
+
+
+@final
+class PrimaryPaths:
+    """Finds the way for one request."""
+
+    def __init__(
+        self, relays: RelayFinder, now: Now, leaving_limit_s: float
+    ) -> None:
+        """Take the other hosts and the clock of deadlines.
+
+        Parameters
+        ----------
+        leaving_limit_s
+            How long a primary that leaves and has not been replaced still
+            gets new work.
+        """
+        self._relays = relays
+        self._now = now
+        self._leaving_limit_s = leaving_limit_s
+
+    async def find(self, work: Work) -> Path:
+        """Return a way to the primary before the deadline."""
+        while True:
+            remaining_s = work.deadline_s - self._now() - _MARGIN_S
+            if remaining_s <= 0:
+                return failures.NO_CONNECTION
+            path = await self._try(work, remaining_s)
+            if path is not None:
+                return path
+
+    async def _try(self, work: Work, remaining_s: float) -> Path | None:
+        primary = work.group.primary
+        if primary is None:
+            return await self._await_primary(work, remaining_s)
+        if primary.leaving_s(self._now()) > self._leaving_limit_s:
+            return failures.NO_PRIMARY
+        wait_s = remaining_s
+        if not primary.pool.open_count:
+            wait_s = min(remaining_s, _CROWDED_WAIT_S)
+        connection = await primary.pool.borrow(
+            work.route.priority, wait_s, work.definitions.values
+        )
+        if isinstance(connection, PooledConnection):
+            return LocalPath(primary, connection)
+        if not connection.is_reachable:
+            work.group.doubt_primary(primary, connection.reason)
+            return None
+        return await self._find_relay(work)
+
+    async def _await_primary(
+        self, work: Work, remaining_s: float
+    ) -> Path | None:
+        relay = await self._find_relay(work)
+        if relay is not None:
+            return relay
+        patience_s = work.group.patience_s(self._now())
+        if patience_s <= 0:
+            return failures.NO_PRIMARY
+        await work.group.await_primary(
+            min(remaining_s, patience_s, _DOUBT_WAIT_S)
+        )
+        return None
+
+    async def _find_relay(self, work: Work) -> RelayPath | None:
+        relay = await self._relays.find(work.group)
+        return None if relay is None else RelayPath(relay)
--- a/mimosapond/routing/primary_probe.py
+++ b/mimosapond/routing/primary_probe.py
@@ -14,6 +14,7 @@
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_answer import Completed, Rejected, RejectionKind
 from mimosapond.groups.pooled_connection import PooledConnection
+from mimosapond.routing.relay_port import RelayFinder
 from mimosapond.statements.statement import Begin
 
 # More urgent than any statement.
@@ -36,9 +37,10 @@
 class PrimaryProbe:
     """Proves primaries and refreshes the positions that cover reads."""
 
-    def __init__(self, now: Now) -> None:
-        """Start without probes under way."""
+    def __init__(self, now: Now, relays: RelayFinder) -> None:
+        """Take the hosts that may reach a primary which this one does not."""
         self._now = now
+        self._relays = relays
         self._under_way: dict[str, asyncio.Task[None]] = {}
 
     async def refresh(self, group: Group, limit_s: float) -> None:
@@ -73,9 +75,17 @@
             member.pool.give_back(connection)
 
     async def _refresh(self, group: Group, limit_s: float) -> None:
-        primary = await group.await_primary(limit_s)
-        if primary is not None:
-            await self.ask(group, primary)
+        """Ask the primary, or another host that reaches it."""
+        if group.primary is None and await self._relays.refresh(group):
+            return
+        primary = await group.await_primary(
+            min(limit_s, group.patience_s(self._now()))
+        )
+        if primary is None:
+            return
+        result = await self.ask(group, primary)
+        if result is ProbeResult.crowded:
+            await self._relays.refresh(group)
 
     async def _ask_on(
         self,
--- a/mimosapond/routing/read_positions.py
+++ b/mimosapond/routing/read_positions.py
@@ -23,24 +23,18 @@
     async def find(self, work: Work) -> LogPosition | None:
         """Return the position to wait for; None if none is known in time."""
         moment_s = work.arrived_s - _allowed_age_s(work.route)
-        position = work.group.observations.covering(moment_s)
+        group = work.group
+        position = group.observations.covering(moment_s)
         while position is None:
-            limit_s = min(
-                work.deadline_s - self._now(),
-                work.group.patience_s(self._now()),
-            )
-            if limit_s <= 0:
+            remaining_s = work.deadline_s - self._now()
+            if remaining_s <= 0:
                 return None
-            await self._probe.refresh(work.group, limit_s)
-            position = work.group.observations.covering(moment_s)
-            if position is None and self._is_hopeless(work):
+            await self._probe.refresh(group, remaining_s)
+            position = group.observations.covering(moment_s)
+            if position is None and group.patience_s(self._now()) <= 0:
                 return None
         return max(position, _floor(work) or position)
 
-    def _is_hopeless(self, work: Work) -> bool:
-        group = work.group
-        return group.primary is None and group.is_overdue(self._now())
-
 
 def _allowed_age_s(route: Route) -> float:
     if route.freshness is Freshness.latest:
--- a/mimosapond/sessions/transaction.py
+++ b/mimosapond/sessions/transaction.py
@@ -20,17 +20,27 @@
 )
 from mimosapond.groups.pooled_connection import PooledConnection
 from mimosapond.routing.member_choice import MemberChoice
-from mimosapond.routing.read_positions import ReadPositions
-from mimosapond.routing.write_router import BUSY_PAUSE_S, WriteRouter
 from mimosapond.routing import failures
-from mimosapond.statements.reply import Failure, Reply, SessionState, Success
-from mimosapond.statements.statement import Begin, Commit
+from mimosapond.routing.primary_path import (
+    LocalPath,
+    PrimaryPaths,
+    RelayPath,
+)
+from mimosapond.routing.read_positions import ReadPositions
+from mimosapond.routing.relay_port import (
+    Relayed,
+    RelayedTransaction,
+    RelayLost,
+)
 from mimosapond.routing.statement_runner import (
     RestoreFailed,
     restore_values,
     run_work,
 )
 from mimosapond.routing.work import Work
+from mimosapond.routing.write_router import BUSY_PAUSE_S, WriteRouter
+from mimosapond.statements.reply import Failure, Reply, SessionState, Success
+from mimosapond.statements.statement import Begin, Commit
 
 _BORROW_S: Final = 0.2
 _ROLLBACK_LIMIT_S: Final = 1.0
@@ -43,6 +53,7 @@
 
     positions: ReadPositions
     choice: MemberChoice
+    paths: PrimaryPaths
     writes: WriteRouter
     now: Now
 
@@ -61,6 +72,7 @@
         self._routing = routing
         self._member: Member | None = None
         self._connection: PooledConnection | None = None
+        self._relayed: RelayedTransaction | None = None
         self._has_run = False
         self._has_written = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -68,71 +80,144 @@
     async def run(self, work: Work) -> Reply:
         """Run one statement; after a failure the transaction is over."""
         while True:
-            connection = await self._opened(work)
-            if isinstance(connection, Failure):
-                return connection
-            sent_s = self._routing.now()
-            try:
-                answer = await run_work(
-                    connection, work, None, work.deadline_s - sent_s
-                )
-            except RestoreFailed as error:
-                answer = error.answer
-            reply = await self._judge(work, sent_s, answer)
+            opened = await self._opened(work)
+            match opened:
+                case Failure():
+                    return opened
+                case PooledConnection():
+                    reply = await self._run_on(opened, work)
+                case _:
+                    reply = await self._run_relayed(opened, work)
             if reply is not None:
                 return reply
 
     async def commit(self, work: Work) -> tuple[Reply, LogPosition | None]:
         """End the transaction; its writes are kept if this succeeds."""
         while True:
-            connection = await self._opened(work)
-            if isinstance(connection, Failure):
-                return connection, None
-            sent_s = self._routing.now()
-            limit_s = work.deadline_s - sent_s
-            answer = await connection.ask(
-                connection.link.run(work.request_id, Commit(), None, limit_s),
-                is_write=self._has_written,
-            )
-            outcome = self._judge_commit(work, sent_s, answer)
+            opened = await self._opened(work)
+            match opened:
+                case Failure():
+                    return opened, None
+                case PooledConnection():
+                    outcome = await self._commit_on(opened, work)
+                case _:
+                    return await self._commit_relayed(opened, work)
             if outcome is not None:
                 return outcome
             await asyncio.sleep(BUSY_PAUSE_S)
 
     def abandon(self) -> None:
         """Roll back at the member, if anything was opened there."""
+        if self._relayed is not None:
+            self._relayed.abandon()
+            self._relayed = None
         if self._connection is None:
             return
         task = asyncio.create_task(self._roll_back(*self._release()))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _opened(self, work: Work) -> PooledConnection | Failure:
+    async def _run_on(
+        self, connection: PooledConnection, work: Work
+    ) -> Reply | None:
+        sent_s = self._routing.now()
+        try:
+            answer = await run_work(
+                connection, work, None, work.deadline_s - sent_s
+            )
+        except RestoreFailed as error:
+            answer = error.answer
+        return await self._judge(work, sent_s, answer)
+
+    async def _run_relayed(
+        self, relayed: RelayedTransaction, work: Work
+    ) -> Reply | None:
+        outcome = await relayed.run(work)
+        match outcome:
+            case Relayed(reply=Success() as reply):
+                self._has_run = True
+                self._has_written = self._has_written or work.access.is_write
+                return reply
+            case Relayed(reply=reply):
+                self._relayed = None
+                return reply
+            case RelayLost(was_sent=False) if not self._has_run:
+                self.abandon()
+                return None
+            case RelayLost(reason=reason):
+                self._log_loss(work, reason)
+                self.abandon()
+                return failures.ROLLED_BACK
+
+    async def _commit_on(
+        self, connection: PooledConnection, work: Work
+    ) -> tuple[Reply, LogPosition | None] | None:
+        sent_s = self._routing.now()
+        limit_s = work.deadline_s - sent_s
+        answer = await connection.ask(
+            connection.link.run(work.request_id, Commit(), None, limit_s),
+            is_write=self._has_written,
+        )
+        return self._judge_commit(work, sent_s, answer)
+
+    async def _commit_relayed(
+        self, relayed: RelayedTransaction, work: Work
+    ) -> tuple[Reply, LogPosition | None]:
+        outcome = await relayed.commit(work)
+        match outcome:
+            case Relayed(reply=reply, position=position):
+                self._relayed = None
+                return reply, position
+            case RelayLost(reason=reason, was_sent=was_sent):
+                self._log_loss(work, reason)
+                self.abandon()
+                if was_sent and self._has_written:
+                    return failures.WRITE_UNANSWERED, None
+                return failures.ROLLED_BACK, None
+
+    async def _opened(
+        self, work: Work
+    ) -> PooledConnection | RelayedTransaction | Failure:
         if self._connection is not None:
             return self._connection
+        if self._relayed is not None:
+            return self._relayed
         if self._begin.is_read_only:
             return await self._open_reading(work)
         return await self._open_writing(work)
 
-    async def _open_writing(self, work: Work) -> PooledConnection | Failure:
+    async def _open_writing(
+        self, work: Work
+    ) -> PooledConnection | RelayedTransaction | Failure:
         while True:
-            found = await self._routing.writes.reserve(work)
-            if isinstance(found, Failure):
-                return found
-            member, connection = found
-            asked_s = self._routing.now()
-            answer = await self._start(work, connection, None)
-            match answer:
-                case Completed(position=position):
-                    work.group.prove_primary(member, asked_s, position)
-                    self._member = member
-                    self._connection = connection
-                    return connection
-                case Rejected(kind=RejectionKind.not_primary):
-                    work.group.doubt_primary(member, 'it refused to begin')
-                case _:
-                    await asyncio.sleep(BUSY_PAUSE_S)
-            member.pool.give_back(connection)
+            path = await self._routing.paths.find(work)
+            match path:
+                case Failure():
+                    return path
+                case RelayPath(relay=relay):
+                    self._relayed = relay.open(self._begin)
+                    return self._relayed
+                case LocalPath(member=member, connection=connection):
+                    if await self._begin_at(work, member, connection):
+                        return connection
+
+    async def _begin_at(
+        self, work: Work, member: Member, connection: PooledConnection
+    ) -> bool:
+        asked_s = self._routing.now()
+        answer = await self._start(work, connection, None)
+        match answer:
+            case Completed(position=position):
+                work.group.prove_primary(member, asked_s, position)
+                self._member = member
+                self._connection = connection
+                return True
+            case Rejected(kind=RejectionKind.not_primary):
+                work.group.doubt_primary(member, 'it refused to begin')
+            case _:
+                await asyncio.sleep(BUSY_PAUSE_S)
+        member.pool.give_back(connection)
+        return False
 
     async def _open_reading(self, work: Work) -> PooledConnection | Failure:
         position = await self._routing.positions.find(work)
