Have reads carried out by other hosts; send callers of lost groups away

Change: after a round without any connection, a read is carried out by another host. A member is out of reach only if a connection failed. A host is not ready while the majority of any group is out of reach and no other host passes work on; when it is out of rotation, sessions of these groups are closed.

--- a/features/group_builders.py
+++ b/features/group_builders.py
@@ -148,7 +148,7 @@
     return SessionServices(
         configuration=active,
         directory=directory,
-        reads=ReadRouter(positions, choice, boot_time_s),
+        reads=ReadRouter(positions, choice, relays, boot_time_s),
         routing=TransactionRouting(
             positions, choice, paths, writes, boot_time_s
         ),
--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -211,18 +211,21 @@
     Then the host is <state>
 
     # All hosts miss a lost primary; in a zone cut on trouble-1 two of three
-    # were lost, and hosts that were not cut off left the rotation.
+    # were lost, and hosts that were not cut off left the rotation. A primary
+    # that other hosts pass on work to counts as proven.
     Examples:
       | age_ms | missed | state     |
       | 100    | none   | ready     |
       | 1500   | p      | ready     |
       | 2600   | p      | not ready |
-      | 100    | p,a    | not ready |
-      | 100    | a,b    | not ready |
+      | 100    | p,a    | ready     |
+      | 700    | p,a    | not ready |
+      | 700    | p      | ready     |
 
   Scenario: a host that was cut off is in rotation again once it reaches members
     Given a group whose primary is p
-    And the host cannot connect to a,b
+    And the host cannot connect to p,a
+    And the primary was last proven 700 ms ago
     When the watch of the group runs for 700 ms
     Then the host is ready
 
--- a/features/sessions.feature
+++ b/features/sessions.feature
@@ -156,11 +156,12 @@
     # In a zone cut on trouble-1, sessions that began after the first ones were
     # closed stayed for the rest of the cut, and all their requests failed.
     Given a session on a group whose primary is p
-    And the host turns callers away
+    And the host turns callers of <group> away
     When the caller sends <statements>
     Then the session <may> end
 
     Examples:
-      | statements   | may     |
-      | read         | may     |
-      | begin, write | may not |
+      | group  | statements   | may     |
+      | orders | read         | may     |
+      | orders | begin, write | may not |
+      | others | read         | may not |
--- a/features/steps/sessions_steps.py
+++ b/features/steps/sessions_steps.py
@@ -272,10 +272,10 @@
     assert not context.closed, context.closed
 
 
-@given('the host turns callers away')
-def turn_away(context: Any) -> None:
-    """Let the balancer have better hosts."""
-    context.desk.turns_away = True
+@given('the host turns callers of {group} away')
+def turn_away(context: Any, group: str) -> None:
+    """Let the balancer have better hosts for a group."""
+    context.desk.lost_groups = frozenset((group,))
 
 
 @then('the session {may} end')
--- a/mimosapond/entry/caller_desk.py
+++ b/mimosapond/entry/caller_desk.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Iterator
 from typing import final
 
+from loguru import logger
+
 from mimosapond.sessions.session import Session, SessionServices
 from mimosapond.statements.reply import SessionState
 
@@ -18,8 +20,8 @@
         self._closers: dict[Session, Callable[[], None]] = {}
         self._busy: set[Session] = set()
         self._ending: set[Session] = set()
-        # Whether callers are served better elsewhere.
-        self.turns_away = False
+        # Groups whose callers are served better elsewhere.
+        self.lost_groups: frozenset[str] = frozenset()
 
     @property
     def session_count(self) -> int:
@@ -53,8 +55,9 @@
 
     def may_end(self, session: Session) -> bool:
         """Return whether to close a session after its answer."""
-        is_ending = self.turns_away or session in self._ending
-        return is_ending and session.state is SessionState.idle
+        if session.state is not SessionState.idle:
+            return False
+        return session in self._ending or session.group in self.lost_groups
 
     def end_sessions(self) -> None:
         """Close the present sessions, each when it is idle.
@@ -63,6 +66,21 @@
         """
         self._ending.update(self._closers)
 
+    def turn_away(self, groups: frozenset[str]) -> None:
+        """Close the present sessions of some groups, each when it is idle.
+
+        Later ones get one answer each, as their callers may have no better
+        host.
+        """
+        if groups - self.lost_groups:
+            self._ending.update(
+                session for session in self._closers if session.group in groups
+            )
+            logger.bind(groups=sorted(groups), sessions=len(self._ending)).info(
+                'callers_redirected',
+            )
+        self.lost_groups = groups
+
     def close_idle(self) -> None:
         """Close ending sessions outside of transactions and requests."""
         for session in tuple(self._ending):
--- a/mimosapond/entry/platform_host.py
+++ b/mimosapond/entry/platform_host.py
@@ -107,13 +107,8 @@
         """Close idle sessions here once new ones go to other hosts."""
         parts = self._parts
         parts.rotation.note_state(is_ready=self._is_ready())
-        is_away = parts.rotation.is_out and parts.reachability.is_cut_off
-        if is_away and not parts.desk.turns_away:
-            logger.bind(sessions=parts.desk.session_count).info(
-                'callers_redirected',
-            )
-            parts.desk.end_sessions()
-        parts.desk.turns_away = is_away
+        lost = parts.reachability.lost_groups()
+        parts.desk.turn_away(lost if parts.rotation.is_out else frozenset())
         parts.desk.close_idle()
 
     def _watch_groups(self) -> None:
--- a/mimosapond/entry/reachability.py
+++ b/mimosapond/entry/reachability.py
@@ -5,13 +5,13 @@
 """
 
 import math
-from collections.abc import Collection
 from typing import Final, final
 
 from mimosapond.boot_clock import Now
-from mimosapond.groups.group import Group
 from mimosapond.groups.group_directory import GroupDirectory
 
+# Longer than the primary of a group stays without proof while it is in reach.
+_LOST_AFTER_S: Final = 0.6
 # Longer than a change of primary takes.
 _OVERDUE_AFTER_S: Final = 2.5
 
@@ -25,15 +25,19 @@
         self._directory = directory
         self._now = now
 
-    @property
-    def is_cut_off(self) -> bool:
-        """Whether most members of most groups are out of reach.
+    def lost_groups(self) -> frozenset[str]:
+        """Return the groups that other hosts may reach and this one does not.
 
-        A lost member or primary is no reason: other hosts miss it as well.
+        Most of their members are out of reach, and no other host passes on
+        work for them.
         """
-        groups = [group for group in self._groups if group.members]
-        cut_count = sum(group.is_majority_unreachable for group in groups)
-        return cut_count * 2 > len(groups)
+        now_s = self._now()
+        return frozenset(
+            group.name
+            for group in self._directory.groups.values()
+            if group.is_majority_unreachable
+            and now_s - group.proven_s > _LOST_AFTER_S
+        )
 
     def is_sufficient(self) -> bool:
         """Return whether this host serves as well as others may.
@@ -44,13 +48,9 @@
         now_s = self._now()
         ages_s = [
             now_s - group.proven_s if group.was_proven else math.inf
-            for group in self._groups
+            for group in self._directory.groups.values()
             if group.members
         ]
         if not ages_s or max(ages_s) > _OVERDUE_AFTER_S:
             return False
-        return not self.is_cut_off
-
-    @property
-    def _groups(self) -> Collection[Group]:
-        return self._directory.groups.values()
+        return not self.lost_groups()
--- a/mimosapond/failover/primary_watch.py
+++ b/mimosapond/failover/primary_watch.py
@@ -23,8 +23,8 @@
 _SILENT_S: Final = 0.2
 # An empty transaction waits for no slot, so an answer takes a few milliseconds.
 _FIRST_PROBE_S: Final = 0.15
-# On a new connection, whose opening waits for a slot.
-_SECOND_PROBE_S: Final = 0.3
+# On a new connection; longer than the limit for connecting.
+_SECOND_PROBE_S: Final = 0.35
 # A primary without requests is probed this often, so that positions that
 # cover reads of a bounded age are at hand.
 _QUIET_S: Final = 0.5
@@ -114,7 +114,7 @@
     async def _ask_twice(self, member: Member) -> ProbeResult:
         """Ask again on a new connection, as the old ones may be silent."""
         result = await self._probe.ask(self._group, member, _FIRST_PROBE_S)
-        if result is not ProbeResult.silent:
+        if result in {ProbeResult.leads, ProbeResult.follows}:
             return result
         member.pool.drop_idle()
         return await self._probe.ask(self._group, member, _SECOND_PROBE_S)
--- a/mimosapond/groups/connection_pool.py
+++ b/mimosapond/groups/connection_pool.py
@@ -20,8 +20,6 @@
 # Pause before the next try when the member has all connections it accepts;
 # jittered, as other hosts wait for the same ones.
 _FULL_PAUSE_S: Final = 0.06
-# A member that gave a sign of life this recently lacks connections only.
-_ALIVE_S: Final = 0.25
 # Probes must not wait for connections on which requests hang.
 _CONTROL_SPARE_COUNT: Final = 1
 
@@ -180,7 +178,7 @@
             waiter.future.cancel()
             return NoConnection(
                 'no connection in time',
-                is_reachable=self._load.was_heard_within(_ALIVE_S),
+                is_reachable=not self._load.is_unreachable,
             )
         found = waiter.future.result()
         if not return_result and isinstance(found, PooledConnection):
--- a/mimosapond/peers/peer_client.py
+++ b/mimosapond/peers/peer_client.py
@@ -24,6 +24,7 @@
 from mimosapond.statements.statement import Begin
 
 _OK: Final = 200
+_MS_PER_S: Final = 1000
 _CONNECT_LIMIT_S: Final = 0.15
 _ROLL_BACK_LIMIT_S: Final = 1.0
 _CALL_ERRORS: Final = (HTTPError, OSError, asyncio.TimeoutError)
@@ -34,10 +35,17 @@
 @final
 @attrs.frozen
 class PrimaryNews:
-    """A primary that a peer has just proven, and its log position."""
+    """A primary that a peer has proven, and its log position.
+
+    Parameters
+    ----------
+    age_s
+        Since the peer asked the primary.
+    """
 
     member_id: str
     position: LogPosition
+    age_s: float
 
 
 @final
@@ -57,18 +65,32 @@
         )
 
     async def ask_primary(
-        self, peer: Peer, group: str, limit_s: float
+        self, peer: Peer, group: str, max_age_s: float, limit_s: float
     ) -> PrimaryNews | None:
-        """Have a peer probe the primary; None if it reaches none."""
+        """Ask a peer for the primary; None if it reaches none.
+
+        Parameters
+        ----------
+        max_age_s
+            The peer probes the primary if its last proof is older.
+        """
         found = await self._call(
-            peer, peer_paths.PRIMARY, {'group': group}, limit_s
+            peer,
+            peer_paths.PRIMARY,
+            {'group': group, 'max_age_ms': max_age_s * _MS_PER_S},
+            limit_s,
         )
         if isinstance(found, RelayLost):
             return None
         position = decode_position(found.get('position'))
         if position is None:
             return None
-        return PrimaryNews(str(found['member_id']), position)
+        age_s = float(found['age_ms']) / _MS_PER_S
+        return PrimaryNews(str(found['member_id']), position, age_s)
+
+    async def read(self, peer: Peer, work: Work) -> RelayOutcome:
+        """Have a single read carried out."""
+        return await self._carry_out(peer, peer_paths.READS, {}, work)
 
     async def write(self, peer: Peer, work: Work) -> RelayOutcome:
         """Have a single write carried out."""
@@ -141,10 +163,10 @@
     def _lose(
         self, peer: Peer, path: str, reason: str, *, was_sent: bool
     ) -> RelayLost:
-        self._directory.note_failure(peer)
-        logger.bind(
-            peer=peer.host, path=path, reason=reason, was_sent=was_sent
-        ).info('peer_unanswered')
+        if self._directory.note_failure(peer):
+            logger.bind(
+                peer=peer.host, path=path, reason=reason, was_sent=was_sent
+            ).info('peer_unanswered')
         return RelayLost(reason, was_sent=was_sent)
 
 
--- a/mimosapond/peers/peer_desk.py
+++ b/mimosapond/peers/peer_desk.py
@@ -8,12 +8,13 @@
 import attrs
 from loguru import logger
 
+from mimosapond.boot_clock import Now
 from mimosapond.configuration.active_configuration import ActiveConfiguration
 from mimosapond.groups.group_directory import GroupDirectory
-from mimosapond.groups.log_position import LogPosition
 from mimosapond.peers.peer_client import PrimaryNews
 from mimosapond.routing import failures
 from mimosapond.routing.primary_probe import PrimaryProbe, ProbeResult
+from mimosapond.routing.read_router import ReadRouter
 from mimosapond.routing.relay_port import Relayed
 from mimosapond.routing.work import Work
 from mimosapond.sessions.transaction import Transaction, TransactionRouting
@@ -34,7 +35,9 @@
     configuration: ActiveConfiguration
     directory: GroupDirectory
     probe: PrimaryProbe
+    reads: ReadRouter
     routing: TransactionRouting
+    now: Now
 
 
 @final
@@ -61,17 +64,35 @@
         """Requests under way and transactions that have not ended."""
         return len(self._open) + self._running_count
 
-    async def find_primary(self, name: str) -> PrimaryNews | None:
-        """Probe the primary of a group; None if it is not reached."""
+    async def find_primary(
+        self, name: str, max_age_s: float
+    ) -> PrimaryNews | None:
+        """Return the primary of a group; None if it is not reached.
+
+        Parameters
+        ----------
+        max_age_s
+            It is probed if the last proof is older.
+        """
         group = self._services.directory.groups.get(name)
         if group is None or group.primary is None or self.turns_away:
             return None
         primary = group.primary
-        result = await self._services.probe.ask(group, primary)
+        asked_s = self._services.now()
         newest = group.observations.newest
-        if result is not ProbeResult.leads or newest is None:
-            return None
-        return PrimaryNews(primary.member_id, newest.position)
+        if newest is None or asked_s - newest.asked_s > max_age_s:
+            result = await self._services.probe.ask(group, primary)
+            newest = group.observations.newest
+            if result is not ProbeResult.leads or newest is None:
+                return None
+        age_s = max(asked_s - newest.asked_s, 0)
+        return PrimaryNews(primary.member_id, newest.position, age_s)
+
+    async def read(self, work: Work) -> Relayed:
+        """Carry out a single read."""
+        with self._running():
+            reply = await self._services.reads.run(work)
+        return Relayed(reply, None)
 
     async def write(self, work: Work) -> Relayed:
         """Carry out a single write."""
--- a/mimosapond/peers/peer_directory.py
+++ b/mimosapond/peers/peer_directory.py
@@ -1,6 +1,7 @@
 """The other hosts that this host knows."""
 
 import itertools
+import math
 import random
 from collections import defaultdict
 from collections.abc import Iterable
@@ -11,6 +12,8 @@
 
 # A peer that gave no answer is not asked again for this time.
 _AVOID_S: Final = 1.0
+# One log line for the failures of a peer that follow each other more closely.
+_NEWS_S: Final = 5.0
 
 
 @final
@@ -30,9 +33,11 @@
             peer.host: peer for peer in peers if peer.host != self._own.host
         }
 
-    def note_failure(self, peer: Peer) -> None:
-        """Note that a peer gave no answer."""
+    def note_failure(self, peer: Peer) -> bool:
+        """Note that a peer gave no answer; return whether that is news."""
+        last_s = self._failed_s.get(peer.host, -math.inf)
         self._failed_s[peer.host] = self._now()
+        return self._now() - last_s > _NEWS_S
 
     def choose(self, count: int) -> list[Peer]:
         """Return some peers, from as many data centres as possible.
@@ -42,8 +47,8 @@
         """
         places: dict[str, list[Peer]] = defaultdict(list)
         for peer in self._peers.values():
-            failed_s = self._failed_s.get(peer.host, -_AVOID_S)
-            if self._now() - failed_s >= _AVOID_S:
+            last_s = self._failed_s.get(peer.host, -math.inf)
+            if self._now() - last_s > _AVOID_S:
                 places[peer.data_centre].append(peer)
         for peers in places.values():
             random.shuffle(peers)
@@ -51,4 +56,4 @@
         in_turn = itertools.chain.from_iterable(
             itertools.zip_longest(*by_place),
         )
-        return [peer for peer in in_turn if peer is not None][:count]
+        return list(filter(None, in_turn))[:count]
--- a/mimosapond/peers/peer_paths.py
+++ b/mimosapond/peers/peer_paths.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 PRIMARY: Final = '/v1/primary'
+READS: Final = '/v1/reads'
 WRITES: Final = '/v1/writes'
 TRANSACTIONS: Final = '/v1/transactions'
 COMMITS: Final = '/v1/commits'
--- a/mimosapond/peers/peer_relay.py
+++ b/mimosapond/peers/peer_relay.py
@@ -40,6 +40,10 @@
         """Return the name of the host."""
         return self._peer.host
 
+    async def read(self, work: Work) -> RelayOutcome:
+        """Have a single read carried out."""
+        return self._judge(work, await self._client.read(self._peer, work))
+
     async def write(self, work: Work) -> RelayOutcome:
         """Have a single write carried out."""
         return self._judge(work, await self._client.write(self._peer, work))
--- a/mimosapond/peers/peer_server.py
+++ b/mimosapond/peers/peer_server.py
@@ -24,6 +24,15 @@
 from mimosapond.routing.work import Work
 from mimosapond.statements.statement import Begin
 
+_MS_PER_S: Final = 1000
+_WORK_PATHS: Final = frozenset(
+    (
+        peer_paths.READS,
+        peer_paths.WRITES,
+        peer_paths.TRANSACTIONS,
+        peer_paths.COMMITS,
+    ),
+)
 _BODY_ERRORS: Final = (KeyError, TypeError, ValueError)
 
 
@@ -66,13 +75,11 @@
     ) -> Mapping[str, Any] | None:
         match path:
             case peer_paths.PRIMARY:
-                return await self._primary(str(body['group']))
+                return await self._primary(body)
             case peer_paths.ROLLBACKS:
                 self._desk.roll_back(str(body['key']))
                 return {}
-            case (
-                peer_paths.WRITES | peer_paths.TRANSACTIONS | peer_paths.COMMITS
-            ):
+            case _ if path in _WORK_PATHS:
                 work = decode_work(body['work'], self._directory, self._now())
                 relayed = await self._run(path, body, work)
                 return encode_outcome(relayed.reply, relayed.position)
@@ -82,6 +89,8 @@
     async def _run(
         self, path: str, body: Mapping[str, Any], work: Work
     ) -> Relayed:
+        if path == peer_paths.READS:
+            return await self._desk.read(work)
         if path == peer_paths.WRITES:
             return await self._desk.write(work)
         key = str(body['key'])
@@ -92,13 +101,15 @@
             key, begin, work, is_first=bool(body['is_first'])
         )
 
-    async def _primary(self, name: str) -> Mapping[str, Any]:
-        news = await self._desk.find_primary(name)
+    async def _primary(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        max_age_s = float(body['max_age_ms']) / _MS_PER_S
+        news = await self._desk.find_primary(str(body['group']), max_age_s)
         if news is None:
             return {'position': None}
         return {
             'member_id': news.member_id,
             'position': encode_position(news.position),
+            'age_ms': news.age_s * _MS_PER_S,
         }
 
 
--- a/mimosapond/peers/primary_finder.py
+++ b/mimosapond/peers/primary_finder.py
@@ -50,7 +50,9 @@
         if found is not None and self._now() < found.until_s:
             return found.relay
         task = self._under_way.get(group.name)
-        return await (self._start(group) if task is None else _wait(task))
+        return await (
+            self._start(group, _KEEP_S) if task is None else _wait(task)
+        )
 
     async def refresh(self, group: Group) -> Relay | None:
         """Return a peer that reached the primary after this call."""
@@ -62,24 +64,26 @@
         if task is not None:
             await _wait(task)
         task = self._under_way.get(group.name)
-        return await (self._start(group) if task is None else _wait(task))
+        return await (self._start(group, 0) if task is None else _wait(task))
 
     def forget(self, group: str) -> None:
         """Have peers asked again, as the known one failed."""
         self._found.pop(group, None)
 
-    async def _start(self, group: Group) -> Relay | None:
-        task = asyncio.create_task(self._ask(group))
+    async def _start(self, group: Group, max_age_s: float) -> Relay | None:
+        task = asyncio.create_task(self._ask(group, max_age_s))
         self._under_way[group.name] = task
         task.add_done_callback(lambda _: self._under_way.pop(group.name, None))
         return await _wait(task)
 
-    async def _ask(self, group: Group) -> Relay | None:
+    async def _ask(self, group: Group, max_age_s: float) -> Relay | None:
         asked_s = self._now()
         peers = self._directory.choose(_ASKED_COUNT)
         tasks = {
             asyncio.create_task(
-                self._client.ask_primary(peer, group.name, _ASK_LIMIT_S),
+                self._client.ask_primary(
+                    peer, group.name, max_age_s, _ASK_LIMIT_S
+                ),
             ): peer
             for peer in peers
         }
@@ -109,7 +113,9 @@
             for task in done:
                 news = task.result()
                 if news is not None:
-                    group.note_relayed(news.member_id, asked_s, news.position)
+                    group.note_relayed(
+                        news.member_id, asked_s - news.age_s, news.position
+                    )
                     _cancel(pending)
                     return PeerRelay(tasks[task], self._client, self)
         return None
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -45,7 +45,7 @@
 from mimosapond.sessions.transaction import TransactionRouting
 
 _READY_PATH: Final = '/api/ready'
-_CONNECT_LIMIT_S: Final = 0.3
+_CONNECT_LIMIT_S: Final = 0.25
 # A member at work on other requests starts a connection later.
 _START_LIMIT_S: Final = 1.0
 _BACKLOG_COUNT: Final = 1024
@@ -103,19 +103,27 @@
         return SessionServices(
             configuration=self._active,
             directory=self._directory,
-            reads=ReadRouter(routing.positions, routing.choice, self._now),
+            reads=self._reads(routing, self._finder),
             routing=routing,
         )
 
     def _peer_services(self) -> PeerServices:
         probe = PrimaryProbe(self._now, NoRelays())
+        routing = self._routing(probe, NoRelays())
         return PeerServices(
             configuration=self._active,
             directory=self._directory,
             probe=probe,
-            routing=self._routing(probe, NoRelays()),
+            reads=self._reads(routing, NoRelays()),
+            routing=routing,
+            now=self._now,
         )
 
+    def _reads(
+        self, routing: TransactionRouting, relays: RelayFinder
+    ) -> ReadRouter:
+        return ReadRouter(routing.positions, routing.choice, relays, self._now)
+
     def _routing(
         self, probe: PrimaryProbe, relays: RelayFinder
     ) -> TransactionRouting:
--- a/mimosapond/routing/primary_probe.py
+++ b/mimosapond/routing/primary_probe.py
@@ -19,7 +19,9 @@
 
 # More urgent than any statement.
 PROBE_PRIORITY: Final = -1
-PROBE_LIMIT_S: Final = 0.3
+# Longer than the limit for connecting, so that a member that is out of reach
+# is told from one that lacks connections.
+PROBE_LIMIT_S: Final = 0.35
 
 
 @final
--- a/mimosapond/routing/read_router.py
+++ b/mimosapond/routing/read_router.py
@@ -19,9 +19,10 @@
 from mimosapond.routing.member_choice import MemberChoice
 from mimosapond.routing.read_positions import ReadPositions
 from mimosapond.routing import failures
-from mimosapond.statements.reply import Reply, Success
+from mimosapond.routing.relay_port import Relayed, RelayFinder
 from mimosapond.routing.statement_runner import RestoreFailed, run_work
 from mimosapond.routing.work import Work
+from mimosapond.statements.reply import Reply, Success
 
 _Attempt: TypeAlias = asyncio.Task[MemberAnswer | NoConnection]
 
@@ -39,10 +40,15 @@
     """Tries members, one after another or two at a time."""
 
     def __init__(
-        self, positions: ReadPositions, choice: MemberChoice, now: Now
+        self,
+        positions: ReadPositions,
+        choice: MemberChoice,
+        relays: RelayFinder,
+        now: Now,
     ) -> None:
-        """Take what decides on position and member."""
+        """Take what decides on position and member, and who may help."""
         self._positions = positions
+        self._relays = relays
         self._choice = choice
         self._now = now
 
@@ -51,9 +57,20 @@
         position = await self._positions.find(work)
         if position is None:
             return failures.NO_FRESH_MEMBER
-        return await _ReadAttempts(
-            work, position, self._choice, self._now
-        ).run()
+        attempts = _ReadAttempts(work, position, self._choice, self._now)
+        while True:
+            reply = await attempts.run() or await self._relay(work)
+            if reply is not None:
+                return reply
+            await asyncio.sleep(_ROUND_PAUSE_S)
+
+    async def _relay(self, work: Work) -> Reply | None:
+        """Have another host read that has connections to members."""
+        relay = await self._relays.find(work.group)
+        if relay is None:
+            return None
+        outcome = await relay.read(work)
+        return outcome.reply if isinstance(outcome, Relayed) else None
 
 
 @final
@@ -75,12 +92,15 @@
         self._pending: set[_Attempt] = set()
         self._was_sent = False
 
-    async def run(self) -> Reply:
+    async def run(self) -> Reply | None:
+        """Return the reply; None after a round without any connection."""
         while True:
             limit_s = self._start_next()
             remaining_s = self._work.deadline_s - self._now()
             if remaining_s <= 0:
                 return self._give_up()
+            if limit_s is None:
+                return None
             reply = await self._wait(min(limit_s, remaining_s))
             if reply is not None:
                 return reply
@@ -96,19 +116,26 @@
             return failures.READ_UNANSWERED
         return failures.NO_CONNECTION
 
-    def _start_next(self) -> float:
-        """Start a try and return how long it may take before the next."""
+    def _start_next(self) -> float | None:
+        """Start a try and return how long it may take before the next.
+
+        None at the end of a round in which nothing could be sent.
+        """
         member = self._choice.choose(
             self._work.group, self._position, self._tried
         )
         if member is None:
-            if not self._pending:
-                self._tried.clear()
-            return _ROUND_PAUSE_S
+            return self._end_round()
         self._tried.append(member)
         self._pending.add(asyncio.create_task(self._attempt(member)))
         return max(_HEDGE_MIN_S, member.load.latency_s * _HEDGE_FACTOR)
 
+    def _end_round(self) -> float | None:
+        if self._pending:
+            return _ROUND_PAUSE_S
+        self._tried.clear()
+        return _ROUND_PAUSE_S if self._was_sent else None
+
     async def _wait(self, limit_s: float) -> Reply | None:
         if not self._pending:
             await asyncio.sleep(limit_s)
--- a/mimosapond/routing/relay_port.py
+++ b/mimosapond/routing/relay_port.py
@@ -54,6 +54,9 @@
 class Relay(Protocol):
     """Another host that has just proven a primary."""
 
+    async def read(self, work: Work) -> RelayOutcome:
+        """Have a single read carried out."""
+
     async def write(self, work: Work) -> RelayOutcome:
         """Have a single write carried out."""
 
--- a/mimosapond/sessions/session.py
+++ b/mimosapond/sessions/session.py
@@ -66,6 +66,12 @@
         self._lost_while_idle = False
         self.state = SessionState.idle
 
+    @property
+    def group(self) -> str:
+        """Name of the group that serves the database now; empty if none."""
+        route = self._services.configuration.route(self._database)
+        return '' if route is None else route.group
+
     async def execute(self, request_id: str, statement: Statement) -> Reply:
         """Return the reply to a statement; ``state`` is that after it."""
         self._stop_idle_timer()
