--- a/mimosapond/peers/peer_client.py
+++ b/mimosapond/peers/peer_client.py
@@ -24,6 +24,7 @@
 from mimosapond.statements.statement import Begin
 
 _OK: Final = 200
+_NOT_RUN_CODES: Final = frozenset((400, 404))
 _MS_PER_S: Final = 1000
 _CONNECT_LIMIT_S: Final = 0.15
 _ROLL_BACK_LIMIT_S: Final = 1.0
@@ -149,8 +150,12 @@
         try:
             found = await self._client.fetch(request, raise_error=False)
             if found.code != _OK:
-                reason = f'status {found.code}'
-                return self._lose(peer, path, reason, was_sent=False)
+                return self._lose(
+                    peer,
+                    path,
+                    f'status {found.code}',
+                    was_sent=found.code not in _NOT_RUN_CODES,
+                )
             answer: Mapping[str, Any] = json.loads(found.body)
         except _CALL_ERRORS as error:
             return self._lose(
--- a/mimosapond/peers/peer_desk.py
+++ b/mimosapond/peers/peer_desk.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from typing import Final, final
 
 import attrs
@@ -64,6 +64,11 @@
         """Requests under way and transactions that have not ended."""
         return len(self._open) + self._running_count
 
+    @property
+    def open_keys(self) -> Collection[str]:
+        """Keys of the transactions that have not ended."""
+        return self._open.keys()
+
     async def find_primary(
         self, name: str, max_age_s: float
     ) -> PrimaryNews | None:
@@ -135,10 +140,15 @@
             self._stop_timer(entry)
             entry.transaction.abandon()
 
+    def expire(self, key: str) -> None:
+        """Roll back a transaction whose host fell silent."""
+        logger.bind(key=key).info('relayed_transaction_expired')
+        self.roll_back(key)
+
     def _start_timer(self, key: str, entry: _Open) -> None:
         idle_ms = self._services.configuration.transaction_idle_ms
         entry.timer = asyncio.get_running_loop().call_later(
-            idle_ms / _MS_PER_S + _IDLE_SLACK_S, self._expire, key
+            idle_ms / _MS_PER_S + _IDLE_SLACK_S, self.expire, key
         )
 
     def _stop_timer(self, entry: _Open) -> None:
@@ -146,10 +156,6 @@
             entry.timer.cancel()
             entry.timer = None
 
-    def _expire(self, key: str) -> None:
-        logger.bind(key=key).info('relayed_transaction_expired')
-        self.roll_back(key)
-
     @contextlib.contextmanager
     def _running(self) -> Iterator[None]:
         self._running_count += 1
--- a/mimosapond/peers/peer_server.py
+++ b/mimosapond/peers/peer_server.py
@@ -1,10 +1,11 @@
 """Answers the requests of other hosts."""
 
 import asyncio
+import functools
 import json
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
-from typing import Any, Final, final
+from typing import Any, Final, TypeAlias, final
 
 from loguru import logger
 from tornado.httpserver import HTTPServer
@@ -24,6 +25,9 @@
 from mimosapond.routing.work import Work
 from mimosapond.statements.statement import Begin
 
+_Body: TypeAlias = Mapping[str, Any]
+_Call: TypeAlias = Callable[[], Awaitable[_Body]]
+
 _MS_PER_S: Final = 1000
 _WORK_PATHS: Final = frozenset(
     (
@@ -57,53 +61,57 @@
 
     async def _answer(self, request: HTTPServerRequest) -> None:
         try:
-            body = json.loads(request.body)
-            found = await self._carry_out(request.path, body)
+            call = self._decode(request.path, json.loads(request.body))
         except _BODY_ERRORS as error:
             logger.bind(path=request.path, problem=repr(error)).warning(
                 'peer_request_unreadable',
             )
             _send(request, HTTPStatus.BAD_REQUEST, {})
             return
-        if found is None:
+        if call is None:
             _send(request, HTTPStatus.NOT_FOUND, {})
             return
-        _send(request, HTTPStatus.OK, found)
+        # From here on the work may have run, and the status must not deny it.
+        try:
+            _send(request, HTTPStatus.OK, await call())
+        except Exception:  # noqa: BLE001 -- one request must not stop others
+            logger.bind(path=request.path).exception('peer_request_failed')
+            _send(request, HTTPStatus.INTERNAL_SERVER_ERROR, {})
 
-    async def _carry_out(
-        self, path: str, body: Mapping[str, Any]
-    ) -> Mapping[str, Any] | None:
+    def _decode(self, path: str, body: Mapping[str, Any]) -> _Call | None:
         match path:
             case peer_paths.PRIMARY:
-                return await self._primary(body)
+                group, max_age_ms = str(body['group']), body['max_age_ms']
+                return functools.partial(
+                    self._primary, group, float(max_age_ms) / _MS_PER_S
+                )
             case peer_paths.ROLLBACKS:
-                self._desk.roll_back(str(body['key']))
-                return {}
-            case _ if path in _WORK_PATHS:
-                work = decode_work(body['work'], self._directory, self._now())
-                relayed = await self._run(path, body, work)
-                return encode_outcome(relayed.reply, relayed.position)
+                return functools.partial(self._roll_back, str(body['key']))
             case _:
-                return None
+                return self._decode_work(path, body)
 
-    async def _run(
-        self, path: str, body: Mapping[str, Any], work: Work
-    ) -> Relayed:
+    def _decode_work(self, path: str, body: Mapping[str, Any]) -> _Call | None:
+        if path not in _WORK_PATHS:
+            return None
+        work = decode_work(body['work'], self._directory, self._now())
         if path == peer_paths.READS:
-            return await self._desk.read(work)
+            return functools.partial(_reply, self._desk.read, work)
         if path == peer_paths.WRITES:
-            return await self._desk.write(work)
+            return functools.partial(_reply, self._desk.write, work)
         key = str(body['key'])
         if path == peer_paths.COMMITS:
-            return await self._desk.commit(key, work)
-        begin = Begin(is_read_only=bool(body['is_read_only']))
-        return await self._desk.run_in(
-            key, begin, work, is_first=bool(body['is_first'])
+            commit = functools.partial(self._desk.commit, key)
+            return functools.partial(_reply, commit, work)
+        run = functools.partial(
+            self._desk.run_in,
+            key,
+            Begin(is_read_only=bool(body['is_read_only'])),
+            is_first=bool(body['is_first']),
         )
+        return functools.partial(_reply, run, work)
 
-    async def _primary(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
-        max_age_s = float(body['max_age_ms']) / _MS_PER_S
-        news = await self._desk.find_primary(str(body['group']), max_age_s)
+    async def _primary(self, group: str, max_age_s: float) -> _Body:
+        news = await self._desk.find_primary(group, max_age_s)
         if news is None:
             return {'position': None}
         return {
@@ -112,6 +120,17 @@
             'age_ms': news.age_s * _MS_PER_S,
         }
 
+    async def _roll_back(self, key: str) -> _Body:
+        self._desk.roll_back(key)
+        return {}
+
+
+async def _reply(
+    carry_out: Callable[[Work], Awaitable[Relayed]], work: Work
+) -> _Body:
+    relayed = await carry_out(work)
+    return encode_outcome(relayed.reply, relayed.position)
+
 
 def build_peer_server(
     desk: PeerDesk, directory: GroupDirectory, now: Now
--- a/mimosapond/peers/work_codec.py
+++ b/mimosapond/peers/work_codec.py
@@ -88,9 +88,10 @@
         The body is no reply.
     """
     position = decode_position(body['position'])
-    if 'failure' in body:
-        kind = FailureKind(body['failure'])
-        return Relayed(Failure(kind, str(body['text'])), position)
+    kind = body.get('failure')
+    if kind is not None:
+        failure = Failure(FailureKind(kind), str(body['text']))
+        return Relayed(failure, position)
     rows = tuple(str(row) for row in body['rows'])
     return Relayed(Success(rows, str(body['signature'])), position)
 
@@ -122,9 +123,10 @@
 
 def _decode_access(body: Mapping[str, Any]) -> Access:
     is_write = bool(body['is_write'])
-    if 'shape' in body:
-        shape = Shape(str(body['shape']), is_write=is_write)
-        return Prepared(shape, str(body['arguments']))
+    shape = body.get('shape')
+    if shape is not None:
+        prepared = Shape(str(shape), is_write=is_write)
+        return Prepared(prepared, str(body['arguments']))
     return Direct(str(body['text']), is_write=is_write)
 
 
--- a/mimosapond/routing/relay_port.py
+++ b/mimosapond/routing/relay_port.py
@@ -82,10 +82,8 @@
 class NoRelays:
     """For work that came from another host, and is not passed on again."""
 
-    async def find(self, group: Group) -> Relay | None:
+    async def find(self, group: Group) -> None:
         """Find nobody."""
-        return None
 
-    async def refresh(self, group: Group) -> Relay | None:
+    async def refresh(self, group: Group) -> None:
         """Find nobody."""
-        return None
