Split the transaction from the connection that it is pinned to

It now opens a transaction and judges what became of its work; one that is open on a connection of this host and one at another host have the same three operations.

--- a/mimosapond/peers/peer_client.py
+++ b/mimosapond/peers/peer_client.py
@@ -19,7 +19,7 @@
     decode_position,
     encode_work,
 )
-from mimosapond.routing.relay_port import RelayLost, RelayOutcome
+from mimosapond.routing.work_outcome import WorkLost, WorkOutcome
 from mimosapond.routing.work import Work
 from mimosapond.statements.statement import Begin
 
@@ -81,7 +81,7 @@
             {'group': group, 'max_age_ms': max_age_s * _MS_PER_S},
             limit_s,
         )
-        if isinstance(found, RelayLost):
+        if isinstance(found, WorkLost):
             return None
         position = decode_position(found.get('position'))
         if position is None:
@@ -89,17 +89,17 @@
         age_s = float(found['age_ms']) / _MS_PER_S
         return PrimaryNews(str(found['member_id']), position, age_s)
 
-    async def read(self, peer: Peer, work: Work) -> RelayOutcome:
+    async def read(self, peer: Peer, work: Work) -> WorkOutcome:
         """Have a single read carried out."""
         return await self._carry_out(peer, peer_paths.READS, {}, work)
 
-    async def write(self, peer: Peer, work: Work) -> RelayOutcome:
+    async def write(self, peer: Peer, work: Work) -> WorkOutcome:
         """Have a single write carried out."""
         return await self._carry_out(peer, peer_paths.WRITES, {}, work)
 
     async def run_in(
         self, peer: Peer, key: str, begin: Begin, work: Work, *, is_first: bool
-    ) -> RelayOutcome:
+    ) -> WorkOutcome:
         """Run a statement of a transaction; the first one opens it."""
         fields = {
             'key': key,
@@ -110,7 +110,7 @@
             peer, peer_paths.TRANSACTIONS, fields, work
         )
 
-    async def commit(self, peer: Peer, key: str, work: Work) -> RelayOutcome:
+    async def commit(self, peer: Peer, key: str, work: Work) -> WorkOutcome:
         """End a transaction."""
         fields = {'key': key}
         return await self._carry_out(peer, peer_paths.COMMITS, fields, work)
@@ -123,11 +123,11 @@
 
     async def _carry_out(
         self, peer: Peer, path: str, fields: Mapping[str, Any], work: Work
-    ) -> RelayOutcome:
+    ) -> WorkOutcome:
         now_s = self._now()
         body = {**fields, 'work': encode_work(work, now_s)}
         found = await self._call(peer, path, body, work.deadline_s - now_s)
-        if isinstance(found, RelayLost):
+        if isinstance(found, WorkLost):
             return found
         try:
             return decode_outcome(found)
@@ -136,9 +136,9 @@
 
     async def _call(
         self, peer: Peer, path: str, body: Mapping[str, Any], limit_s: float
-    ) -> Mapping[str, Any] | RelayLost:
+    ) -> Mapping[str, Any] | WorkLost:
         if limit_s <= 0:
-            return RelayLost('no time left', was_sent=False)
+            return WorkLost('no time left', was_sent=False)
         request = HTTPRequest(
             f'http://{peer.address}{path}',
             method='POST',
@@ -167,12 +167,12 @@
 
     def _lose(
         self, peer: Peer, path: str, reason: str, *, was_sent: bool
-    ) -> RelayLost:
+    ) -> WorkLost:
         if self._directory.note_failure(peer):
             logger.bind(
                 peer=peer.host, path=path, reason=reason, was_sent=was_sent
             ).info('peer_unanswered')
-        return RelayLost(reason, was_sent=was_sent)
+        return WorkLost(reason, was_sent=was_sent)
 
 
 def _may_be_sent(error: Exception) -> bool:
--- a/mimosapond/peers/peer_desk.py
+++ b/mimosapond/peers/peer_desk.py
@@ -15,7 +15,7 @@
 from mimosapond.routing import failures
 from mimosapond.routing.primary_probe import PrimaryProbe, ProbeResult
 from mimosapond.routing.read_router import ReadRouter
-from mimosapond.routing.relay_port import Relayed
+from mimosapond.routing.work_outcome import WorkDone
 from mimosapond.routing.work import Work
 from mimosapond.sessions.transaction import Transaction, TransactionRouting
 from mimosapond.statements.reply import Failure
@@ -93,27 +93,27 @@
         age_s = max(asked_s - newest.asked_s, 0)
         return PrimaryNews(primary.member_id, newest.position, age_s)
 
-    async def read(self, work: Work) -> Relayed:
+    async def read(self, work: Work) -> WorkDone:
         """Carry out a single read."""
         with self._running():
             reply = await self._services.reads.run(work)
-        return Relayed(reply, None)
+        return WorkDone(reply)
 
-    async def write(self, work: Work) -> Relayed:
+    async def write(self, work: Work) -> WorkDone:
         """Carry out a single write."""
         with self._running():
             reply, position = await self._services.routing.writes.run(work)
-        return Relayed(reply, position)
+        return WorkDone(reply, position)
 
     async def run_in(
         self, key: str, begin: Begin, work: Work, *, is_first: bool
-    ) -> Relayed:
+    ) -> WorkDone:
         """Run a statement of a transaction; the first one opens it."""
         if is_first:
             self._open[key] = _Open(Transaction(begin, self._services.routing))
         entry = self._open.get(key)
         if entry is None:
-            return Relayed(failures.ROLLED_BACK, None)
+            return WorkDone(failures.ROLLED_BACK)
         self._stop_timer(entry)
         with self._running():
             reply = await entry.transaction.run(work)
@@ -121,17 +121,17 @@
             self.roll_back(key)
         else:
             self._start_timer(key, entry)
-        return Relayed(reply, None)
+        return WorkDone(reply)
 
-    async def commit(self, key: str, work: Work) -> Relayed:
+    async def commit(self, key: str, work: Work) -> WorkDone:
         """End a transaction."""
         entry = self._open.pop(key, None)
         if entry is None:
-            return Relayed(failures.ROLLED_BACK, None)
+            return WorkDone(failures.ROLLED_BACK)
         self._stop_timer(entry)
         with self._running():
             reply, position = await entry.transaction.commit(work)
-        return Relayed(reply, position)
+        return WorkDone(reply, position)
 
     def roll_back(self, key: str) -> None:
         """Roll a transaction back, if it is open."""
--- a/mimosapond/peers/peer_relay.py
+++ b/mimosapond/peers/peer_relay.py
@@ -6,12 +6,8 @@
 
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_client import PeerClient
-from mimosapond.routing.relay_port import (
-    Relayed,
-    RelayedTransaction,
-    RelayLost,
-    RelayOutcome,
-)
+from mimosapond.routing.open_transaction import OpenTransaction
+from mimosapond.routing.work_outcome import WorkDone, WorkLost, WorkOutcome
 from mimosapond.routing.work import Work
 from mimosapond.statements.reply import Success
 from mimosapond.statements.statement import Begin
@@ -40,28 +36,28 @@
         """Return the name of the host."""
         return self._peer.host
 
-    async def read(self, work: Work) -> RelayOutcome:
+    async def read(self, work: Work) -> WorkOutcome:
         """Have a single read carried out."""
         return self._judge(work, await self._client.read(self._peer, work))
 
-    async def write(self, work: Work) -> RelayOutcome:
+    async def write(self, work: Work) -> WorkOutcome:
         """Have a single write carried out."""
         return self._judge(work, await self._client.write(self._peer, work))
 
-    def open(self, begin: Begin) -> RelayedTransaction:
+    def open(self, begin: Begin) -> OpenTransaction:
         """Return a transaction, which begins with its first statement."""
         return _PeerTransaction(self, begin)
 
     async def run_in(
         self, key: str, begin: Begin, work: Work, *, is_first: bool
-    ) -> RelayOutcome:
+    ) -> WorkOutcome:
         """Run a statement of a transaction."""
         outcome = await self._client.run_in(
             self._peer, key, begin, work, is_first=is_first
         )
         return self._judge(work, outcome)
 
-    async def commit(self, key: str, work: Work) -> RelayOutcome:
+    async def commit(self, key: str, work: Work) -> WorkOutcome:
         """End a transaction."""
         outcome = await self._client.commit(self._peer, key, work)
         return self._judge(work, outcome)
@@ -70,15 +66,15 @@
         """Have a transaction rolled back; an idle one ends by itself."""
         await self._client.roll_back(self._peer, key)
 
-    def _judge(self, work: Work, outcome: RelayOutcome) -> RelayOutcome:
-        if isinstance(outcome, RelayLost):
+    def _judge(self, work: Work, outcome: WorkOutcome) -> WorkOutcome:
+        if isinstance(outcome, WorkLost):
             self._finder.forget(work.group.name)
         return outcome
 
 
 @final
 class _PeerTransaction:
-    """See ``RelayedTransaction``."""
+    """See ``OpenTransaction``."""
 
     def __init__(self, relay: PeerRelay, begin: Begin) -> None:
         self._relay = relay
@@ -87,25 +83,25 @@
         self._is_open = False
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def run(self, work: Work) -> RelayOutcome:
+    async def run(self, work: Work) -> WorkOutcome:
         is_first = not self._is_open
         self._is_open = True
         outcome = await self._relay.run_in(
             self._key, self._begin, work, is_first=is_first
         )
         match outcome:
-            case Relayed(reply=Success()):
+            case WorkDone(reply=Success()):
                 return outcome
-            case RelayLost():
+            case WorkLost():
                 self.abandon()
             case _:
                 # The peer has rolled it back.
                 self._is_open = False
         return outcome
 
-    async def commit(self, work: Work) -> RelayOutcome:
+    async def commit(self, work: Work) -> WorkOutcome:
         outcome = await self._relay.commit(self._key, work)
-        if isinstance(outcome, Relayed):
+        if isinstance(outcome, WorkDone):
             self._is_open = False
         return outcome
 
--- a/mimosapond/peers/peer_server.py
+++ b/mimosapond/peers/peer_server.py
@@ -21,7 +21,7 @@
     encode_outcome,
     encode_position,
 )
-from mimosapond.routing.relay_port import Relayed
+from mimosapond.routing.work_outcome import WorkDone
 from mimosapond.routing.work import Work
 from mimosapond.statements.statement import Begin
 
@@ -126,7 +126,7 @@
 
 
 async def _reply(
-    carry_out: Callable[[Work], Awaitable[Relayed]], work: Work
+    carry_out: Callable[[Work], Awaitable[WorkDone]], work: Work
 ) -> _Body:
     relayed = await carry_out(work)
     return encode_outcome(relayed.reply, relayed.position)
--- a/mimosapond/peers/work_codec.py
+++ b/mimosapond/peers/work_codec.py
@@ -12,7 +12,7 @@
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.routing.definitions import Definitions
-from mimosapond.routing.relay_port import Relayed
+from mimosapond.routing.work_outcome import WorkDone
 from mimosapond.routing.work import Access, Prepared, SessionFloor, Work
 from mimosapond.statements.reply import Failure, FailureKind, Reply, Success
 from mimosapond.statements.statement import Direct, Shape
@@ -79,7 +79,7 @@
     return {**body, 'position': encode_position(position)}
 
 
-def decode_outcome(body: Mapping[str, Any]) -> Relayed:
+def decode_outcome(body: Mapping[str, Any]) -> WorkDone:
     """Return the reply of a body.
 
     Raises
@@ -91,9 +91,9 @@
     kind = body.get('failure')
     if kind is not None:
         failure = Failure(FailureKind(kind), str(body['text']))
-        return Relayed(failure, position)
+        return WorkDone(failure, position)
     rows = tuple(str(row) for row in body['rows'])
-    return Relayed(Success(rows, str(body['signature'])), position)
+    return WorkDone(Success(rows, str(body['signature'])), position)
 
 
 def encode_position(position: LogPosition | None) -> list[int] | None:
--- a/mimosapond/routing/read_router.py
+++ b/mimosapond/routing/read_router.py
@@ -19,7 +19,8 @@
 from mimosapond.routing.member_choice import MemberChoice
 from mimosapond.routing.read_positions import ReadPositions
 from mimosapond.routing import failures
-from mimosapond.routing.relay_port import Relayed, RelayFinder
+from mimosapond.routing.relay_port import RelayFinder
+from mimosapond.routing.work_outcome import WorkDone
 from mimosapond.routing.statement_runner import RestoreFailed, run_work
 from mimosapond.routing.work import Work
 from mimosapond.statements.reply import Reply, Success
@@ -70,7 +71,7 @@
         if relay is None:
             return None
         outcome = await relay.read(work)
-        return outcome.reply if isinstance(outcome, Relayed) else None
+        return outcome.reply if isinstance(outcome, WorkDone) else None
 
 
 @final
--- a/mimosapond/routing/write_router.py
+++ b/mimosapond/routing/write_router.py
@@ -22,7 +22,7 @@
     PrimaryPaths,
     RelayPath,
 )
-from mimosapond.routing.relay_port import Relayed, RelayLost, RelayOutcome
+from mimosapond.routing.work_outcome import WorkDone, WorkLost, WorkOutcome
 from mimosapond.routing.statement_runner import RestoreFailed, run_work
 from mimosapond.routing.work import Work
 from mimosapond.statements.reply import Failure, Reply, Success
@@ -75,14 +75,14 @@
         return self._judge(work, member, sent_s, answer)
 
     def _judge_relayed(
-        self, work: Work, outcome: RelayOutcome
+        self, work: Work, outcome: WorkOutcome
     ) -> WriteOutcome | None:
         match outcome:
-            case Relayed(reply=reply, position=position):
+            case WorkDone(reply=reply, position=position):
                 return reply, position
-            case RelayLost(was_sent=False):
+            case WorkLost(was_sent=False):
                 return None
-            case RelayLost(reason=reason):
+            case WorkLost(reason=reason):
                 logger.bind(
                     request=work.request_id, member='', reason=reason
                 ).warning('write_unanswered')
--- /dev/null
+++ b/mimosapond/sessions/pinned_transaction.py
@@ -0,0 +1,141 @@
+"""A transaction that is open on one connection of one member."""
+
+import asyncio
+from typing import Final, final
+
+from mimosapond.groups.group import Group
+from mimosapond.groups.member import Member
+from mimosapond.groups.member_answer import (
+    NOT_RUN,
+    Completed,
+    LinkLost,
+    MemberAnswer,
+    Rejected,
+    RejectionKind,
+)
+from mimosapond.groups.pooled_connection import PooledConnection
+from mimosapond.boot_clock import Now
+from mimosapond.routing import failures
+from mimosapond.routing.statement_runner import RestoreFailed, run_work
+from mimosapond.routing.work import Work
+from mimosapond.routing.work_outcome import WorkDone, WorkLost, WorkOutcome
+from mimosapond.routing.write_router import BUSY_PAUSE_S
+from mimosapond.statements.reply import SessionState, Success
+from mimosapond.statements.statement import Commit
+
+_ROLLBACK_LIMIT_S: Final = 1.0
+
+
+@final
+class PinnedTransaction:
+    """Holds the connection until the end; see ``OpenTransaction``."""
+
+    def __init__(
+        self,
+        member: Member,
+        connection: PooledConnection,
+        now: Now,
+        *,
+        proves_primary: bool,
+    ) -> None:
+        """Take a connection on which the transaction has begun.
+
+        Parameters
+        ----------
+        proves_primary
+            Whether only a primary accepts its statements.
+        """
+        self._member = member
+        self._connection = connection
+        self._now = now
+        self._proves_primary = proves_primary
+        self._has_written = False
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, work: Work) -> WorkOutcome:
+        """Run one statement; a busy member is asked again."""
+        while True:
+            sent_s = self._now()
+            try:
+                answer = await run_work(
+                    self._connection, work, None, work.deadline_s - sent_s
+                )
+            except RestoreFailed as error:
+                answer = error.answer
+            if not self._may_repeat(work, answer):
+                return self._judge(work, sent_s, answer)
+            await asyncio.sleep(BUSY_PAUSE_S)
+
+    async def commit(self, work: Work) -> WorkOutcome:
+        """End the transaction; its writes are kept if this succeeds."""
+        while True:
+            limit_s = work.deadline_s - self._now()
+            call = self._connection.link.run(
+                work.request_id, Commit(), None, limit_s
+            )
+            answer = await self._connection.ask(
+                call, is_write=self._has_written
+            )
+            if not self._may_repeat(work, answer):
+                return self._judge_commit(answer)
+            await asyncio.sleep(BUSY_PAUSE_S)
+
+    def abandon(self) -> None:
+        """Roll back without waiting for it."""
+        task = asyncio.create_task(self._roll_back())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _may_repeat(self, work: Work, answer: MemberAnswer) -> bool:
+        return (
+            isinstance(answer, Rejected)
+            and answer.kind is RejectionKind.busy
+            and answer.state is SessionState.in_transaction
+            and self._now() < work.deadline_s
+        )
+
+    def _judge(
+        self, work: Work, sent_s: float, answer: MemberAnswer
+    ) -> WorkOutcome:
+        match answer:
+            case Completed(rows=rows, signature=signature, position=position):
+                self._has_written = self._has_written or work.access.is_write
+                if self._proves_primary:
+                    work.group.prove_primary(self._member, sent_s, position)
+                return WorkDone(Success(rows, signature))
+            case Rejected(kind=kind) if kind in NOT_RUN:
+                self._note_refusal(work.group, kind)
+                return WorkLost(kind.value, was_sent=False)
+            case Rejected():
+                return WorkDone(failures.from_rejection(answer))
+            case LinkLost(reason=reason):
+                return WorkLost(reason, was_sent=True)
+
+    def _judge_commit(self, answer: MemberAnswer) -> WorkOutcome:
+        match answer:
+            case Completed(rows=rows, signature=signature, position=position):
+                self._member.pool.give_back(self._connection)
+                kept = position if self._has_written else None
+                return WorkDone(Success(rows, signature), kept)
+            case Rejected(kind=kind) if kind in NOT_RUN:
+                self.abandon()
+                return WorkDone(failures.ROLLED_BACK)
+            case Rejected():
+                self.abandon()
+                return WorkDone(failures.from_rejection(answer))
+            case LinkLost(reason=reason):
+                return WorkLost(reason, was_sent=True)
+
+    def _note_refusal(self, group: Group, kind: RejectionKind) -> None:
+        if kind is RejectionKind.not_primary:
+            group.doubt_primary(self._member, 'it refused a statement')
+
+    async def _roll_back(self) -> None:
+        connection = self._connection
+        if connection.link.is_open:
+            answer = await connection.ask(
+                connection.link.rollback(_ROLLBACK_LIMIT_S),
+            )
+            if not isinstance(answer, Completed):
+                connection.link.close()
+        self._member.pool.give_back(connection)
