Open the callers' port before the rest of the program is loaded

Cause: a restarted process refuses connections while it loads (0.2 to 0.5 s); a caller's three tries follow within 0.1 s and fail before the host serves.

Change: the entry point reads the settings and listens, then loads the service.

--- a/features/platform_wire.feature
+++ b/features/platform_wire.feature
@@ -120,6 +120,12 @@
       | [                                           | faulty: the YAML is malformed                     |
       | missing                                     | faulty: could not be read                         |
 
+  Scenario: the callers' port is open before the host is loaded
+    # Callers of restarted hosts used up their tries while the port was closed
+    # (scale-2 of the forge).
+    When a host opens its port for callers
+    Then callers can connect before it accepts
+
   Scenario Outline: the balancer's question
     When a host that is <state> gets <request>
     Then the ready server answers <status>
--- a/features/steps/platform_wire_steps.py
+++ b/features/steps/platform_wire_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import pathlib
+import socket
 import tempfile
 from typing import Any, Final
 
@@ -16,6 +17,7 @@
 from features.product_builders import build_host_settings_text
 from features.wire_server import ScriptedMember
 from mimosapond.entry.caller_desk import CallerDesk
+from mimosapond.entry.caller_listener import open_caller_listener
 from mimosapond.entry.host_settings import HostSettings, load_host_settings
 from mimosapond.entry.ready_server import build_ready_server
 from mimosapond.file_problem import InvalidFile
@@ -271,3 +273,18 @@
 def check_ready_status(context: Any, status: int) -> None:
     """Compare the status."""
     assert context.status == status, context.status
+
+
+@when('a host opens its port for callers')
+def open_port(context: Any) -> None:
+    """Open it at a free port."""
+    context.listener = open_caller_listener(f'{_LOOPBACK}:0')
+    context.add_cleanup(context.listener.close)
+
+
+@then('callers can connect before it accepts')
+def check_connect(context: Any) -> None:
+    """Connect without anybody who accepts; the program may not block."""
+    address = context.listener.getsockname()
+    with socket.create_connection(address, timeout=_LIMIT_S):
+        assert not context.listener.getblocking()
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -1,5 +1,6 @@
 """Connects the parts of a host that runs on the platform."""
 
+import socket
 from typing import Final, final
 
 from mimosapond.boot_clock import boot_time_s
@@ -48,7 +49,6 @@
 _CONNECT_LIMIT_S: Final = 0.25
 # A member at work on other requests starts a connection later.
 _START_LIMIT_S: Final = 1.0
-_BACKLOG_COUNT: Final = 1024
 _MS_PER_S: Final = 1000
 # A host learns late that a member leaves, and what it sends may wait there.
 _DRAIN_MARGIN_S: Final = 2.5
@@ -81,17 +81,20 @@
         self._desk = CallerDesk(self._session_services())
         self._peer_desk = PeerDesk(self._peer_services())
 
-    def build_host(self) -> PlatformHost:
-        """Return the host, with its listeners open."""
+    def build_host(self, listener: socket.socket) -> PlatformHost:
+        """Return the host, with its listeners open.
+
+        Parameters
+        ----------
+        listener
+            Listens for callers already.
+        """
         host = PlatformHost(self._host_parts(), self._settings.stop_grace_s)
         ready_ip, ready_port = _split(self._settings.ready_address)
         build_ready_server(_READY_PATH, host.answer_balancer).listen(
             ready_port, ready_ip
         )
-        caller_ip, caller_port = _split(self._settings.caller_address)
-        CallerServer(self._desk).listen(
-            caller_port, caller_ip, backlog=_BACKLOG_COUNT
-        )
+        CallerServer(self._desk).add_socket(listener)
         peer_ip, peer_port = _split(self._settings.peer_address)
         build_peer_server(self._peer_desk, self._directory, self._now).listen(
             peer_port, peer_ip
--- a/mimosapond/platform/daemon.py
+++ b/mimosapond/platform/daemon.py
@@ -1,34 +1,25 @@
-"""Entry point of the daemon of one host on the platform."""
+"""Entry point of the daemon of one host on the platform.
 
-import asyncio
+It opens the callers' port first, and only then loads the service, which takes
+most of the time of a start.
+"""
+
+import importlib
 import os
 import pathlib
-import signal
 import sys
 from typing import Final
 
-from loguru import logger
-
-from mimosapond.entry.host_settings import HostSettings, load_host_settings
+from mimosapond.entry.caller_listener import open_caller_listener
+from mimosapond.entry.host_settings import load_host_settings
 from mimosapond.file_problem import InvalidFile
-from mimosapond.log_setup import JsonLineSink, set_up_library_logging
-from mimosapond.platform.composition import PlatformComposition
 
 _SETTINGS_VARIABLE: Final = 'MIMOSAPOND_NODE_FILE'
 _SETTINGS_PATH: Final = '/etc/mimosapond/settings.conf'
+_SERVICE: Final = 'mimosapond.platform.service'
 _BAD_SETTINGS: Final = 2
 
 
-async def _serve(settings: HostSettings) -> None:
-    host = PlatformComposition(settings).build_host()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, host.request_stop)
-    loop.add_signal_handler(signal.SIGHUP, host.note_reload)
-    logger.bind(host=settings.host).info('host_started')
-    await host.run()
-
-
 def main() -> int:
     """Serve until SIGTERM; return the exit code."""
     path = os.environ.get(_SETTINGS_VARIABLE, _SETTINGS_PATH)
@@ -37,17 +28,8 @@
         for problem in settings.problems:
             sys.stderr.write(f'{path}: {problem}\n')
         return _BAD_SETTINGS
-    logger.remove()
-    logger.add(
-        JsonLineSink(sys.stdout, ()),
-        level=settings.log_level,
-        format='',
-        backtrace=False,
-        diagnose=False,
-    )
-    # Library lines below this level are one for each HTTP request.
-    set_up_library_logging('ERROR')
-    asyncio.run(_serve(settings))
+    listener = open_caller_listener(settings.caller_address)
+    importlib.import_module(_SERVICE).run_service(settings, listener)
     return 0
 
 
