Accept callers once the routes are known

Change: callers wait in the listener's queue until the first configuration is in force, at most 0.5 s. Without one they get a refusal as not run that says why.

Tests: three rows on what a new caller is told, one on the wait.

--- a/features/sessions.feature
+++ b/features/sessions.feature
@@ -92,6 +92,24 @@
     When the caller sends read
     Then the last reply is no_such_database
 
+  Scenario Outline: a session begins only on a host that knows the routes
+    # Callers that connected while hosts restarted were told that their database
+    # does not exist (117 on trouble-3).
+    Given a host <state>
+    When a caller asks for database <database>
+    Then the caller gets <answer>
+
+    Examples:
+      | state                   | database  | answer           |
+      | with a configuration    | book      | a session        |
+      | with a configuration    | elsewhere | no_such_database |
+      | without a configuration | book      | not_run          |
+
+  Scenario: a host waits for its first configuration, but not for long
+    Given a host without a configuration
+    Then it waits 50 ms for the first one
+    And it does not wait once one is in force
+
   Scenario: a read goes to a replica behind the position of the primary
     Given a session on a group whose primary is p
     And member p has received up to 1.30
--- a/features/steps/sessions_steps.py
+++ b/features/steps/sessions_steps.py
@@ -5,14 +5,17 @@
 from types import MappingProxyType
 from typing import Any, Final
 
+import attrs
 from behave import given, then, when
 
 from features.group_builders import (
     GroupWorld,
+    build_configuration,
     build_route,
     build_world,
 )
 from mimosapond.boot_clock import boot_time_s
+from mimosapond.configuration.active_configuration import ActiveConfiguration
 from mimosapond.configuration.route import Freshness
 from mimosapond.entry.caller_desk import CallerDesk
 from mimosapond.groups.member_answer import RejectionKind
@@ -299,3 +302,53 @@
 def check_may_end(context: Any, may: str) -> None:
     """Look at what happens after the answer."""
     assert context.desk.may_end(context.session) == (may == 'may')
+
+
+@given('a host with a configuration')
+def build_configured(context: Any) -> None:
+    """Build a host that knows one route."""
+    context.desk = CallerDesk(build_world().services)
+
+
+@given('a host without a configuration')
+def build_unconfigured(context: Any) -> None:
+    """Build a host that has just started."""
+    context.active = ActiveConfiguration()
+    services = attrs.evolve(
+        build_world().services, configuration=context.active
+    )
+    context.desk = CallerDesk(services)
+
+
+@when('a caller asks for database {database}')
+def ask_for_database(context: Any, database: str) -> None:
+    """Begin a session."""
+    context.answer = context.desk.open(database)
+
+
+@then('the caller gets {answer}')
+def check_answer(context: Any, answer: str) -> None:
+    """Compare the session or the kind of failure."""
+    found = context.answer
+    kind = found.kind.value if isinstance(found, Failure) else 'a session'
+    assert kind == answer, found
+
+
+@then('it waits {limit_ms:d} ms for the first one')
+def check_wait(context: Any, limit_ms: int) -> None:
+    """Measure the wait."""
+    taken_s = _wait_for_first(context.active, limit_ms / _MS_PER_S)
+    assert taken_s >= limit_ms / _MS_PER_S, taken_s
+
+
+@then('it does not wait once one is in force')
+def check_no_wait(context: Any) -> None:
+    """Measure the wait again."""
+    context.active.put_in_force(build_configuration(build_route()))
+    assert _wait_for_first(context.active, 1) < _SETTLE_S
+
+
+def _wait_for_first(active: ActiveConfiguration, limit_s: float) -> float:
+    started_s = boot_time_s()
+    asyncio.run(active.await_first(limit_s))
+    return boot_time_s() - started_s
--- a/mimosapond/configuration/active_configuration.py
+++ b/mimosapond/configuration/active_configuration.py
@@ -1,5 +1,7 @@
 """The configuration in force on this host."""
 
+import asyncio
+import contextlib
 from typing import Final, final
 
 from loguru import logger
@@ -17,6 +19,13 @@
     def __init__(self) -> None:
         """Start without a configuration."""
         self._current: Configuration | None = None
+        self._loaded = asyncio.Event()
+
+    async def await_first(self, limit_s: float) -> None:
+        """Wait until any version is in force, or for ``limit_s``."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self._loaded.wait()
 
     @property
     def is_loaded(self) -> bool:
@@ -51,4 +60,5 @@
             routes=len(configuration.routes),
         ).info('configuration_in_force')
         self._current = configuration
+        self._loaded.set()
         return True
--- a/mimosapond/entry/caller_desk.py
+++ b/mimosapond/entry/caller_desk.py
@@ -6,8 +6,9 @@
 
 from loguru import logger
 
+from mimosapond.routing import failures
 from mimosapond.sessions.session import Session, SessionServices
-from mimosapond.statements.reply import SessionState
+from mimosapond.statements.reply import Failure, SessionState
 
 
 @final
@@ -28,10 +29,13 @@
         """Sessions that are open."""
         return len(self._closers)
 
-    def open(self, database: str) -> Session | None:
-        """Return a session; None if there is no route for the database."""
-        if self._services.configuration.route(database) is None:
-            return None
+    def open(self, database: str) -> Session | Failure:
+        """Return a session, or why there is none for the database."""
+        configuration = self._services.configuration
+        if not configuration.is_loaded:
+            return failures.NO_CONFIGURATION
+        if configuration.route(database) is None:
+            return failures.NO_SUCH_DATABASE
         return Session(database, self._services)
 
     def enter(self, session: Session, close: Callable[[], None]) -> None:
--- a/mimosapond/entry/platform_host.py
+++ b/mimosapond/entry/platform_host.py
@@ -1,7 +1,7 @@
 """The process of one host on the platform: start, serve, stop."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Final, final
 
 import attrs
@@ -25,6 +25,9 @@
 from mimosapond.routing.primary_probe import PrimaryProbe
 from mimosapond.routing.relay_port import RelayFinder
 
+# Callers that connect while the host starts wait this long for what it has to
+# know; in an outage of the store they are told to go elsewhere.
+_FIRST_CONFIGURATION_S: Final = 0.5
 # Callers that the balancer sent just before it took the host out.
 _LAST_CALLERS_S: Final = 0.3
 # Left for the last answers to reach their callers.
@@ -50,6 +53,7 @@
     change: PrimaryChange
     reachability: Reachability
     rotation: Rotation
+    accept_callers: Callable[[], None]
     now: Now
 
 
@@ -85,6 +89,8 @@
         self._start('registrations', self._parts.registration_follower.run())
         self._start('duties', self._parts.duties.run())
         self._start('peers', self._parts.peer_follower.run())
+        await self._parts.active.await_first(_FIRST_CONFIGURATION_S)
+        self._parts.accept_callers()
         stopping = asyncio.create_task(self._stop.wait())
         while not self._stop.is_set():
             self._watch_groups()
--- a/mimosapond/platform/caller_link.py
+++ b/mimosapond/platform/caller_link.py
@@ -15,7 +15,6 @@
 )
 from mimosapond.platform.statement_codec import decode_statement
 from mimosapond.platform.wire_names import FAILURE_CODES, STATE_LETTERS
-from mimosapond.routing import failures
 from mimosapond.sessions.session import Session
 from mimosapond.statements.reply import (
     Failure,
@@ -99,8 +98,8 @@
         if word != 'START' or not database:
             raise _ProtocolError(_UNREADABLE)
         session = self._desk.open(database)
-        if session is None:
-            raise _ProtocolError(failures.NO_SUCH_DATABASE)
+        if isinstance(session, Failure):
+            raise _ProtocolError(session)
         await self._lines.write(_ready_line(session.state))
         return session
 
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -1,6 +1,8 @@
 """Connects the parts of a host that runs on the platform."""
 
+import functools
 import socket
+from collections.abc import Callable
 from typing import Final, final
 
 from mimosapond.boot_clock import boot_time_s
@@ -89,12 +91,15 @@
         listener
             Listens for callers already.
         """
-        host = PlatformHost(self._host_parts(), self._settings.stop_grace_s)
+        callers = CallerServer(self._desk)
+        host = PlatformHost(
+            self._host_parts(functools.partial(callers.add_socket, listener)),
+            self._settings.stop_grace_s,
+        )
         ready_ip, ready_port = _split(self._settings.ready_address)
         build_ready_server(_READY_PATH, host.answer_balancer).listen(
             ready_port, ready_ip
         )
-        CallerServer(self._desk).add_socket(listener)
         peer_ip, peer_port = _split(self._settings.peer_address)
         build_peer_server(self._peer_desk, self._directory, self._now).listen(
             peer_port, peer_ip
@@ -144,7 +149,7 @@
     def _drain_s(self) -> float:
         return self._settings.member_drain_ms / _MS_PER_S
 
-    def _host_parts(self) -> HostParts:
+    def _host_parts(self, accept_callers: Callable[[], None]) -> HostParts:
         return HostParts(
             active=self._active,
             directory=self._directory,
@@ -167,6 +172,7 @@
             change=self._primary_change(),
             reachability=Reachability(self._directory, self._now),
             rotation=Rotation(self._now),
+            accept_callers=accept_callers,
             now=self._now,
         )
 
--- a/mimosapond/routing/failures.py
+++ b/mimosapond/routing/failures.py
@@ -51,6 +51,10 @@
     FailureKind.no_such_statement,
     'the name is not prepared in this session; prepare it',
 )
+NO_CONFIGURATION: Final = Failure(
+    FailureKind.not_run,
+    'this host has no configuration yet; connect again to reach another',
+)
 NO_SUCH_DATABASE: Final = Failure(
     FailureKind.no_such_database,
     'no route for this database; check its name',
