--- a/features/sessions.feature
+++ b/features/sessions.feature
@@ -97,7 +97,7 @@
     # does not exist (117 on trouble-3).
     Given a host <state>
     When a caller asks for database <database>
-    Then the caller gets <answer>
+    Then the desk answers <answer>
 
     Examples:
       | state                   | database  | answer           |
--- a/features/steps/sessions_steps.py
+++ b/features/steps/sessions_steps.py
@@ -326,7 +326,7 @@
     context.answer = context.desk.open(database)
 
 
-@then('the caller gets {answer}')
+@then('the desk answers {answer}')
 def check_answer(context: Any, answer: str) -> None:
     """Compare the session or the kind of failure."""
     found = context.answer
--- a/mimosapond/peers/peer_relay.py
+++ b/mimosapond/peers/peer_relay.py
@@ -83,6 +83,9 @@
         self._is_open = False
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def __str__(self) -> str:
+        return str(self._relay)
+
     async def run(self, work: Work) -> WorkOutcome:
         is_first = not self._is_open
         self._is_open = True
--- a/mimosapond/routing/write_router.py
+++ b/mimosapond/routing/write_router.py
@@ -84,7 +84,7 @@
                 return None
             case WorkLost(reason=reason):
                 logger.bind(
-                    request=work.request_id, member='', reason=reason
+                    request=work.request_id, member='other host', reason=reason
                 ).warning('write_unanswered')
                 return failures.WRITE_UNANSWERED, None
 
--- a/mimosapond/sessions/pinned_transaction.py
+++ b/mimosapond/sessions/pinned_transaction.py
@@ -52,6 +52,10 @@
         self._has_written = False
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def __str__(self) -> str:
+        """Return the id of the member."""
+        return self._member.member_id
+
     async def run(self, work: Work) -> WorkOutcome:
         """Run one statement; a busy member is asked again."""
         while True:
--- a/mimosapond/sessions/transaction.py
+++ b/mimosapond/sessions/transaction.py
@@ -211,5 +211,7 @@
 
     def _log_loss(self, work: Work, reason: str) -> None:
         logger.bind(
-            request=work.request_id, open=str(self._opened), reason=reason
+            request=work.request_id,
+            at=str(self._opened or ''),
+            reason=reason,
         ).warning('transaction_lost')
