Keep one copy of the log of lost dependencies; let questions to peers end

Three followers had the same lines for a lost and regained source; they share one class. No other change of behaviour.

--- a/mimosapond/configuration/configuration_follower.py
+++ b/mimosapond/configuration/configuration_follower.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable
 from typing import Final, final
 
-from loguru import logger
-
 from mimosapond.configuration.active_configuration import ActiveConfiguration
 from mimosapond.configuration.configuration import Configuration
 from mimosapond.configuration.configuration_source import (
@@ -14,6 +12,7 @@
     SourceState,
     SourceUnavailable,
 )
+from mimosapond.dependency import Dependency
 
 # A silent feed is noticed after this wait, well inside the bound for
 # configurations.
@@ -38,7 +37,7 @@
         self._on_change = on_change
         self._mark: int | None = None
         self._retry_s = _RETRY_S
-        self._is_connected = True
+        self._dependency = Dependency('configuration_source')
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -52,7 +51,7 @@
             answer = await self._source.follow(self._mark, _WAIT_S)
         match answer:
             case SourceState(configuration=configuration, mark=mark):
-                self._note_connection(is_connected=True, reason='')
+                self._dependency.note(is_connected=True)
                 self._retry_s = _RETRY_S
                 self._mark = mark
                 if configuration is not None:
@@ -60,7 +59,7 @@
             case SourceGap():
                 self._mark = None
             case SourceUnavailable(reason=reason):
-                self._note_connection(is_connected=False, reason=reason)
+                self._dependency.note(is_connected=False, reason=reason)
                 self._mark = None
                 await asyncio.sleep(self._retry_s)
                 self._retry_s = min(self._retry_s * 2, _RETRY_MAX_S)
@@ -68,12 +67,3 @@
     def _apply(self, configuration: Configuration) -> None:
         if self._active.put_in_force(configuration):
             self._on_change(configuration)
-
-    def _note_connection(self, *, is_connected: bool, reason: str) -> None:
-        if is_connected != self._is_connected:
-            self._is_connected = is_connected
-            logger.bind(
-                is_connected=is_connected,
-                reason=reason,
-                version=self._active.version,
-            ).warning('configuration_source')
--- a/mimosapond/groups/registration_follower.py
+++ b/mimosapond/groups/registration_follower.py
@@ -3,8 +3,7 @@
 import asyncio
 from typing import Final, final
 
-from loguru import logger
-
+from mimosapond.dependency import Dependency
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.registration_source import (
     RegistrationSource,
@@ -27,7 +26,7 @@
         """Take the source and the directory to keep up."""
         self._source = source
         self._directory = directory
-        self._is_connected = True
+        self._dependency = Dependency('registration_source')
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -36,18 +35,11 @@
             found = await self._source.read()
             if isinstance(found, RegistrationsUnavailable):
                 self._directory.note_outage()
-                self._note_connection(is_connected=False, reason=found.reason)
+                self._dependency.note(is_connected=False, reason=found.reason)
                 await asyncio.sleep(retry_s)
                 retry_s = min(retry_s * 2, _RETRY_MAX_S)
                 continue
             retry_s = _RETRY_S
-            self._note_connection(is_connected=True, reason='')
+            self._dependency.note(is_connected=True)
             self._directory.apply_registrations(found.records)
             await asyncio.sleep(_PERIOD_S)
-
-    def _note_connection(self, *, is_connected: bool, reason: str) -> None:
-        if is_connected != self._is_connected:
-            self._is_connected = is_connected
-            logger.bind(is_connected=is_connected, reason=reason).warning(
-                'registration_source',
-            )
--- a/mimosapond/member_reader.py
+++ b/mimosapond/member_reader.py
@@ -13,11 +13,15 @@
 from mimosapond.beacon_source import BeaconSource
 from mimosapond.clock import MS_PER_S, Clock
 from mimosapond.cluster_map import Leaving
-from mimosapond.completed import Completed
 from mimosapond.decision_log import DecisionLog
 from mimosapond.errors import refuse
 from mimosapond.outcome import Outcome
 from mimosapond.peer_run import PeerRun
+from mimosapond.read_verdict import (
+    check_floor,
+    refuse_read,
+    refuse_rejected,
+)
 from mimosapond.refusal_reason import RefusalReason
 from mimosapond.refused import Refused
 from mimosapond.slot_source import HeldSlot, SlotFinder
@@ -28,12 +32,10 @@
     TargetResult,
     TargetSilent,
 )
-from mimosapond.token import Token
 from mimosapond.work_ticket import WorkTicket, build_fingerprint
 
 # The entry host fills the deadline from the document; this is a safeguard.
 _DEFAULT_DEADLINE_MS: Final = 1000
-_SQL_ERROR: Final = 'sql_error'
 # The least age, so that the holder of the term is asked anew.
 _CONFIRM_AGE_MS: Final = 1
 
@@ -88,9 +90,9 @@
             case TargetAnswered():
                 return await self._check(run, target_result, deadline_s)
             case TargetRejected(reason=reason, message=message):
-                return _refuse_rejected(run, reason, message)
+                return refuse_rejected(run, reason, message)
             case TargetSilent(problem=problem):
-                return _refuse_read(run, problem)
+                return refuse_read(run, problem)
 
     async def _admit(self, run: PeerRun, deadline_s: float) -> Refused | None:
         """Refuse work at a leaving target, unless it is still the primary.
@@ -140,17 +142,17 @@
         if not is_confirmed:
             age_ms = self._ages.tracker(run.group).age_ms(standing)
         if not is_confirmed and self._may_show_lost_entries(run, standing):
-            outcome: Outcome = _refuse_read(
+            outcome: Outcome = refuse_read(
                 run,
                 'its last entries may be dropped by a newer primary',
             )
         elif age_ms is None:
-            outcome = _refuse_read(
+            outcome = refuse_read(
                 run,
                 'the age of its data is not known',
             )
         else:
-            outcome = _check_floor(
+            outcome = check_floor(
                 run,
                 answered,
                 age_ms=age_ms,
@@ -262,66 +264,3 @@
         is_long=request.is_long,
         group=run.group,
     )
-
-
-def _check_floor(
-    run: PeerRun,
-    answered: TargetAnswered,
-    *,
-    age_ms: int,
-    is_confirmed: bool,
-) -> Outcome:
-    if not _includes_floor(run, answered.standing):
-        if is_confirmed:
-            return _refuse_missing(run, answered.standing)
-        return _refuse_read(run, 'it has not applied the last write yet')
-    # A read without a bound is held to the strictest one.
-    max_age_ms = run.request.max_age_ms or 0
-    if age_ms > max_age_ms:
-        return refuse(
-            RefusalReason.TOO_STALE,
-            retry_after_ms=age_ms - max_age_ms,
-            member=run.member,
-            age_ms=age_ms,
-            max_age_ms=max_age_ms,
-        )
-    return Completed(
-        results=answered.results,
-        token=run.request.token,
-        member=run.member,
-        data_age_ms=age_ms,
-    )
-
-
-def _includes_floor(run: PeerRun, standing: Standing) -> bool:
-    floor = run.floor
-    return floor is None or standing.contains(floor.term, floor.position)
-
-
-def _refuse_missing(run: PeerRun, standing: Standing) -> Refused:
-    """Report a floor that the log of a confirmed primary does not show."""
-    floor = run.floor
-    if floor is not None and floor.term < standing.oldest_term:
-        return refuse(
-            RefusalReason.BAD_TOKEN,
-            problem='it is older than the changes of term that are remembered',
-        )
-    token = run.request.token
-    if token is None and run.floor is not None:
-        token = str(Token(run.group, run.floor.term, run.floor.position))
-    return refuse(RefusalReason.SESSION_WRITE_LOST, token=token)
-
-
-def _refuse_rejected(run: PeerRun, reason: str, message: str) -> Refused:
-    if reason == _SQL_ERROR:
-        return refuse(RefusalReason.SQL_ERROR, problem=message)
-    return _refuse_read(run, message)
-
-
-def _refuse_read(run: PeerRun, problem: str) -> Refused:
-    return refuse(
-        RefusalReason.NO_TARGET,
-        retry_after_ms=1,
-        group=run.group,
-        problem=f'{run.member}: {problem}',
-    )
--- a/mimosapond/peers/peer_follower.py
+++ b/mimosapond/peers/peer_follower.py
@@ -3,8 +3,7 @@
 import asyncio
 from typing import Final, final
 
-from loguru import logger
-
+from mimosapond.dependency import Dependency
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_directory import PeerDirectory
 from mimosapond.peers.peer_source import PeerSource, PeersUnavailable
@@ -26,23 +25,16 @@
         self._own = own
         self._source = source
         self._directory = directory
-        self._is_connected = True
+        self._dependency = Dependency('peer_source')
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
             found = await self._source.announce(self._own)
             if isinstance(found, PeersUnavailable):
-                self._note_connection(is_connected=False, reason=found.reason)
+                self._dependency.note(is_connected=False, reason=found.reason)
                 await asyncio.sleep(_RETRY_S)
                 continue
-            self._note_connection(is_connected=True, reason='')
+            self._dependency.note(is_connected=True)
             self._directory.update(found.peers)
             await asyncio.sleep(PERIOD_S)
-
-    def _note_connection(self, *, is_connected: bool, reason: str) -> None:
-        if is_connected != self._is_connected:
-            self._is_connected = is_connected
-            logger.bind(is_connected=is_connected, reason=reason).warning(
-                'peer_source',
-            )
--- a/mimosapond/peers/primary_finder.py
+++ b/mimosapond/peers/primary_finder.py
@@ -42,6 +42,7 @@
         self._client = client
         self._now = now
         self._found: dict[str, _Found] = {}
+        self._asking: set[asyncio.Task[PrimaryNews | None]] = set()
         self._under_way: dict[str, asyncio.Task[Relay | None]] = {}
 
     async def find(self, group: Group) -> Relay | None:
@@ -87,6 +88,10 @@
             ): peer
             for peer in peers
         }
+        # Slower answers are not cancelled: they end soon by themselves.
+        self._asking.update(tasks)
+        for task in tasks:
+            task.add_done_callback(self._asking.discard)
         relay = await self._first(group, asked_s, tasks)
         before = self._found.get(group.name)
         if (before is not None and before.relay is not None) != bool(relay):
@@ -116,16 +121,10 @@
                     group.note_relayed(
                         news.member_id, asked_s - news.age_s, news.position
                     )
-                    _cancel(pending)
                     return PeerRelay(tasks[task], self._client, self)
         return None
 
 
-def _cancel(tasks: set[asyncio.Task[PrimaryNews | None]]) -> None:
-    for task in tasks:
-        task.cancel()
-
-
 async def _wait(task: asyncio.Task[Relay | None]) -> Relay | None:
     """Wait for a question that others wait for as well."""
     return await asyncio.shield(task)
