Find the log events of dependencies in the sources

The check of the pages reads event names from logger calls; those of Dependency are literals of its constructor and were missed, so three rows of logs.md counted as having no name in the code.

--- a/features/code_names.py
+++ b/features/code_names.py
@@ -13,6 +13,8 @@
 _METRIC_CALLS: Final = ('count', 'gauge', 'timing_ms')
 _DECISION_CALLS: Final = ('record', '_record')
 _LOG_CALLS: Final = ('debug', 'info', 'warning', 'error', 'exception', 'log')
+# Logs its loss and its return as the event that it is given.
+_DEPENDENCY: Final = 'Dependency'
 _PLACEHOLDER: Final = '<>'
 
 
@@ -58,7 +60,13 @@
 
 
 def _names(call: ast.Call, kind: str) -> Iterator[str]:
-    if not isinstance(call.func, ast.Attribute) or not call.args:
+    if not call.args:
+        return
+    if isinstance(call.func, ast.Name):
+        if kind == 'log event' and call.func.id == _DEPENDENCY:
+            yield _text(call.args[0])
+        return
+    if not isinstance(call.func, ast.Attribute):
         return
     receiver = ast.unparse(call.func.value)
     if not _is_kind(call.func.attr, receiver, kind):
