Confirm a read by a beacon that was asked for after it

Reads share one pull of a beacon; the one under way had begun before the read ended, so it confirmed nothing, and no other was made.

Change: a second pull follows, which cannot have begun earlier.

Test: the new holder confirms in a later pull; it fails before.

--- a/features/reading.feature
+++ b/features/reading.feature
@@ -38,18 +38,20 @@
 
   Scenario Outline: a primary whose term another host holds by now
     Guards against a long read that fails because its host handed the term over
-    meanwhile, and against one at a primary that was replaced.
+    meanwhile, and against one at a primary that was replaced. One run in 14
+    beside load failed as a pull that was under way was taken for the answer.
     Given a member reader whose member answers as primary at 1:1@50
     And the reader's beacons were "2/1/40"
     And the reader's term holder is absent
-    And the new holder confirms term <term>
+    And the new holder confirms term <term> in pull <pull>
     When the reader runs a read with floor none and age bound 2000 ms
     Then the reader answers <answer>
 
     Examples:
-      | term | answer      |
-      | 1    | completed 0 |
-      | 2    | no_target   |
+      | term | pull | answer      |
+      | 1    | 1    | completed 0 |
+      | 1    | 3    | completed 0 |
+      | 2    | 1    | no_target   |
 
   Scenario Outline: a read without an answer is refused and its grant returned
     Guards against wrong outcomes and against connections that are reused
--- a/features/steps/reading_steps.py
+++ b/features/steps/reading_steps.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import functools
+import itertools
+from collections.abc import Iterator
 from typing import Any
 
 import attrs
@@ -105,17 +107,23 @@
         context.holder = FakeHolder(int(holder.removeprefix('confirms ')))
 
 
-@given('the new holder confirms term {term:d}')
-def set_new_holder(context: Any, term: int) -> None:
-    """Let another host answer the pull of a beacon."""
+@given('the new holder confirms term {term:d} in pull {pull:d}')
+def set_new_holder(context: Any, term: int, pull: int) -> None:
+    """Let another host answer the pull of a beacon.
 
-    context.pull = functools.partial(_pull, context, term)
+    Earlier pulls began before the read ended; the first is made before it.
+    """
+    ages_s = itertools.chain(itertools.repeat(1, pull - 1), itertools.repeat(0))
+    context.pull = functools.partial(_pull, context, term, ages_s)
 
 
-async def _pull(context: Any, term: int, group: str) -> None:
+async def _pull(
+    context: Any, term: int, ages_s: Iterator[int], group: str
+) -> None:
     """Note the beacon of the new holder, as a pull does."""
     beacon = build_beacon(term, 50)
-    context.ages.tracker(group).note(context.clock.now_s, beacon)
+    asked_s = context.clock.now_s - next(ages_s)
+    context.ages.tracker(group).note(asked_s, beacon)
 
 
 @given("the reader's target {behaviour}")
--- a/mimosapond/member_reader.py
+++ b/mimosapond/member_reader.py
@@ -38,6 +38,7 @@
 _DEFAULT_DEADLINE_MS: Final = 1000
 # The least age, so that the holder of the term is asked anew.
 _CONFIRM_AGE_MS: Final = 1
+_CONFIRM_PULL_COUNT: Final = 2
 
 
 @final
@@ -212,12 +213,19 @@
         standing: Standing,
         deadline_s: float,
     ) -> bool:
-        """Ask the holder of the term, which may have changed meanwhile."""
+        """Ask the holder of the term, which may have changed meanwhile.
+
+        A pull that other reads share may have begun before this read ended;
+        the next one cannot.
+        """
         asked_s = self._clock.monotonic_s()
         limit_s = max(0, deadline_s - asked_s) / 2
-        await self._refresher.refresh(run.group, _CONFIRM_AGE_MS, limit_s)
         tracker = self._ages.tracker(run.group)
-        return tracker.is_confirmed_since(asked_s, standing.term)
+        for _ in range(_CONFIRM_PULL_COUNT):
+            await self._refresher.refresh(run.group, _CONFIRM_AGE_MS, limit_s)
+            if tracker.is_confirmed_since(asked_s, standing.term):
+                return True
+        return False
 
     def _may_show_lost_entries(self, run: PeerRun, standing: Standing) -> bool:
         """Return whether the log may hold entries that no other member has.
