--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -160,9 +161,12 @@
 @when('the leaving primary hands over')
 def hand_over(context: Any) -> None:
     """Try to hand over once."""
-    world = context.world
-    member = world.group.members['p']
-    asyncio.run(world.change.hand_over(world.group, member))
+    _change_from_p(context, context.world.change.hand_over)
+
+
+def _change_from_p(context: Any, change: Callable[..., Any]) -> None:
+    group = context.world.group
+    asyncio.run(change(group, group.members['p']))
 
 
 @when('the watch of the group runs for {duration_ms:d} ms')
@@ -288,9 +292,7 @@
 @when('a host replaces the stalled primary')
 def replace_stalled(context: Any) -> None:
     """Try to replace it once."""
-    world = context.world
-    member = world.group.members['p']
-    asyncio.run(world.change.replace_stalled(world.group, member))
+    _change_from_p(context, context.world.change.replace_stalled)
 
 
 @then('member p leads: {answer}')
