Name the connection of each answer; log what shows an answer out of step

What callers saw: MIXED, and no log line tells which connection a wrong answer came from. Lines of ordinary work are bounded to 200 a second on a host; what is left out is counted.

No decision changes.

--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -75,6 +75,12 @@
         self._member = member
         self._state = SessionState.idle
         self.is_open = True
+        self.name = member.member_id
+
+    @property
+    def state(self) -> SessionState | None:
+        """State after the last answer."""
+        return self._state
 
     async def run(
         self,
--- a/mimosapond/entry/platform_host.py
+++ b/mimosapond/entry/platform_host.py
@@ -20,6 +20,7 @@
 from mimosapond.failover.reserved_duties import ReservedDuties
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.registration_follower import RegistrationFollower
+from mimosapond.ordinary_line_limit import OrdinaryLineLimit
 from mimosapond.peers.peer_desk import PeerDesk
 from mimosapond.peers.peer_follower import PeerFollower
 from mimosapond.routing.primary_probe import PrimaryProbe
@@ -54,6 +55,7 @@
     reachability: Reachability
     rotation: Rotation
     accept_callers: Callable[[], None]
+    line_limit: OrdinaryLineLimit
     now: Now
 
 
@@ -95,6 +97,7 @@
         while not self._stop.is_set():
             self._watch_groups()
             self._redirect_callers()
+            self._parts.line_limit.report()
             await asyncio.wait((stopping,), timeout=_STEP_S)
         await self._end_sessions()
         logger.bind(sessions=self._parts.desk.session_count).info('stopped')
--- a/mimosapond/groups/connection_pool.py
+++ b/mimosapond/groups/connection_pool.py
@@ -16,6 +16,7 @@
 from mimosapond.groups.member_port import MemberDialer
 from mimosapond.groups.member_record import MemberRecord
 from mimosapond.groups.pooled_connection import PooledConnection
+from mimosapond.statements.reply import SessionState
 
 # Pause before the next try when the member has all connections it accepts;
 # jittered, as other hosts wait for the same ones.
@@ -121,6 +122,11 @@
             self.open_count -= 1
             self._grow()
             return
+        if connection.link.state is not SessionState.idle:
+            logger.bind(
+                connection=connection.link.name,
+                state=str(connection.link.state),
+            ).error('connection_unsettled')
         connection.idle_since_s = self._now()
         waiter = self._next_waiter()
         if waiter is None:
--- a/mimosapond/groups/member_answer.py
+++ b/mimosapond/groups/member_answer.py
@@ -68,3 +68,14 @@
 
 
 MemberAnswer: TypeAlias = Completed | Rejected | LinkLost
+
+
+def outcome_word(answer: MemberAnswer) -> str:
+    """Return the word for an answer in logs."""
+    match answer:
+        case Completed():
+            return 'completed'
+        case Rejected(kind=kind):
+            return kind.value
+        case LinkLost(reason=reason):
+            return reason
--- a/mimosapond/groups/member_port.py
+++ b/mimosapond/groups/member_port.py
@@ -6,6 +6,7 @@
 from mimosapond.groups.member_answer import LinkLost, MemberAnswer, Rejected
 from mimosapond.groups.member_record import MemberRecord
 from mimosapond.groups.member_status import MemberStatus
+from mimosapond.statements.reply import SessionState
 from mimosapond.statements.statement import Begin, Commit, Direct, Shape
 
 StatusAnswer: TypeAlias = MemberStatus | Rejected | LinkLost
@@ -18,10 +19,18 @@
     closed.
     """
 
+    @property
+    def name(self) -> str:
+        """Name of the connection in logs."""
+
     @property
     def is_open(self) -> bool:
         """Whether requests can be made."""
 
+    @property
+    def state(self) -> SessionState | None:
+        """State after the last answer; None until it is whole."""
+
     async def run(
         self,
         request_id: str,
--- a/mimosapond/peers/peer_client.py
+++ b/mimosapond/peers/peer_client.py
@@ -125,6 +125,12 @@
         self, peer: Peer, path: str, fields: Mapping[str, Any], work: Work
     ) -> WorkOutcome:
         now_s = self._now()
+        logger.bind(
+            request=work.request_id,
+            peer=peer.host,
+            path=path,
+            key=fields.get('key', ''),
+        ).info('work_passed_on')
         body = {**fields, 'work': encode_work(work, now_s)}
         found = await self._call(peer, path, body, work.deadline_s - now_s)
         if isinstance(found, WorkLost):
--- a/mimosapond/peers/peer_desk.py
+++ b/mimosapond/peers/peer_desk.py
@@ -18,7 +18,7 @@
 from mimosapond.routing.work_outcome import WorkDone
 from mimosapond.routing.work import Work
 from mimosapond.sessions.transaction import Transaction, TransactionRouting
-from mimosapond.statements.reply import Failure
+from mimosapond.statements.reply import Failure, Reply
 from mimosapond.statements.statement import Begin
 
 _MS_PER_S: Final = 1000
@@ -44,6 +44,7 @@
 @attrs.define(eq=False)
 class _Open:
     transaction: Transaction
+    is_running: bool = False
     timer: asyncio.TimerHandle | None = None
 
 
@@ -110,13 +111,16 @@
     ) -> WorkDone:
         """Run a statement of a transaction; the first one opens it."""
         if is_first:
+            logger.bind(
+                request=work.request_id, key=key, is_taken=key in self._open
+            ).info('relayed_transaction_begun')
             self._open[key] = _Open(Transaction(begin, self._services.routing))
         entry = self._open.get(key)
         if entry is None:
             return WorkDone(failures.ROLLED_BACK)
         self._stop_timer(entry)
         with self._running():
-            reply = await entry.transaction.run(work)
+            reply = await self._run_in(entry, work)
         if isinstance(reply, Failure):
             self.roll_back(key)
         else:
@@ -137,6 +141,9 @@
         """Roll a transaction back, if it is open."""
         entry = self._open.pop(key, None)
         if entry is not None:
+            logger.bind(key=key, is_running=entry.is_running).info(
+                'relayed_transaction_rolled_back'
+            )
             self._stop_timer(entry)
             entry.transaction.abandon()
 
@@ -145,6 +152,13 @@
         logger.bind(key=key).info('relayed_transaction_expired')
         self.roll_back(key)
 
+    async def _run_in(self, entry: _Open, work: Work) -> Reply:
+        entry.is_running = True
+        try:
+            return await entry.transaction.run(work)
+        finally:
+            entry.is_running = False
+
     def _start_timer(self, key: str, entry: _Open) -> None:
         idle_ms = self._services.configuration.transaction_idle_ms
         entry.timer = asyncio.get_running_loop().call_later(
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -22,6 +22,7 @@
 from mimosapond.failover.reserved_duties import ReservedDuties
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.registration_follower import RegistrationFollower
+from mimosapond.ordinary_line_limit import OrdinaryLineLimit
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_client import PeerClient
 from mimosapond.peers.peer_desk import PeerDesk, PeerServices
@@ -60,9 +61,12 @@
 class PlatformComposition:
     """Builds a host from its settings."""
 
-    def __init__(self, settings: HostSettings) -> None:
+    def __init__(
+        self, settings: HostSettings, line_limit: OrdinaryLineLimit
+    ) -> None:
         """Create the parts that others share."""
         self._settings = settings
+        self._line_limit = line_limit
         self._now = boot_time_s
         self._store = StoreClient(settings.store_address)
         self._active = ActiveConfiguration()
@@ -173,6 +177,7 @@
             reachability=Reachability(self._directory, self._now),
             rotation=Rotation(self._now),
             accept_callers=accept_callers,
+            line_limit=self._line_limit,
             now=self._now,
         )
 
--- a/mimosapond/platform/member_link.py
+++ b/mimosapond/platform/member_link.py
@@ -1,8 +1,10 @@
 """Connections to members on the platform's wire."""
 
 import asyncio
+import itertools
 from typing import Final, final
 
+from loguru import logger
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
 
@@ -33,6 +35,8 @@
 
 # Requests of the product itself, which no caller sent.
 _OWN_ID: Final = '-'
+# In place of a signature, in answers to them.
+_UNSIGNED: Final = '-'
 _CALLER_NAME: Final = 'mimosapond'
 _STATUS_FIELDS: Final = 4
 
@@ -53,15 +57,29 @@
 class WireMemberConnection:
     """An open connection to a member; see ``MemberConnection``."""
 
-    def __init__(self, lines: LineStream) -> None:
-        """Take a stream on which the member said that it is ready."""
+    def __init__(self, name: str, lines: LineStream) -> None:
+        """Take a stream on which the member said that it is ready.
+
+        Parameters
+        ----------
+        name
+            Names the connection in logs.
+        """
+        self.name: Final = name
         self._lines = lines
+        self._state: SessionState | None = SessionState.idle
+        self._request_id = ''
 
     @property
     def is_open(self) -> bool:
         """Whether requests can be made."""
         return self._lines.is_open
 
+    @property
+    def state(self) -> SessionState | None:
+        """State after the last answer; None until it is whole."""
+        return self._state
+
     async def run(
         self,
         request_id: str,
@@ -140,10 +158,11 @@
     async def _ask(
         self, request_id: str, text: str, limit_s: float
     ) -> MemberAnswer:
+        self._note_start(request_id)
         try:
             async with asyncio.timeout(limit_s):
                 await self._lines.write(f'QUERY {request_id} {text}')
-                return await self._answer()
+                answer = await self._answer()
         except TimeoutError:
             self._lines.close()
             return LinkLost('no answer in time')
@@ -154,6 +173,31 @@
             # Half of an answer would be taken for that of the next request.
             self._lines.close()
             raise
+        finally:
+            self._request_id = ''
+        self._note_signature(request_id, answer)
+        return answer
+
+    def _note_start(self, request_id: str) -> None:
+        if self._request_id:
+            logger.bind(
+                connection=self.name,
+                request=request_id,
+                under_way=self._request_id,
+            ).error('connection_shared')
+        self._request_id = request_id
+        self._state = None
+
+    def _note_signature(self, request_id: str, answer: MemberAnswer) -> None:
+        if not isinstance(answer, Completed):
+            return
+        is_own = request_id == _OWN_ID
+        if is_own != (answer.signature == _UNSIGNED):
+            logger.bind(
+                connection=self.name,
+                request=request_id,
+                signature=answer.signature,
+            ).error('answer_out_of_step')
 
     async def _answer(self) -> MemberAnswer:
         rows: list[str] = []
@@ -178,6 +222,7 @@
         state = STATES.get(fields[1])
         if state is None:
             raise _NoMessageError(fields[1])
+        self._state = state
         return state, decode_position(fields[2])
 
 
@@ -198,6 +243,7 @@
         self._connect_limit_s = connect_limit_s
         self._start_limit_s = start_limit_s
         self._client = TCPClient()
+        self._numbers = itertools.count(1)
 
     async def dial(
         self, record: MemberRecord
@@ -212,7 +258,7 @@
         lines = LineStream(stream)
         try:
             async with asyncio.timeout(self._start_limit_s):
-                return await _start(lines, record)
+                return await self._start(lines, record)
         except TimeoutError:
             lines.close()
             return LinkLost('start: no answer in time')
@@ -220,18 +266,20 @@
             lines.close()
             return LinkLost(f'start: {error!r}')
 
-
-async def _start(
-    lines: LineStream, record: MemberRecord
-) -> WireMemberConnection | Rejected:
-    await lines.write(f'START {record.group} {_CALLER_NAME} {record.member_id}')
-    word, _, rest = (await lines.read()).partition(' ')
-    if word == 'READY':
-        return WireMemberConnection(lines)
-    lines.close()
-    if word != 'ERROR':
-        raise _NoMessageError(word)
-    return _rejected(rest, SessionState.idle, None)
+    async def _start(
+        self, lines: LineStream, record: MemberRecord
+    ) -> WireMemberConnection | Rejected:
+        await lines.write(
+            f'START {record.group} {_CALLER_NAME} {record.member_id}'
+        )
+        word, _, rest = (await lines.read()).partition(' ')
+        if word == 'READY':
+            name = f'{record.member_id}#{next(self._numbers)}'
+            return WireMemberConnection(name, lines)
+        lines.close()
+        if word != 'ERROR':
+            raise _NoMessageError(word)
+        return _rejected(rest, SessionState.idle, None)
 
 
 def _after(position: LogPosition | None, text: str) -> str:
--- a/mimosapond/platform/service.py
+++ b/mimosapond/platform/service.py
@@ -4,13 +4,19 @@
 import signal
 import socket
 import sys
+from typing import Final
 
 from loguru import logger
 
+from mimosapond.boot_clock import boot_time_s
 from mimosapond.entry.host_settings import HostSettings
 from mimosapond.log_setup import JsonLineSink, set_up_library_logging
+from mimosapond.ordinary_line_limit import OrdinaryLineLimit
 from mimosapond.platform.composition import PlatformComposition
 
+# At some 100 bytes a line; a host that is busier samples its ordinary work.
+_ORDINARY_LINES_PER_S: Final = 200
+
 
 def run_service(settings: HostSettings, listener: socket.socket) -> None:
     """Serve until SIGTERM.
@@ -20,21 +26,28 @@
     listener
         Listens for callers already.
     """
+    line_limit = OrdinaryLineLimit(_ORDINARY_LINES_PER_S, boot_time_s)
     logger.remove()
     logger.add(
         JsonLineSink(sys.stdout, ()),
         level=settings.log_level,
+        filter=line_limit,
         format='',
         backtrace=False,
         diagnose=False,
     )
     # Library lines below this level are one for each HTTP request.
     set_up_library_logging('ERROR')
-    asyncio.run(_serve(settings, listener))
+    asyncio.run(_serve(settings, listener, line_limit))
 
 
-async def _serve(settings: HostSettings, listener: socket.socket) -> None:
-    host = PlatformComposition(settings).build_host(listener)
+async def _serve(
+    settings: HostSettings,
+    listener: socket.socket,
+    line_limit: OrdinaryLineLimit,
+) -> None:
+    composition = PlatformComposition(settings, line_limit)
+    host = composition.build_host(listener)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, host.request_stop)
--- a/mimosapond/routing/statement_runner.py
+++ b/mimosapond/routing/statement_runner.py
@@ -2,12 +2,15 @@
 
 from typing import final
 
+from loguru import logger
+
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member_answer import (
     Completed,
     LinkLost,
     MemberAnswer,
     Rejected,
+    outcome_word,
 )
 from mimosapond.groups.pooled_connection import PooledConnection
 from mimosapond.routing.definitions import Definitions
@@ -76,7 +79,23 @@
         )
     else:
         call = connection.link.run(work.request_id, access, wait_for, limit_s)
-    return await connection.ask(call, is_write=access.is_write)
+    answer = await connection.ask(call, is_write=access.is_write)
+    log_answer(connection, work.request_id, answer)
+    return answer
+
+
+def log_answer(
+    connection: PooledConnection, request_id: str, answer: MemberAnswer
+) -> None:
+    """Write which connection a caller's request went over.
+
+    Without it, a wrong answer cannot be followed to the requests before it.
+    """
+    logger.bind(
+        request=request_id,
+        connection=connection.link.name,
+        outcome=outcome_word(answer),
+    ).info('member_answered')
 
 
 async def _prepared_name(
--- a/mimosapond/sessions/pinned_transaction.py
+++ b/mimosapond/sessions/pinned_transaction.py
@@ -16,7 +16,11 @@
 from mimosapond.groups.pooled_connection import PooledConnection
 from mimosapond.boot_clock import Now
 from mimosapond.routing import failures
-from mimosapond.routing.statement_runner import RestoreFailed, run_work
+from mimosapond.routing.statement_runner import (
+    RestoreFailed,
+    log_answer,
+    run_work,
+)
 from mimosapond.routing.work import Work
 from mimosapond.routing.work_outcome import WorkDone, WorkLost, WorkOutcome
 from mimosapond.routing.write_router import BUSY_PAUSE_S
@@ -80,6 +84,7 @@
             answer = await self._connection.ask(
                 call, is_write=self._has_written
             )
+            log_answer(self._connection, work.request_id, answer)
             if not self._may_repeat(work, answer):
                 return self._judge_commit(answer)
             await asyncio.sleep(BUSY_PAUSE_S)
