Show that a rollback is sent into a running statement

A relayed transaction that is abandoned while its statement runs at the member makes the other host send ROLLBACK on the same connection at once. Callers see the connection disappear from the pool until none is left: the rollback's task ends with AssertionError "Already reading" and gives nothing back.

The scenario runs over HTTP and the wire. wire_member.py is a member that answers in order of arrival, keeps the state of each connection and records requests that arrive while one is under way. It fails now with

member p never had two requests at once on a connection ASSERT FAILED: [Request(request_id='-', text='ROLLBACK')]

--- /dev/null
+++ b/features/ownership_builders.py
@@ -0,0 +1,199 @@
+"""Hosts whose members are on the wire, and callers of other hosts."""
+
+import asyncio
+from typing import Final, final
+
+import attrs
+from tornado.httpserver import HTTPServer
+
+from features.group_builders import (
+    GROUP,
+    GroupWorld,
+    build_configuration,
+    build_record,
+    build_route,
+    build_world,
+)
+from features.relay_builders import (
+    build_finder,
+    build_peer_services,
+    serve_desk,
+)
+from features.wire_member import WireMember
+from mimosapond.boot_clock import boot_time_s
+from mimosapond.configuration.route import Route
+from mimosapond.groups.connection_pool import ConnectionPool
+from mimosapond.groups.group import Group
+from mimosapond.groups.group_directory import GroupDirectory
+from mimosapond.peers.peer_desk import PeerDesk
+from mimosapond.platform.member_link import WireMemberDialer
+from mimosapond.routing.definitions import Definitions
+from mimosapond.routing.open_transaction import OpenTransaction
+from mimosapond.routing.work import Work
+from mimosapond.routing.work_outcome import WorkDone, WorkOutcome
+from mimosapond.statements.reply import Success
+from mimosapond.statements.statement import Begin, Direct
+
+TIMEOUT_MS: Final = 2000
+_IDLE_MS: Final = 20_000
+_LIMIT_S: Final = 1.0
+_POLL_S: Final = 0.005
+_MS_PER_S: Final = 1000
+
+
+def build_wire_world(
+    members: list[WireMember], connection_count: int
+) -> GroupWorld:
+    """Build a host of a group whose members listen on the wire."""
+    route = build_route(timeout_ms=TIMEOUT_MS)
+    world = build_world(route, idle_ms=_IDLE_MS)
+    directory = GroupDirectory(
+        WireMemberDialer(_LIMIT_S, _LIMIT_S), boot_time_s
+    )
+    directory.apply_limits(build_configuration(route))
+    directory.apply_registrations(
+        attrs.evolve(build_record(member.member_id), port=member.open_port())
+        for member in members
+    )
+    group = directory.find(GROUP)
+    for member in group.members.values():
+        member.pool.limit_count = connection_count
+    return attrs.evolve(
+        world,
+        fakes={},
+        directory=directory,
+        group=group,
+        services=attrs.evolve(world.services, directory=directory),
+    )
+
+
+def build_work(
+    request_id: str, group: Group, access: Direct, route: Route | None = None
+) -> Work:
+    """Build a statement of a caller that has defined nothing."""
+    now_s = boot_time_s()
+    return Work(
+        request_id=request_id,
+        access=access,
+        definitions=Definitions(),
+        route=route or build_route(timeout_ms=TIMEOUT_MS),
+        group=group,
+        arrived_s=now_s,
+        deadline_s=now_s + TIMEOUT_MS / _MS_PER_S,
+        floor=None,
+    )
+
+
+def build_access(word: str, item: str) -> Direct:
+    """Build a read or a write in the words of the wire."""
+    if word == 'write':
+        return Direct(f'WRITE {item} data', is_write=True)
+    return Direct(f'READ {item}', is_write=False)
+
+
+@final
+@attrs.define(eq=False)
+class RelayedCaller:
+    """A caller of another host, in a transaction that is passed on."""
+
+    name: str
+    group: Group
+    transaction: OpenTransaction
+    # Request ids of the statements that succeeded.
+    succeeded: list[str] = attrs.field(factory=list)
+    # Signatures by request id.
+    signatures: dict[str, str] = attrs.field(factory=dict)
+    # Those of them that wrote.
+    writes: list[str] = attrs.field(factory=list)
+    is_committed: bool = False
+    number: int = 0
+
+    async def run(self, word: str) -> WorkOutcome:
+        """Run a statement."""
+        work = self._next_work(build_access(word, self.name))
+        return self._note(work, await self.transaction.run(work))
+
+    async def commit(self) -> WorkOutcome:
+        """Commit."""
+        work = self._next_work(build_access('read', self.name))
+        outcome = self._note(work, await self.transaction.commit(work))
+        self.is_committed = work.request_id in self.succeeded
+        return outcome
+
+    def owns(self, request_id: str) -> bool:
+        """Return whether a request is of this caller."""
+        return request_id.startswith(f'{self.name}-')
+
+    def _next_work(self, access: Direct) -> Work:
+        self.number += 1
+        return build_work(f'{self.name}-{self.number}', self.group, access)
+
+    def _note(self, work: Work, outcome: WorkOutcome) -> WorkOutcome:
+        if isinstance(outcome, WorkDone) and isinstance(outcome.reply, Success):
+            self.succeeded.append(work.request_id)
+            self.signatures[work.request_id] = outcome.reply.signature
+            if work.access.is_write:
+                self.writes.append(work.request_id)
+        return outcome
+
+
+@final
+@attrs.define(eq=False)
+class OwnershipWorld:
+    """A host that reaches member p on the wire, and callers of others."""
+
+    member: WireMember
+    far: GroupWorld
+    desk: PeerDesk
+    server: HTTPServer
+    address: str
+    callers: dict[str, RelayedCaller] = attrs.field(factory=dict)
+
+    @property
+    def pool(self) -> ConnectionPool:
+        """The host's connections to the member."""
+        return self.far.group.members[self.member.member_id].pool
+
+    async def begin(self, name: str) -> RelayedCaller:
+        """Let a caller of the host ``name`` begin a transaction."""
+        world = build_world()
+        _, finder = build_finder(name, self.address)
+        relay = await finder.find(world.group)
+        assert relay is not None
+        transaction = relay.open(Begin(is_read_only=False))
+        self.callers[name] = RelayedCaller(name, world.group, transaction)
+        return self.callers[name]
+
+    async def await_rest(self) -> list[str]:
+        """Wait until all work has ended; return what does not end."""
+        faults = self.faults()
+        until_s = boot_time_s() + _LIMIT_S
+        while faults and boot_time_s() < until_s:
+            await asyncio.sleep(_POLL_S)
+            faults = self.faults()
+        return faults
+
+    def faults(self) -> list[str]:
+        """Return what keeps the connections from being idle."""
+        pool = self.pool
+        open_count = len(self.member.open_sessions)
+        counts = {
+            'busy connections of the pool': pool.open_count - pool.idle_count,
+            'connections that the pool lost': open_count - pool.open_count,
+            'work of other hosts': self.desk.open_count,
+        }
+        states = [session.state for session in self.member.open_sessions]
+        faults = [f'{name}: {count}' for name, count in counts.items() if count]
+        if set(states) - {'I'}:
+            faults.append(f'states of connections: {states}')
+        return faults
+
+
+async def build_ownership_world(connection_count: int) -> OwnershipWorld:
+    """Build a host that listens for others and has proven primary p."""
+    member = WireMember('p', is_primary=True)
+    far = build_wire_world([member], connection_count)
+    await far.probe.ask(far.group, far.group.members['p'])
+    desk = PeerDesk(build_peer_services(far))
+    server, address = serve_desk(desk, far)
+    return OwnershipWorld(member, far, desk, server, address)
--- a/features/relay_builders.py
+++ b/features/relay_builders.py
@@ -56,17 +56,28 @@
     """Build two hosts in the running loop; the far one listens."""
     far = build_world(route)
     desk = PeerDesk(build_peer_services(far))
-    server = build_peer_server(desk, far.directory, boot_time_s)
+    server, address = serve_desk(desk, far)
+    directory, finder = build_finder('near', address)
+    near = build_world(route, relays=finder)
+    return RelayingPair(near, far, directory, finder, desk, server)
+
+
+def serve_desk(desk: PeerDesk, world: GroupWorld) -> tuple[HTTPServer, str]:
+    """Let a host listen for others; return its server and address."""
+    server = build_peer_server(desk, world.directory, boot_time_s)
     sockets = bind_sockets(0, _LOOPBACK)
     server.add_sockets(sockets)
-    address = f'{_LOOPBACK}:{sockets[0].getsockname()[1]}'
-    directory = PeerDirectory(Peer('near', '', CENTRE), boot_time_s)
+    return server, f'{_LOOPBACK}:{sockets[0].getsockname()[1]}'
+
+
+def build_finder(
+    host: str, address: str
+) -> tuple[PeerDirectory, PrimaryFinder]:
+    """Build what a host uses to pass work on to the one at ``address``."""
+    directory = PeerDirectory(Peer(host, '', CENTRE), boot_time_s)
     directory.update([Peer('far', address, CENTRE)])
-    finder = PrimaryFinder(
-        directory, PeerClient(directory, boot_time_s), boot_time_s
-    )
-    near = build_world(route, relays=finder)
-    return RelayingPair(near, far, directory, finder, desk, server)
+    client = PeerClient(directory, boot_time_s)
+    return directory, PrimaryFinder(directory, client, boot_time_s)
 
 
 def build_peer_services(world: GroupWorld) -> PeerServices:
--- /dev/null
+++ b/features/steps/connection_ownership_steps.py
@@ -0,0 +1,177 @@
+"""Steps of connection_ownership.feature."""
+
+import asyncio
+from typing import Any, Final
+
+from behave import given, then, when
+
+from features.ownership_builders import build_ownership_world
+from features.wire_member import Refusal
+from mimosapond.groups.pooled_connection import PooledConnection
+
+_MOMENT_S: Final = 0.1
+_ARRIVAL_LIMIT_S: Final = 2
+_ANSWER_LIMIT_S: Final = 3
+_MANY: Final = 10_000
+
+
+def _run(context: Any, call: Any, limit_s: float = _ANSWER_LIMIT_S) -> Any:
+    return context.loop.run_until_complete(asyncio.wait_for(call, limit_s))
+
+
+@given('a host that reaches p with {count:d} connection, for callers of others')
+@given(
+    'a host that reaches p with {count:d} connections, for callers of others'
+)
+def build_host(context: Any, count: int) -> None:
+    """Build it; the calls of other hosts reach it over HTTP."""
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(_close, context)
+    context.tasks = {}
+    context.ownership = _run(context, build_ownership_world(count))
+
+
+def _close(context: Any) -> None:
+    context.loop.run_until_complete(_end(context))
+    context.loop.close()
+
+
+async def _end(context: Any) -> None:
+    context.ownership.server.stop()
+    context.ownership.member.stop()
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
+
+
+@given('member p keeps each {word} waiting')
+def hold(context: Any, word: str) -> None:
+    """Let the member work on such requests until it is told to go on."""
+    context.ownership.member.held.add(word)
+
+
+@when('member p goes on after a moment')
+def go_on(context: Any) -> None:
+    """Let the member answer what it was kept from."""
+    let_pass(context)
+    context.ownership.member.held.clear()
+
+
+@given('member p refuses each WRITE of caller one as busy until a rollback')
+def refuse_writes(context: Any) -> None:
+    """Let the member be busy for as long as the transaction is open."""
+    member = context.ownership.member
+    member.refusals.append(
+        Refusal('WRITE one', 'RETRY', 'T', _MANY, until='ROLLBACK')
+    )
+
+
+@given('all connections to member p are lent')
+def lend_all(context: Any) -> None:
+    """Borrow them."""
+    pool = context.ownership.pool
+    lent = [
+        _run(context, pool.borrow(0, _ARRIVAL_LIMIT_S))
+        for _ in range(pool.limit_count)
+    ]
+    assert all(isinstance(one, PooledConnection) for one in lent), lent
+    context.lent = lent
+
+
+@when('the connections are given back after a moment')
+def give_back_all(context: Any) -> None:
+    """Give back what was borrowed."""
+    let_pass(context)
+    pool = context.ownership.pool
+    for connection in context.lent:
+        pool.give_back(connection)
+
+
+@when('caller {name} begins at another host and sends {word} without waiting')
+def begin(context: Any, name: str, word: str) -> None:
+    """Start the first statement of a transaction."""
+    caller = _run(context, context.ownership.begin(name))
+    context.tasks[name] = context.loop.create_task(caller.run(word))
+
+
+@when('the {word} has reached member p')
+def await_arrival(context: Any, word: str) -> None:
+    """Wait for the request."""
+    _run(
+        context,
+        context.ownership.member.await_arrival(word),
+        _ARRIVAL_LIMIT_S,
+    )
+
+
+@when('the transaction of caller {name} is abandoned')
+def abandon(context: Any, name: str) -> None:
+    """Have it rolled back, as when the caller's host gives it up."""
+    _run(context, _abandon(context.ownership.callers[name].transaction))
+
+
+async def _abandon(transaction: Any) -> None:
+    transaction.abandon()
+
+
+@when('caller {name} has its answer')
+def await_answer(context: Any, name: str) -> None:
+    """Wait for the statement that was sent."""
+    _run(context, asyncio.shield(context.tasks[name]))
+
+
+@when('caller {name} commits')
+def commit(context: Any, name: str) -> None:
+    """Commit, whatever became of the statements."""
+    _run(context, context.ownership.callers[name].commit())
+
+
+@when('a moment passes')
+def let_pass(context: Any) -> None:
+    """Let requests that are under way arrive."""
+    context.loop.run_until_complete(asyncio.sleep(_MOMENT_S))
+
+
+@then('member p never had two requests at once on a connection')
+def check_overlaps(context: Any) -> None:
+    """Compare with what the member saw."""
+    context.loop.run_until_complete(asyncio.sleep(_MOMENT_S))
+    overlaps = context.ownership.member.overlaps
+    assert not overlaps, overlaps
+
+
+@then('all connections to member p are idle again')
+def check_rest(context: Any) -> None:
+    """Look at the pool and at the member's side of each connection."""
+    _run(context, asyncio.wait(context.tasks.values()))
+    faults = _run(context, context.ownership.await_rest())
+    assert not faults, faults
+
+
+@then('each success is signed for its own request')
+def check_signatures(context: Any) -> None:
+    """Compare the signatures that callers got."""
+    world = context.ownership
+    for caller in world.callers.values():
+        for request_id, signature in caller.signatures.items():
+            expected = world.member.sign(request_id)
+            assert signature == expected, (request_id, signature)
+
+
+@then('what member p keeps is what each caller was told')
+def check_kept(context: Any) -> None:
+    """Writes of a committed transaction are kept, and no others."""
+    kept = context.ownership.member.kept
+    for caller in context.ownership.callers.values():
+        own = [request_id for request_id in kept if caller.owns(request_id)]
+        told = caller.writes if caller.is_committed else []
+        assert own == told, (caller.name, own, told)
+
+
+@then('no transaction at member p has statements of two callers')
+def check_transactions(context: Any) -> None:
+    """Compare the request ids of each transaction."""
+    for ids in context.ownership.member.transactions:
+        names = {request_id.partition('-')[0] for request_id in ids}
+        assert len(names) <= 1, ids
--- /dev/null
+++ b/features/wire_member.py
@@ -0,0 +1,275 @@
+"""A member on the platform's wire with transactions, as strict as the wire.
+
+It answers the requests of a connection in order of arrival, keeps the state of
+each connection and records what no caller of the product may cause.
+"""
+
+import asyncio
+import collections
+from collections.abc import Iterator
+from typing import Final, final
+
+import attrs
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.tcpserver import TCPServer
+
+_END: Final = b'\r\n'
+_LOOPBACK: Final = '127.0.0.1'
+_POLL_S: Final = 0.002
+_ENDS: Final = frozenset(('COMMIT', 'ROLLBACK'))
+_MALFORMED: Final = 'ERROR MALFORMED state'
+_DONE: Final = 'COMPLETE -'
+
+
+@final
+@attrs.frozen
+class Request:
+    """A request as it arrived; ``text`` is without a wait for a position."""
+
+    request_id: str
+    text: str
+
+    @property
+    def word(self) -> str:
+        """The first word."""
+        return self.text.partition(' ')[0]
+
+
+@final
+@attrs.frozen
+class Ran:
+    """A read or a write that ran, and the session values that it ran with."""
+
+    request_id: str
+    values: dict[str, str]
+
+
+@final
+@attrs.define
+class Refusal:
+    """Answers requests that contain ``part`` with an error.
+
+    Parameters
+    ----------
+    state
+        The connection's state after the error.
+    count
+        How many requests are refused.
+    until
+        A request that contains this ends the refusals.
+    """
+
+    part: str
+    code: str
+    state: str
+    count: int = 1
+    until: str = ''
+
+
+@final
+@attrs.define(eq=False)
+class WireSession:
+    """The member's side of one connection."""
+
+    state: str = 'I'
+    is_open: bool = True
+    requests: collections.deque[Request] = attrs.field(
+        factory=collections.deque
+    )
+    values: dict[str, str] = attrs.field(factory=dict)
+    # Request ids of the statements of the open transaction.
+    transaction: list[str] = attrs.field(factory=list)
+    written: list[str] = attrs.field(factory=list)
+
+
+@final
+class WireMember(TCPServer):
+    """A member whose state tests change at will."""
+
+    def __init__(self, member_id: str, *, is_primary: bool) -> None:
+        """Start without connections."""
+        super().__init__()
+        self.member_id = member_id
+        self.is_primary = is_primary
+        self.number = 1
+        self.sessions: list[WireSession] = []
+        # Requests that arrived while another one was under way.
+        self.overlaps: list[Request] = []
+        # Request ids of the writes that are kept.
+        self.kept: list[str] = []
+        self.ran: list[Ran] = []
+        # Request ids of the statements of each transaction that was open.
+        self.transactions: list[list[str]] = []
+        self.refusals: list[Refusal] = []
+        self.arrived: list[Request] = []
+        # Parts of the texts of requests that wait.
+        self.held: set[str] = set()
+        # Sent after the answer to a request that contains the part.
+        self.extras: dict[str, str] = {}
+
+    @property
+    def open_sessions(self) -> list[WireSession]:
+        """Connections that are open."""
+        return [session for session in self.sessions if session.is_open]
+
+    @property
+    def position(self) -> str:
+        """Text of the log position."""
+        return f'1.{self.number}'
+
+    def open_port(self) -> int:
+        """Listen at a free port and return it."""
+        sockets = bind_sockets(0, _LOOPBACK)
+        self.add_sockets(sockets)
+        return int(sockets[0].getsockname()[1])
+
+    async def await_arrival(self, part: str, count: int = 1) -> None:
+        """Wait until requests whose texts contain ``part`` have arrived."""
+        while self.count_arrived(part) < count:
+            await asyncio.sleep(_POLL_S)
+
+    def count_arrived(self, part: str) -> int:
+        """Count requests whose texts contain ``part``."""
+        return sum(part in request.text for request in self.arrived)
+
+    def sign(self, request_id: str) -> str:
+        """Return the signature of the answer to a request."""
+        return f'{self.member_id}.{request_id}'
+
+    async def handle_stream(
+        self, stream: IOStream, address: tuple[str, int]
+    ) -> None:
+        """Serve a connection; one that is closed rolls back."""
+        session = WireSession()
+        self.sessions.append(session)
+        await stream.read_until(_END)
+        worker = asyncio.create_task(self._work(stream, session))
+        try:
+            await stream.write(f'READY I {self.position}\r\n'.encode())
+            await self._receive(stream, session)
+        except StreamClosedError:
+            session.is_open = False
+        finally:
+            worker.cancel()
+            session.is_open = False
+
+    async def _receive(self, stream: IOStream, session: WireSession) -> None:
+        while True:
+            line = (await stream.read_until(_END)).decode().strip()
+            if line == 'TERMINATE':
+                stream.close()
+                return
+            request = _decode(line)
+            self.arrived.append(request)
+            if session.requests:
+                self.overlaps.append(request)
+            session.requests.append(request)
+
+    async def _work(self, stream: IOStream, session: WireSession) -> None:
+        while True:
+            if not session.requests:
+                await asyncio.sleep(_POLL_S)
+                continue
+            request = session.requests[0]
+            while any(part in request.text for part in self.held):
+                await asyncio.sleep(_POLL_S)
+            lines = list(self._answer(session, request))
+            lines.append(f'READY {session.state} {self.position}')
+            extra = self.extras.get(request.word)
+            if extra is not None:
+                lines.append(extra)
+            session.requests.popleft()
+            text = ''.join(f'{line}\r\n' for line in lines)
+            await stream.write(text.encode())
+
+    def _answer(self, session: WireSession, request: Request) -> Iterator[str]:
+        refusal = self._refusal(request)
+        if refusal:
+            session.state = refusal.state
+            yield f'ERROR {refusal.code} {self.member_id}'
+        elif session.state == 'E' and request.word not in _ENDS:
+            yield _MALFORMED
+        else:
+            yield from self._carry_out(session, request)
+
+    def _refusal(self, request: Request) -> Refusal | None:
+        for refusal in self.refusals:
+            if refusal.until and refusal.until in request.text:
+                refusal.count = 0
+            if refusal.count > 0 and refusal.part in request.text:
+                refusal.count -= 1
+                return refusal
+        return None
+
+    def _carry_out(
+        self, session: WireSession, request: Request
+    ) -> Iterator[str]:
+        match request.word:
+            case 'READ' | 'WRITE':
+                yield from self._access(session, request)
+            case 'BEGIN' | 'COMMIT' | 'ROLLBACK':
+                yield self._turn(session, request)
+            case 'SET':
+                _, name, value = request.text.split(' ', 2)
+                session.values[name] = value
+                yield _DONE
+            case 'DISCARD':
+                session.values.clear()
+                yield _DONE
+            case 'STATUS':
+                role = 'primary' if self.is_primary else 'replica'
+                yield f'DATAROW {role} 1 {self.position} 0 0 0 1'
+                yield _DONE
+            case _:
+                yield _MALFORMED
+
+    def _access(self, session: WireSession, request: Request) -> Iterator[str]:
+        is_write = request.word == 'WRITE'
+        if is_write and not self.is_primary:
+            # The member fails a transaction that it can run no longer.
+            session.state = 'E' if session.state == 'T' else session.state
+            yield f'ERROR READONLY {self.member_id}'
+            return
+        self.ran.append(Ran(request.request_id, dict(session.values)))
+        if session.state == 'T':
+            session.transaction.append(request.request_id)
+        if is_write:
+            keep = session.written if session.state == 'T' else self.kept
+            keep.append(request.request_id)
+            self.number += 1
+        else:
+            yield f'DATAROW row-{request.request_id}'
+        yield f'COMPLETE {self.sign(request.request_id)}'
+
+    def _turn(self, session: WireSession, request: Request) -> str:
+        """Begin or end a transaction."""
+        if request.word == 'BEGIN':
+            return self._begin(session, request)
+        was_open = session.state == 'T'
+        session.state = 'I'
+        written = session.written
+        session.written = []
+        if request.word == 'ROLLBACK':
+            return _DONE
+        if not was_open:
+            return f'ERROR ABORTED {self.member_id}'
+        self.kept.extend(written)
+        return f'COMPLETE {self.sign(request.request_id)}'
+
+    def _begin(self, session: WireSession, request: Request) -> str:
+        if session.state != 'I':
+            return _MALFORMED
+        if request.text == 'BEGIN' and not self.is_primary:
+            return f'ERROR READONLY {self.member_id}'
+        session.state = 'T'
+        session.transaction = []
+        self.transactions.append(session.transaction)
+        return _DONE
+
+
+def _decode(line: str) -> Request:
+    _, request_id, text = line.split(' ', 2)
+    if text.startswith('WAITLSN '):
+        text = text.split(' ', 2)[-1]
+    return Request(request_id, text)
