Show that a statement is repeated after its rollback

A statement that waits to be repeated after a busy answer goes on when its relayed transaction was rolled back meanwhile, on a connection that is idle or another caller's by then. A caller that was told of a rollback has its write kept, or the write runs in the transaction of the next caller and is committed with it.

--- a/features/connection_ownership.feature
+++ b/features/connection_ownership.feature
@@ -17,3 +17,30 @@
     And all connections to member p are idle again
     And each success is signed for its own request
     And what member p keeps is what each caller was told
+
+  # Guards against a statement that is repeated after a busy answer although its
+  # transaction has ended: it ran on a connection that was idle by then.
+  Scenario: a relayed transaction is rolled back while its statement is repeated
+    Given a host that reaches p with 2 connections, for callers of others
+    And member p refuses each WRITE of caller one as busy until a rollback
+    When caller one begins at another host and sends write without waiting
+    And the WRITE has reached member p
+    And the transaction of caller one is abandoned
+    Then all connections to member p are idle again
+    And what member p keeps is what each caller was told
+
+  # Guards against a repeated statement that joins the transaction of the next
+  # caller, to whom the connection was lent meanwhile.
+  Scenario: a repeated statement does not join the next caller's transaction
+    Given a host that reaches p with 1 connection, for callers of others
+    And member p refuses each WRITE of caller one as busy until a rollback
+    When caller one begins at another host and sends write without waiting
+    And the WRITE has reached member p
+    And caller two begins at another host and sends write without waiting
+    And the transaction of caller one is abandoned
+    And caller two has its answer
+    And a moment passes
+    And caller two commits
+    Then no transaction at member p has statements of two callers
+    And all connections to member p are idle again
+    And what member p keeps is what each caller was told
