Show that a transaction opens after its rollback

A relayed transaction that is rolled back while it waits for a connection or for the answer to BEGIN opens afterwards, runs its statement and is ended by nobody. Callers see the member's locks and a connection held for good.

--- a/features/connection_ownership.feature
+++ b/features/connection_ownership.feature
@@ -44,3 +44,20 @@
     Then no transaction at member p has statements of two callers
     And all connections to member p are idle again
     And what member p keeps is what each caller was told
+
+  # Guards against a transaction that is still being opened when it is rolled
+  # back: it opened later, and nobody ended it.
+  Scenario Outline: a relayed transaction is rolled back while it <phase>
+    Given a host that reaches p with 1 connection, for callers of others
+    And <obstacle>
+    When caller one begins at another host and sends write without waiting
+    And <arrival>
+    And the transaction of caller one is abandoned
+    And <end>
+    Then all connections to member p are idle again
+    And what member p keeps is what each caller was told
+
+    Examples: phases
+      | phase                  | obstacle                           | arrival                       | end                           |
+      | waits for a connection | all connections to member p are lent | a moment passes             | the connections are given back after a moment |
+      | is begun at the member | member p keeps each BEGIN waiting  | the BEGIN has reached member p | member p goes on after a moment |
