Send no rollback into a running statement of a transaction

What callers saw: a success with another request's answer (MIXED), or a write kept after its transaction was reported as rolled back. A host that gives up a relayed statement asks the other host for the rollback. That host sent ROLLBACK on the same connection while the statement ran, waited to be repeated, or was still to be sent.

Cause: whoever held a reference could use a connection; nothing tied a connection to one borrower and one request at a time, although answers are matched by their order alone.

Evidence: the scenarios of connection_ownership failed before: ROLLBACK sent while WRITE was under way, and 'Already reading' in its task; a repeated write kept after the rollback, in the transaction of the next caller with one connection; a transaction that opened after its rollback and was ended by nobody. Ruled out: sessions of the host's own callers, which run and abandon in turn.

Change: a borrowed connection is a lease, which ends once and cannot be used after it. A transaction that is abandoned while a request is under way closes the connection, so that the member rolls back; one that is still being opened is rolled back as soon as it is open. The test that lends all connections uses the lease, as borrow() returns one; its checks are the same.

--- a/features/steps/connection_ownership_steps.py
+++ b/features/steps/connection_ownership_steps.py
@@ -7,7 +7,7 @@
 
 from features.ownership_builders import build_ownership_world
 from features.wire_member import Refusal
-from mimosapond.groups.pooled_connection import PooledConnection
+from mimosapond.groups.connection_lease import ConnectionLease
 
 _MOMENT_S: Final = 0.1
 _ARRIVAL_LIMIT_S: Final = 2
@@ -75,7 +75,7 @@
         _run(context, pool.borrow(0, _ARRIVAL_LIMIT_S))
         for _ in range(pool.limit_count)
     ]
-    assert all(isinstance(one, PooledConnection) for one in lent), lent
+    assert all(isinstance(one, ConnectionLease) for one in lent), lent
     context.lent = lent
 
 
@@ -83,9 +83,8 @@
 def give_back_all(context: Any) -> None:
     """Give back what was borrowed."""
     let_pass(context)
-    pool = context.ownership.pool
-    for connection in context.lent:
-        pool.give_back(connection)
+    for lease in context.lent:
+        lease.give_back()
 
 
 @when('caller {name} begins at another host and sends {word} without waiting')
--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -25,7 +25,7 @@
 from mimosapond.failover.reserved_duties import ReservedDuties
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.log_position import LogPosition
-from mimosapond.groups.pooled_connection import PooledConnection
+from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.routing.relay_port import NoRelays
 
 _MS_PER_S = 1000
@@ -185,7 +185,7 @@
     for _ in range(member.pool.limit_count):
         connection = await member.pool.borrow(1, _BORROW_S)
         member.load.start(is_write=False)
-        assert isinstance(connection, PooledConnection), connection
+        assert isinstance(connection, ConnectionLease), connection
     fake.is_silent = True
 
 
--- a/mimosapond/failover/log_survey.py
+++ b/mimosapond/failover/log_survey.py
@@ -91,7 +91,7 @@
     try:
         answer = await call(connection.link)
     finally:
-        member.pool.give_back(connection)
+        connection.give_back()
     if isinstance(answer, MemberStatus):
         member.load.hear(answer.received)
         member.load.term = max(answer.term, answer.paused_term)
--- a/mimosapond/groups/connection_pool.py
+++ b/mimosapond/groups/connection_pool.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from mimosapond.boot_clock import Now
+from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.groups.member_answer import LinkLost, Rejected, RejectionKind
 from mimosapond.groups.member_load import MemberLoad
 from mimosapond.groups.member_port import MemberDialer
@@ -45,7 +46,7 @@
 class _Waiter:
     priority: int
     number: int
-    future: asyncio.Future[PooledConnection | NoConnection] = attrs.field(
+    future: asyncio.Future[ConnectionLease | NoConnection] = attrs.field(
         order=False,
     )
 
@@ -84,7 +85,7 @@
         priority: int,
         wait_s: float,
         values: Mapping[str, str] | None = None,
-    ) -> PooledConnection | NoConnection:
+    ) -> ConnectionLease | NoConnection:
         """Take a connection, waiting up to ``wait_s``.
 
         Parameters
@@ -97,7 +98,7 @@
         if not self._waiters or priority < self._waiters[0].priority:
             idle = self._take_idle(values or {})
             if idle is not None:
-                return idle
+                return self._lease(idle)
         if self._is_closed:
             return NoConnection('the member has gone', is_reachable=False)
         waiter = _Waiter(
@@ -114,26 +115,6 @@
             raise
         return self._withdraw(waiter, return_result=True)
 
-    def give_back(self, connection: PooledConnection) -> None:
-        """Return a connection; a closed one makes room for another."""
-        if self._is_closed:
-            connection.link.close()
-        if not connection.link.is_open:
-            self.open_count -= 1
-            self._grow()
-            return
-        if connection.link.state is not SessionState.idle:
-            logger.bind(
-                connection=connection.link.name,
-                state=str(connection.link.state),
-            ).error('connection_unsettled')
-        connection.idle_since_s = self._now()
-        waiter = self._next_waiter()
-        if waiter is None:
-            self._idle.append(connection)
-        else:
-            waiter.future.set_result(connection)
-
     def trim(self, keep_count: int, idle_s: float) -> None:
         """Close connections that were idle long, beyond ``keep_count``."""
         oldest_allowed_s = self._now() - idle_s
@@ -160,6 +141,29 @@
         for connection in tuple(self._idle):
             self._drop_idle(connection)
 
+    def _lease(self, connection: PooledConnection) -> ConnectionLease:
+        return ConnectionLease(connection, self._take_back)
+
+    def _take_back(self, connection: PooledConnection) -> None:
+        """Lend a connection on, or keep it; a closed one makes room."""
+        if self._is_closed:
+            connection.link.close()
+        if not connection.link.is_open:
+            self.open_count -= 1
+            self._grow()
+            return
+        if connection.link.state is not SessionState.idle:
+            logger.bind(
+                connection=connection.link.name,
+                state=str(connection.link.state),
+            ).error('connection_unsettled')
+        connection.idle_since_s = self._now()
+        waiter = self._next_waiter()
+        if waiter is None:
+            self._idle.append(connection)
+        else:
+            waiter.future.set_result(self._lease(connection))
+
     def _drop_idle(self, connection: PooledConnection) -> None:
         self._idle.remove(connection)
         connection.link.close()
@@ -179,7 +183,7 @@
 
     def _withdraw(
         self, waiter: _Waiter, *, return_result: bool = False
-    ) -> PooledConnection | NoConnection:
+    ) -> ConnectionLease | NoConnection:
         if not waiter.future.done():
             waiter.future.cancel()
             return NoConnection(
@@ -187,8 +191,8 @@
                 is_reachable=not self._load.is_unreachable,
             )
         found = waiter.future.result()
-        if not return_result and isinstance(found, PooledConnection):
-            self.give_back(found)
+        if not return_result and isinstance(found, ConnectionLease):
+            found.give_back()
         return found
 
     def _next_waiter(self) -> _Waiter | None:
@@ -247,4 +251,4 @@
                 self._fail_waiters(NoConnection(reason, is_reachable=False))
             case _:
                 self._load.hear(None)
-                self.give_back(PooledConnection(outcome, self._load))
+                self._take_back(PooledConnection(outcome, self._load))
--- a/mimosapond/routing/primary_path.py
+++ b/mimosapond/routing/primary_path.py
@@ -6,7 +6,7 @@
 
 from mimosapond.boot_clock import Now
 from mimosapond.groups.member import Member
-from mimosapond.groups.pooled_connection import PooledConnection
+from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.routing import failures
 from mimosapond.routing.relay_port import Relay, RelayFinder
 from mimosapond.routing.work import Work
@@ -26,7 +26,7 @@
     """A borrowed connection of this host to the primary."""
 
     member: Member
-    connection: PooledConnection
+    connection: ConnectionLease
 
 
 @final
@@ -81,7 +81,7 @@
         connection = await primary.pool.borrow(
             work.route.priority, wait_s, work.definitions.values
         )
-        if isinstance(connection, PooledConnection):
+        if isinstance(connection, ConnectionLease):
             return LocalPath(primary, connection)
         if not connection.is_reachable:
             work.group.doubt_primary(primary, connection.reason)
--- a/mimosapond/routing/primary_probe.py
+++ b/mimosapond/routing/primary_probe.py
@@ -13,7 +13,7 @@
 from mimosapond.groups.group import Group
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_answer import Completed, Rejected, RejectionKind
-from mimosapond.groups.pooled_connection import PooledConnection
+from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.routing.relay_port import RelayFinder
 from mimosapond.statements.statement import Begin
 
@@ -74,7 +74,7 @@
         try:
             return await self._ask_on(connection, group, member, limit_s)
         finally:
-            member.pool.give_back(connection)
+            connection.give_back()
 
     async def _refresh(self, group: Group, limit_s: float) -> None:
         """Ask the primary, or another host that reaches it."""
@@ -91,7 +91,7 @@
 
     async def _ask_on(
         self,
-        connection: PooledConnection,
+        connection: ConnectionLease,
         group: Group,
         member: Member,
         limit_s: float,
--- a/mimosapond/routing/read_router.py
+++ b/mimosapond/routing/read_router.py
@@ -180,4 +180,4 @@
         except RestoreFailed as error:
             return LinkLost(str(error))
         finally:
-            member.pool.give_back(connection)
+            connection.give_back()
--- a/mimosapond/routing/statement_runner.py
+++ b/mimosapond/routing/statement_runner.py
@@ -12,7 +12,7 @@
     Rejected,
     outcome_word,
 )
-from mimosapond.groups.pooled_connection import PooledConnection
+from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.routing.definitions import Definitions
 from mimosapond.statements.statement import Shape
 from mimosapond.routing.work import Prepared, Work
@@ -29,7 +29,7 @@
 
 
 async def restore_values(
-    connection: PooledConnection,
+    connection: ConnectionLease,
     definitions: Definitions,
     limit_s: float,
 ) -> None:
@@ -58,7 +58,7 @@
 
 
 async def run_work(
-    connection: PooledConnection,
+    connection: ConnectionLease,
     work: Work,
     wait_for: LogPosition | None,
     limit_s: float,
@@ -85,7 +85,7 @@
 
 
 def log_answer(
-    connection: PooledConnection, request_id: str, answer: MemberAnswer
+    connection: ConnectionLease, request_id: str, answer: MemberAnswer
 ) -> None:
     """Write which connection a caller's request went over.
 
@@ -99,7 +99,7 @@
 
 
 async def _prepared_name(
-    connection: PooledConnection, shape: Shape, limit_s: float
+    connection: ConnectionLease, shape: Shape, limit_s: float
 ) -> str:
     if shape not in connection.names:
         name = f'm{len(connection.names)}'
@@ -111,7 +111,7 @@
     return connection.names[shape]
 
 
-def _require(connection: PooledConnection, answer: MemberAnswer) -> None:
+def _require(connection: ConnectionLease, answer: MemberAnswer) -> None:
     if not isinstance(answer, Completed):
         connection.link.close()
         raise RestoreFailed(answer)
--- a/mimosapond/routing/write_router.py
+++ b/mimosapond/routing/write_router.py
@@ -15,7 +15,7 @@
     Rejected,
     RejectionKind,
 )
-from mimosapond.groups.pooled_connection import PooledConnection
+from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.routing import failures
 from mimosapond.routing.primary_path import (
     LocalPath,
@@ -61,7 +61,7 @@
                 return await self._run_at(work, member, connection)
 
     async def _run_at(
-        self, work: Work, member: Member, connection: PooledConnection
+        self, work: Work, member: Member, connection: ConnectionLease
     ) -> WriteOutcome | None:
         sent_s = self._now()
         try:
@@ -71,7 +71,7 @@
         except RestoreFailed:
             return None
         finally:
-            member.pool.give_back(connection)
+            connection.give_back()
         return self._judge(work, member, sent_s, answer)
 
     def _judge_relayed(
--- a/mimosapond/sessions/pinned_transaction.py
+++ b/mimosapond/sessions/pinned_transaction.py
@@ -1,6 +1,8 @@
 """A transaction that is open on one connection of one member."""
 
 import asyncio
+import contextlib
+from collections.abc import Iterator
 from typing import Final, final
 
 from mimosapond.groups.group import Group
@@ -13,7 +15,7 @@
     Rejected,
     RejectionKind,
 )
-from mimosapond.groups.pooled_connection import PooledConnection
+from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.boot_clock import Now
 from mimosapond.routing import failures
 from mimosapond.routing.statement_runner import (
@@ -37,7 +39,7 @@
     def __init__(
         self,
         member: Member,
-        connection: PooledConnection,
+        connection: ConnectionLease,
         now: Now,
         *,
         proves_primary: bool,
@@ -54,6 +56,8 @@
         self._now = now
         self._proves_primary = proves_primary
         self._has_written = False
+        self._is_running = False
+        self._is_over = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     def __str__(self) -> str:
@@ -62,6 +66,42 @@
 
     async def run(self, work: Work) -> WorkOutcome:
         """Run one statement; a busy member is asked again."""
+        with self._running():
+            return await self._run(work)
+
+    async def commit(self, work: Work) -> WorkOutcome:
+        """End the transaction; its writes are kept if this succeeds."""
+        with self._running():
+            answer = await self._commit(work)
+        return self._judge_commit(answer)
+
+    def abandon(self) -> None:
+        """Have it rolled back without waiting for it.
+
+        While a request is under way, no other one may be sent: the connection
+        is closed, and the member rolls back.
+        """
+        if self._is_over:
+            return
+        self._is_over = True
+        if self._is_running:
+            self._connection.link.close()
+            return
+        task = asyncio.create_task(self._roll_back())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    @contextlib.contextmanager
+    def _running(self) -> Iterator[None]:
+        self._is_running = True
+        try:
+            yield
+        finally:
+            self._is_running = False
+            if self._is_over:
+                self._connection.give_back()
+
+    async def _run(self, work: Work) -> WorkOutcome:
         while True:
             sent_s = self._now()
             try:
@@ -74,8 +114,7 @@
                 return self._judge(work, sent_s, answer)
             await asyncio.sleep(BUSY_PAUSE_S)
 
-    async def commit(self, work: Work) -> WorkOutcome:
-        """End the transaction; its writes are kept if this succeeds."""
+    async def _commit(self, work: Work) -> MemberAnswer:
         while True:
             limit_s = work.deadline_s - self._now()
             call = self._connection.link.run(
@@ -86,15 +125,9 @@
             )
             log_answer(self._connection, work.request_id, answer)
             if not self._may_repeat(work, answer):
-                return self._judge_commit(answer)
+                return answer
             await asyncio.sleep(BUSY_PAUSE_S)
 
-    def abandon(self) -> None:
-        """Roll back without waiting for it."""
-        task = asyncio.create_task(self._roll_back())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     def _may_repeat(self, work: Work, answer: MemberAnswer) -> bool:
         return (
             isinstance(answer, Rejected)
@@ -123,7 +156,8 @@
     def _judge_commit(self, answer: MemberAnswer) -> WorkOutcome:
         match answer:
             case Completed(rows=rows, signature=signature, position=position):
-                self._member.pool.give_back(self._connection)
+                self._is_over = True
+                self._connection.give_back()
                 kept = position if self._has_written else None
                 return WorkDone(Success(rows, signature), kept)
             case Rejected(kind=kind) if kind in NOT_RUN:
@@ -141,10 +175,11 @@
 
     async def _roll_back(self) -> None:
         connection = self._connection
-        if connection.link.is_open:
-            answer = await connection.ask(
-                connection.link.rollback(_ROLLBACK_LIMIT_S),
-            )
-            if not isinstance(answer, Completed):
-                connection.link.close()
-        self._member.pool.give_back(connection)
+        try:
+            if connection.link.is_open:
+                await connection.ask(
+                    connection.link.rollback(_ROLLBACK_LIMIT_S),
+                )
+        finally:
+            # The pool keeps it only if it is idle now.
+            connection.give_back()
--- a/mimosapond/sessions/transaction.py
+++ b/mimosapond/sessions/transaction.py
@@ -16,7 +16,7 @@
     Rejected,
     RejectionKind,
 )
-from mimosapond.groups.pooled_connection import PooledConnection
+from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.routing import failures
 from mimosapond.routing.member_choice import MemberChoice
 from mimosapond.routing.open_transaction import OpenTransaction
@@ -64,6 +64,7 @@
         self._opened: OpenTransaction | None = None
         self._has_run = False
         self._has_written = False
+        self._is_over = False
 
     async def run(self, work: Work) -> Reply:
         """Run one statement; after a failure the transaction is over."""
@@ -72,6 +73,8 @@
             if isinstance(opened, Failure):
                 return opened
             outcome = await opened.run(work)
+            if self._is_over:
+                return failures.ROLLED_BACK
             match outcome:
                 case WorkDone(reply=Success() as reply):
                     self._has_run = True
@@ -81,7 +84,7 @@
                     self.abandon()
                     return reply
                 case WorkLost(was_sent=False) if self._may_open_again(work):
-                    self.abandon()
+                    self._drop_opened()
                 case WorkLost(reason=reason):
                     self._log_loss(work, reason)
                     self.abandon()
@@ -105,7 +108,11 @@
                 return failures.ROLLED_BACK, None
 
     def abandon(self) -> None:
-        """Roll back what is open, if anything is."""
+        """Roll back what is open or is just being opened."""
+        self._is_over = True
+        self._drop_opened()
+
+    def _drop_opened(self) -> None:
         if self._opened is not None:
             self._opened.abandon()
             self._opened = None
@@ -120,8 +127,12 @@
             opened = await self._open_reading(work)
         else:
             opened = await self._open_writing(work)
-        if not isinstance(opened, Failure):
-            self._opened = opened
+        if isinstance(opened, Failure):
+            return opened
+        if self._is_over:
+            opened.abandon()
+            return failures.ROLLED_BACK
+        self._opened = opened
         return opened
 
     async def _open_writing(self, work: Work) -> OpenTransaction | Failure:
@@ -138,7 +149,7 @@
                 return opened
 
     async def _begin_at(
-        self, work: Work, member: Member, connection: PooledConnection
+        self, work: Work, member: Member, connection: ConnectionLease
     ) -> OpenTransaction | None:
         asked_s = self._routing.now()
         answer = await self._start(work, connection, None)
@@ -150,7 +161,7 @@
                 work.group.doubt_primary(member, 'it refused to begin')
             case _:
                 await asyncio.sleep(BUSY_PAUSE_S)
-        member.pool.give_back(connection)
+        connection.give_back()
         return None
 
     async def _open_reading(self, work: Work) -> OpenTransaction | Failure:
@@ -181,11 +192,11 @@
         answer = await self._start(work, connection, position)
         if isinstance(answer, Completed):
             return self._pin(member, connection)
-        member.pool.give_back(connection)
+        connection.give_back()
         return None
 
     def _pin(
-        self, member: Member, connection: PooledConnection
+        self, member: Member, connection: ConnectionLease
     ) -> PinnedTransaction:
         return PinnedTransaction(
             member,
@@ -197,7 +208,7 @@
     async def _start(
         self,
         work: Work,
-        connection: PooledConnection,
+        connection: ConnectionLease,
         position: LogPosition | None,
     ) -> MemberAnswer:
         limit_s = max(work.deadline_s - self._routing.now(), 0)
