Show that hosts with equal transaction keys share one

Keys of relayed transactions consist of a memory address and a counter, so two processes may have equal ones. A first statement with a key that is open replaces the transaction of the other host. Its caller is told that its commit succeeded, though the writes of the other caller are kept and its own are not; the other caller is told of a rollback, and one connection is never given back. The two scenarios fail now with

what member p keeps is what each caller was told ASSERT FAILED: ('one', [], ['one-1'])

all statements of the callers succeeded ASSERT FAILED: RelayedCaller(name='two', ... is_committed=False, number=2)

Addresses of processes with address space layout randomization differ; the second scenario sets them equal.

--- a/features/connection_ownership.feature
+++ b/features/connection_ownership.feature
@@ -61,3 +61,29 @@
       | phase                  | obstacle                           | arrival                       | end                           |
       | waits for a connection | all connections to member p are lent | a moment passes             | the connections are given back after a moment |
       | is begun at the member | member p keeps each BEGIN waiting  | the BEGIN has reached member p | member p goes on after a moment |
+
+  # Guards against two hosts whose transactions have one key: the second
+  # replaced the first, and one caller committed the writes of the other.
+  Scenario: a key that is open already joins and replaces no transaction
+    Given a host that reaches p with 2 connections, for callers of others
+    When callers one and two of two hosts begin with one key and send write
+    And caller one commits with that key
+    And caller two, if its write succeeded, commits with that key
+    Then no transaction at member p has statements of two callers
+    And each success is signed for its own request
+    And what member p keeps is what each caller was told
+    And all connections to member p are idle again
+
+  # Guards against keys that are equal in two host processes, as memory
+  # addresses and counters of two processes may be.
+  Scenario: transactions of two hosts have different keys
+    Given a host that reaches p with 2 connections, for callers of others
+    When callers one and two of two hosts with equal addresses and counters begin
+    And caller one sends write
+    And caller two sends write
+    And caller one commits
+    And caller two commits
+    Then all statements of the callers succeeded
+    And no transaction at member p has statements of two callers
+    And what member p keeps is what each caller was told
+    And all connections to member p are idle again
--- a/features/ownership_builders.py
+++ b/features/ownership_builders.py
@@ -25,6 +25,7 @@
 from mimosapond.groups.connection_pool import ConnectionPool
 from mimosapond.groups.group import Group
 from mimosapond.groups.group_directory import GroupDirectory
+from mimosapond.peers.peer_client import PeerClient
 from mimosapond.peers.peer_desk import PeerDesk
 from mimosapond.platform.member_link import WireMemberDialer
 from mimosapond.routing.definitions import Definitions
@@ -137,6 +138,49 @@
         return outcome
 
 
+async def begin_relayed(name: str, address: str, group: Group) -> RelayedCaller:
+    """Let a caller of the host ``name`` begin at the one at ``address``."""
+    _, finder = build_finder(name, address)
+    relay = await finder.find(group)
+    assert relay is not None
+    transaction = relay.open(Begin(is_read_only=False))
+    return RelayedCaller(name, group, transaction)
+
+
+@final
+class KeyedTransaction:
+    """A transaction at another host under a key that the test chooses."""
+
+    def __init__(self, host: str, address: str, key: str) -> None:
+        """Take the host that passes it on and the one that runs it."""
+        directory, _ = build_finder(host, address)
+        self._peer = directory.choose(1)[0]
+        self._client = PeerClient(directory, boot_time_s)
+        self._key = key
+        self._is_first = True
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, work: Work) -> WorkOutcome:
+        """Run a statement."""
+        is_first = self._is_first
+        self._is_first = False
+        begin = Begin(is_read_only=False)
+        return await self._client.run_in(
+            self._peer, self._key, begin, work, is_first=is_first
+        )
+
+    async def commit(self, work: Work) -> WorkOutcome:
+        """Commit."""
+        return await self._client.commit(self._peer, self._key, work)
+
+    def abandon(self) -> None:
+        """Have it rolled back."""
+        call = self._client.roll_back(self._peer, self._key)
+        task = asyncio.create_task(call)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
 @final
 @attrs.define(eq=False)
 class OwnershipWorld:
@@ -156,13 +200,17 @@
 
     async def begin(self, name: str) -> RelayedCaller:
         """Let a caller of the host ``name`` begin a transaction."""
-        world = build_world()
-        _, finder = build_finder(name, self.address)
-        relay = await finder.find(world.group)
-        assert relay is not None
-        transaction = relay.open(Begin(is_read_only=False))
-        self.callers[name] = RelayedCaller(name, world.group, transaction)
-        return self.callers[name]
+        group = build_world().group
+        caller = await begin_relayed(name, self.address, group)
+        self.callers[name] = caller
+        return caller
+
+    def begin_keyed(self, name: str, key: str) -> RelayedCaller:
+        """Let a caller of the host ``name`` begin with a chosen key."""
+        transaction = KeyedTransaction(name, self.address, key)
+        caller = RelayedCaller(name, build_world().group, transaction)
+        self.callers[name] = caller
+        return caller
 
     async def await_rest(self) -> list[str]:
         """Wait until all work has ended; return what does not end."""
--- a/features/steps/connection_ownership_steps.py
+++ b/features/steps/connection_ownership_steps.py
@@ -1,13 +1,16 @@
 """Steps of connection_ownership.feature."""
 
 import asyncio
+import itertools
 from typing import Any, Final
+from unittest import mock
 
 from behave import given, then, when
 
 from features.ownership_builders import build_ownership_world
 from features.wire_member import Refusal
 from mimosapond.groups.connection_lease import ConnectionLease
+from mimosapond.peers import peer_relay
 
 _MOMENT_S: Final = 0.1
 _ARRIVAL_LIMIT_S: Final = 2
@@ -126,6 +129,55 @@
     _run(context, context.ownership.callers[name].commit())
 
 
+@when('callers one and two of two hosts begin with one key and send write')
+def begin_with_one_key(context: Any) -> None:
+    """Run the first statements, one after another."""
+    for name in ('one', 'two'):
+        caller = context.ownership.begin_keyed(name, 'same')
+        _run(context, caller.run('write'))
+
+
+@when('caller one commits with that key')
+def commit_with_key(context: Any) -> None:
+    """Commit the transaction that was opened first."""
+    commit(context, 'one')
+
+
+@when('caller two, if its write succeeded, commits with that key')
+def commit_other_with_key(context: Any) -> None:
+    """Commit what the second caller believes to be open."""
+    if context.ownership.callers['two'].writes:
+        commit(context, 'two')
+
+
+@when(
+    'callers one and two of two hosts with equal addresses and counters begin'
+)
+def begin_alike(context: Any) -> None:
+    """Let the processes of both hosts have come to the same point."""
+    for name in ('one', 'two'):
+        with (
+            mock.patch.object(peer_relay, 'id', lambda _: 1, create=True),
+            mock.patch.object(
+                peer_relay, '_NUMBERS', itertools.count(1), create=True
+            ),
+        ):
+            _run(context, context.ownership.begin(name))
+
+
+@when('caller {name} sends {word}')
+def send(context: Any, name: str, word: str) -> None:
+    """Run a statement of its transaction."""
+    _run(context, context.ownership.callers[name].run(word))
+
+
+@then('all statements of the callers succeeded')
+def check_all_succeeded(context: Any) -> None:
+    """Compare what was sent with what succeeded."""
+    for caller in context.ownership.callers.values():
+        assert len(caller.succeeded) == caller.number, caller
+
+
 @when('a moment passes')
 def let_pass(context: Any) -> None:
     """Let requests that are under way arrive."""
@@ -143,7 +195,8 @@
 @then('all connections to member p are idle again')
 def check_rest(context: Any) -> None:
     """Look at the pool and at the member's side of each connection."""
-    _run(context, asyncio.wait(context.tasks.values()))
+    for task in context.tasks.values():
+        _run(context, asyncio.shield(task))
     faults = _run(context, context.ownership.await_rest())
     assert not faults, faults
 
