Lend only connections whose last answer said idle

What callers saw: after the ROLLBACK of a probe was refused, the next caller's write ran inside the probe's transaction; it got success, and the write was not kept. After any answer with state E the next caller's statement failed as MALFORMED.

Cause: a connection was given back without regard to the state that the member told with its last answer, by ten of eleven borrowers.

Evidence: scenario 'a connection is given back in another state than idle', ten rows failed before. Ruled out: a failed COMMIT, which was rolled back.

Change: the pool, the one place that all borrowers go through, closes a connection that is not idle; the member then rolls back. Closing costs a new connection, which is rare; a ROLLBACK could be refused as well.

--- a/mimosapond/groups/connection_pool.py
+++ b/mimosapond/groups/connection_pool.py
@@ -145,18 +145,17 @@
         return ConnectionLease(connection, self._take_back)
 
     def _take_back(self, connection: PooledConnection) -> None:
-        """Lend a connection on, or keep it; a closed one makes room."""
-        if self._is_closed:
+        """Lend a connection to the next one, or keep it, if it is idle.
+
+        A closed one makes room for another. One that is in a transaction is
+        closed: the member rolls it back.
+        """
+        if self._is_closed or self._is_unsettled(connection):
             connection.link.close()
         if not connection.link.is_open:
             self.open_count -= 1
             self._grow()
             return
-        if connection.link.state is not SessionState.idle:
-            logger.bind(
-                connection=connection.link.name,
-                state=str(connection.link.state),
-            ).error('connection_unsettled')
         connection.idle_since_s = self._now()
         waiter = self._next_waiter()
         if waiter is None:
@@ -164,6 +163,15 @@
         else:
             waiter.future.set_result(self._lease(connection))
 
+    def _is_unsettled(self, connection: PooledConnection) -> bool:
+        link = connection.link
+        if not link.is_open or link.state is SessionState.idle:
+            return False
+        logger.bind(connection=link.name, state=str(link.state)).warning(
+            'connection_unsettled'
+        )
+        return True
+
     def _drop_idle(self, connection: PooledConnection) -> None:
         self._idle.remove(connection)
         connection.link.close()
