Make keys of relayed transactions that no other host makes

What callers saw: with equal keys of two hosts, the commit of one caller kept the writes of another, and its own transaction was ended by nobody.

Cause: the key of a transaction that another host keeps was a memory address and a counter of one process, used between processes.

Evidence: scenarios 'a key that is open already joins and replaces no transaction' and 'transactions of two hosts have different keys' failed before.

Change: a key is the host's name, the start time with a random token, and a counter; a host refuses a first statement whose key is open, as rolled back, which is true. The test that forced equal addresses and counters now leaves only the hosts' names different, as the key no longer has an address; a scenario on two lives of one host is new.

--- a/features/connection_ownership.feature
+++ b/features/connection_ownership.feature
@@ -75,10 +75,11 @@
     And all connections to member p are idle again
 
   # Guards against keys that are equal in two host processes, as memory
-  # addresses and counters of two processes may be.
+  # addresses and counters of two processes may be. All but the names of the
+  # hosts is equal here.
   Scenario: transactions of two hosts have different keys
     Given a host that reaches p with 2 connections, for callers of others
-    When callers one and two of two hosts with equal addresses and counters begin
+    When callers one and two of two hosts with equal clocks and random numbers begin
     And caller one sends write
     And caller two sends write
     And caller one commits
@@ -88,6 +89,11 @@
     And what member p keeps is what each caller was told
     And all connections to member p are idle again
 
+  # Guards against a key of a transaction that a host opened before it was
+  # restarted, which may still be open at another host.
+  Scenario: a restarted host does not repeat its keys
+    Then two lives of one host make different keys
+
   # Guards against connections that are given back in a transaction or failed:
   # the next caller's statement ran in the transaction of a probe, was answered
   # with success and not kept, or it failed for no reason of its own.
--- a/features/relay_builders.py
+++ b/features/relay_builders.py
@@ -22,6 +22,7 @@
 from mimosapond.peers.peer_directory import PeerDirectory
 from mimosapond.peers.peer_server import build_peer_server
 from mimosapond.peers.primary_finder import PrimaryFinder
+from mimosapond.peers.transaction_keys import TransactionKeys
 from mimosapond.routing.primary_path import PrimaryPaths
 from mimosapond.routing.primary_probe import PrimaryProbe
 from mimosapond.routing.read_router import ReadRouter
@@ -77,7 +78,10 @@
     directory = PeerDirectory(Peer(host, '', CENTRE), boot_time_s)
     directory.update([Peer('far', address, CENTRE)])
     client = PeerClient(directory, boot_time_s)
-    return directory, PrimaryFinder(directory, client, boot_time_s)
+    finder = PrimaryFinder(
+        directory, client, TransactionKeys(host), boot_time_s
+    )
+    return directory, finder
 
 
 def build_peer_services(world: GroupWorld) -> PeerServices:
--- a/features/steps/connection_ownership_steps.py
+++ b/features/steps/connection_ownership_steps.py
@@ -1,7 +1,8 @@
 """Steps of connection_ownership.feature."""
 
 import asyncio
-import itertools
+import secrets
+import time
 from typing import Any, Final
 from unittest import mock
 
@@ -11,7 +12,7 @@
 from features.wire_member import Refusal
 from mimosapond.failover import log_survey
 from mimosapond.groups.connection_lease import ConnectionLease
-from mimosapond.peers import peer_relay
+from mimosapond.peers.transaction_keys import TransactionKeys
 from mimosapond.statements.reply import Success
 
 _MOMENT_S: Final = 0.1
@@ -160,20 +161,27 @@
 
 
 @when(
-    'callers one and two of two hosts with equal addresses and counters begin'
+    'callers one and two of two hosts with equal clocks and random numbers begin'
 )
 def begin_alike(context: Any) -> None:
     """Let the processes of both hosts have come to the same point."""
-    for name in ('one', 'two'):
-        with (
-            mock.patch.object(peer_relay, 'id', lambda _: 1, create=True),
-            mock.patch.object(
-                peer_relay, '_NUMBERS', itertools.count(1), create=True
-            ),
-        ):
+    with (
+        mock.patch.object(time, 'time_ns', lambda: 1),
+        mock.patch.object(secrets, 'token_hex', lambda _: 'same'),
+    ):
+        for name in ('one', 'two'):
             _run(context, context.ownership.begin(name))
 
 
+@then('two lives of one host make different keys')
+def check_lives(context: Any) -> None:
+    """Compare the first keys, with an equal clock or equal random numbers."""
+    with mock.patch.object(time, 'time_ns', lambda: 1):
+        assert TransactionKeys('one').make() != TransactionKeys('one').make()
+    with mock.patch.object(secrets, 'token_hex', lambda _: 'same'):
+        assert TransactionKeys('one').make() != TransactionKeys('one').make()
+
+
 @when('caller {name} sends {word}')
 def send(context: Any, name: str, word: str) -> None:
     """Run a statement of its transaction."""
--- a/mimosapond/peers/peer_desk.py
+++ b/mimosapond/peers/peer_desk.py
@@ -110,12 +110,7 @@
         self, key: str, begin: Begin, work: Work, *, is_first: bool
     ) -> WorkDone:
         """Run a statement of a transaction; the first one opens it."""
-        if is_first:
-            logger.bind(
-                request=work.request_id, key=key, is_taken=key in self._open
-            ).info('relayed_transaction_begun')
-            self._open[key] = _Open(Transaction(begin, self._services.routing))
-        entry = self._open.get(key)
+        entry = self._begin(key, begin) if is_first else self._open.get(key)
         if entry is None:
             return WorkDone(failures.ROLLED_BACK)
         self._stop_timer(entry)
@@ -152,6 +147,16 @@
         logger.bind(key=key).info('relayed_transaction_expired')
         self.roll_back(key)
 
+    def _begin(self, key: str, begin: Begin) -> _Open | None:
+        if key in self._open:
+            # Its statements would run in the transaction of another caller.
+            logger.bind(key=key).error('relayed_key_taken')
+            return None
+        logger.bind(key=key).info('relayed_transaction_begun')
+        entry = _Open(Transaction(begin, self._services.routing))
+        self._open[key] = entry
+        return entry
+
     async def _run_in(self, entry: _Open, work: Work) -> Reply:
         entry.is_running = True
         try:
--- a/mimosapond/peers/peer_relay.py
+++ b/mimosapond/peers/peer_relay.py
@@ -1,19 +1,17 @@
 """Work that a peer carries out at a primary."""
 
 import asyncio
-import itertools
-from typing import Final, Protocol, final
+from typing import Protocol, final
 
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_client import PeerClient
+from mimosapond.peers.transaction_keys import TransactionKeys
 from mimosapond.routing.open_transaction import OpenTransaction
 from mimosapond.routing.work_outcome import WorkDone, WorkLost, WorkOutcome
 from mimosapond.routing.work import Work
 from mimosapond.statements.reply import Success
 from mimosapond.statements.statement import Begin
 
-_NUMBERS: Final = itertools.count(1)
-
 
 class _Forgets(Protocol):
     def forget(self, group: str) -> None:
@@ -25,9 +23,14 @@
     """One peer that has proven the primary; see ``Relay``."""
 
     def __init__(
-        self, peer: Peer, client: PeerClient, finder: _Forgets
+        self,
+        peer: Peer,
+        client: PeerClient,
+        finder: _Forgets,
+        keys: TransactionKeys,
     ) -> None:
         """Take the peer and what to tell of its failure."""
+        self._keys = keys
         self._peer = peer
         self._client = client
         self._finder = finder
@@ -46,7 +49,7 @@
 
     def open(self, begin: Begin) -> OpenTransaction:
         """Return a transaction, which begins with its first statement."""
-        return _PeerTransaction(self, begin)
+        return _PeerTransaction(self, begin, self._keys.make())
 
     async def run_in(
         self, key: str, begin: Begin, work: Work, *, is_first: bool
@@ -76,10 +79,10 @@
 class _PeerTransaction:
     """See ``OpenTransaction``."""
 
-    def __init__(self, relay: PeerRelay, begin: Begin) -> None:
+    def __init__(self, relay: PeerRelay, begin: Begin, key: str) -> None:
         self._relay = relay
         self._begin = begin
-        self._key = f'{id(self):x}-{next(_NUMBERS)}'
+        self._key = key
         self._is_open = False
         self._tasks: set[asyncio.Task[None]] = set()
 
--- a/mimosapond/peers/primary_finder.py
+++ b/mimosapond/peers/primary_finder.py
@@ -12,6 +12,7 @@
 from mimosapond.peers.peer_client import PeerClient, PrimaryNews
 from mimosapond.peers.peer_directory import PeerDirectory
 from mimosapond.peers.peer_relay import PeerRelay
+from mimosapond.peers.transaction_keys import TransactionKeys
 from mimosapond.routing.relay_port import Relay
 
 _ASKED_COUNT: Final = 4
@@ -35,9 +36,14 @@
     """Asks some peers at the same time; see ``RelayFinder``."""
 
     def __init__(
-        self, directory: PeerDirectory, client: PeerClient, now: Now
+        self,
+        directory: PeerDirectory,
+        client: PeerClient,
+        keys: TransactionKeys,
+        now: Now,
     ) -> None:
-        """Take the peers and the way to ask them."""
+        """Take the peers, the way to ask them, and keys for their work."""
+        self._keys = keys
         self._directory = directory
         self._client = client
         self._now = now
@@ -121,7 +127,9 @@
                     group.note_relayed(
                         news.member_id, asked_s - news.age_s, news.position
                     )
-                    return PeerRelay(tasks[task], self._client, self)
+                    return PeerRelay(
+                        tasks[task], self._client, self, self._keys
+                    )
         return None
 
 
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -30,6 +30,7 @@
 from mimosapond.peers.peer_follower import PeerFollower
 from mimosapond.peers.peer_server import build_peer_server
 from mimosapond.peers.primary_finder import PrimaryFinder
+from mimosapond.peers.transaction_keys import TransactionKeys
 from mimosapond.platform.caller_link import CallerServer
 from mimosapond.platform.member_link import WireMemberDialer
 from mimosapond.platform.promotion_client import PromotionClient
@@ -78,7 +79,10 @@
         )
         self._peers = PeerDirectory(self._own, self._now)
         self._finder = PrimaryFinder(
-            self._peers, PeerClient(self._peers, self._now), self._now
+            self._peers,
+            PeerClient(self._peers, self._now),
+            TransactionKeys(settings.host),
+            self._now,
         )
         self._probe = PrimaryProbe(self._now, self._finder)
         self._duties = ReservedDuties(
