Show that an unread answer is given to the next caller

Two requests at once on a connection leave the second answer unread on an open link, and the next caller gets it. So does one that gets the connection after a member sent an answer twice. An error in decoding a position leaves the caller without an answer.

--- a/features/connection_ownership.feature
+++ b/features/connection_ownership.feature
@@ -3,6 +3,21 @@
   A caller that got the answer of another, or an answer of a transaction that
   is not its own, has lost what the host exists for.
 
+  # Guards against a rollback that is sent while a statement of the same
+  # transaction runs: two requests at once on one connection, after which the
+  # connection is lost to the pool or lent with an answer unread.
+  Scenario: a relayed transaction is rolled back while its statement runs
+    Given a host that reaches p with 2 connections, for callers of others
+    And member p keeps each WRITE waiting
+    When caller one begins at another host and sends write without waiting
+    And the WRITE has reached member p
+    And the transaction of caller one is abandoned
+    And member p goes on after a moment
+    Then member p never had two requests at once on a connection
+    And all connections to member p are idle again
+    And each success is signed for its own request
+    And what member p keeps is what each caller was told
+
   # Guards against a statement that is repeated after a busy answer although its
   # transaction has ended: it ran on a connection that was idle by then.
   Scenario: a relayed transaction is rolled back while its statement is repeated
@@ -107,3 +122,49 @@
       | after a refused begin   | BEGIN      | RETRY and state E    | local caller one sends begin, write, commit         |
       | after a refused read begin | BEGIN READ | LAGGING and state E | local caller one sends begin read, read, commit    |
       | after a failed commit   | COMMIT     | FAILED and state T   | local caller one sends begin, write, commit         |
+
+  # Guards against a second request on a connection whose answer was not read: the
+  # error "Already reading" left it to the next request.
+  Scenario: two requests at once leave no answer on a connection
+    Given a host that reaches p with 2 connections, for callers of others
+    And member p keeps each READ waiting
+    When a read is sent to member p, and a rollback on the same connection
+    And member p goes on after a moment
+    Then a later read on that connection gets its own answer, if it is open
+
+  # Guards against an answer that was left on a connection and is taken for that
+  # of the next request: each later caller got the answer of the one before.
+  Scenario Outline: an answer that nobody asked for is given to no caller
+    Given a host that reaches p with 1 connection, for callers of others
+    And member p sends its next answer to <word> twice
+    When local caller one sends <first>
+    And local caller two sends <second>
+    Then all replies to caller two are successes
+    And each success is signed for its own request
+    And what member p keeps is what each caller was told
+
+    Examples: orders
+      | word     | first                 | second               |
+      | READ     | read                  | read                 |
+      | WRITE    | write                 | write                |
+      | COMMIT   | begin, write, commit  | begin, write, commit |
+      | ROLLBACK | begin, read, rollback | write                |
+
+  # Guards against an error in the middle of an answer that leaves the connection
+  # open, and its transaction without an end.
+  Scenario Outline: an answer that cannot be read ends its connection only
+    Given a host that reaches p with 1 connection, for callers of others
+    And member p answers the next <word> with the lines <lines>
+    When local caller one sends <statements>
+    And local caller two sends write
+    Then all replies to caller two are successes
+    And all connections to member p are idle again
+    And no task of the host failed
+
+    Examples: faults
+      | word   | lines                                | statements           |
+      | READ   | COMPLETE p.x/READY I 1.5000 digits   | read                 |
+      | COMMIT | COMPLETE p.x/READY I 1.5000 digits   | begin, write, commit |
+      | READ   | DATAROW x/READY I 1.1                | read                 |
+      | READ   | COMPLETE p.x/COMPLETE p.y/READY I 1.1 | read                |
+      | BEGIN  | COMPLETE -/READY                     | begin, write, commit |
