Show that the first try of a read takes later values

A read that was answered by a second member leaves its first try under way, which goes on to set the session's values as they are by then: it runs the read with values that the caller has set since, or ends with an error.

--- a/features/connection_ownership.feature
+++ b/features/connection_ownership.feature
@@ -168,3 +168,20 @@
       | READ   | DATAROW x/READY I 1.1                | read                 |
       | READ   | COMPLETE p.x/COMPLETE p.y/READY I 1.1 | read                |
       | BEGIN  | COMPLETE -/READY                     | begin, write, commit |
+
+  # Guards against the first try of a read that another member has answered: it
+  # ran later with values that its caller had set meanwhile, or broke on them.
+  Scenario Outline: a read whose caller has its answer keeps its values
+    Given a host that reaches p and replica a with 2 connections
+    And member a keeps each SET waiting
+    When local caller one sends set limit 5, set mode x, read, <change>
+    And member a goes on after a moment
+    Then all replies to caller one are successes
+    And each read ran with the values that its caller had then
+    And no task of the host failed
+    And all connections to member p are idle again
+
+    Examples: changes
+      | change     |
+      | set mode y |
+      | set more 1 |
