Show that unsigned successes are passed on to callers

A member signs the success of a read, a write or a commit; a success without a signature answers a request of the host's own. The host passes one on as the success of a caller's statement.

--- a/features/connection_ownership.feature
+++ b/features/connection_ownership.feature
@@ -150,6 +150,25 @@
       | COMMIT   | begin, write, commit  | begin, write, commit |
       | ROLLBACK | begin, read, rollback | write                |
 
+  # Guards against a success of a request of the host's own, which is unsigned,
+  # that is passed on as the success of a caller's statement.
+  Scenario Outline: an unsigned success is not passed on, <case>
+    Given a host that reaches p with 1 connection, for callers of others
+    And member p answers the next <word> with the lines <lines>
+    When local caller one sends <statements>
+    And local caller two sends write
+    Then each success is signed for its own request
+    And all replies to caller two are successes
+    And all connections to member p are idle again
+
+    Examples: answers
+      | case          | word   | lines                          | statements           |
+      | read          | READ   | DATAROW x/COMPLETE -/READY I 1.1 | read               |
+      | write         | WRITE  | COMPLETE -/READY I 1.1         | write                |
+      | commit        | COMMIT | COMPLETE -/READY I 1.1         | begin, write, commit |
+      | no signature  | READ   | COMPLETE /READY I 1.1          | read                 |
+      | in a transaction | READ | COMPLETE -/READY T 1.1        | begin, read, rollback |
+
   # Guards against an error in the middle of an answer that leaves the connection
   # open, and its transaction without an end.
   Scenario Outline: an answer that cannot be read ends its connection only
