Reproduce MIXED: an answer that comes as its transaction is rolled back

What callers saw: a success with the signature of a request that was not theirs. The scenario lets the answer to a relayed READ arrive in the step in which the rollback begins.

The check of signatures now names all wrong ones, not the first.

--- a/features/connection_ownership.feature
+++ b/features/connection_ownership.feature
@@ -18,6 +18,18 @@
     And each success is signed for its own request
     And what member p keeps is what each caller was told
 
+  # Guards against the incident MIXED: the rollback read the answer of the
+  # statement, the statement then read beside the next caller, and later callers
+  # got the answers of their predecessors.
+  Scenario: an answer that comes as its transaction is rolled back shifts no others
+    Given a host that reaches p with 1 connection, for callers of others
+    And the rollback of caller one comes with the answer to its READ
+    When caller one begins at another host and sends read without waiting
+    And local callers two, three and four send read as soon as that is answered
+    Then each success is signed for its own request
+    And all replies to caller four are successes
+    And all connections to member p are idle again
+
   # Guards against a statement that is repeated after a busy answer although its
   # transaction has ended: it ran on a connection that was idle by then.
   Scenario: a relayed transaction is rolled back while its statement is repeated
--- a/features/steps/connection_ownership_steps.py
+++ b/features/steps/connection_ownership_steps.py
@@ -1,6 +1,7 @@
 """Steps of connection_ownership.feature."""
 
 import asyncio
+import contextlib
 import functools
 import gc
 import secrets
@@ -11,7 +12,7 @@
 from behave import given, then, when
 
 from features.ownership_builders import build_access, build_ownership_world
-from features.wire_member import Refusal
+from features.wire_member import Refusal, Request
 from mimosapond.failover import log_survey
 from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.groups.member_answer import Completed
@@ -127,6 +128,38 @@
     context.ownership.member.refusals.append(refusal)
 
 
+@given('the rollback of caller one comes with the answer to its READ')
+def roll_back_with_answer(context: Any) -> None:
+    """Let the rollback begin in the step in which the answer arrives."""
+    world = context.ownership
+    context.answered = asyncio.Event()
+    world.member.watchers.append(
+        functools.partial(_roll_back_beside, context, world)
+    )
+
+
+def _roll_back_beside(context: Any, world: Any, request: Request) -> None:
+    if not request.text.startswith('READ one'):
+        return
+    for key in tuple(world.desk.open_keys):
+        context.loop.call_soon(world.desk.roll_back, key)
+    # The answer to the rollback takes a moment, as on a real network.
+    held = world.member.held
+    held.add('ROLLBACK')
+    context.loop.call_later(_MOMENT_S, held.discard, 'ROLLBACK')
+    context.answered.set()
+
+
+@when('local callers two, three and four send read as soon as that is answered')
+def read_at_once(context: Any) -> None:
+    """Send one read after another."""
+    _run(context, context.answered.wait())
+    for name in ('two', 'three', 'four'):
+        caller = context.ownership.open_local(name)
+        with contextlib.suppress(AssertionError):
+            _run(context, caller.send('read'))
+
+
 @given('all connections to member p are lent')
 def lend_all(context: Any) -> None:
     """Borrow them."""
@@ -336,10 +369,13 @@
 def check_signatures(context: Any) -> None:
     """Compare the signatures that callers got."""
     world = context.ownership
-    for caller in world.callers.values():
-        for request_id, signature in caller.signatures.items():
-            expected = world.member.sign(request_id)
-            assert signature == expected, (request_id, signature)
+    wrong = [
+        (request_id, signature)
+        for caller in world.callers.values()
+        for request_id, signature in caller.signatures.items()
+        if signature != world.member.sign(request_id)
+    ]
+    assert not wrong, wrong
 
 
 @then('what member p keeps is what each caller was told')
--- a/features/wire_member.py
+++ b/features/wire_member.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import collections
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Final, final
 
 import attrs
@@ -110,6 +110,8 @@
         self.replaced: dict[str, list[str]] = {}
         # Words whose next answer is sent twice.
         self.repeated: set[str] = set()
+        # Called with each request, in the moment in which it is answered.
+        self.watchers: list[Callable[[Request], None]] = []
 
     @property
     def open_sessions(self) -> list[WireSession]:
@@ -180,6 +182,8 @@
             lines = self._lines(session, request)
             session.requests.popleft()
             text = ''.join(f'{line}\r\n' for line in lines)
+            for watcher in self.watchers:
+                watcher(request)
             await stream.write(text.encode())
 
     def _lines(self, session: WireSession, request: Request) -> list[str]:
