Close a member connection whose answers are out of step

What callers saw: an answer that was left on a connection was given to the next caller, also as the success of a write signed for the write of another; a success without a member's signature, which belongs to a request of the host itself, was passed on.

Cause: answers are matched to requests by their order alone, and the connection trusted that order: it let two requests run at once, sent a request while an answer was there already, stayed open after an error that it did not expect, and did not compare signed with unsigned answers.

Evidence: scenarios 'an answer that nobody asked for is given to no caller', 'an unsigned success is not passed on' and 'an answer that cannot be read ends its connection only' failed before.

Change: one request at a time; the read begins before the request is sent, so anything that is there already, also the end of the connection, is found first; any exit without a whole answer closes; a caller's success must be signed and the host's own must not be. An unreadable position counts as no message.

--- a/mimosapond/groups/member_answer.py
+++ b/mimosapond/groups/member_answer.py
@@ -62,9 +62,16 @@
 @final
 @attrs.frozen
 class LinkLost:
-    """No whole answer came; the connection is closed."""
+    """No whole answer came; the connection is closed.
+
+    Parameters
+    ----------
+    was_sent
+        Whether the member may have got the request.
+    """
 
     reason: str
+    was_sent: bool = True
 
 
 MemberAnswer: TypeAlias = Completed | Rejected | LinkLost
--- a/mimosapond/platform/line_stream.py
+++ b/mimosapond/platform/line_stream.py
@@ -33,6 +33,11 @@
         """Whether neither end has closed."""
         return not self._stream.closed()
 
+    def start_read(self) -> asyncio.Future[bytes]:
+        """Begin to read; done at once if a line or the end is there already."""
+        pending = self._stream.read_until(LINE_END, max_bytes=_BUFFER_BYTES)
+        return asyncio.ensure_future(pending)
+
     async def read(self) -> str:
         """Return the next line without its end.
 
@@ -43,10 +48,12 @@
         LineTooLongError, LineUnreadableError
             The line is no message.
         """
+        return await self.finish_read(self.start_read())
+
+    async def finish_read(self, pending: asyncio.Future[bytes]) -> str:
+        """Return the line of a read that was begun; see ``read``."""
         try:
-            line = await self._stream.read_until(
-                LINE_END, max_bytes=_BUFFER_BYTES
-            )
+            line = await pending
         except StreamClosedError as error:
             if isinstance(error.real_error, UnsatisfiableReadError):
                 raise LineTooLongError from error
--- a/mimosapond/platform/member_link.py
+++ b/mimosapond/platform/member_link.py
@@ -36,7 +36,7 @@
 # Requests of the product itself, which no caller sent.
 _OWN_ID: Final = '-'
 # In place of a signature, in answers to them.
-_UNSIGNED: Final = '-'
+_UNSIGNED: Final = frozenset(('-', ''))
 _CALLER_NAME: Final = 'mimosapond'
 _STATUS_FIELDS: Final = 4
 
@@ -158,51 +158,68 @@
     async def _ask(
         self, request_id: str, text: str, limit_s: float
     ) -> MemberAnswer:
-        self._note_start(request_id)
+        first = self._begin(request_id)
+        if isinstance(first, LinkLost):
+            return first
+        self._request_id = request_id
+        self._state = None
         try:
             async with asyncio.timeout(limit_s):
                 await self._lines.write(f'QUERY {request_id} {text}')
-                answer = await self._answer()
+                answer = await self._answer(first)
         except TimeoutError:
-            self._lines.close()
-            return LinkLost('no answer in time')
+            return self._lose('no answer in time')
         except _BROKEN as error:
-            self._lines.close()
-            return LinkLost(repr(error))
-        except asyncio.CancelledError:
-            # Half of an answer would be taken for that of the next request.
-            self._lines.close()
-            raise
+            return self._lose(repr(error))
         finally:
             self._request_id = ''
-        self._note_signature(request_id, answer)
+            if self._state is None:
+                # The rest of an answer would be taken for the next one.
+                self._lines.close()
+        if _is_out_of_step(request_id, answer):
+            return self._lose_step(request_id, str(answer))
         return answer
 
-    def _note_start(self, request_id: str) -> None:
+    def _begin(self, request_id: str) -> asyncio.Future[bytes] | LinkLost:
+        """Start to read the answer; nothing may be there before the request."""
         if self._request_id:
-            logger.bind(
-                connection=self.name,
-                request=request_id,
-                under_way=self._request_id,
-            ).error('connection_shared')
-        self._request_id = request_id
+            return self._refuse_shared(request_id)
+        try:
+            first = self._lines.start_read()
+        except StreamClosedError as error:
+            return self._lose(repr(error), was_sent=False)
+        if not first.done():
+            return first
+        failure = first.exception()
+        if failure is None:
+            self._lose_step(request_id, repr(first.result()))
+        return self._lose(repr(failure), was_sent=False)
+
+    def _refuse_shared(self, request_id: str) -> LinkLost:
+        """Close, as it is not known whose answer comes first."""
+        logger.bind(
+            connection=self.name,
+            request=request_id,
+            under_way=self._request_id,
+        ).error('connection_shared')
+        return self._lose('another request was under way', was_sent=False)
+
+    def _lose_step(self, request_id: str, answer: str) -> LinkLost:
+        logger.bind(
+            connection=self.name, request=request_id, answer=answer
+        ).error('answer_out_of_step')
+        return self._lose('the answer was of another request')
+
+    def _lose(self, reason: str, *, was_sent: bool = True) -> LinkLost:
         self._state = None
+        self._lines.close()
+        return LinkLost(reason, was_sent=was_sent)
 
-    def _note_signature(self, request_id: str, answer: MemberAnswer) -> None:
-        if not isinstance(answer, Completed):
-            return
-        is_own = request_id == _OWN_ID
-        if is_own != (answer.signature == _UNSIGNED):
-            logger.bind(
-                connection=self.name,
-                request=request_id,
-                signature=answer.signature,
-            ).error('answer_out_of_step')
-
-    async def _answer(self) -> MemberAnswer:
+    async def _answer(self, first: asyncio.Future[bytes]) -> MemberAnswer:
         rows: list[str] = []
+        line = await self._lines.finish_read(first)
         while True:
-            word, _, rest = (await self._lines.read()).partition(' ')
+            word, _, rest = line.partition(' ')
             match word:
                 case 'DATAROW':
                     rows.append(rest)
@@ -214,6 +231,7 @@
                     return _rejected(rest, state, position)
                 case _:
                     raise _NoMessageError(word)
+            line = await self._lines.read()
 
     async def _end(self) -> tuple[SessionState, LogPosition | None]:
         fields = (await self._lines.read()).split(' ')
@@ -222,8 +240,12 @@
         state = STATES.get(fields[1])
         if state is None:
             raise _NoMessageError(fields[1])
+        try:
+            position = decode_position(fields[2])
+        except ValueError as error:
+            raise _NoMessageError('position') from error
         self._state = state
-        return state, decode_position(fields[2])
+        return state, position
 
 
 @final
@@ -282,6 +304,17 @@
         return _rejected(rest, SessionState.idle, None)
 
 
+def _is_out_of_step(request_id: str, answer: MemberAnswer) -> bool:
+    """Return whether the answer belongs to a request of the other kind.
+
+    Members sign what they did for callers, and nothing else.
+    """
+    if not isinstance(answer, Completed):
+        return False
+    is_signed = answer.signature not in _UNSIGNED
+    return is_signed != (request_id != _OWN_ID)
+
+
 def _after(position: LogPosition | None, text: str) -> str:
     if position is None:
         return text
@@ -302,9 +335,16 @@
     fields = answer.rows[0].split(' ') if answer.rows else []
     if len(fields) < _STATUS_FIELDS:
         return LinkLost('a status without its fields')
+    try:
+        return _decode_status(fields)
+    except ValueError as error:
+        return LinkLost(f'a status that cannot be read: {error}')
+
+
+def _decode_status(fields: list[str]) -> StatusAnswer:
     received = decode_position(fields[2])
-    if received is None or not fields[1].isdecimal():
-        return LinkLost('a status that cannot be read')
+    if received is None:
+        return LinkLost('a status without a position')
     # The fourth field is the term of the pause that the member holds.
     paused_term = int(fields[3]) if fields[3].isdecimal() else 0
     return MemberStatus(
