Send a write again when its connection was found closed

What callers saw: an unknown outcome for a write that no member got, because the member had closed the idle connection, or an answer was left on it, before the write was sent.

Cause: a connection that is lost before a request was not told from one that is lost after it.

Change: the loss says whether the request may have been sent; a write and the first statement of a transaction then go to another connection.

--- a/features/connection_ownership.feature
+++ b/features/connection_ownership.feature
@@ -162,6 +162,23 @@
       | COMMIT   | begin, write, commit  | begin, write, commit |
       | ROLLBACK | begin, read, rollback | write                |
 
+  # Guards against a statement that is reported as unknown or failed although the
+  # member had closed the idle connection before it was sent.
+  Scenario Outline: a statement on a connection that was closed goes to another
+    Given a host that reaches p with 2 connections, for callers of others
+    When local caller one sends <first>
+    And member p closes its connections
+    And local caller two sends <second>
+    Then all replies to caller two are successes
+    And what member p keeps is what each caller was told
+    And all connections to member p are idle again
+
+    Examples: statements
+      | first | second               |
+      | write | write                |
+      | read  | read                 |
+      | write | begin, write, commit |
+
   # Guards against a success of a request of the host's own, which is unsigned,
   # that is passed on as the success of a caller's statement.
   Scenario Outline: an unsigned success is not passed on, <case>
--- a/features/steps/connection_ownership_steps.py
+++ b/features/steps/connection_ownership_steps.py
@@ -284,6 +284,13 @@
         _run(context, caller.send(word))
 
 
+@when('member p closes its connections')
+def close_connections(context: Any) -> None:
+    """Close them and let the host's network know."""
+    context.ownership.member.close_sessions()
+    let_pass(context)
+
+
 @when('the host probes member p')
 def probe(context: Any) -> None:
     """Ask whether it leads."""
--- a/features/wire_member.py
+++ b/features/wire_member.py
@@ -72,6 +72,7 @@
 class WireSession:
     """The member's side of one connection."""
 
+    stream: IOStream
     state: str = 'I'
     is_open: bool = True
     requests: collections.deque[Request] = attrs.field(
@@ -138,6 +139,11 @@
         """Count requests whose texts contain ``part``."""
         return sum(part in request.text for request in self.arrived)
 
+    def close_sessions(self) -> None:
+        """Close all connections."""
+        for session in self.open_sessions:
+            session.stream.close()
+
     def sign(self, request_id: str) -> str:
         """Return the signature of the answer to a request."""
         return f'{self.member_id}.{request_id}'
@@ -146,7 +152,7 @@
         self, stream: IOStream, address: tuple[str, int]
     ) -> None:
         """Serve a connection; one that is closed rolls back."""
-        session = WireSession()
+        session = WireSession(stream)
         self.sessions.append(session)
         await stream.read_until(_END)
         worker = asyncio.create_task(self._work(stream, session))
--- a/mimosapond/routing/write_router.py
+++ b/mimosapond/routing/write_router.py
@@ -11,6 +11,7 @@
 from mimosapond.groups.member_answer import (
     NOT_RUN,
     Completed,
+    LinkLost,
     MemberAnswer,
     Rejected,
     RejectionKind,
@@ -101,6 +102,8 @@
                 return None
             case Rejected():
                 return failures.from_rejection(answer), None
+            case LinkLost(was_sent=False):
+                return None
             case _:
                 logger.bind(
                     request=work.request_id,
--- a/mimosapond/sessions/pinned_transaction.py
+++ b/mimosapond/sessions/pinned_transaction.py
@@ -150,8 +150,8 @@
                 return WorkLost(kind.value, was_sent=False)
             case Rejected():
                 return WorkDone(failures.from_rejection(answer))
-            case LinkLost(reason=reason):
-                return WorkLost(reason, was_sent=True)
+            case LinkLost(reason=reason, was_sent=was_sent):
+                return WorkLost(reason, was_sent=was_sent)
 
     def _judge_commit(self, answer: MemberAnswer) -> WorkOutcome:
         match answer:
@@ -166,8 +166,8 @@
             case Rejected():
                 self.abandon()
                 return WorkDone(failures.from_rejection(answer))
-            case LinkLost(reason=reason):
-                return WorkLost(reason, was_sent=True)
+            case LinkLost(reason=reason, was_sent=was_sent):
+                return WorkLost(reason, was_sent=was_sent)
 
     def _note_refusal(self, group: Group, kind: RejectionKind) -> None:
         if kind is RejectionKind.not_primary:
