Let tries of a read see the session values of its time

What callers saw: a read that a second member had answered ran later at the first with values that its caller had set meanwhile, or its task broke on them.

Cause: a try of a read used the session's live values, also after the answer.

Change: work carries a copy of the values; tries that wait for a connection end with the answer, and the others are held until they end.

--- a/features/ownership_builders.py
+++ b/features/ownership_builders.py
@@ -30,7 +30,6 @@
 from mimosapond.peers.peer_client import PeerClient
 from mimosapond.peers.peer_desk import PeerDesk
 from mimosapond.platform.member_link import WireMemberDialer
-from mimosapond.routing.definitions import Definitions
 from mimosapond.routing.open_transaction import OpenTransaction
 from mimosapond.routing.work import Work
 from mimosapond.routing.work_outcome import WorkDone, WorkOutcome
@@ -99,7 +98,7 @@
     return Work(
         request_id=request_id,
         access=access,
-        definitions=Definitions(),
+        values={},
         route=route or build_route(timeout_ms=TIMEOUT_MS),
         group=group,
         arrived_s=now_s,
--- a/features/steps/relaying_steps.py
+++ b/features/steps/relaying_steps.py
@@ -19,7 +19,6 @@
 from mimosapond.peers.peer_desk import PeerDesk
 from mimosapond.peers.peer_directory import PeerDirectory
 from mimosapond.peers.work_codec import decode_work, encode_work
-from mimosapond.routing.definitions import Definitions
 from mimosapond.routing.work import Prepared, SessionFloor, Work
 from mimosapond.statements.statement import Direct, Shape
 
@@ -261,7 +260,7 @@
     work = Work(
         request_id='r1',
         access=access,
-        definitions=Definitions(values=values),
+        values=values,
         route=build_route(),
         group=world.group,
         arrived_s=now_s - age_s,
@@ -271,7 +270,7 @@
     later_s = now_s + age_s
     found = decode_work(encode_work(work, now_s), world.directory, later_s)
     assert found.access == access
-    assert found.definitions.values == values
+    assert found.values == values
     assert (found.request_id, found.route) == (work.request_id, work.route)
     assert found.group is world.group
     assert found.floor is not None and found.floor.position == position
--- a/mimosapond/peers/work_codec.py
+++ b/mimosapond/peers/work_codec.py
@@ -11,7 +11,6 @@
 from mimosapond.configuration.route import Freshness, Route
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.log_position import LogPosition
-from mimosapond.routing.definitions import Definitions
 from mimosapond.routing.work_outcome import WorkDone
 from mimosapond.routing.work import Access, Prepared, SessionFloor, Work
 from mimosapond.statements.reply import Failure, FailureKind, Reply, Success
@@ -25,7 +24,7 @@
     return {
         'request_id': work.request_id,
         'access': _encode_access(work.access),
-        'values': work.definitions.values,
+        'values': dict(work.values),
         'route': {
             'database': work.route.database,
             'group': work.route.group,
@@ -58,7 +57,7 @@
     return Work(
         request_id=str(body['request_id']),
         access=_decode_access(body['access']),
-        definitions=Definitions(values=dict(body['values'])),
+        values=dict(body['values']),
         route=route,
         group=directory.find(route.group),
         arrived_s=now_s,
--- a/mimosapond/routing/primary_path.py
+++ b/mimosapond/routing/primary_path.py
@@ -79,7 +79,7 @@
         if not primary.pool.open_count:
             wait_s = min(remaining_s, _CROWDED_WAIT_S)
         connection = await primary.pool.borrow(
-            work.route.priority, wait_s, work.definitions.values
+            work.route.priority, wait_s, work.values
         )
         if isinstance(connection, ConnectionLease):
             return LocalPath(primary, connection)
--- a/mimosapond/routing/read_router.py
+++ b/mimosapond/routing/read_router.py
@@ -52,13 +52,23 @@
         self._relays = relays
         self._choice = choice
         self._now = now
+        # Tries that go on after the answer.
+        self._running: set[_Attempt] = set()
 
     async def run(self, work: Work) -> Reply:
         """Answer a read before its deadline."""
         position = await self._positions.find(work)
         if position is None:
             return failures.NO_FRESH_MEMBER
-        attempts = _ReadAttempts(work, position, self._choice, self._now)
+        attempts = _ReadAttempts(
+            work, position, self._choice, self._running, self._now
+        )
+        try:
+            return await self._repeat(work, attempts)
+        finally:
+            attempts.withdraw()
+
+    async def _repeat(self, work: Work, attempts: '_ReadAttempts') -> Reply:
         while True:
             reply = await attempts.run() or await self._relay(work)
             if reply is not None:
@@ -83,14 +93,18 @@
         work: Work,
         position: LogPosition,
         choice: MemberChoice,
+        running: set[_Attempt],
         now: Now,
     ) -> None:
         self._work = work
+        self._running = running
         self._position = position
         self._choice = choice
         self._now = now
         self._tried: list[Member] = []
         self._pending: dict[_Attempt, Member] = {}
+        # Members whose connection a try waits for; nothing was sent there.
+        self._borrowing: set[Member] = set()
         self._was_sent = False
 
     async def run(self) -> Reply | None:
@@ -106,6 +120,12 @@
             if reply is not None:
                 return reply
 
+    def withdraw(self) -> None:
+        """End the tries that have sent nothing; the others free themselves."""
+        for attempt, member in self._pending.items():
+            if member in self._borrowing:
+                attempt.cancel()
+
     def _give_up(self) -> Reply:
         logger.bind(
             request=self._work.request_id,
@@ -128,7 +148,10 @@
         if member is None:
             return self._end_round()
         self._tried.append(member)
-        self._pending[asyncio.create_task(self._attempt(member))] = member
+        attempt = asyncio.create_task(self._attempt(member))
+        self._running.add(attempt)
+        attempt.add_done_callback(self._running.discard)
+        self._pending[attempt] = member
         return max(_HEDGE_MIN_S, member.load.latency_s * _HEDGE_FACTOR)
 
     def _end_round(self) -> float | None:
@@ -166,11 +189,15 @@
 
     async def _attempt(self, member: Member) -> MemberAnswer | NoConnection:
         work = self._work
-        connection = await member.pool.borrow(
-            work.route.priority,
-            min(_BORROW_S, work.deadline_s - self._now()),
-            work.definitions.values,
-        )
+        self._borrowing.add(member)
+        try:
+            connection = await member.pool.borrow(
+                work.route.priority,
+                min(_BORROW_S, work.deadline_s - self._now()),
+                work.values,
+            )
+        finally:
+            self._borrowing.discard(member)
         if isinstance(connection, NoConnection):
             return connection
         limit_s = max(work.deadline_s - self._now(), 0)
--- a/mimosapond/routing/statement_runner.py
+++ b/mimosapond/routing/statement_runner.py
@@ -1,5 +1,6 @@
 """Runs statements on a connection that first gets the session's values."""
 
+from collections.abc import Mapping
 from typing import final
 
 from loguru import logger
@@ -13,7 +14,6 @@
     outcome_word,
 )
 from mimosapond.groups.connection_lease import ConnectionLease
-from mimosapond.routing.definitions import Definitions
 from mimosapond.statements.statement import Shape
 from mimosapond.routing.work import Prepared, Work
 
@@ -30,7 +30,7 @@
 
 async def restore_values(
     connection: ConnectionLease,
-    definitions: Definitions,
+    wanted: Mapping[str, str],
     limit_s: float,
 ) -> None:
     """Give the connection exactly the session's values.
@@ -40,7 +40,6 @@
     RestoreFailed
         The connection is closed, as its values are not certain.
     """
-    wanted = definitions.values
     if connection.values == wanted:
         return
     if not connection.values.keys() <= wanted.keys():
@@ -70,7 +69,7 @@
     RestoreFailed
         Nothing of the statement was sent.
     """
-    await restore_values(connection, work.definitions, limit_s)
+    await restore_values(connection, work.values, limit_s)
     access = work.access
     if isinstance(access, Prepared):
         name = await _prepared_name(connection, access.shape, limit_s)
--- a/mimosapond/routing/work.py
+++ b/mimosapond/routing/work.py
@@ -1,5 +1,6 @@
 """A read or a write of a caller, ready to be sent to a member."""
 
+from collections.abc import Mapping
 from typing import TypeAlias, final
 
 import attrs
@@ -7,7 +8,6 @@
 from mimosapond.configuration.route import Route
 from mimosapond.groups.group import Group
 from mimosapond.groups.log_position import LogPosition
-from mimosapond.routing.definitions import Definitions
 from mimosapond.statements.statement import Direct, Shape
 
 
@@ -50,13 +50,16 @@
 
     Parameters
     ----------
+    values
+        Session values as acknowledged when the statement arrived; a try that
+        is still under way after the answer must not see later ones.
     arrived_s, deadline_s
         On the host's boot clock.
     """
 
     request_id: str
     access: Access
-    definitions: Definitions
+    values: Mapping[str, str]
     route: Route
     group: Group
     arrived_s: float
--- a/mimosapond/sessions/session.py
+++ b/mimosapond/sessions/session.py
@@ -189,7 +189,7 @@
         return Work(
             request_id=request_id,
             access=access,
-            definitions=self._definitions,
+            values=dict(self._definitions.values),
             route=route,
             group=self._services.directory.find(route.group),
             arrived_s=arrived_s,
--- a/mimosapond/sessions/transaction.py
+++ b/mimosapond/sessions/transaction.py
@@ -185,7 +185,7 @@
         self, work: Work, member: Member, position: LogPosition
     ) -> OpenTransaction | None:
         connection = await member.pool.borrow(
-            work.route.priority, _BORROW_S, work.definitions.values
+            work.route.priority, _BORROW_S, work.values
         )
         if isinstance(connection, NoConnection):
             return None
@@ -213,7 +213,7 @@
     ) -> MemberAnswer:
         limit_s = max(work.deadline_s - self._routing.now(), 0)
         try:
-            await restore_values(connection, work.definitions, limit_s)
+            await restore_values(connection, work.values, limit_s)
         except RestoreFailed as error:
             return error.answer
         return await connection.ask(
