Connect to addresses without the resolver's thread

What callers saw: refusals for lack of a connection on a busy machine.

Cause: the library resolves an IP address in a thread, and waits for it; when processors were busy, its answer took longer than the limits for connecting and probing.

Change: connections to members, other hosts, store and promotion take addresses as they are.

--- a/features/connection_ownership.feature
+++ b/features/connection_ownership.feature
@@ -162,6 +162,17 @@
       | COMMIT   | begin, write, commit  | begin, write, commit |
       | ROLLBACK | begin, read, rollback | write                |
 
+  # Guards against connections that wait for a thread of the resolver: on a busy
+  # machine an IP address was 'resolved' later than the limit for connecting.
+  Scenario: a host connects to addresses without a resolver
+    Given a host that reaches p with 1 connection, for callers of others
+    And names cannot be resolved
+    When the host's connections are closed
+    And local caller one sends write
+    And caller two begins at another host and sends write without waiting
+    Then all replies to caller one are successes
+    And all statements that were sent succeed
+
   # Guards against a statement that is reported as unknown or failed although the
   # member had closed the idle connection before it was sent.
   Scenario Outline: a statement on a connection that was closed goes to another
--- a/features/steps/connection_ownership_steps.py
+++ b/features/steps/connection_ownership_steps.py
@@ -284,6 +284,30 @@
         _run(context, caller.send(word))
 
 
+@given('names cannot be resolved')
+def refuse_names(context: Any) -> None:
+    """Let the resolver of the library fail."""
+    refusing = mock.patch.object(
+        context.loop, 'getaddrinfo', side_effect=OSError('no resolver')
+    )
+    refusing.start()
+    context.add_cleanup(refusing.stop)
+
+
+@when("the host's connections are closed")
+def close_idle(context: Any) -> None:
+    """Let the next statement open one."""
+    context.ownership.pool.drop_idle()
+
+
+@then('all statements that were sent succeed')
+def await_all(context: Any) -> None:
+    """Wait for their answers."""
+    for name, task in context.tasks.items():
+        _run(context, asyncio.shield(task))
+        assert context.ownership.callers[name].succeeded, name
+
+
 @when('member p closes its connections')
 def close_connections(context: Any) -> None:
     """Close them and let the host's network know."""
--- a/mimosapond/peers/peer_client.py
+++ b/mimosapond/peers/peer_client.py
@@ -9,6 +9,7 @@
 from loguru import logger
 from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
 
+from mimosapond.address_resolver import AddressResolver
 from mimosapond.boot_clock import Now
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.peers import peer_paths
@@ -62,7 +63,9 @@
         self._directory = directory
         self._now = now
         self._client = AsyncHTTPClient(
-            force_instance=True, max_clients=_PARALLEL_COUNT
+            force_instance=True,
+            max_clients=_PARALLEL_COUNT,
+            resolver=AddressResolver(),
         )
 
     async def ask_primary(
--- a/mimosapond/platform/member_link.py
+++ b/mimosapond/platform/member_link.py
@@ -8,6 +8,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
 
+from mimosapond.address_resolver import AddressResolver
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member_answer import (
     Completed,
@@ -264,7 +265,7 @@
         """
         self._connect_limit_s = connect_limit_s
         self._start_limit_s = start_limit_s
-        self._client = TCPClient()
+        self._client = TCPClient(AddressResolver())
         self._numbers = itertools.count(1)
 
     async def dial(
--- a/mimosapond/platform/promotion_client.py
+++ b/mimosapond/platform/promotion_client.py
@@ -6,6 +6,7 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
 
+from mimosapond.address_resolver import AddressResolver
 from mimosapond.failover.promotion_port import (
     Promoted,
     PromotionOutcome,
@@ -25,7 +26,9 @@
         """Take ``ip:port`` of the platform and the name of this host."""
         self._url = f'http://{address}/promote'
         self._holder = holder
-        self._client = AsyncHTTPClient(force_instance=True)
+        self._client = AsyncHTTPClient(
+            force_instance=True, resolver=AddressResolver()
+        )
 
     async def promote(
         self, group: str, member_id: str, token: int, limit_s: float
--- a/mimosapond/platform/store_client.py
+++ b/mimosapond/platform/store_client.py
@@ -12,6 +12,8 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
 from tornado.httpclient import HTTPResponse
 
+from mimosapond.address_resolver import AddressResolver
+
 _OK: Final = 200
 _CONDITION_FAILED: Final = 412
 _HISTORY_GONE: Final = 410
@@ -78,7 +80,9 @@
     def __init__(self, address: str) -> None:
         """Take ``ip:port`` of the store."""
         self._base = f'http://{address}/api'
-        self._client = AsyncHTTPClient(force_instance=True, max_clients=20)
+        self._client = AsyncHTTPClient(
+            force_instance=True, max_clients=20, resolver=AddressResolver()
+        )
 
     async def read_table(
         self, table: str, limit_s: float
