Add a stand-in process for a database group

The members of a group existed only inside the process of a test, so hosts could not be run against members that lose answers, crash or change their primary.

--- /dev/null
+++ b/standins/database_group/registrar.py
@@ -0,0 +1,108 @@
+"""Registers one member in the store."""
+
+import asyncio
+import base64
+import json
+from typing import Any, Final, final
+
+from loguru import logger
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from standins.database_group.group_member import GroupMember
+
+_TABLE: Final = 'servers'
+_CALL_LIMIT_S: Final = 1.0
+# Heartbeats that a registration outlives its member.
+_EXPIRY_COUNT: Final = 3
+
+
+@final
+class Registrar:
+    """Writes the entry at each heartbeat and at once after a change.
+
+    ``seq`` alone is no change, so that equal entries stay equal rows.
+    """
+
+    def __init__(self, member: GroupMember) -> None:
+        """Start without an entry."""
+        self._member = member
+        settings = member.settings
+        self._url = f'http://{settings.store_address}/standin/rows-put'
+        self._client = AsyncHTTPClient(force_instance=True)
+        self._entry: dict[str, Any] = {}
+        self._text = ''
+        self._seq = 0
+        self._missed_count = 0
+
+    async def run(self) -> None:
+        """Go on until cancelled."""
+        while True:
+            if self._member.is_reachable:
+                self._missed_count = 0
+                await self._report()
+            else:
+                await self._miss()
+            await self._wait()
+
+    async def remove(self) -> None:
+        """Remove the entry."""
+        await self._put(None)
+
+    async def _wait(self) -> None:
+        wait_s = self._member.work_s(self._member.settings.heartbeat_ms)
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + wait_s
+        while loop.time() < end_s and not self._has_changed():
+            try:
+                async with asyncio.timeout_at(end_s):
+                    await self._member.wait_change()
+            except TimeoutError:
+                return
+
+    async def _report(self) -> None:
+        self._seq += 1
+        if self._has_changed():
+            self._entry = self._current()
+            self._text = json.dumps({**self._entry, 'seq': self._seq})
+        await self._put(self._text)
+
+    async def _miss(self) -> None:
+        self._missed_count += 1
+        if self._missed_count == _EXPIRY_COUNT:
+            self._entry = {}
+            await self.remove()
+
+    async def _put(self, text: str | None) -> None:
+        encoded = base64.b64encode(text.encode()).decode() if text else None
+        row = {
+            'table': _TABLE,
+            'key': self._member.member_id,
+            'value': encoded,
+        }
+        request = HTTPRequest(
+            self._url,
+            method='POST',
+            body=json.dumps(row),
+            request_timeout=_CALL_LIMIT_S,
+        )
+        try:
+            await self._client.fetch(request)
+        except Exception as error:  # noqa: BLE001 -- the next heartbeat repeats it
+            logger.bind(problem=repr(error)).warning('registration_failed')
+
+    def _has_changed(self) -> bool:
+        return self._member.is_reachable and self._entry != self._current()
+
+    def _current(self) -> dict[str, Any]:
+        member = self._member
+        return {
+            'service': member.settings.group,
+            'addr': f'127.0.0.1:{member.place.port}',
+            'zone': member.place.data_centre,
+            'version': 'v1',
+            'slots': member.settings.slots,
+            'state': 'draining' if member.is_draining else 'ready',
+            'cold_left_ms': 0,
+            'born': member.born_ms,
+            'db_role': 'primary' if member.is_primary else 'replica',
+        }
--- /dev/null
+++ b/standins/database_group/rule_checks.py
@@ -0,0 +1,118 @@
+"""Checks of the rules for statements, as far as members see them."""
+
+import collections
+from collections.abc import Iterable
+from typing import Final, final
+
+import attrs
+
+from standins.database_group.log_entry import LogEntry
+from standins.database_group.request_identity import (
+    RequestIdentity,
+    parse_identity,
+)
+
+OWNER_VALUE: Final = 'owner'
+
+
+@final
+@attrs.frozen
+class Violation:
+    """A broken rule."""
+
+    rule: str
+    member_id: str
+    detail: str
+
+
+@final
+@attrs.frozen
+class StatementPlace:
+    """Where a statement runs.
+
+    Attributes
+    ----------
+    connection
+        Number that no other connection of the group has.
+    owner
+        Session value ``owner`` of the connection; empty if it is not set.
+    transaction
+        Caller's transaction on the connection, once a statement has shown it.
+    """
+
+    member_id: str
+    connection: int
+    owner: str
+    is_in_transaction: bool
+    transaction: RequestIdentity | None
+
+
+@final
+class RuleChecks:
+    """Violations and counts of one group."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.violations: list[Violation] = []
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._connections: dict[RequestIdentity, int] = {}
+        self._sessions_with_owner: set[str] = set()
+
+    def record(self, rule: str, member_id: str, detail: str) -> None:
+        """Add a violation."""
+        self.violations.append(Violation(rule, member_id, detail))
+
+    def check_run(
+        self, place: StatementPlace, request_id: str, text: str
+    ) -> RequestIdentity | None:
+        """Check a read, a write or a commit that is about to run."""
+        identity = parse_identity(request_id)
+        if identity is None:
+            detail = f'no caller has the id of: {request_id} {text}'
+            self.record('UNASKED', place.member_id, detail)
+            return None
+        for problem in (
+            self._transaction_problem(place, identity),
+            self._owner_problem(place, identity),
+        ):
+            if problem:
+                detail = f'{request_id} {text}: {problem}'
+                self.record('PINNED', place.member_id, detail)
+        return identity
+
+    def report(self, log: Iterable[LogEntry]) -> list[Violation]:
+        """Return all violations, with those that the kept log shows."""
+        kept = collections.Counter(
+            write.request_id for entry in log for write in entry.writes
+        )
+        return self.violations + [
+            Violation('TWICE', '', f'{request_id} is kept {count} times')
+            for request_id, count in kept.items()
+            if count > 1
+        ]
+
+    def _transaction_problem(
+        self, place: StatementPlace, identity: RequestIdentity
+    ) -> str:
+        if identity.is_single:
+            if place.is_in_transaction:
+                return f'inside of a transaction: {place.transaction}'
+            return ''
+        if not place.is_in_transaction:
+            return 'outside of its transaction'
+        if place.transaction not in {None, identity}:
+            return f'inside of the transaction {place.transaction}'
+        first = self._connections.setdefault(identity, place.connection)
+        if first != place.connection:
+            return f'on connection {place.connection} after {first}'
+        return ''
+
+    def _owner_problem(
+        self, place: StatementPlace, identity: RequestIdentity
+    ) -> str:
+        if place.owner == identity.session:
+            self._sessions_with_owner.add(identity.session)
+            return ''
+        if place.owner or identity.session in self._sessions_with_owner:
+            return f'with the owner "{place.owner}"'
+        return ''
--- /dev/null
+++ b/standins/database_group/wire_connection.py
@@ -0,0 +1,145 @@
+"""One connection to a member."""
+
+import asyncio
+from typing import Final, cast, final
+
+from standins.database_group.group_member import GroupMember
+from standins.database_group.member_session import MemberSession
+from standins.database_group.statement_result import (
+    MALFORMED,
+    Result,
+    result_lines,
+)
+
+_LINE_END: Final = b'\r\n'
+_MAX_BYTES: Final = 1024 * 1024
+_DARK_CHECK_S: Final = 0.02
+_TERMINATE: Final = 'TERMINATE'
+
+
+@final
+class WireConnection(asyncio.Protocol):
+    """Answers the lines of a caller in their order."""
+
+    def __init__(self, member: GroupMember) -> None:
+        """Wait for the caller's first line."""
+        self.session: Final = MemberSession(member)
+        self._member = member
+        self._lines: asyncio.Queue[str] = asyncio.Queue()
+        self._received = b''
+        # Requests without an answer, also those whose answer was withheld.
+        self._pending_count = 0
+        self._is_silent = False
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is under way."""
+        return self._pending_count > 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to answer."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._member.opened.add(self)
+        self._task = asyncio.create_task(self._serve())
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Roll back once the request under way has been carried out."""
+        self._member.opened.discard(self)
+        self._member.connections.discard(self)
+        self._lines.put_nowait(_TERMINATE)
+
+    def data_received(self, received: bytes) -> None:
+        """Queue whole lines."""
+        if self._is_silent:
+            return
+        lines = (self._received + received).split(_LINE_END)
+        self._received = lines.pop()
+        if len(self._received) > _MAX_BYTES:
+            self._transport.abort()
+        for line in lines:
+            text = line.decode(errors='replace')
+            if text != _TERMINATE:
+                self._note_request(text)
+            self._lines.put_nowait(text)
+
+    def fall_silent(self) -> None:
+        """Answer nothing more, as if the other end were out of reach."""
+        self._is_silent = True
+
+    def drop(self) -> None:
+        """Forget a silent caller without telling it."""
+        self._member.connections.discard(self)
+        self._task.cancel()
+        self.session.roll_back()
+
+    def abort(self) -> None:
+        """Close at once; nothing under way is carried out."""
+        self.drop()
+        self._transport.abort()
+
+    async def _serve(self) -> None:
+        if not await self._start(await self._lines.get()):
+            self._transport.close()
+            return
+        line = await self._lines.get()
+        while line != _TERMINATE:
+            await self._answer(line)
+            line = await self._lines.get()
+        self.session.roll_back()
+        self._member.connections.discard(self)
+        self._transport.close()
+
+    async def _start(self, line: str) -> bool:
+        await self._wait_for_light()
+        words = line.split(' ')
+        is_expected = words[:2] == ['START', self._member.settings.group]
+        if not is_expected or words[3:] not in ([], [self._member.member_id]):
+            await self._send(f'ERROR WRONGNODE {self._member.member_id}')
+            return False
+        if (
+            len(self._member.connections)
+            >= self._member.settings.max_connections
+        ):
+            await self._send('ERROR CONNLIMIT too many connections')
+            return False
+        self._member.connections.add(self)
+        self._member.checks.counts['START'] += 1
+        handshake_ms = self._member.settings.handshake_ms
+        await self._member.slots.work(self._member.work_s(handshake_ms))
+        await self._send(self.session.ready_line)
+        return True
+
+    async def _answer(self, line: str) -> None:
+        await self._wait_for_light()
+        word, _, rest = line.partition(' ')
+        request_id, _, text = rest.partition(' ')
+        result: Result = MALFORMED
+        if word == 'QUERY':
+            result = await self.session.run(request_id, text)
+        await self._send(*result_lines(result), self.session.ready_line)
+
+    async def _send(self, *lines: str) -> None:
+        await self._wait_for_light()
+        content = ''.join(f'{line}\r\n' for line in lines).encode()
+        draw = self._member.random.random
+        if self._is_silent or draw() < self._member.faults.ratio('answer_lost'):
+            return
+        self._pending_count -= 1
+        if draw() < self._member.faults.ratio('answer_cut'):
+            cut = self._member.random.randrange(1, len(content))
+            self._transport.write(content[:cut])
+            self._transport.close()
+            return
+        self._transport.write(content)
+
+    async def _wait_for_light(self) -> None:
+        while self._member.faults.has('dark'):
+            await asyncio.sleep(_DARK_CHECK_S)
+
+    def _note_request(self, text: str) -> None:
+        if self._pending_count:
+            detail = f'sent before the earlier answer: {text}'
+            self._member.checks.record(
+                'PIPELINED', self._member.member_id, detail
+            )
+        self._pending_count += 1
