Replace members that leave, and check what took effect

A group that loses a member for good can acknowledge no more commits after the second one has left, so a drain can let a new member start at the address with the log, as the platform does.

Statements are checked when they take effect instead of when they wait for a slot: a primary that loses the lead meanwhile refuses them, and they may then run on another connection.

--- a/features/database_group.feature
+++ b/features/database_group.feature
@@ -136,6 +136,17 @@
     Then caller "b" gets "COMPLETE */READY I 2.2"
     And the group keeps "s1.t0.1 s1.t0.2"
 
+  # A statement that was refused may be repeated, so it must not count as run.
+  Scenario: a statement refused for a lost lead may run elsewhere
+    Given a database group with "write_ms" 300
+    When caller "a" sends "- BEGIN" to "m1"
+    And caller "a" leaves "s1.t1.1 WRITE a b" unanswered at "m1"
+    And "m2" is promoted
+    Then caller "a" gets "ERROR READONLY */READY E *"
+    When caller "b" sends "- BEGIN" to "m2"
+    And caller "b" sends "s1.t1.1 WRITE a b" to "m2"
+    Then the group records ""
+
   # A transaction of a caller that has gone must not be kept.
   Scenario: a closed connection rolls back
     Given a database group
@@ -165,15 +176,23 @@
       | forget_connections | nothing |         | READY I 1.0 |
 
   # Hosts find members by their entries only.
-  Scenario: registrations follow role and state
-    Given a database group
+  Scenario: registrations change at once and not only with a heartbeat
+    Given a database group with "heartbeat_ms" 600000
     Then the store comes to hold "m1" as "g1 a ready primary"
     When "m2" is promoted
     Then the store comes to hold "m2" as "g1 b ready primary"
     And the store comes to hold "m1" as "g1 a ready replica"
-    When the fault "drain" is set at "m1" for 1 s
-    Then the store comes to hold "m1" as "g1 a draining replica"
+
+  # An entry of a member that has gone draws connections to its address.
+  Scenario: entries of members that have gone are removed
+    Given a database group
+    Then the store comes to hold "m1" as "g1 a ready primary"
+    When "m1" leaves after 1 s and is replaced
+    Then the store comes to hold "m1" as "g1 a draining primary"
     And the store comes to hold "m1" as "nothing"
+    And the store comes to hold "m1-1" as "g1 a ready replica"
+    When caller "a" starts with "g1 me m1" at "m1"
+    Then caller "a" gets "ERROR WRONGNODE m1-1"
     When the fault "crash" is set at "m3" for 600 s
     Then the store comes to hold "m3" as "nothing"
 
--- a/features/steps/database_group_steps.py
+++ b/features/steps/database_group_steps.py
@@ -140,6 +140,13 @@
         assert answer['status'] == 200, answer
 
 
+@when('"{member}" leaves after {for_s:d} s and is replaced')
+def replace(context: Any, member: str, for_s: int) -> None:
+    """Let a member leave, and a new one start at its address."""
+    call = {'kind': 'drain', 'member_id': member, 'replace_after_s': 0}
+    context.rig.run(context.rig.call('/fault', for_s=for_s, **call))
+
+
 @when('"{member}" is promoted')
 def promote(context: Any, member: str) -> None:
     """Promote a member."""
--- a/standins/database_group/group_member.py
+++ b/standins/database_group/group_member.py
@@ -30,7 +30,7 @@
         self, place: MemberPlace, settings: GroupSettings, checks: RuleChecks
     ) -> None:
         """Start as a replica with an empty log."""
-        self.place: Final = place
+        self.place = place
         self.settings: Final = settings
         self.checks: Final = checks
         self.faults: Final = MemberFaults()
--- a/standins/database_group/registrar.py
+++ b/standins/database_group/registrar.py
@@ -60,6 +60,8 @@
                 return
 
     async def _report(self) -> None:
+        if self._entry.get('born') != self._member.born_ms:
+            self._seq = 0
         self._seq += 1
         if self._has_changed():
             self._entry = self._current()
--- a/standins/database_group/rule_checks.py
+++ b/standins/database_group/rule_checks.py
@@ -1,11 +1,13 @@
 """Checks of the rules for statements, as far as members see them."""
 
 import collections
+import time
 from collections.abc import Iterable
 from typing import Final, final
 
 import attrs
 
+from mimosapond.clock import MS_PER_S
 from standins.database_group.log_entry import LogEntry
 from standins.database_group.request_identity import (
     RequestIdentity,
@@ -23,6 +25,7 @@
     rule: str
     member_id: str
     detail: str
+    at_ms: int = attrs.field(factory=lambda: int(time.time() * MS_PER_S))
 
 
 @final
@@ -65,7 +68,10 @@
     def check_run(
         self, place: StatementPlace, request_id: str, text: str
     ) -> RequestIdentity | None:
-        """Check a read, a write or a commit that is about to run."""
+        """Check a read, a write or a commit that takes effect.
+
+        What was refused has not run, and may run on another connection.
+        """
         identity = parse_identity(request_id)
         if identity is None:
             detail = f'no caller has the id of: {request_id} {text}'
