Leave attempts to connect to a dark member unanswered

The kernel completed handshakes on the port of a dark member, so a host met only the limit for the start of a connection and never that for connecting. The port now has a queue without room, and the kernel drops further attempts.

--- a/features/database_group.feature
+++ b/features/database_group.feature
@@ -172,9 +172,25 @@
       | fault              | answer  | kept    | start       |
       | answer_lost        | nothing | s1.t0.1 | nothing     |
       | answer_cut         | a part  | s1.t0.1 | a part      |
-      | dark               | nothing |         | nothing     |
       | forget_connections | nothing |         | READY I 1.0 |
 
+  # A host must tell a machine that is out of reach from one that refuses.
+  Scenario Outline: a dark member answers nothing until it is back
+    Given a database group
+    When caller "a" sends "- STATUS" to "m1"
+    And the fault "dark" is set at "m1" for <for_s> s
+    And caller "a" leaves "s1.t0.1 WRITE a b" unanswered at "m1"
+    Then caller "a" gets "nothing"
+    And no caller can connect to "m1"
+    And caller "a" gets "<answer>"
+    When caller "b" sends "s2.t0.1 READ a" to "m1"
+    Then caller "b" gets "DATAROW <content>/*"
+
+    Examples:
+      | for_s | answer                 | content |
+      | 2     | COMPLETE */READY I 1.1 | b       |
+      | 4     | a part                 | -       |
+
   # Hosts find members by their entries only.
   Scenario: registrations change at once and not only with a heartbeat
     Given a database group with "heartbeat_ms" 600000
--- a/features/database_group_builders.py
+++ b/features/database_group_builders.py
@@ -94,7 +94,7 @@
         lines: list[str] = []
         async with asyncio.timeout(PATIENT_S):
             while not (lines and lines[-1].startswith(('READY', 'ERROR W'))):
-                line = await self._reader.readline()
+                line = await self._read_line()
                 if not line.endswith(b'\r\n'):
                     return [*lines, 'a part']
                 lines.append(line.decode().strip())
@@ -118,6 +118,11 @@
         """Close."""
         self._writer.close()
 
+    async def _read_line(self) -> bytes:
+        with contextlib.suppress(ConnectionError):
+            return await self._reader.readline()
+        return b''
+
 
 @final
 class GroupRig:
--- a/features/steps/database_group_steps.py
+++ b/features/steps/database_group_steps.py
@@ -27,6 +27,8 @@
 from standins.database_group.signature import is_answer_to
 from standins.processes import Processes, free_addresses
 
+# Far above the time in which a port of this machine answers.
+_CONNECT_S: Final = 0.5
 _SHAPES: Final = MappingProxyType({'mine': 'READ q2c', 'its': 'READ q2d'})
 
 
@@ -51,6 +53,21 @@
     context.rig.run(context.rig.connect(name, member, start))
 
 
+async def _is_silent(rig: GroupRig, member: str) -> bool:
+    try:
+        async with asyncio.timeout(_CONNECT_S):
+            await rig.connect('late', member, 'g1 me')
+    except TimeoutError:
+        return True
+    return False
+
+
+@then('no caller can connect to "{member}"')
+def check_silent(context: Any, member: str) -> None:
+    """Try to connect; a refusal would be an answer."""
+    assert context.rig.run(_is_silent(context.rig, member))
+
+
 async def _ask(rig: GroupRig, name: str, member: str, request: str) -> None:
     caller = await rig.caller(name, member)
     await caller.ask(request)
--- a/standins/database_group/fault_player.py
+++ b/standins/database_group/fault_player.py
@@ -67,7 +67,10 @@
             await self._return()
 
     async def _darken(self, for_s: float) -> None:
+        if not self._member.is_running:
+            return
         self._member.faults.set('dark', 1, for_s)
+        self._listener.silence()
         self._member.notify()
         await asyncio.sleep(min(for_s, _DROP_S))
         # A crash meanwhile ends the fault, and later connections live.
@@ -79,6 +82,8 @@
         await asyncio.sleep(max(for_s - _DROP_S, 0))
         for connection in dropped:
             connection.abort()
+        if self._listener.is_silent and self._member.is_reachable:
+            await self._listener.start()
         self._member.notify()
 
     async def _forget(self) -> None:
