Send answers of a group in two pieces as a fault

A member that is slow amid an answer makes a host's limit end between two lines. The rest of the answer then must not be taken for that of the next request; no fault showed this so far.

--- a/features/database_group.feature
+++ b/features/database_group.feature
@@ -174,6 +174,14 @@
       | answer_cut         | a part  | s1.t0.1 | a part      |
       | forget_connections | nothing |         | READY I 1.0 |
 
+  # A host whose limit ends amid an answer must not take the rest for another.
+  Scenario: an answer in two pieces
+    Given a database group
+    When caller "a" sends "- STATUS" to "m1"
+    And the fault "answer_split" is set at "m1"
+    And caller "a" leaves "s1.t0.1 READ a" unanswered at "m1"
+    Then caller "a" gets 2 pieces that make up "DATAROW -/*/READY I 1.0/"
+
   # A host must tell a machine that is out of reach from one that refuses.
   Scenario Outline: a dark member answers nothing until it is back
     Given a database group
--- a/features/database_group_builders.py
+++ b/features/database_group_builders.py
@@ -100,6 +100,14 @@
                 lines.append(line.decode().strip())
         return lines
 
+    async def read_pieces(self) -> list[str]:
+        """Return the next answer in the pieces in which it comes."""
+        pieces: list[str] = []
+        async with asyncio.timeout(PATIENT_S):
+            while 'READY' not in ''.join(pieces) or pieces[-1][-1] != '\n':
+                pieces.append((await self._reader.read(1000)).decode())
+        return pieces
+
     async def is_quiet(self) -> bool:
         """Return whether nothing comes."""
         with contextlib.suppress(TimeoutError):
--- a/features/steps/database_group_steps.py
+++ b/features/steps/database_group_steps.py
@@ -125,6 +125,15 @@
     assert fnmatch.fnmatchcase(found, expected), found
 
 
+@then('caller "{name}" gets {count:d} pieces that make up "{expected}"')
+def check_pieces(context: Any, name: str, count: int, expected: str) -> None:
+    """Compare the pieces of the next answer."""
+    pieces = context.rig.run(context.rig.callers[name].read_pieces())
+    whole = ''.join(pieces).replace('\r\n', '/')
+    assert len(pieces) == count, pieces
+    assert fnmatch.fnmatchcase(whole, expected), whole
+
+
 @then('caller "{name}" is closed')
 def check_closed(context: Any, name: str) -> None:
     """Wait for the end of the connection."""
--- a/standins/database_group/fault_player.py
+++ b/standins/database_group/fault_player.py
@@ -15,7 +15,9 @@
 
 # A member drops connections whose other end was out of reach for this long.
 _DROP_S: Final = 3.0
-_WINDOWS: Final = frozenset(('answer_lost', 'answer_cut', 'slow', 'deaf'))
+_WINDOWS: Final = frozenset(
+    ('answer_lost', 'answer_cut', 'answer_split', 'slow', 'deaf'),
+)
 
 
 @final
--- a/standins/database_group/wire_connection.py
+++ b/standins/database_group/wire_connection.py
@@ -14,6 +14,8 @@
 _LINE_END: Final = b'\r\n'
 _MAX_BYTES: Final = 1024 * 1024
 _DARK_CHECK_S: Final = 0.02
+# Longer than some limits of callers, which then end amid an answer.
+_MAX_SPLIT_S: Final = 1.0
 _TERMINATE: Final = 'TERMINATE'
 
 
@@ -124,13 +126,17 @@
         draw = self._member.random.random
         if self._is_silent or draw() < self._member.faults.ratio('answer_lost'):
             return
-        self._pending_count -= 1
+        cut = self._member.random.randrange(1, len(content))
         if draw() < self._member.faults.ratio('answer_cut'):
-            cut = self._member.random.randrange(1, len(content))
             self._transport.write(content[:cut])
             self._transport.close()
-            return
-        self._transport.write(content)
+        elif draw() < self._member.faults.ratio('answer_split'):
+            self._transport.write(content[:cut])
+            await asyncio.sleep(draw() * _MAX_SPLIT_S)
+            self._transport.write(content[cut:])
+        else:
+            self._transport.write(content)
+        self._pending_count -= 1
 
     async def _wait_for_light(self) -> None:
         while self._member.faults.has('dark'):
