Let a read that runs late keep the session's earlier values

A read goes to a second member when the first is slow, and the first may carry it out after the caller has set its owner. Numbers of requests tell the order of a session; a statement with a later number that lacks the owner is still recorded.

--- a/features/database_group.feature
+++ b/features/database_group.feature
@@ -233,6 +233,7 @@
       | requests                                                                  | rule    |
       | - BEGIN; s1.t1.1 READ a; s1.t1.2 WRITE a b; s1.t1.3 COMMIT; s2.t0.1 READ a |         |
       | - SET owner s1; s1.t0.1 READ a; - DISCARD; s2.t0.1 READ a                 |         |
+      | - SET owner s1; s1.t0.2 READ a; - DISCARD; s1.t0.1 READ a                 |         |
       | - BEGIN; - ROLLBACK; - STATUS                                             |         |
       | - BEGIN; s1.t1.1 READ a; s2.t1.2 READ a                                   | PINNED  |
       | - BEGIN; s1.t1.1 READ a; s1.t2.2 READ a                                   | PINNED  |
--- a/standins/database_group/rule_checks.py
+++ b/standins/database_group/rule_checks.py
@@ -59,7 +59,8 @@
         self.violations: list[Violation] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self._connections: dict[RequestIdentity, int] = {}
-        self._sessions_with_owner: set[str] = set()
+        # First request by session that ran with the session's owner.
+        self._first_with_owner: dict[str, int] = {}
 
     def record(self, rule: str, member_id: str, detail: str) -> None:
         """Add a violation."""
@@ -116,9 +117,12 @@
     def _owner_problem(
         self, place: StatementPlace, identity: RequestIdentity
     ) -> str:
+        number = identity.number
+        first = self._first_with_owner.get(identity.session, number)
         if place.owner == identity.session:
-            self._sessions_with_owner.add(identity.session)
+            self._first_with_owner[identity.session] = min(first, number)
             return ''
-        if place.owner or identity.session in self._sessions_with_owner:
+        # An earlier read that was also sent to another member may run late.
+        if place.owner or number > first:
             return f'with the owner "{place.owner}"'
         return ''
