Run the stand-in of the platform's store as a process

A live test of hosts needs the store and the promotion call outside of the test's process. The store moves into a package of its own with the call, the parts of tables, refusals of tables that others write, and faults for single hosts. It shows each host the members at an address of that host's own, so that a proxy can cut one host off from one member. Hosts of the platform run without random addresses; child processes can be started that way.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PYTHON ?= python3.11
 BIN = $(VENV)/bin
-PACKAGES = mimosapond standins loadtool tools features
+PACKAGES = mimosapond standins loadtool soak tools features
 export PYTHONPATH = $(CURDIR)
 
 .PHONY: demo test setup format lint types behave
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -21,7 +21,8 @@
 from mimosapond.platform.store_duties import StoreDuties
 from mimosapond.platform.store_peers import StorePeers
 from mimosapond.platform.store_registrations import StoreRegistrations
-from standins.table_store import StoreFault, TableStore
+from standins.platform_services.store_fault import StoreFault
+from standins.platform_services.table_store import TableStore
 
 _GROUP: Final = 'orders'
 # Longer than the adapter waits for a claim's calls.
@@ -75,7 +76,7 @@
 @when("{age_ms:d} ms pass on the store's clock")
 def pass_time(context: Any, age_ms: int) -> None:
     """Move the clock that claims and announcements go by."""
-    context.store.clock_ms += age_ms
+    context.store.rows.clock_offset_ms += age_ms
 
 
 @when('the table store {fault}')
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Live test: hosts as processes, under faults, with the answers checked."""
--- a/standins/child_process.py
+++ b/standins/child_process.py
@@ -7,13 +7,15 @@
 import pathlib
 import signal
 import sys
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final, Self, final
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
 # prctl option of Linux: signal sent to a process when its parent ends.
 _PARENT_DEATH_SIGNAL: Final = 1
+# personality flag of Linux: the same addresses at every start.
+_FIXED_ADDRESSES: Final = 1 << 18
 _LIBC: Final = ctypes.CDLL(None)
 _POLL_INTERVAL_S: Final = 0.05
 _POLL_TIMEOUT_S: Final = 1.0
@@ -24,6 +26,11 @@
     _LIBC.prctl(_PARENT_DEATH_SIGNAL, signal.SIGKILL)
 
 
+def _start_on_platform() -> None:
+    _end_with_parent()
+    _LIBC.personality(_FIXED_ADDRESSES)
+
+
 async def _answers(url: str) -> bool:
     client = AsyncHTTPClient()
     try:
@@ -60,8 +67,16 @@
         module: str,
         arguments: Sequence[str],
         folder: pathlib.Path,
+        platform_variables: Mapping[str, str] | None = None,
     ) -> Self:
-        """Start ``python -m module``; its output goes to ``folder``."""
+        """Start ``python -m module``; its output goes to ``folder``.
+
+        Parameters
+        ----------
+        platform_variables
+            Given for hosts of the users' platform, which does not randomise
+            the addresses of a process: they are added to the environment.
+        """
         output = folder / f'{name}.log'
         with output.open('ab') as sink:
             process = await asyncio.create_subprocess_exec(
@@ -72,7 +87,12 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=sink,
                 stderr=sink,
-                preexec_fn=_end_with_parent,
+                preexec_fn=(
+                    _start_on_platform
+                    if platform_variables
+                    else _end_with_parent
+                ),
+                env={**os.environ, **(platform_variables or {})},
             )
         return cls(name, process, output)
 
--- /dev/null
+++ b/standins/platform_services/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of the users' platform: its table store and promotion call."""
--- /dev/null
+++ b/standins/platform_services/faulty_server.py
@@ -0,0 +1,116 @@
+"""HTTP server whose calls suffer the faults of a service."""
+
+import asyncio
+import json
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from http import HTTPStatus
+from typing import Any, Final, TypeAlias, final
+
+from loguru import logger
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
+
+from standins.platform_services.store_fault import StoreFault
+
+_SLOW_S: Final = 0.4
+# Calls of members, the operator and the tests' driver suffer no faults.
+_PRIVATE_PREFIX: Final = '/standin/'
+
+ServiceAnswer: TypeAlias = tuple[HTTPStatus, Mapping[str, Any]]
+_Handler: TypeAlias = Callable[[HTTPServerRequest], Awaitable[ServiceAnswer]]
+
+
+@final
+class FaultyServer:
+    """Answers calls; ``fault`` holds for all hosts."""
+
+    def __init__(self, handler: _Handler, late_s: float) -> None:
+        """Take what performs a call.
+
+        Parameters
+        ----------
+        late_s
+            Delay of calls that are applied late.
+        """
+        self._handler = handler
+        self._late_s = late_s
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server = HTTPServer(self._handle)
+        self._host_faults: dict[str, tuple[StoreFault, float]] = {}
+        self.fault = StoreFault.none
+
+    def listen(self, ip: str, port: int = 0) -> str:
+        """Listen on a port, by default a free one; return ``ip:port``."""
+        sockets = bind_sockets(port, ip)
+        self._server.add_sockets(sockets)
+        return f'{ip}:{sockets[0].getsockname()[1]}'
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+
+    def disturb(
+        self, fault: StoreFault, for_s: float, hosts: list[str]
+    ) -> None:
+        """Misbehave for a time.
+
+        Parameters
+        ----------
+        hosts
+            Addresses at which the hosts in question call; none means all.
+        """
+        end_s = time.monotonic() + for_s
+        for host in hosts or ['']:
+            self._host_faults[host] = (fault, end_s)
+
+    def _fault_of(self, request: HTTPServerRequest) -> StoreFault:
+        if request.path.startswith(_PRIVATE_PREFIX):
+            return StoreFault.none
+        for host in (request.host_name, ''):
+            fault, end_s = self._host_faults.get(host, (StoreFault.none, 0))
+            if time.monotonic() < end_s:
+                return fault
+        return self.fault
+
+    def _handle(self, request: HTTPServerRequest) -> None:
+        task = asyncio.create_task(self._answer(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, request: HTTPServerRequest) -> None:
+        match self._fault_of(request):
+            case StoreFault.none:
+                _send(request, await self._handler(request))
+            case StoreFault.refuses:
+                _send(request, (HTTPStatus.SERVICE_UNAVAILABLE, {}))
+            case StoreFault.loses_answers:
+                await self._handler(request)
+            case StoreFault.applies_late:
+                await asyncio.sleep(self._late_s)
+                await self._handler(request)
+            case StoreFault.slow:
+                await asyncio.sleep(_SLOW_S)
+                _send(request, await self._handler(request))
+            case StoreFault.silent:
+                return
+
+
+def _send(request: HTTPServerRequest, answer: ServiceAnswer) -> None:
+    status, body = answer
+    content = json.dumps(body).encode()
+    headers = HTTPHeaders({'Content-Length': str(len(content))})
+    connection = request.connection
+    if connection is None:
+        return
+    try:
+        connection.write_headers(
+            ResponseStartLine('HTTP/1.1', status, status.phrase),
+            headers,
+            content,
+        )
+        connection.finish()
+    except StreamClosedError:
+        logger.bind(path=request.path).debug('caller_left')
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -111,12 +111,15 @@
         module: str,
         arguments: Sequence[str],
         ready_url: str,
+        platform_variables: Mapping[str, str] | None = None,
     ) -> ChildProcess:
         """Start ``python -m module`` and wait until ``ready_url`` answers."""
         earlier = self.children.get(name)
         if earlier is not None and earlier.exit_code is None:
             raise ValueError(f'{name} runs already')
-        child = await ChildProcess.start(name, module, arguments, self.folder)
+        child = await ChildProcess.start(
+            name, module, arguments, self.folder, platform_variables
+        )
         self.children[name] = child
         await child.wait_ready(ready_url, _READY_TIMEOUT_S)
         return child
