Add a live test of hosts under faults

Tests of the platform's path ran in one process, so nothing showed what a restarted, frozen or cut-off host does to requests of other hosts. The test starts hosts, groups and the store as processes, plays a seeded schedule of faults that overlap, and checks each answer at its caller: signature and rows, freshness, and what is kept at the end. A proxy for each pair of host and member cuts single hosts off, so that they pass work on.

--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,50 @@
+"""Command line of the live test.
+
+``python -m soak --seed 1 --duration_s 20 --hosts 8 --groups 3 --callers 60``
+"""
+
+import asyncio
+import pathlib
+import sys
+import tempfile
+
+import fire
+from loguru import logger
+
+from soak.plan import SoakPlan
+from soak.soak_run import SoakRun
+
+
+def run(  # noqa: WPS211 -- the flags of the command line
+    seed: int,
+    duration_s: float = 20,
+    hosts: int = 8,
+    groups: int = 3,
+    callers: int = 60,
+    folder: str = '',
+) -> None:
+    """Run a live test; the exit code is 1 if it finds a violation.
+
+    Parameters
+    ----------
+    folder
+        For settings and logs; by default a new one.
+    """
+    plan = SoakPlan(seed, duration_s, hosts, groups, callers)
+    path = pathlib.Path(folder or tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+    path.mkdir(parents=True, exist_ok=True)
+    logger.remove()
+    logger.add(path / 'driver.log', level='INFO')
+    result = asyncio.run(SoakRun(plan, path).run())
+    for name, count in result.counts.items():
+        sys.stdout.write(f'{name}: {count}\n')
+    for violation in result.violations:
+        sys.stdout.write(f'{violation}\n')
+    sys.stdout.write(
+        f'seed {seed}: {len(result.violations)} violations, logs in {path}\n',
+    )
+    sys.exit(1 if result.violations else 0)
+
+
+if __name__ == '__main__':
+    fire.Fire(run)
--- /dev/null
+++ b/soak/deployment.py
@@ -0,0 +1,138 @@
+"""The processes of a live test."""
+
+import asyncio
+import json
+import pathlib
+import signal
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, Final, final
+
+import attrs
+
+from soak.host_template import render_settings
+from soak.layout import LOOPBACK, GroupPlace, HostPlace, Layout
+from soak.violation import ViolationLog
+from standins.child_process import ChildProcess
+from standins.processes import Processes
+
+# The platform runs processes with fixed addresses and hashes, so that objects
+# of two hosts often have the same id.
+_VARIABLES: Final = MappingProxyType({'PYTHONHASHSEED': '0'})
+_STOP_LIMIT_S: Final = 8.0
+
+
+@final
+class SoakDeployment:
+    """Starts, signals and ends processes."""
+
+    def __init__(self, layout: Layout, folder: pathlib.Path) -> None:
+        """Take the folder for settings and logs."""
+        self.layout: Final = layout
+        self.folder: Final = folder
+        self.processes: Final = Processes(folder)
+        # Hosts that this test ends itself at the moment.
+        self._ending: set[str] = set()
+
+    async def start(self) -> None:
+        """Start all processes; the hosts at the same time."""
+        layout = self.layout
+        await self._start_services()
+        await asyncio.gather(
+            *(self._start_group(group) for group in layout.groups),
+            self.processes.start_fault_proxy(
+                f'{LOOPBACK}:{layout.proxy_port}', layout.links()
+            ),
+        )
+        await asyncio.gather(*(self.start_host(host) for host in layout.hosts))
+
+    async def start_host(self, host: HostPlace) -> None:
+        """Start a host and wait until it answers."""
+        path = self._write(
+            f'{host.name}.yaml', render_settings(self.layout, host)
+        )
+        await self.processes.start(
+            host.name,
+            'mimosapond.platform.daemon',
+            (),
+            f'http://{host.ip}:{self.layout.ready_port}/api/ready',
+            {**_VARIABLES, 'MIMOSAPOND_NODE_FILE': str(path)},
+        )
+        self._ending.discard(host.name)
+
+    async def end_host(self, host: HostPlace, *, is_graceful: bool) -> None:
+        """End a host with SIGTERM or with SIGKILL."""
+        self._ending.add(host.name)
+        child = self.child(host)
+        if is_graceful:
+            await child.stop(_STOP_LIMIT_S)
+        else:
+            await child.kill()
+
+    def child(self, host: HostPlace) -> ChildProcess:
+        """Return the process of a host."""
+        return self.processes.children[host.name]
+
+    def is_running(self, host: HostPlace) -> bool:
+        """Return whether the test wants the host to run, and it does."""
+        return (
+            host.name not in self._ending and self.child(host).exit_code is None
+        )
+
+    def resume_all(self) -> None:
+        """Let all frozen hosts run."""
+        for host in self.layout.hosts:
+            self.child(host).send_signal(signal.SIGCONT)
+
+    def check_ends(self, violations: ViolationLog) -> None:
+        """Report hosts that ended by themselves."""
+        for host in self.layout.hosts:
+            code = self.child(host).exit_code
+            if code is not None and host.name not in self._ending:
+                violations.add('ENDED', host.name, [], f'exit code {code}')
+
+    async def close(self) -> None:
+        """End all processes."""
+        await self.processes.close()
+
+    async def _start_services(self) -> None:
+        layout = self.layout
+        body = {
+            'store_port': layout.store_port,
+            'promotion_port': layout.promotion_port,
+            'groups': {
+                group.name: f'{LOOPBACK}:{group.control_port}'
+                for group in layout.groups
+            },
+            'host_ips': [host.ip for host in layout.hosts],
+        }
+        path = self._write_json('platform_services', body)
+        await self.processes.start(
+            'platform_services',
+            'standins.platform_services.daemon',
+            (str(path),),
+            f'{layout.store_url}/api/rows-get?table=op',
+        )
+
+    async def _start_group(self, group: GroupPlace) -> None:
+        body = {
+            'group': group.name,
+            'control_port': group.control_port,
+            'store_address': f'{LOOPBACK}:{self.layout.store_port}',
+            'members': [attrs.asdict(member) for member in group.members],
+        }
+        path = self._write_json(group.name, body)
+        await self.processes.start(
+            group.name,
+            'standins.database_group.daemon',
+            (str(path),),
+            f'http://{LOOPBACK}:{group.control_port}/report',
+        )
+
+    def _write_json(self, name: str, body: Mapping[str, Any]) -> pathlib.Path:
+        return self._write(f'{name}.json', json.dumps(body))
+
+    def _write(self, name: str, text: str) -> pathlib.Path:
+        path = self.folder / name
+        path.write_text(text, encoding='utf-8')
+        return path
--- /dev/null
+++ b/soak/fault_driver.py
@@ -0,0 +1,162 @@
+"""Carries out the faults of a schedule."""
+
+import asyncio
+import collections
+import signal
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from types import MappingProxyType
+from typing import Final, TypeAlias, final
+
+from loguru import logger
+
+from soak.deployment import SoakDeployment
+from soak.fault import Fault, FaultKind
+from soak.http_json import get_json, post_json
+from soak.layout import LOOPBACK, HostPlace, link_name
+from soak.operator import Operator
+
+_Play: TypeAlias = Callable[[Fault], Awaitable[None]]
+
+_CUTS: Final[Mapping[str, tuple[str, ...]]] = MappingProxyType(
+    {'both': ('cut_to_target', 'cut_to_client')},
+)
+
+
+@final
+class FaultDriver:
+    """Each fault is a task, so that faults overlap."""
+
+    def __init__(self, deployment: SoakDeployment, operator: Operator) -> None:
+        """Take what is disturbed."""
+        self._deployment = deployment
+        self._operator = operator
+        self._layout = deployment.layout
+        # Number of faults in force by link and field of the proxy.
+        self._cuts: collections.Counter[tuple[str, str]] = collections.Counter()
+        self._plays: Mapping[FaultKind, _Play] = {
+            FaultKind.restart: self._restart,
+            FaultKind.kill: self._kill,
+            FaultKind.kill_all: self._kill,
+            FaultKind.freeze: self._freeze,
+            FaultKind.reload: self._reload,
+            FaultKind.configure: self._configure,
+            FaultKind.store: self._disturb_store,
+            FaultKind.promotion: self._disturb_promotion,
+            FaultKind.lose_registrations: self._lose_registrations,
+            FaultKind.member: self._disturb_member,
+            FaultKind.cut: self._cut,
+        }
+
+    async def run(self, faults: Iterable[Fault]) -> None:
+        """Play all faults and wait for their ends."""
+        started_s = asyncio.get_running_loop().time()
+        async with asyncio.TaskGroup() as tasks:
+            for fault in faults:
+                now_s = asyncio.get_running_loop().time()
+                await asyncio.sleep(started_s + fault.at_s - now_s)
+                logger.info('{}', fault)
+                tasks.create_task(self._play(fault))
+
+    async def _play(self, fault: Fault) -> None:
+        await self._plays[fault.kind](fault)
+
+    def _hosts(self, fault: Fault) -> list[HostPlace]:
+        """Return the hosts that run and that the fault concerns."""
+        hosts = [self._layout.hosts[number] for number in fault.hosts]
+        return [host for host in hosts if self._deployment.is_running(host)]
+
+    async def _restart(self, fault: Fault) -> None:
+        for host in self._hosts(fault):
+            await self._end_and_start(host, fault.for_s, is_graceful=True)
+
+    async def _kill(self, fault: Fault) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            for host in self._hosts(fault):
+                tasks.create_task(
+                    self._end_and_start(host, fault.for_s, is_graceful=False)
+                )
+
+    async def _end_and_start(
+        self, host: HostPlace, down_s: float, *, is_graceful: bool
+    ) -> None:
+        await self._deployment.end_host(host, is_graceful=is_graceful)
+        await asyncio.sleep(down_s)
+        await self._deployment.start_host(host)
+
+    async def _freeze(self, fault: Fault) -> None:
+        children = [self._deployment.child(host) for host in self._hosts(fault)]
+        for child in children:
+            child.pause()
+        await asyncio.sleep(fault.for_s)
+        for child in children:
+            child.resume()
+
+    async def _reload(self, fault: Fault) -> None:
+        for host in self._hosts(fault):
+            self._deployment.child(host).send_signal(signal.SIGHUP)
+
+    async def _configure(self, _fault: Fault) -> None:
+        await self._operator.write_next()
+
+    async def _disturb_store(self, fault: Fault) -> None:
+        await self._disturb(f'{self._layout.store_url}/standin/fault', fault)
+
+    async def _disturb_promotion(self, fault: Fault) -> None:
+        url = f'{self._layout.promotion_url}/standin/fault'
+        await self._disturb(url, fault)
+
+    async def _disturb(self, url: str, fault: Fault) -> None:
+        # Named one by one, as calls of this driver suffer no fault.
+        numbers = fault.hosts or range(len(self._layout.hosts))
+        ips = [self._layout.hosts[number].ip for number in numbers]
+        body = {'kind': fault.manner, 'for_s': fault.for_s, 'hosts': ips}
+        await post_json(url, body)
+
+    async def _lose_registrations(self, _fault: Fault) -> None:
+        """Let all registrations expire; members renew them."""
+        store_url = self._layout.store_url
+        found = await get_json(f'{store_url}/api/rows-get?table=servers')
+        for row in found['rows']:
+            body = {'table': 'servers', 'key': row['key'], 'value': None}
+            await post_json(f'{store_url}/standin/rows-put', body)
+
+    async def _disturb_member(self, fault: Fault) -> None:
+        for group_number, member_number in fault.members:
+            group = self._layout.groups[group_number]
+            body = {
+                'kind': fault.manner,
+                'member_id': group.members[member_number].member_id,
+                'for_s': fault.for_s,
+                'ratio': fault.ratio,
+            }
+            await post_json(
+                f'http://{LOOPBACK}:{group.control_port}/fault', body
+            )
+
+    async def _cut(self, fault: Fault) -> None:
+        names = [
+            link_name(
+                self._layout.hosts[host],
+                self._layout.groups[group].members[member],
+            )
+            for host in fault.hosts
+            for group, member in fault.members
+        ]
+        fields = _CUTS.get(fault.manner, (fault.manner,))
+        await self._change_cuts(names, fields, 1)
+        await asyncio.sleep(fault.for_s)
+        await self._change_cuts(names, fields, -1)
+
+    async def _change_cuts(
+        self, names: list[str], fields: tuple[str, ...], change: int
+    ) -> None:
+        """Count the cuts of links, as several may overlap."""
+        for name in names:
+            for field in fields:
+                self._cuts[(name, field)] += change
+        url = f'http://{LOOPBACK}:{self._layout.proxy_port}/faults'
+        for link in names:
+            states = {
+                effect: self._cuts[(link, effect)] > 0 for effect in fields
+            }
+            await post_json(url, {'names': [link], **states})
--- /dev/null
+++ b/soak/operator.py
@@ -0,0 +1,76 @@
+"""The operator, who writes configurations to the store."""
+
+import base64
+import json
+import random
+from typing import Any, Final, final
+
+from soak.http_json import post_json
+from soak.layout import Layout
+from soak.route_kind import RouteKind
+
+# Longest age of reads on routes that bound it.
+MAX_AGE_MS: Final = 1500
+_TIMEOUTS_MS: Final = (400, 1500, 3000)
+_IDLE_MS: Final = 1200
+_MEMBER_CONNECTION_COUNT: Final = 16
+_EXTRA_LIMIT_COUNT: Final = 6
+
+
+@final
+class Operator:
+    """Changes time-outs and adds and removes routes that nobody uses."""
+
+    def __init__(self, layout: Layout, seed: int) -> None:
+        """Start before the first version."""
+        self._layout = layout
+        self._random = random.Random(f'operator {seed}')
+        self._version = 0
+
+    async def write_next(self) -> None:
+        """Write the next version."""
+        self._version += self._random.randint(1, 3)
+        content = json.dumps(self._configuration())
+        await post_json(
+            f'{self._layout.store_url}/standin/rows-put',
+            {
+                'table': 'op',
+                'key': 'config',
+                'value': base64.b64encode(content.encode()).decode(),
+            },
+        )
+
+    def _configuration(self) -> dict[str, Any]:
+        names = [group.name for group in self._layout.groups]
+        routes = [
+            self._route(f'{name}-{kind.value}', name, kind)
+            for name in names
+            for kind in RouteKind
+        ]
+        extra = [
+            self._route(
+                f'extra-{self._version}-{number}',
+                self._random.choice(names),
+                RouteKind.primary,
+            )
+            for number in range(self._random.randint(0, _EXTRA_LIMIT_COUNT))
+        ]
+        return {
+            'version': self._version,
+            'routes': routes + extra,
+            'services': [
+                {'name': name, 'max_conns': _MEMBER_CONNECTION_COUNT}
+                for name in names
+            ],
+            'limits': {'tx_idle_ms': _IDLE_MS},
+        }
+
+    def _route(self, host: str, group: str, kind: RouteKind) -> dict[str, Any]:
+        return {
+            'host': host,
+            'service': group,
+            'kind': kind.value,
+            'max_staleness_ms': MAX_AGE_MS,
+            'timeout_ms': self._random.choice(_TIMEOUTS_MS),
+            'priority': self._random.randint(0, 2),
+        }
--- /dev/null
+++ b/soak/soak_run.py
@@ -0,0 +1,139 @@
+"""Runs a live test and collects what it found."""
+
+import asyncio
+import collections
+import pathlib
+from collections.abc import Callable
+from typing import Any, Final, final
+
+import attrs
+
+from soak.balancer import Balancer
+from soak.caller import Caller
+from soak.caller_world import CallerWorld
+from soak.deployment import SoakDeployment
+from soak.fault_driver import FaultDriver
+from soak.fault_schedule import build_schedule
+from soak.http_json import get_json
+from soak.layout import LOOPBACK, GroupPlace, Layout
+from soak.log_scan import find_errors
+from soak.operator import Operator
+from soak.plan import SoakPlan
+from soak.violation import Violation, ViolationLog
+
+# Hosts load the first configuration and find the primaries.
+_WARM_UP_S: Final = 1.5
+# Calls that are applied late, and members that come back, have ended by then.
+_SETTLE_S: Final = 3.0
+_DETAIL_COUNT: Final = 300
+
+
+@final
+@attrs.frozen
+class SoakResult:
+    """What a live test found and how much it did."""
+
+    violations: list[Violation]
+    counts: dict[str, int]
+
+
+@final
+class SoakRun:
+    """One live test."""
+
+    def __init__(self, plan: SoakPlan, folder: pathlib.Path) -> None:
+        """Take the folder for settings and logs."""
+        self._plan = plan
+        self._deployment = SoakDeployment(Layout.choose(plan), folder)
+        self._layout = self._deployment.layout
+        self._operator = Operator(self._layout, plan.seed)
+        self._violations = ViolationLog()
+        self._worlds = {
+            group.name: CallerWorld(plan.seed, self._violations)
+            for group in self._layout.groups
+        }
+
+    async def run(self) -> SoakResult:
+        """Start everything, disturb it, and check what remains."""
+        try:
+            await self._run()
+        finally:
+            await self._deployment.close()
+        self._check_logs()
+        return SoakResult(self._violations.found, self._counts())
+
+    async def _run(self) -> None:
+        await self._deployment.start()
+        await self._operator.write_next()
+        await asyncio.sleep(_WARM_UP_S)
+        await self._call()
+        await asyncio.sleep(_SETTLE_S)
+        self._deployment.check_ends(self._violations)
+        for group in self._layout.groups:
+            await self._check_group(group)
+        await self._check_promotions()
+
+    async def _call(self) -> None:
+        """Run the callers until the faults have ended."""
+        balancer = Balancer(self._layout)
+        driver = FaultDriver(self._deployment, self._operator)
+        tasks = [
+            asyncio.create_task(work())
+            for work in (balancer.run, *self._callers(balancer))
+        ]
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(asyncio.sleep(self._plan.duration_s))
+                group.create_task(driver.run(build_schedule(self._plan)))
+        finally:
+            self._deployment.resume_all()
+            for task in tasks:
+                task.cancel()
+        ended = await asyncio.gather(*tasks, return_exceptions=True)
+        for error in ended:
+            if not isinstance(error, asyncio.CancelledError):
+                raise RuntimeError('a caller ended') from error
+
+    def _callers(self, balancer: Balancer) -> list[Callable[[], Any]]:
+        groups = self._layout.groups
+        return [
+            Caller(
+                groups[number % len(groups)],
+                self._layout,
+                balancer,
+                self._worlds[groups[number % len(groups)].name],
+            ).run
+            for number in range(self._plan.callers)
+        ]
+
+    async def _check_group(self, group: GroupPlace) -> None:
+        url = f'http://{LOOPBACK}:{group.control_port}/report'
+        report = await get_json(url)
+        for found in report['violations']:
+            detail = f'{found["member_id"]}: {found["detail"]}'
+            self._violations.add(found['rule'], '', [], detail)
+        kept = collections.Counter(
+            commit['request_id'] for commit in report['commits']
+        )
+        self._worlds[group.name].history.check_kept(kept, self._violations)
+        counts = self._worlds[group.name].counts
+        counts['member promotions'] += report['counts'].get('promotions', 0)
+
+    async def _check_promotions(self) -> None:
+        report = await get_json(f'{self._layout.promotion_url}/report')
+        for found in report['violations']:
+            self._violations.add('ONE', '', [], found)
+
+    def _check_logs(self) -> None:
+        for host in self._layout.hosts:
+            path = self._deployment.folder / f'{host.name}.log'
+            for line in find_errors(path):
+                detail = line[:_DETAIL_COUNT]
+                self._violations.add('LOGGED', host.name, [], detail)
+
+    def _counts(self) -> dict[str, int]:
+        total: collections.Counter[str] = collections.Counter()
+        for world in self._worlds.values():
+            total.update(world.counts)
+            total['acknowledged writes'] += world.history.acknowledged_count
+        return dict(sorted(total.items()))
