--- a/soak/caller.py
+++ b/soak/caller.py
@@ -18,7 +18,9 @@
 _RECONNECT_S: Final = 0.1
 _TRANSACTION_RATIO: Final = 0.25
 _WRITE_RATIO: Final = 0.5
+_PREPARE_RATIO: Final = 0.56
 _DEFINE_RATIO: Final = 0.6
+_OWNER_RATIO: Final = 0.6
 # Some sessions serve a single operation.
 _LEAVE_RATIO: Final = 0.02
 
@@ -70,6 +72,9 @@
         return CallerSession(name, link, host, kind, self._world)
 
     async def _serve(self, session: CallerSession) -> None:
+        if session.random.random() < _OWNER_RATIO:
+            if not await session.own_connections():
+                return
         while session.link.is_open:
             draw = session.random.random()
             if draw < _LEAVE_RATIO:
@@ -85,7 +90,9 @@
         if draw < _WRITE_RATIO:
             return await _write(session)
         if draw < _DEFINE_RATIO:
-            return await session.define()
+            if draw < _PREPARE_RATIO:
+                return await session.prepare()
+            return isinstance(await session.define(), Done)
         answer = await session.read({}, now_s())
         return isinstance(answer, (Done, Refused)) and answer.state == 'I'
 
--- a/soak/caller_session.py
+++ b/soak/caller_session.py
@@ -21,6 +21,7 @@
 _SINGLE: Final = 't0'
 _SHAPES: Final = ('READ q0', 'READ q1', 'WRITE w0', 'WRITE w1')
 _NAMES: Final = ('p0', 'p1', 'p2')
+_VALUES: Final = ('x', 'y', 'z')
 # Reads may lag by this much less than the route allows, as clocks are read
 # at different ends of a connection.
 _AGE_S: Final = MAX_AGE_MS / _MS_PER_S
@@ -59,10 +60,21 @@
         self._number += 1
         return f'{self.name}.{transaction}.{self._number}'
 
-    async def define(self) -> bool:
-        """Prepare a name or set a value; False if the session must close."""
-        if self.random.random() < _PREPARED_RATIO:
-            return isinstance(await self.ask(f'SET owner {self.name}'), Done)
+    async def own_connections(self) -> bool:
+        """Let members check that only this session's statements run.
+
+        It is the first request: a read that a cut holds back may run late,
+        and must find the value set then as well.
+        """
+        return isinstance(await self.ask(f'SET owner {self.name}'), Done)
+
+    async def define(self, transaction: str = _SINGLE) -> Answer:
+        """Set a value."""
+        value = self.random.choice(_VALUES)
+        return await self.ask(f'SET mode {value}', transaction)
+
+    async def prepare(self) -> bool:
+        """Prepare a name anew; False if the session must close."""
         name = self.random.choice(_NAMES)
         if name in self._shapes:
             if not isinstance(await self.ask(f'CLOSE {name}'), Done):
--- a/soak/caller_transaction.py
+++ b/soak/caller_transaction.py
@@ -84,7 +84,7 @@
         session = self._session
         draw = self._random.random()
         if draw < _DEFINE_RATIO:
-            return await session.ask(f'SET owner {session.name}', self._id)
+            return await session.define(self._id)
         if draw < _WRITE_RATIO and not self._is_read_only:
             write, answer = await session.write(self._id)
             self._writes.append(write)
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -101,6 +101,20 @@
     )
 
 
+def _isolate(draw: _Draw) -> _Series:
+    """Cut half of the hosts off from the same member of all groups."""
+    hosts = draw.source.sample(range(draw.plan.hosts), draw.plan.hosts // 2)
+    member = draw.member()[1]
+    yield Fault(
+        draw.at_s,
+        FaultKind.cut,
+        draw.time_s(4),
+        tuple(hosts),
+        tuple((group, member) for group in range(draw.plan.groups)),
+        draw.source.choice(_CUT_MANNERS),
+    )
+
+
 def _member(draw: _Draw) -> _Series:
     yield Fault(
         draw.at_s,
@@ -138,6 +152,8 @@
 def _kill_all(draw: _Draw) -> _Series:
     hosts = tuple(range(draw.plan.hosts))
     yield Fault(draw.at_s, FaultKind.kill_all, draw.time_s(1), hosts)
+    # The first work of new processes is then passed on to others.
+    yield from _isolate(draw)
 
 
 def _freeze(draw: _Draw) -> _Series:
@@ -182,6 +198,7 @@
 _SERIES: Final[Mapping[Callable[[_Draw], _Series], float]] = MappingProxyType(
     {
         _cut: 10,
+        _isolate: 4,
         _member: 5,
         _freeze: 4,
         _restarts: 2,
@@ -192,6 +209,6 @@
         _reload: 1,
         _members_in_turn: 1,
         _lose_registrations: 0.5,
-        _kill_all: 0.5,
+        _kill_all: 1,
     },
 )
