Let members leave with notice in the live test

A drain follows the platform's planned replacement, in which hosts hand the lead over and sessions move. Member ids are read from the group's report, as a replacement has a new one; the report's times go into the findings.

--- a/soak/fault_driver.py
+++ b/soak/fault_driver.py
@@ -17,6 +17,8 @@
 
 _Play: TypeAlias = Callable[[Fault], Awaitable[None]]
 
+# Until a new member is at the address of one that has left.
+_REPLACE_AFTER_S: Final = 0.5
 _CUTS: Final[Mapping[str, tuple[str, ...]]] = MappingProxyType(
     {'both': ('cut_to_target', 'cut_to_client')},
 )
@@ -122,16 +124,18 @@
 
     async def _disturb_member(self, fault: Fault) -> None:
         for group_number, member_number in fault.members:
-            group = self._layout.groups[group_number]
+            port = self._layout.groups[group_number].control_port
+            url = f'http://{LOOPBACK}:{port}'
+            # A member that took the place of another has a new id.
+            members = (await get_json(f'{url}/report'))['members']
             body = {
                 'kind': fault.manner,
-                'member_id': group.members[member_number].member_id,
+                'member_id': members[member_number]['member_id'],
                 'for_s': fault.for_s,
                 'ratio': fault.ratio,
+                'replace_after_s': _REPLACE_AFTER_S,
             }
-            await post_json(
-                f'http://{LOOPBACK}:{group.control_port}/fault', body
-            )
+            await post_json(f'{url}/fault', body)
 
     async def _cut(self, fault: Fault) -> None:
         names = [
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -41,6 +41,8 @@
 _WINDOW_RATIOS: Final = (0.05, 0.2, 0.6)
 _SERIES_COUNT: Final = 4
 _SERIES_STEP_S: Final = 0.7
+# A little longer than hosts are told that a leaving member serves.
+_DRAIN_S: Final = 7.5
 _STORM_COUNT: Final = 8
 _STORM_STEP_S: Final = 0.1
 
@@ -126,6 +128,17 @@
     )
 
 
+def _drain(draw: _Draw) -> _Series:
+    """Let a member leave with notice; a new one takes its address."""
+    yield Fault(
+        draw.at_s,
+        FaultKind.member,
+        _DRAIN_S,
+        members=(draw.member(),),
+        manner='drain',
+    )
+
+
 def _members_in_turn(draw: _Draw) -> _Series:
     """Crash the members of a group one after another."""
     group, first = draw.member()
@@ -208,6 +221,7 @@
         _promotion: 1,
         _reload: 1,
         _members_in_turn: 1,
+        _drain: 1,
         _lose_registrations: 0.5,
         _kill_all: 1,
     },
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -110,7 +110,8 @@
         url = f'http://{LOOPBACK}:{group.control_port}/report'
         report = await get_json(url)
         for found in report['violations']:
-            detail = f'{found["member_id"]}: {found["detail"]}'
+            member_id, at_ms = found['member_id'], found['at_ms']
+            detail = f'{member_id} at {at_ms}: {found["detail"]}'
             self._violations.add(found['rule'], '', [], detail)
         kept = collections.Counter(
             commit['request_id'] for commit in report['commits']
