Cut hosts of the live test off from each other

A request that a host passes on is lost by the sender while the other host goes on with it when the connection between the two is reset. The store stand-in shows each host its own address of every other host, as it does for members, so the proxy can cut any pair. Members work at the limit of their slots, and half of the hosts lose a member at a time, so that more work is passed on.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -20,6 +20,9 @@
 # of two hosts often have the same id.
 _VARIABLES: Final = MappingProxyType({'PYTHONHASHSEED': '0'})
 _STOP_LIMIT_S: Final = 8.0
+# Members are often at the limit of their slots, and refuse some work.
+_READ_MS: Final = 8
+_WRITE_MS: Final = 6
 
 
 @final
@@ -105,6 +108,7 @@
                 for group in layout.groups
             },
             'host_ips': [host.ip for host in layout.hosts],
+            'link_ports': layout.link_ports(),
         }
         path = self._write_json('platform_services', body)
         await self.processes.start(
@@ -120,6 +124,8 @@
             'control_port': group.control_port,
             'store_address': f'{LOOPBACK}:{self.layout.store_port}',
             'members': [attrs.asdict(member) for member in group.members],
+            'read_ms': _READ_MS,
+            'write_ms': _WRITE_MS,
         }
         path = self._write_json(group.name, body)
         await self.processes.start(
--- a/soak/fault.py
+++ b/soak/fault.py
@@ -21,6 +21,7 @@
     lose_registrations = 'lose_registrations'
     member = 'member'
     cut = 'cut'
+    peer_cut = 'peer_cut'
 
 
 @final
@@ -31,8 +32,8 @@
     Attributes
     ----------
     hosts, members
-        Numbers of hosts, and pairs of group and member; for cuts, each host
-        is cut off from each member.
+        Numbers of hosts, and pairs of group and member; a cut is between each
+        host and each member, or between each two hosts.
     manner
         Kind of the fault at a stand-in, or field of the proxy's faults.
     """
--- a/soak/fault_driver.py
+++ b/soak/fault_driver.py
@@ -47,6 +47,7 @@
             FaultKind.lose_registrations: self._lose_registrations,
             FaultKind.member: self._disturb_member,
             FaultKind.cut: self._cut,
+            FaultKind.peer_cut: self._cut_peers,
         }
 
     async def run(self, faults: Iterable[Fault]) -> None:
@@ -138,14 +139,19 @@
             await post_json(f'{url}/fault', body)
 
     async def _cut(self, fault: Fault) -> None:
-        names = [
-            link_name(
-                self._layout.hosts[host],
-                self._layout.groups[group].members[member],
-            )
-            for host in fault.hosts
-            for group, member in fault.members
+        groups = self._layout.groups
+        members = [
+            groups[group].members[number] for group, number in fault.members
         ]
+        await self._cut_links(fault, [member.port for member in members])
+
+    async def _cut_peers(self, fault: Fault) -> None:
+        ports = [self._layout.hosts[host].link_port for host in fault.hosts]
+        await self._cut_links(fault, ports)
+
+    async def _cut_links(self, fault: Fault, ports: list[int]) -> None:
+        hosts = [self._layout.hosts[number] for number in fault.hosts]
+        names = [link_name(host, port) for host in hosts for port in ports]
         fields = _CUTS.get(fault.manner, (fault.manner,))
         await self._change_cuts(names, fields, 1)
         await asyncio.sleep(fault.for_s)
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -43,6 +43,8 @@
 _SERIES_STEP_S: Final = 0.7
 # A little longer than hosts are told that a leaving member serves.
 _DRAIN_S: Final = 7.5
+# Too short for anything but the end of open connections.
+_RESET_S: Final = 0.05
 _STORM_COUNT: Final = 8
 _STORM_STEP_S: Final = 0.1
 
@@ -117,6 +119,20 @@
     )
 
 
+def _cut_peers(draw: _Draw) -> _Series:
+    """Reset connections between hosts, or cut some of them off for a time."""
+    hosts = draw.source.sample(
+        range(draw.plan.hosts), max(2, draw.plan.hosts // 2)
+    )
+    yield Fault(
+        draw.at_s,
+        FaultKind.peer_cut,
+        draw.source.choice((_RESET_S, draw.time_s(2))),
+        tuple(hosts),
+        manner=draw.source.choice(_CUT_MANNERS),
+    )
+
+
 def _member(draw: _Draw) -> _Series:
     yield Fault(
         draw.at_s,
@@ -211,7 +227,8 @@
 _SERIES: Final[Mapping[Callable[[_Draw], _Series], float]] = MappingProxyType(
     {
         _cut: 10,
-        _isolate: 4,
+        _isolate: 8,
+        _cut_peers: 6,
         _member: 5,
         _freeze: 4,
         _restarts: 2,
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -1,7 +1,7 @@
 """Names, addresses and ports of a live test.
 
 Each host has an IP address of its own and asks the store there, so the store
-shows it the members at that address; a proxy forwards from there.
+shows it members and other hosts at that address; a proxy forwards from there.
 """
 
 from typing import Final, Self, final
@@ -20,11 +20,18 @@
 @final
 @attrs.frozen
 class HostPlace:
-    """Name and address of a host."""
+    """Name and address of a host.
+
+    Attributes
+    ----------
+    link_port
+        At which other hosts reach it, each at an address of its own.
+    """
 
     name: str
     ip: str
     data_centre: str
+    link_port: int
 
 
 @final
@@ -64,7 +71,9 @@
     @classmethod
     def choose(cls, plan: SoakPlan) -> Self:
         """Return places on ports that are free."""
-        count = _FIXED_PORT_COUNT + plan.groups * (MEMBER_COUNT + 1)
+        count = (
+            _FIXED_PORT_COUNT + plan.hosts + plan.groups * (MEMBER_COUNT + 1)
+        )
         ports = [
             int(address.rpartition(':')[2]) for address in free_addresses(count)
         ]
@@ -77,6 +86,7 @@
                 f'host-{number}',
                 f'127.0.1.{number + 1}',
                 _DATA_CENTRES[number % len(_DATA_CENTRES)],
+                ports.pop(),
             )
             for number in range(plan.hosts)
         )
@@ -92,22 +102,29 @@
         """Where the driver calls the promotion desk."""
         return f'http://{LOOPBACK}:{self.promotion_port}'
 
+    def link_ports(self) -> dict[str, int]:
+        """Return the port of the links to each member and host."""
+        members = [member for group in self.groups for member in group.members]
+        return {
+            **{f'{LOOPBACK}:{member.port}': member.port for member in members},
+            **{
+                f'{host.ip}:{self.peer_port}': host.link_port
+                for host in self.hosts
+            },
+        }
+
     def links(self) -> dict[str, tuple[str, str]]:
         """Return listening and target address of each proxied link."""
-        members = [member for group in self.groups for member in group.members]
         return {
-            link_name(host, member): (
-                f'{host.ip}:{member.port}',
-                f'{LOOPBACK}:{member.port}',
-            )
+            link_name(host, port): (f'{host.ip}:{port}', target)
             for host in self.hosts
-            for member in members
+            for target, port in self.link_ports().items()
         }
 
 
-def link_name(host: HostPlace, member: MemberPlace) -> str:
-    """Return the proxy's name of the link from a host to a member."""
-    return f'{host.name} {member.member_id}'
+def link_name(host: HostPlace, port: int) -> str:
+    """Return the proxy's name of the link from a host."""
+    return f'{host.name} {port}'
 
 
 def _group(number: int, ports: list[int]) -> GroupPlace:
--- a/standins/platform_services/daemon.py
+++ b/standins/platform_services/daemon.py
@@ -18,7 +18,7 @@
 
 
 async def _serve(settings: PlatformServicesSettings) -> None:
-    store = TableStore(settings.late_s)
+    store = TableStore(settings.late_s, settings.link_ports)
     desk = PromotionDesk(settings.groups, settings.late_s)
     for ip in ('127.0.0.1', *settings.host_ips):
         store.listen(ip, settings.store_port)
--- a/standins/platform_services/table_store.py
+++ b/standins/platform_services/table_store.py
@@ -17,7 +17,7 @@
     FaultyServer,
     ServiceAnswer,
 )
-from standins.platform_services.member_addresses import MemberAddresses
+from standins.platform_services.link_addresses import LinkAddresses
 from standins.platform_services.store_fault import StoreFault
 from standins.platform_services.table_rows import TableRows
 
@@ -32,17 +32,22 @@
 class TableStore:
     """Rows by table, part and key; tests change ``fault`` at will."""
 
-    def __init__(self, late_s: float) -> None:
+    def __init__(
+        self, late_s: float, link_ports: Mapping[str, int] | None = None
+    ) -> None:
         """Start empty.
 
         Parameters
         ----------
         late_s
             Delay of calls that are applied late.
+        link_ports
+            Ports that stand for addresses in what hosts are shown; see
+            ``LinkAddresses``.
         """
         self.rows = TableRows()
         self.server = FaultyServer(self._call, late_s)
-        self._addresses = MemberAddresses()
+        self._addresses = LinkAddresses(link_ports or {})
 
     @property
     def fault(self) -> StoreFault:
