Let members drop connections of hosts that a cut holds back

A real member drops a connection whose other end is out of reach for 3 s. The proxy kept it open until the cut ended, so transactions of such hosts looked as if nobody ended them. With it, silent connections can be among the cuts.

--- a/soak/fault_driver.py
+++ b/soak/fault_driver.py
@@ -17,6 +17,10 @@
 
 _Play: TypeAlias = Callable[[Fault], Awaitable[None]]
 
+_SILENT: Final = 'silent'
+_DROP: Final = 'drop_targets'
+# A connection whose other end is out of reach for this long is dropped.
+_DROP_S: Final = 3.0
 # Until a new member is at the address of one that has left.
 _REPLACE_AFTER_S: Final = 0.5
 _CUTS: Final[Mapping[str, tuple[str, ...]]] = MappingProxyType(
@@ -152,9 +156,17 @@
     async def _cut_links(self, fault: Fault, ports: list[int]) -> None:
         hosts = [self._layout.hosts[number] for number in fault.hosts]
         names = [link_name(host, port) for host in hosts for port in ports]
+        if fault.manner == _SILENT:
+            await self._set_links(names, {_SILENT: True})
+            await asyncio.sleep(_DROP_S)
+            await self._set_links(names, {_DROP: True})
+            return
         fields = _CUTS.get(fault.manner, (fault.manner,))
         await self._change_cuts(names, fields, 1)
-        await asyncio.sleep(fault.for_s)
+        await asyncio.sleep(min(fault.for_s, _DROP_S))
+        if fault.for_s > _DROP_S:
+            await self._set_links(names, {_DROP: True})
+            await asyncio.sleep(fault.for_s - _DROP_S)
         await self._change_cuts(names, fields, -1)
 
     async def _change_cuts(
@@ -164,9 +176,14 @@
         for name in names:
             for field in fields:
                 self._cuts[(name, field)] += change
-        url = f'http://{LOOPBACK}:{self._layout.proxy_port}/faults'
         for link in names:
             states = {
                 effect: self._cuts[(link, effect)] > 0 for effect in fields
             }
-            await post_json(url, {'names': [link], **states})
+            await self._set_links([link], states)
+
+    async def _set_links(
+        self, names: list[str], changes: Mapping[str, bool]
+    ) -> None:
+        url = f'http://{LOOPBACK}:{self._layout.proxy_port}/faults'
+        await post_json(url, {'names': names, **changes})
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -35,9 +35,13 @@
     'forget_connections',
     'deaf',
 )
-# Silent connections would stay open at members, which in truth drop those of
-# a host that is out of reach; their own fault forget_connections does both.
-_CUT_MANNERS: Final = ('both', 'cut_to_target', 'cut_to_client', 'cut')
+_CUT_MANNERS: Final = (
+    'both',
+    'cut_to_target',
+    'cut_to_client',
+    'cut',
+    'silent',
+)
 _WINDOW_RATIOS: Final = (0.05, 0.2, 0.6)
 _SERIES_COUNT: Final = 4
 _SERIES_STEP_S: Final = 0.7
@@ -227,8 +231,8 @@
 _SERIES: Final[Mapping[Callable[[_Draw], _Series], float]] = MappingProxyType(
     {
         _cut: 10,
-        _isolate: 8,
-        _cut_peers: 6,
+        _isolate: 10,
+        _cut_peers: 8,
         _member: 5,
         _freeze: 4,
         _restarts: 2,
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -21,6 +21,7 @@
 from standins.fault_proxy_listener import ProxyListener
 
 _SILENCE: Final = 'silent'
+_DROP: Final = 'drop_targets'
 _Listeners: TypeAlias = Mapping[str, ProxyListener]
 
 
@@ -28,8 +29,8 @@
 class ProxyFaultsHandler(RequestHandler):
     """``/faults``: report the listeners, or change faults.
 
-    ``POST`` takes the fields of ``LinkFaults`` and ``silent``, and the
-    optional ``names`` (absent: all listeners). Fields not given are kept.
+    ``POST`` takes the fields of ``LinkFaults``, ``silent`` and
+    ``drop_targets``, and the optional ``names`` (absent: all listeners). Fields not given are kept.
     """
 
     def initialize(self, listeners: _Listeners) -> None:
@@ -54,10 +55,13 @@
         changes = json.loads(self.request.body)
         names = changes.pop('names', list(self._listeners))
         is_silent = changes.pop(_SILENCE, False)
+        is_dropped = changes.pop(_DROP, False)
         for listener in self._named(names):
             self._change(listener, changes)
             if is_silent:
                 listener.silence_connections()
+            if is_dropped:
+                listener.drop_targets()
         await self.get()
 
     def _named(self, names: Iterable[str]) -> list[ProxyListener]:
--- a/standins/fault_proxy_connection.py
+++ b/standins/fault_proxy_connection.py
@@ -85,6 +85,11 @@
         self._to_target.is_silent = True
         self._to_client.is_silent = True
 
+    def drop_target(self) -> None:
+        """Reset the target's side, of which the client learns nothing."""
+        self.silence()
+        reset(self._writers[1])
+
     def reset(self) -> None:
         """Reset both sides."""
         for writer in self._writers:
--- a/standins/fault_proxy_listener.py
+++ b/standins/fault_proxy_listener.py
@@ -57,6 +57,14 @@
         for connection in self._connections:
             connection.silence()
 
+    def drop_targets(self) -> None:
+        """Let the target end the open connections, as it gets no sign of life.
+
+        The client's sides are silent for good.
+        """
+        for connection in self._connections:
+            connection.drop_target()
+
     def reset_connections(self) -> None:
         """Reset the open connections."""
         for connection in self._connections:
