--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -24,7 +24,7 @@
 _SEED: Final = 5
 _LEVELS: Final = ('INFO', 'WARNING', 'ERROR')
 _PAUSE_S: Final = 0.05
-_HOST: Final = HostPlace('wrong', '127.0.0.1', 'a')
+_HOST: Final = HostPlace('wrong', '127.0.0.1', 'a', 0)
 
 
 @when(
