--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -31,6 +31,7 @@
     'dark',
     'answer_lost',
     'answer_cut',
+    'answer_split',
     'slow',
     'forget_connections',
     'deaf',
