Use a connection only with the member that was asked for

What callers saw: none reported it. A read could return rows of another group's database, and a write could be committed there.

Cause: the address of a member that is gone may be used again before all hosts have the document that says so. A data connection was accepted as soon as anyone answered a ping at the address, and control answers were taken by address alone. The only other check of a write, the term, does not help: every group starts at term 1.

Change: a member stand-in names itself in the answer to a ping of a data connection, and the adapter drops a connection that names another member or none. Answers of control calls are dropped where their standing names another member.

Ruled out: comparing the standing of each answer of a data connection. A rejected statement need not carry a standing, and the statement has run by then. A process can't change its name while its connections stay open, so one check each is enough. Not covered: a control call that changes a member's term reaches the wrong member before its answer is dropped.

--- a/mimosapond/websocket_target.py
+++ b/mimosapond/websocket_target.py
@@ -1,4 +1,9 @@
-"""Adapter of the target port: members that speak JSON over WebSocket."""
+"""Adapter of the target port: members that speak JSON over WebSocket.
+
+The address of a member that is gone may be used again by a member of another
+group, which may be at the same term. Each connection is therefore used only
+after the member has named itself.
+"""
 
 from collections.abc import Mapping
 from typing import Any, Final, final
@@ -54,6 +59,10 @@
             problem = f'{answer.problem}, close code {link.close_code}'
             link.close()
             return TargetSilent(problem, sent=False)
+        named = answer.body.get('member')
+        if named != member.name:
+            link.close()
+            return TargetSilent(_other_member(named), sent=False)
         return WebsocketConnection(link)
 
     async def status(
@@ -130,8 +139,25 @@
         )
         match answer:
             case PeerAnswered(body=answer_body):
-                return codec.decode(Standing, answer_body)
+                standing = codec.decode(Standing, answer_body)
+                return _checked(member, standing, standing)
             case PeerRejected(body=answer_body):
-                return decode_rejection(answer_body)
+                rejected = decode_rejection(answer_body)
+                return _checked(member, rejected, rejected.standing)
             case PeerSilent(problem, sent):
                 return TargetSilent(problem, sent)
+
+
+def _checked(
+    member: MemberAddress,
+    answer: ControlResult,
+    standing: Standing | None,
+) -> ControlResult:
+    """Drop an answer of another member, whose terms are of another group."""
+    if standing is None or standing.member == member.name:
+        return answer
+    return TargetSilent(_other_member(standing.member), sent=True)
+
+
+def _other_member(named: str | None) -> str:
+    return f'the address is in use by {named or "no known member"}'
--- a/standins/member_data_handler.py
+++ b/standins/member_data_handler.py
@@ -60,7 +60,8 @@
             return
         call = json.loads(message)
         if call['op'] == PING_OPERATION:
-            self._send(call, STATUS_OK, {})
+            named = {'member': self._server.settings.name}
+            self._send(call, STATUS_OK, named)
         elif self._call is None or self._call.done():
             self._call = asyncio.create_task(self._serve(call))
         else:
