Commit nothing of a transaction that was reported as rolled back

What callers saw: none reported it. A statement of an interactive transaction whose holder did not answer in time was refused as transaction_aborted, "the transaction was rolled back". A commit through the same host before the rollback reached the holder was completed, with the statements before the one that was lost.

Cause: the rollback is sent in the background and repeated while the holder is silent, for up to 30 s. Calls of the transaction were still passed on meanwhile.

Change: the entry host remembers such transactions until the rollback was answered. It passes no further call on; a commit is settled by its request id instead, as one that finds no transaction.

Ruled out: waiting for the rollback before the refusal, which would hold the caller beyond its deadline. Not covered: a commit through another entry host, which does not know of the silence.

--- a/features/routes.feature
+++ b/features/routes.feature
@@ -16,3 +16,12 @@
     When routes run statements in the transaction
     Then the routes answer is refused as transaction_aborted
     And the routes holder got rollback calls until it answered
+
+  Scenario: routes commit nothing of a transaction reported as rolled back
+    A commit that reached the holder before the rollback kept the statements
+    before the one that was lost, after the caller was told that none is kept.
+    Given a routes transaction whose holder is silent for 2 calls
+    When routes run statements in the transaction and commit it
+    Then the routes answer is refused as transaction_aborted
+    And the routes commit is refused as request_cancelled
+    And the routes holder got no commit
--- a/features/steps/routes_steps.py
+++ b/features/steps/routes_steps.py
@@ -9,18 +9,22 @@
 from mimosapond.attempt_gate import AttemptGate
 from mimosapond.decision_log import NullDecisionLog
 from mimosapond.entry_services import EntryServices
+from mimosapond.errors import refuse
 from mimosapond.group_view import GroupView
 from mimosapond.group_views import GroupViews
 from mimosapond.holder_route import HolderRoute, find_holder
 from mimosapond.outcome import Outcome
 from mimosapond.peer_results import PeerAnswered, PeerResult, PeerSilent
+from mimosapond.refusal_reason import RefusalReason
 from mimosapond.refused import Refused
+from mimosapond.request_id import RequestId
 from mimosapond.transaction_call import TransactionCall
 from mimosapond.transaction_name import TransactionName
 from mimosapond.transaction_router import TransactionRouter
 
 _GROUP: Final = 'forge-0'
 _DEADLINE_S: Final = 3
+_NOW_MS: Final = 1000
 
 
 class _SteppingClock:
@@ -109,6 +113,14 @@
         return 'host'
 
 
+class _Settles:
+    async def settle(
+        self, _group: str, request_id: str, _until_s: float
+    ) -> Any:
+        """Find that the request was not committed."""
+        return refuse(RefusalReason.REQUEST_CANCELLED, request_id=request_id)
+
+
 @given('a routes transaction whose holder is silent for {count:d} calls')
 def build_holder(context: Any, count: int) -> None:
     """Build the holder."""
@@ -118,22 +130,34 @@
 @when('routes run statements in the transaction')
 def run_statements(context: Any) -> None:
     """Run one call and let the background work end."""
-    context.answer = asyncio.run(_run_statements(context.holder))
+    answers = asyncio.run(_transact(context.holder, 'execute'))
+    context.answer = answers[0]
+
+
+@when('routes run statements in the transaction and commit it')
+def run_and_commit(context: Any) -> None:
+    """Commit after the answer, before the holder has rolled back."""
+    answers = asyncio.run(_transact(context.holder, 'execute', 'commit'))
+    context.answer = answers[0]
+    context.commit = answers[1]
 
 
-async def _run_statements(holder: _SilentHolder) -> Outcome:
+async def _transact(holder: _SilentHolder, *operations: str) -> list[Outcome]:
     services: Any = _Services()
     services.hosts = _OneHost()
     services.caller = holder
     services.decisions = NullDecisionLog()
     services.clock.sleep = asyncio.sleep
-    no_settles: Any = None
-    router = TransactionRouter(services, no_settles)
+    settles: Any = _Settles()
+    router = TransactionRouter(services, settles)
     name = TransactionName(_GROUP, 'host', 'local')
-    answer = await router.call('execute', name, TransactionCall('', 100))
+    call = TransactionCall(str(RequestId.create(_NOW_MS)), 100)
+    answers = [
+        await router.call(operation, name, call) for operation in operations
+    ]
     background = asyncio.all_tasks() - {asyncio.current_task()}
     await asyncio.gather(*background)
-    return answer
+    return answers
 
 
 @then('the routes answer is refused as {reason}')
@@ -143,6 +167,19 @@
     assert context.answer.reason == reason, context.answer
 
 
+@then('the routes commit is refused as {reason}')
+def check_commit_refused(context: Any, reason: str) -> None:
+    """Check the answer of the commit."""
+    assert isinstance(context.commit, Refused), context.commit
+    assert context.commit.reason == reason, context.commit
+
+
+@then('the routes holder got no commit')
+def check_no_commit(context: Any) -> None:
+    """Check the calls."""
+    assert 'commit' not in context.holder.operations, context.holder.operations
+
+
 @then('the routes holder got rollback calls until it answered')
 def check_rollbacks(context: Any) -> None:
     """Check the calls after the one that was not answered."""
--- a/mimosapond/transaction_router.py
+++ b/mimosapond/transaction_router.py
@@ -50,6 +50,8 @@
         self._services = services
         self._settles = settles
         self._tasks: set[asyncio.Task[None]] = set()
+        # Reported as rolled back, which their holder does not know yet.
+        self._abandoned: set[TransactionName] = set()
 
     def confirm(self, name: TransactionName) -> None:
         """Tell the holder that the answer of the begin arrived.
@@ -92,7 +94,7 @@
         call: TransactionCall,
     ) -> Outcome:
         host = self._services.hosts.host(name.host_id)
-        if host is None:
+        if host is None or name in self._abandoned:
             return _gone(name)
         self._services.decisions.record(
             'route_transaction',
@@ -115,6 +117,7 @@
             case PeerSilent(problem, sent) if operation == _COMMIT and sent:
                 return unknown(call.request_id, problem)
             case PeerSilent(problem):
+                self._abandoned.add(name)
                 self._in_background(self._abandon(name))
                 return refuse(
                     RefusalReason.TRANSACTION_ABORTED,
@@ -134,8 +137,15 @@
         """Roll back at a holder that was silent, once it answers again.
 
         The caller was told that the transaction is rolled back, and its locks
-        would keep other writes waiting until the idle limit.
+        would keep other writes waiting until the idle limit. A commit that
+        came before the rollback would keep a part of the statements.
         """
+        try:
+            await self._roll_back(name)
+        finally:
+            self._abandoned.discard(name)
+
+    async def _roll_back(self, name: TransactionName) -> None:
         host = self._services.hosts.host(name.host_id)
         call = TransactionCall('', deadline_ms=_ABANDON_TIMEOUT_MS)
         for _ in range(_ABANDON_TRIES):
