Read the platform's answers in one place

Four calls of the HTTP adapter each passed silence on and turned an unusable answer into silence with the same lines. They share one function, which takes the parser of the answer; behaviour stays the same.

--- a/mimosapond/http_platform.py
+++ b/mimosapond/http_platform.py
@@ -4,9 +4,10 @@
 broken answer like a lost one: a write may have taken effect.
 """
 
+import functools
 import json
-from collections.abc import Mapping
-from typing import Any, Final, final
+from collections.abc import Callable, Mapping
+from typing import Any, Final, TypeAlias, TypeVar, final
 from urllib.parse import quote
 
 import cattrs
@@ -34,20 +35,9 @@
     ValueError,
     cattrs.BaseValidationError,
 )
-
-
-def _parse_row(raw: Mapping[str, Any]) -> Row:
-    return Row(str(raw['key']), int(raw['revision']), raw['value'])
-
-
-def _parse_rows(raw: Any) -> tuple[Row, ...]:
-    # The answer is a list of rows, or an object that holds it.
-    rows = raw['rows'] if isinstance(raw, dict) else raw
-    return tuple(_parse_row(row) for row in rows)
-
-
-def _parse_hosts(raw: Any) -> tuple[ListedHost, ...]:
-    return tuple(decode(ListedHost, entry) for entry in raw)
+# Status code and decoded body.
+_Answer: TypeAlias = tuple[int, Any]
+_Parsed = TypeVar('_Parsed')
 
 
 @final
@@ -70,15 +60,7 @@
     async def read_row(self, key: str, timeout_s: float) -> ReadRowResult:
         """Read one row; an absent row has revision 0."""
         answer = await self._call('GET', f'/table/{quote(key)}', timeout_s)
-        if isinstance(answer, PlatformSilent):
-            return answer
-        code, raw = answer
-        if code == _NOT_FOUND:
-            return Row(key, 0, None)
-        try:
-            return _parse_row(raw)
-        except _UNUSABLE_ANSWER as error:
-            return PlatformSilent(f'unusable answer: {error!r}')
+        return _parsed(answer, functools.partial(_parse_read, key))
 
     async def compare_and_set(
         self,
@@ -94,15 +76,7 @@
             timeout_s,
             {'expected_revision': expected_revision, 'value': payload},
         )
-        if isinstance(answer, PlatformSilent):
-            return answer
-        code, raw = answer
-        try:
-            if code == _CONFLICT:
-                return RowConflict(_parse_row(raw))
-            return RowWritten(int(raw['revision']))
-        except _UNUSABLE_ANSWER as error:
-            return PlatformSilent(f'unusable answer: {error!r}')
+        return _parsed(answer, _parse_written)
 
     async def list_rows(
         self,
@@ -112,12 +86,7 @@
         """Read all rows whose key starts with ``prefix``."""
         path = f'/table?prefix={quote(prefix, safe="")}'
         answer = await self._call('GET', path, timeout_s)
-        if isinstance(answer, PlatformSilent):
-            return answer
-        try:
-            return _parse_rows(answer[1])
-        except _UNUSABLE_ANSWER as error:
-            return PlatformSilent(f'unusable answer: {error!r}')
+        return _parsed(answer, _parse_rows)
 
     async def list_hosts(
         self,
@@ -125,12 +94,7 @@
     ) -> tuple[ListedHost, ...] | PlatformSilent:
         """Read the host list."""
         answer = await self._call('GET', '/hosts', timeout_s)
-        if isinstance(answer, PlatformSilent):
-            return answer
-        try:
-            return _parse_hosts(answer[1])
-        except _UNUSABLE_ANSWER as error:
-            return PlatformSilent(f'unusable answer: {error!r}')
+        return _parsed(answer, _parse_hosts)
 
     async def register_host(
         self,
@@ -152,7 +116,7 @@
         path: str,
         timeout_s: float,
         body: Mapping[str, Any] | None = None,
-    ) -> tuple[int, Any] | PlatformSilent:
+    ) -> _Answer | PlatformSilent:
         request = HTTPRequest(
             f'{self._base_url}{path}',
             method=method,
@@ -170,3 +134,39 @@
             return response.code, json.loads(response.body)
         except ValueError as error:
             return PlatformSilent(f'unusable answer from {path}: {error!r}')
+
+
+def _parsed(
+    answer: _Answer | PlatformSilent,
+    parse: Callable[[int, Any], _Parsed],
+) -> _Parsed | PlatformSilent:
+    if isinstance(answer, PlatformSilent):
+        return answer
+    try:
+        return parse(*answer)
+    except _UNUSABLE_ANSWER as error:
+        return PlatformSilent(f'unusable answer: {error!r}')
+
+
+def _parse_read(key: str, code: int, raw: Any) -> Row:
+    return Row(key, 0, None) if code == _NOT_FOUND else _parse_row(raw)
+
+
+def _parse_written(code: int, raw: Any) -> RowConflict | RowWritten:
+    if code == _CONFLICT:
+        return RowConflict(_parse_row(raw))
+    return RowWritten(int(raw['revision']))
+
+
+def _parse_rows(_code: int, raw: Any) -> tuple[Row, ...]:
+    # The answer is a list of rows, or an object that holds it.
+    rows = raw['rows'] if isinstance(raw, dict) else raw
+    return tuple(_parse_row(row) for row in rows)
+
+
+def _parse_hosts(_code: int, raw: Any) -> tuple[ListedHost, ...]:
+    return tuple(decode(ListedHost, entry) for entry in raw)
+
+
+def _parse_row(raw: Mapping[str, Any]) -> Row:
+    return Row(str(raw['key']), int(raw['revision']), raw['value'])
