Pass on an answer that arrives together with the end of its link

For a write or a commit the same result is an unknown outcome.

Cause: a host that leaves ends its links right after its last answers. A caller that got no processor for some milliseconds finds the answer, the end of the connection and a due ping in one turn of its event loop. The write of the ping then met the closed connection and closed the link, which cancelled the reader before it took the answer. Another call that was written at that moment did the same.

Change: a write that finds the connection closed leaves the link open. The reader closes it once it has taken what came before the end; the limit of silence still applies.

Ruled out: the limit of silence. It needs three intervals without an answer, so one stop of the caller can't reach it.

--- a/mimosapond/json_link.py
+++ b/mimosapond/json_link.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 from collections.abc import Mapping
 from typing import Any, Final, Self, final
@@ -151,7 +152,6 @@
         except TimeoutError:
             return PeerSilent(f'{operation} timed out', sent=True)
         except WebSocketClosedError:
-            self.close()
             return PeerSilent('the link closed', sent=True)
 
     async def _read(self) -> None:
@@ -190,12 +190,12 @@
         if not self._pending:
             return
         text = dump_json({'call_id': 0, 'op': PING_OPERATION, 'body': {}})
-        try:
+        with contextlib.suppress(WebSocketClosedError):
             self._write(text)
-        except WebSocketClosedError:
-            self.close()
 
     def _write(self, text: str) -> None:
+        # A connection that is found closed may still hold answers: the link
+        # is closed by the reader, which takes them first.
         # Not awaited: a peer that stopped reading would block the caller
         # beyond its timeout and keep the ping task from noticing it.
         written = self._connection.write_message(text)
