Tell that a call which met the end of its link was not sent

What callers saw: a write or a commit whose host wrote it to a link that had just closed got an unknown outcome and was settled, though nothing had left the host.

Cause: the link reported such a call as sent. Since the reader closes the link, it also looked open until the reader had run, so that tries which follow without a pause, as the three of a transaction's confirmation, would all have met the same end.

Change: the first write that finds the connection closed marks the link as no longer usable, and its call as not sent. Pending calls keep the link until the reader has taken their answers.

Ruled out: that a part was written. The client checks the connection before it writes and raises only then; a write that fails later leaves its call pending, and that call stays reported as sent.

--- a/features/links.feature
+++ b/features/links.feature
@@ -14,3 +14,11 @@
       | writer       |
       | a ping       |
       | another call |
+
+  # Guards against a write that is reported as unknown though it never left the
+  # host, and against tries that are all used up on a connection that has ended.
+  Scenario: links tell that a call which met the end was not sent
+    Given links to a host that leaves as soon as its calls have ended
+    When links get the answer and the end just when another call is due
+    Then links told that the other call was not sent
+    And links were given up by then
--- a/features/steps/links_steps.py
+++ b/features/steps/links_steps.py
@@ -5,14 +5,16 @@
 import time
 from collections.abc import Mapping
 from types import MappingProxyType
-from typing import Any, Final
+from typing import Any, Final, TypeAlias
 
 from behave import given, then, when
 
 from features.links_server import LeavingHost, leaving_host
 from mimosapond.json_link import PING_INTERVAL_S, JsonLink
-from mimosapond.peer_results import PeerAnswered, PeerResult
+from mimosapond.peer_results import PeerAnswered, PeerResult, PeerSilent
 
+# The answer of a call, and whether the link could be used again after it.
+_Met: TypeAlias = tuple[PeerResult, bool]
 _TIMEOUT_S: Final = 10
 _TEXT: Final = 'asked'
 # In which the first call is written and the timers are set.
@@ -41,11 +43,26 @@
 @then('links passed the answer on')
 def check_answer(context: Any) -> None:
     """The call ends with its own answer."""
-    answer = context.answers[0]
+    answer, _is_open = context.answers[0]
     assert answer == PeerAnswered({'text': _TEXT}), answer
 
 
-async def _call_and_meet(host: LeavingHost, writer: str) -> list[PeerResult]:
+@then('links told that the other call was not sent')
+def check_unsent(context: Any) -> None:
+    """The other call had no effect."""
+    answer, _is_open = context.answers[1]
+    assert isinstance(answer, PeerSilent), answer
+    assert not answer.sent, answer
+
+
+@then('links were given up by then')
+def check_given_up(context: Any) -> None:
+    """A further try opens a connection of its own."""
+    _answer, is_open = context.answers[1]
+    assert not is_open
+
+
+async def _call_and_meet(host: LeavingHost, writer: str) -> list[_Met]:
     link = await JsonLink.open(f'ws://{host.address}/peer', {}, _TIMEOUT_S)
     assert isinstance(link, JsonLink), link
     calls = [asyncio.create_task(_call(link, 0))]
@@ -59,6 +76,7 @@
     return await asyncio.gather(*calls)
 
 
-async def _call(link: JsonLink, delay_s: float) -> PeerResult:
+async def _call(link: JsonLink, delay_s: float) -> _Met:
     await asyncio.sleep(delay_s)
-    return await link.call('work', {'text': _TEXT}, _TIMEOUT_S)
+    answer = await link.call('work', {'text': _TEXT}, _TIMEOUT_S)
+    return answer, link.is_open
--- a/mimosapond/json_link.py
+++ b/mimosapond/json_link.py
@@ -47,6 +47,7 @@
         self._has_heard = asyncio.Event()
         self._has_pending = asyncio.Event()
         self._is_open = True
+        self._has_met_end = False
         self._is_retired = False
         self._close_code: int | None = None
         self._reader = asyncio.create_task(self._read())
@@ -89,7 +90,7 @@
     @property
     def is_open(self) -> bool:
         """Whether calls can be made."""
-        return self._is_open
+        return self._is_open and not self._has_met_end
 
     @property
     def close_code(self) -> int | None:
@@ -103,7 +104,7 @@
         timeout_s: float,
     ) -> PeerResult:
         """Make one call and wait for its own answer."""
-        if not self._is_open:
+        if not self.is_open:
             return PeerSilent('the link is closed', sent=False)
         self._last_call_id += 1
         call_id = self._last_call_id
@@ -152,7 +153,7 @@
         except TimeoutError:
             return PeerSilent(f'{operation} timed out', sent=True)
         except WebSocketClosedError:
-            return PeerSilent('the link closed', sent=True)
+            return PeerSilent('the link closed', sent=False)
 
     async def _read(self) -> None:
         while True:
@@ -194,11 +195,15 @@
             self._write(text)
 
     def _write(self, text: str) -> None:
-        # A connection that is found closed may still hold answers: the link
-        # is closed by the reader, which takes them first.
         # Not awaited: a peer that stopped reading would block the caller
         # beyond its timeout and keep the ping task from noticing it.
-        written = self._connection.write_message(text)
+        try:
+            written = self._connection.write_message(text)
+        except WebSocketClosedError:
+            # Nothing was written. The connection may still hold answers: the
+            # link is closed by the reader, which takes them first.
+            self._has_met_end = True
+            raise
         asyncio.ensure_future(written).add_done_callback(_drop_error)
 
 
