Close a connection whose opening was cancelled

What callers saw: none reported it. Work that was cancelled while its connection to a member or host was being opened left the connection open, and nobody closed it; at a member it counts against the limit of connections.

Cause: cancelling the wait for a WebSocket ends only the wait; the connection is made all the same. The check of a new data connection did not close it either. Surveys of members and the sweeper of a term are cancelled in normal work.

Change: the link closes a connection that is made after its wait has ended, and the adapter closes one whose check was cancelled.

Ruled out: time-outs. tornado's own limit, which has the same length, ends those.

--- a/features/steps/targets_steps.py
+++ b/features/steps/targets_steps.py
@@ -1,5 +1,7 @@
 """Steps of targets.feature."""
 
+import asyncio
+import json
 from typing import Any, Final
 
 from behave import then, when
@@ -10,8 +12,12 @@
 from mimosapond.standing import Standing
 from mimosapond.statement import Statement
 from mimosapond.target_results import TargetAnswered, TargetSilent
+from mimosapond.websocket_connection import WebsocketConnection
 from mimosapond.websocket_target import WebsocketTarget
 
+_TURN_S: Final = 0.0001
+_LOOK_COUNT: Final = 20
+_LOOK_PAUSE_S: Final = 0.1
 _READ: Final = Statement('SELECT count(*) FROM tally')
 
 
@@ -50,6 +56,52 @@
     assert isinstance(answer, expected), answer
 
 
+@when(
+    'targets cancel the opening of a connection to "{name}" at {count:d} places'
+)
+def cancel_openings(context: Any, name: str, count: int) -> None:
+    """Cancel each opening one turn later than the one before."""
+    rig: StandinRig = context.rig
+    target = WebsocketTarget(PATIENT_S, AddressBook(()))
+    context.add_cleanup(_close, rig, target)
+    for turns in range(count):
+        rig.run(_cancel(target, _address(rig, name, name), turns))
+
+
+@then('targets have no connection open to "{name}"')
+def check_none_open(context: Any, name: str) -> None:
+    """Ask the member until it has seen the ends of all connections."""
+    rig: StandinRig = context.rig
+    open_count = rig.run(_open_count(rig, rig.addresses[name]))
+    assert not open_count, open_count
+
+
+async def _cancel(
+    target: WebsocketTarget,
+    member: MemberAddress,
+    turns: int,
+) -> None:
+    opening = asyncio.create_task(target.connect(member, PATIENT_S))
+    for turn in range(turns):
+        # The member answers between the turns.
+        await asyncio.sleep(turn * _TURN_S)
+    opening.cancel()
+    ended = await asyncio.gather(opening, return_exceptions=True)
+    if isinstance(ended[0], WebsocketConnection):
+        ended[0].close()
+
+
+async def _open_count(rig: StandinRig, address: str) -> int:
+    open_count = 0
+    for _ in range(_LOOK_COUNT):
+        answer = await rig.fetch(address, '/admin/log')
+        open_count = json.loads(answer.body)['counters']['connection_count']
+        if not open_count:
+            break
+        await asyncio.sleep(_LOOK_PAUSE_S)
+    return open_count
+
+
 def _address(rig: StandinRig, name: str, member: str) -> MemberAddress:
     return MemberAddress(name, 'dc-1', rig.addresses[member])
 
--- a/features/targets.feature
+++ b/features/targets.feature
@@ -14,3 +14,11 @@
       | name | connection    | standing    |
       | m1   | a connection  | a standing  |
       | gone | no connection | no standing |
+
+  # Guards against connections that nobody knows of and that use up the limit of
+  # a member: work that was cancelled while its connection was opened left it
+  # open. The places are turns of the event loop.
+  Scenario: targets keep no connection whose opening was cancelled
+    Given a member group "m1" without faults
+    When targets cancel the opening of a connection to "m1" at 40 places
+    Then targets have no connection open to "m1"
--- a/mimosapond/json_link.py
+++ b/mimosapond/json_link.py
@@ -77,13 +77,17 @@
             connect_timeout=timeout_s,
             request_timeout=timeout_s,
         )
+        connecting = asyncio.ensure_future(
+            websocket_connect(request, max_message_size=MAX_MESSAGE_BYTES),
+        )
         try:
             async with asyncio.timeout(timeout_s):
-                connection = await websocket_connect(
-                    request,
-                    max_message_size=MAX_MESSAGE_BYTES,
-                )
+                connection = await asyncio.shield(connecting)
+        except asyncio.CancelledError:
+            connecting.add_done_callback(_close_unused)
+            raise
         except Exception as error:  # noqa: BLE001 # every failure is silence
+            connecting.add_done_callback(_close_unused)
             return PeerSilent(f'no connection to {url}: {error!r}', sent=False)
         return cls(connection)
 
@@ -207,6 +211,14 @@
         asyncio.ensure_future(written).add_done_callback(_drop_error)
 
 
+def _close_unused(
+    connecting: asyncio.Future[WebSocketClientConnection],
+) -> None:
+    # Nobody waits for the connection any more, which would stay open.
+    if not connecting.cancelled() and connecting.exception() is None:
+        connecting.result().close()
+
+
 def _drop_error(written: asyncio.Future[None]) -> None:
     # The reader sees the same failure and closes the link.
     if not written.cancelled():
--- a/mimosapond/websocket_target.py
+++ b/mimosapond/websocket_target.py
@@ -54,15 +54,14 @@
         link = await JsonLink.open(url, {}, timeout_s)
         if isinstance(link, PeerSilent):
             return TargetSilent(link.problem, sent=False)
-        answer = await link.call(PING_OPERATION, {}, timeout_s)
-        if isinstance(answer, PeerSilent):
-            problem = f'{answer.problem}, close code {link.close_code}'
-            link.close()
+        problem: str | None = 'the check was cancelled'
+        try:
+            problem = await _problem(link, member, timeout_s)
+        finally:
+            if problem is not None:
+                link.close()
+        if problem is not None:
             return TargetSilent(problem, sent=False)
-        named = answer.body.get('member')
-        if named != member.name:
-            link.close()
-            return TargetSilent(_other_member(named), sent=False)
         return WebsocketConnection(link)
 
     async def status(
@@ -148,6 +147,19 @@
                 return TargetSilent(problem, sent)
 
 
+async def _problem(
+    link: JsonLink,
+    member: MemberAddress,
+    timeout_s: float,
+) -> str | None:
+    """Tell why a new connection can't be used; None when it can."""
+    answer = await link.call(PING_OPERATION, {}, timeout_s)
+    if isinstance(answer, PeerSilent):
+        return f'{answer.problem}, close code {link.close_code}'
+    named = answer.body.get('member')
+    return None if named == member.name else _other_member(named)
+
+
 def _checked(
     member: MemberAddress,
     answer: ControlResult,
