--- a/features/builders.py
+++ b/features/builders.py
@@ -1,5 +1,9 @@
 """Builders of test data."""
 
+import asyncio
+from collections.abc import Awaitable
+from typing import Any
+
 from mimosapond.group_beacon import GroupBeacon
 from mimosapond.group_view import GroupView
 from mimosapond.standing import PRIMARY_ROLE, Standing
@@ -29,3 +33,8 @@
     """Build a beacon of a holder."""
     view = GroupView(group, term, f'{group}-1', 'host-1')
     return GroupBeacon(view, position)
+
+
+async def gather_all(*calls: Awaitable[Any]) -> list[Any]:
+    """Make calls at once and return their answers."""
+    return list(await asyncio.gather(*calls))
--- a/features/steps/documents_live_steps.py
+++ b/features/steps/documents_live_steps.py
@@ -7,6 +7,7 @@
 import attrs
 from behave import given, then, when
 
+from features.builders import gather_all
 from features.live_world import LiveWorld
 from loadtool.deployed_host import DeployedHost
 from mimosapond.document_body import document_body
@@ -46,7 +47,7 @@
     calls = (
         _edit(context, index, context.revision) for index in (first, second)
     )
-    answers = world.run(_gather(*calls))
+    answers = world.run(gather_all(*calls))
     context.answers = dict(zip((first, second), answers, strict=True))
 
 
@@ -168,7 +169,7 @@
 
 
 async def _in_force(world: LiveWorld) -> set[tuple[int, int]]:
-    answers = await _gather(*(_document(world, one) for one in world.hosts))
+    answers = await gather_all(*(_document(world, one) for one in world.hosts))
     return {
         (answer['revision'], answer['document']['promises'][0]['max_age_ms'])
         if 'revision' in answer
@@ -186,7 +187,3 @@
             revision = await _revision(world, host)
             seen.setdefault(host.name, []).append(revision)
         await asyncio.sleep(0.02)
-
-
-async def _gather(*calls: Any) -> list[Any]:
-    return list(await asyncio.gather(*calls))
