--- a/features/connection_ownership.feature
+++ b/features/connection_ownership.feature
@@ -93,8 +93,8 @@
   Scenario: transactions of two hosts have different keys
     Given a host that reaches p with 2 connections, for callers of others
     When callers one and two of two hosts with equal clocks and random numbers begin
-    And caller one sends write
-    And caller two sends write
+    And relayed caller one sends write
+    And relayed caller two sends write
     And caller one commits
     And caller two commits
     Then all statements of the callers succeeded
--- a/features/steps/connection_ownership_steps.py
+++ b/features/steps/connection_ownership_steps.py
@@ -262,7 +262,7 @@
         assert TransactionKeys('one').make() != TransactionKeys('one').make()
 
 
-@when('caller {name} sends {word}')
+@when('relayed caller {name} sends {word}')
 def send(context: Any, name: str, word: str) -> None:
     """Run a statement of its transaction."""
     _run(context, context.ownership.callers[name].run(word))
