--- a/tools/run_behave.py
+++ b/tools/run_behave.py
@@ -55,7 +55,8 @@
     known = _known_failures()
     counts: collections.Counter[str] = collections.Counter()
     for scenario in _scenarios(report):
-        name, status = scenario['name'], scenario['status']
+        # The name of a row of an unnamed table of examples ends in a blank.
+        name, status = scenario['name'].strip(), scenario['status']
         if status == 'passed' or status == 'skipped':
             counts[status] += 1
         elif name in known:
