Draw the works of the relaying test from a fixed seed, without a time limit

The test is as strict: all checks and the number of examples stay, and the examples are now the same in each run, as for the other tests of this kind.

--- a/features/steps/relaying_steps.py
+++ b/features/steps/relaying_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 from hypothesis import given as for_all
+from hypothesis import settings
 from hypothesis import strategies as st
 from tornado.httpclient import AsyncHTTPClient
 
@@ -251,6 +252,7 @@
 )
 
 
+@settings(derandomize=True, deadline=None)
 @for_all(_ACCESSES, st.dictionaries(_TEXTS, _TEXTS), _POSITIONS, _AGES_S)
 def _check_way(
     access: Any, values: dict[str, str], position: LogPosition, age_s: float
