Split the member link; say once what stood twice

An answer that was there before its request was reported with the reason 'None'; a status that cannot be read said that its link was closed, which it was not. A try of a read that had not begun when the answer came was not withdrawn: tries are now withdrawn unless they have sent. The state in connection_unsettled is its plain word. JSON answers, the limits of settings and the place of a member each have one copy.

--- a/features/ownership_builders.py
+++ b/features/ownership_builders.py
@@ -29,7 +29,7 @@
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.peers.peer_client import PeerClient
 from mimosapond.peers.peer_desk import PeerDesk
-from mimosapond.platform.member_link import WireMemberDialer
+from mimosapond.platform.member_dialer import WireMemberDialer
 from mimosapond.routing.open_transaction import OpenTransaction
 from mimosapond.routing.work import Work
 from mimosapond.routing.work_outcome import WorkDone, WorkOutcome
--- a/features/steps/database_group_steps.py
+++ b/features/steps/database_group_steps.py
@@ -22,7 +22,7 @@
 from mimosapond.groups.member_answer import Completed
 from mimosapond.groups.member_record import MemberRecord
 from mimosapond.groups.member_status import MemberStatus
-from mimosapond.platform.member_link import WireMemberDialer
+from mimosapond.platform.member_dialer import WireMemberDialer
 from mimosapond.statements.statement import Begin
 from standins.database_group.signature import is_answer_to
 from standins.processes import Processes, free_addresses
--- a/features/steps/platform_wire_steps.py
+++ b/features/steps/platform_wire_steps.py
@@ -25,7 +25,7 @@
 from mimosapond.groups.member_record import MemberRecord
 from mimosapond.groups.member_status import MemberStatus
 from mimosapond.platform.caller_link import CallerServer
-from mimosapond.platform.member_link import WireMemberDialer
+from mimosapond.platform.member_dialer import WireMemberDialer
 from mimosapond.platform.registration_codec import decode_registration
 from mimosapond.platform.statement_codec import decode_statement
 from mimosapond.statements.statement import Direct
--- a/mimosapond/entry/host_settings.py
+++ b/mimosapond/entry/host_settings.py
@@ -24,11 +24,9 @@
     invalid_file,
     unreadable_file,
 )
+from mimosapond.setting_limits import DAY_MS, HOUR_S, LOG_LEVELS
 from mimosapond.yaml_mapping import compose_mapping
 
-_LOG_LEVELS: Final = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
-_DAY_MS: Final = 86_400_000
-_HOUR_S: Final = 3600
 _REQUIRED: Final = (
     'host',
     'data_centre',
@@ -47,9 +45,9 @@
         'peer_address': AddressRule(),
         'store_address': AddressRule(),
         'promotion_address': AddressRule(),
-        'stop_grace_s': NumberRule(0.1, _HOUR_S),
-        'member_drain_ms': NumberRule(1, _DAY_MS),
-        'log_level': ChoiceRule(_LOG_LEVELS),
+        'stop_grace_s': NumberRule(0.1, HOUR_S),
+        'member_drain_ms': NumberRule(1, DAY_MS),
+        'log_level': ChoiceRule(LOG_LEVELS),
     },
 )
 
--- a/mimosapond/groups/connection_pool.py
+++ b/mimosapond/groups/connection_pool.py
@@ -167,7 +167,8 @@
         link = connection.link
         if not link.is_open or link.state is SessionState.idle:
             return False
-        logger.bind(connection=link.name, state=str(link.state)).warning(
+        state = '' if link.state is None else link.state.value
+        logger.bind(connection=link.name, state=state).warning(
             'connection_unsettled'
         )
         return True
--- a/mimosapond/peers/peer_server.py
+++ b/mimosapond/peers/peer_server.py
@@ -9,11 +9,12 @@
 
 from loguru import logger
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.httputil import HTTPServerRequest
 from tornado.iostream import StreamClosedError
 
 from mimosapond.boot_clock import Now
 from mimosapond.groups.group_directory import GroupDirectory
+from mimosapond.json_response import send_json
 from mimosapond.peers import peer_paths
 from mimosapond.peers.peer_desk import PeerDesk
 from mimosapond.peers.work_codec import (
@@ -142,22 +143,7 @@
 def _send(
     request: HTTPServerRequest, status: HTTPStatus, body: Mapping[str, Any]
 ) -> None:
-    content = json.dumps(body).encode()
-    headers = HTTPHeaders(
-        {
-            'Content-Type': 'application/json',
-            'Content-Length': str(len(content)),
-        },
-    )
-    connection = request.connection
-    if connection is None:
-        return
     try:
-        connection.write_headers(
-            ResponseStartLine('HTTP/1.1', status, status.phrase),
-            headers,
-            content,
-        )
-        connection.finish()
+        send_json(request, status, body)
     except StreamClosedError:
         logger.bind(path=request.path).info('peer_left')
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -32,7 +32,7 @@
 from mimosapond.peers.primary_finder import PrimaryFinder
 from mimosapond.peers.transaction_keys import TransactionKeys
 from mimosapond.platform.caller_link import CallerServer
-from mimosapond.platform.member_link import WireMemberDialer
+from mimosapond.platform.member_dialer import WireMemberDialer
 from mimosapond.platform.promotion_client import PromotionClient
 from mimosapond.platform.store_client import StoreClient
 from mimosapond.platform.store_configuration import StoreConfiguration
--- a/mimosapond/platform/member_link.py
+++ b/mimosapond/platform/member_link.py
@@ -1,14 +1,11 @@
 """Connections to members on the platform's wire."""
 
 import asyncio
-import itertools
 from typing import Final, final
 
 from loguru import logger
 from tornado.iostream import StreamClosedError
-from tornado.tcpclient import TCPClient
 
-from mimosapond.address_resolver import AddressResolver
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member_answer import (
     Completed,
@@ -18,8 +15,6 @@
     RejectionKind,
 )
 from mimosapond.groups.member_port import StatusAnswer
-from mimosapond.groups.member_record import MemberRecord
-from mimosapond.groups.member_status import MemberStatus
 from mimosapond.platform.line_stream import (
     LineStream,
     LineTooLongError,
@@ -30,6 +25,7 @@
     encode_position,
 )
 from mimosapond.platform.statement_codec import encode_prepare
+from mimosapond.platform.status_codec import decode_status
 from mimosapond.platform.wire_names import REJECTIONS, STATES
 from mimosapond.statements.reply import SessionState
 from mimosapond.statements.statement import Begin, Commit, Direct, Shape
@@ -38,19 +34,18 @@
 _OWN_ID: Final = '-'
 # In place of a signature, in answers to them.
 _UNSIGNED: Final = frozenset(('-', ''))
-_CALLER_NAME: Final = 'mimosapond'
-_STATUS_FIELDS: Final = 4
 
 
-class _NoMessageError(Exception):
+class NoMessageError(Exception):
     """The member sent something that is no message of the wire."""
 
 
-_BROKEN: Final = (
+# No further request can be made on a connection that raised one of these.
+BROKEN: Final = (
     StreamClosedError,
     LineTooLongError,
     LineUnreadableError,
-    _NoMessageError,
+    NoMessageError,
 )
 
 
@@ -136,19 +131,19 @@
 
     async def status(self, limit_s: float) -> StatusAnswer:
         """Ask for role and log position."""
-        return _status(await self._ask(_OWN_ID, 'STATUS', limit_s))
+        return await self._ask_status('STATUS', limit_s)
 
     async def pause(self, term: int, limit_s: float) -> StatusAnswer:
         """Stop a replica from receiving."""
-        return _status(await self._ask(_OWN_ID, f'PAUSE {term}', limit_s))
+        return await self._ask_status(f'PAUSE {term}', limit_s)
 
     async def resume(self, limit_s: float) -> StatusAnswer:
         """Let a paused replica receive again."""
-        return _status(await self._ask(_OWN_ID, 'RESUME', limit_s))
+        return await self._ask_status('RESUME', limit_s)
 
     async def step_down(self, term: int, limit_s: float) -> StatusAnswer:
         """Make a primary of a lower term a replica."""
-        return _status(await self._ask(_OWN_ID, f'STEPDOWN {term}', limit_s))
+        return await self._ask_status(f'STEPDOWN {term}', limit_s)
 
     def close(self) -> None:
         """Close; the member rolls back an open transaction."""
@@ -159,7 +154,7 @@
     async def _ask(
         self, request_id: str, text: str, limit_s: float
     ) -> MemberAnswer:
-        first = self._begin(request_id)
+        first = self._start_answer(request_id)
         if isinstance(first, LinkLost):
             return first
         self._request_id = request_id
@@ -170,7 +165,7 @@
                 answer = await self._answer(first)
         except TimeoutError:
             return self._lose('no answer in time')
-        except _BROKEN as error:
+        except BROKEN as error:
             return self._lose(repr(error))
         finally:
             self._request_id = ''
@@ -178,10 +173,22 @@
                 # The rest of an answer would be taken for the next one.
                 self._lines.close()
         if _is_out_of_step(request_id, answer):
-            return self._lose_step(request_id, str(answer))
+            self._log_out_of_step(request_id, str(answer))
+            return self._lose('the answer was of another request')
         return answer
 
-    def _begin(self, request_id: str) -> asyncio.Future[bytes] | LinkLost:
+    async def _ask_status(self, text: str, limit_s: float) -> StatusAnswer:
+        answer = await self._ask(_OWN_ID, text, limit_s)
+        if not isinstance(answer, Completed):
+            return answer
+        try:
+            return decode_status(answer.rows)
+        except ValueError as error:
+            return self._lose(f'a status that cannot be read: {error}')
+
+    def _start_answer(
+        self, request_id: str
+    ) -> asyncio.Future[bytes] | LinkLost:
         """Start to read the answer; nothing may be there before the request."""
         if self._request_id:
             return self._refuse_shared(request_id)
@@ -193,7 +200,8 @@
             return first
         failure = first.exception()
         if failure is None:
-            self._lose_step(request_id, repr(first.result()))
+            self._log_out_of_step(request_id, repr(first.result()))
+            return self._lose('an answer came unasked', was_sent=False)
         return self._lose(repr(failure), was_sent=False)
 
     def _refuse_shared(self, request_id: str) -> LinkLost:
@@ -205,11 +213,10 @@
         ).error('connection_shared')
         return self._lose('another request was under way', was_sent=False)
 
-    def _lose_step(self, request_id: str, answer: str) -> LinkLost:
+    def _log_out_of_step(self, request_id: str, answer: str) -> None:
         logger.bind(
             connection=self.name, request=request_id, answer=answer
         ).error('answer_out_of_step')
-        return self._lose('the answer was of another request')
 
     def _lose(self, reason: str, *, was_sent: bool = True) -> LinkLost:
         self._state = None
@@ -229,82 +236,26 @@
                     return Completed(tuple(rows), rest, state, position)
                 case 'ERROR':
                     state, position = await self._end()
-                    return _rejected(rest, state, position)
+                    return decode_rejection(rest, state, position)
                 case _:
-                    raise _NoMessageError(word)
+                    raise NoMessageError(word)
             line = await self._lines.read()
 
     async def _end(self) -> tuple[SessionState, LogPosition | None]:
         fields = (await self._lines.read()).split(' ')
         if len(fields) != 3 or fields[0] != 'READY':
-            raise _NoMessageError(fields[0])
+            raise NoMessageError(fields[0])
         state = STATES.get(fields[1])
         if state is None:
-            raise _NoMessageError(fields[1])
+            raise NoMessageError(fields[1])
         try:
             position = decode_position(fields[2])
         except ValueError as error:
-            raise _NoMessageError('position') from error
+            raise NoMessageError('position') from error
         self._state = state
         return state, position
 
 
-@final
-class WireMemberDialer:
-    """Opens connections to members; see ``MemberDialer``."""
-
-    def __init__(self, connect_limit_s: float, start_limit_s: float) -> None:
-        """Take the limits of the two steps.
-
-        Parameters
-        ----------
-        connect_limit_s
-            Until the network answers; short, as a silent address is common.
-        start_limit_s
-            Until the member is ready; it may work on others before.
-        """
-        self._connect_limit_s = connect_limit_s
-        self._start_limit_s = start_limit_s
-        self._client = TCPClient(AddressResolver())
-        self._numbers = itertools.count(1)
-
-    async def dial(
-        self, record: MemberRecord
-    ) -> WireMemberConnection | Rejected | LinkLost:
-        """Open a connection to exactly this life of the member."""
-        try:
-            stream = await self._client.connect(
-                record.ip, record.port, timeout=self._connect_limit_s
-            )
-        except (OSError, TimeoutError) as error:
-            return LinkLost(f'connect: {error!r}')
-        lines = LineStream(stream)
-        try:
-            async with asyncio.timeout(self._start_limit_s):
-                return await self._start(lines, record)
-        except TimeoutError:
-            lines.close()
-            return LinkLost('start: no answer in time')
-        except _BROKEN as error:
-            lines.close()
-            return LinkLost(f'start: {error!r}')
-
-    async def _start(
-        self, lines: LineStream, record: MemberRecord
-    ) -> WireMemberConnection | Rejected:
-        await lines.write(
-            f'START {record.group} {_CALLER_NAME} {record.member_id}'
-        )
-        word, _, rest = (await lines.read()).partition(' ')
-        if word == 'READY':
-            name = f'{record.member_id}#{next(self._numbers)}'
-            return WireMemberConnection(name, lines)
-        lines.close()
-        if word != 'ERROR':
-            raise _NoMessageError(word)
-        return _rejected(rest, SessionState.idle, None)
-
-
 def _is_out_of_step(request_id: str, answer: MemberAnswer) -> bool:
     """Return whether the answer belongs to a request of the other kind.
 
@@ -322,35 +273,10 @@
     return f'WAITLSN {encode_position(position)} {text}'
 
 
-def _rejected(
+def decode_rejection(
     rest: str, state: SessionState, position: LogPosition | None
 ) -> Rejected:
+    """Return the rejection that the text after the word ERROR tells."""
     code, _, text = rest.partition(' ')
     kind = REJECTIONS.get(code, RejectionKind.other)
     return Rejected(kind, f'{code} {text}', state, position)
-
-
-def _status(answer: MemberAnswer) -> StatusAnswer:
-    if not isinstance(answer, Completed):
-        return answer
-    fields = answer.rows[0].split(' ') if answer.rows else []
-    if len(fields) < _STATUS_FIELDS:
-        return LinkLost('a status without its fields')
-    try:
-        return _decode_status(fields)
-    except ValueError as error:
-        return LinkLost(f'a status that cannot be read: {error}')
-
-
-def _decode_status(fields: list[str]) -> StatusAnswer:
-    received = decode_position(fields[2])
-    if received is None:
-        return LinkLost('a status without a position')
-    # The fourth field is the term of the pause that the member holds.
-    paused_term = int(fields[3]) if fields[3].isdecimal() else 0
-    return MemberStatus(
-        is_primary=fields[0] == 'primary',
-        term=int(fields[1]),
-        received=received,
-        paused_term=paused_term,
-    )
--- a/mimosapond/platform/service.py
+++ b/mimosapond/platform/service.py
@@ -14,7 +14,7 @@
 from mimosapond.ordinary_line_limit import OrdinaryLineLimit
 from mimosapond.platform.composition import PlatformComposition
 
-# At some 100 bytes a line; a host that is busier samples its ordinary work.
+# A busier host samples the lines of its ordinary work.
 _ORDINARY_LINES_PER_S: Final = 200
 
 
--- a/mimosapond/routing/read_router.py
+++ b/mimosapond/routing/read_router.py
@@ -103,8 +103,8 @@
         self._now = now
         self._tried: list[Member] = []
         self._pending: dict[_Attempt, Member] = {}
-        # Members whose connection a try waits for; nothing was sent there.
-        self._borrowing: set[Member] = set()
+        # Members whose present try has not sent the request yet.
+        self._unsent: set[Member] = set()
         self._was_sent = False
 
     async def run(self) -> Reply | None:
@@ -123,7 +123,7 @@
     def withdraw(self) -> None:
         """End the tries that have sent nothing; the others free themselves."""
         for attempt, member in self._pending.items():
-            if member in self._borrowing:
+            if member in self._unsent:
                 attempt.cancel()
 
     def _give_up(self) -> Reply:
@@ -148,6 +148,7 @@
         if member is None:
             return self._end_round()
         self._tried.append(member)
+        self._unsent.add(member)
         attempt = asyncio.create_task(self._attempt(member))
         self._running.add(attempt)
         attempt.add_done_callback(self._running.discard)
@@ -189,19 +190,16 @@
 
     async def _attempt(self, member: Member) -> MemberAnswer | NoConnection:
         work = self._work
-        self._borrowing.add(member)
-        try:
-            connection = await member.pool.borrow(
-                work.route.priority,
-                min(_BORROW_S, work.deadline_s - self._now()),
-                work.values,
-            )
-        finally:
-            self._borrowing.discard(member)
+        connection = await member.pool.borrow(
+            work.route.priority,
+            min(_BORROW_S, work.deadline_s - self._now()),
+            work.values,
+        )
         if isinstance(connection, NoConnection):
             return connection
         limit_s = max(work.deadline_s - self._now(), 0)
         try:
+            self._unsent.discard(member)
             self._was_sent = True
             return await run_work(connection, work, self._position, limit_s)
         except RestoreFailed as error:
--- /dev/null
+++ b/mimosapond/setting_limits.py
@@ -0,0 +1,7 @@
+"""Words and bounds that the settings of both daemons allow."""
+
+from typing import Final
+
+LOG_LEVELS: Final = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
+DAY_MS: Final = 86_400_000
+HOUR_S: Final = 3600
--- a/mimosapond/settings_loader.py
+++ b/mimosapond/settings_loader.py
@@ -36,11 +36,9 @@
     unreadable_file,
 )
 from mimosapond.options import Options, RoutingPolicy
+from mimosapond.setting_limits import DAY_MS, HOUR_S, LOG_LEVELS
 from mimosapond.yaml_mapping import YamlMapping, compose_mapping
 
-_LOG_LEVELS: Final = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
-_DAY_MS: Final = 86_400_000
-_HOUR_S: Final = 3600
 _MILLION: Final = 1_000_000
 _GIBIBYTE: Final = 1_073_741_824
 _REQUIRED: Final = (
@@ -64,28 +62,28 @@
         'operator_address': AddressRule(),
         'platform_address': AddressRule(),
         'statsd_address': AddressRule(),
-        'log_level': ChoiceRule(_LOG_LEVELS),
+        'log_level': ChoiceRule(LOG_LEVELS),
         'routing_policy': ChoiceRule(tuple(RoutingPolicy)),
         'direct_host_count': WholeNumberRule(1, 100_000),
         'body_limit_bytes': WholeNumberRule(1, _GIBIBYTE),
-        'header_timeout_s': NumberRule(0.1, _HOUR_S),
-        'idle_timeout_s': NumberRule(0.1, _HOUR_S),
+        'header_timeout_s': NumberRule(0.1, HOUR_S),
+        'idle_timeout_s': NumberRule(0.1, HOUR_S),
         'caller_connection_limit_count': WholeNumberRule(1, _MILLION),
-        'beacon_interval_ms': WholeNumberRule(1, _DAY_MS),
-        'suspect_after_ms': WholeNumberRule(1, _DAY_MS),
-        'connection_check_timeout_ms': WholeNumberRule(1, _DAY_MS),
-        'probe_interval_ms': WholeNumberRule(1, _DAY_MS),
-        'platform_poll_interval_ms': WholeNumberRule(1, _DAY_MS),
-        'platform_timeout_ms': WholeNumberRule(1, _DAY_MS),
-        'platform_lock_timeout_ms': WholeNumberRule(1, _DAY_MS),
-        'drain_timeout_s': NumberRule(0, _HOUR_S),
+        'beacon_interval_ms': WholeNumberRule(1, DAY_MS),
+        'suspect_after_ms': WholeNumberRule(1, DAY_MS),
+        'connection_check_timeout_ms': WholeNumberRule(1, DAY_MS),
+        'probe_interval_ms': WholeNumberRule(1, DAY_MS),
+        'platform_poll_interval_ms': WholeNumberRule(1, DAY_MS),
+        'platform_timeout_ms': WholeNumberRule(1, DAY_MS),
+        'platform_lock_timeout_ms': WholeNumberRule(1, DAY_MS),
+        'drain_timeout_s': NumberRule(0, HOUR_S),
         # Above one half, the old and the new owner of a replica together
         # could exceed the connection limit of the member.
         'connection_share_ratio': NumberRule(0.01, 0.5),
         'queue_limit_count': WholeNumberRule(1, _MILLION),
         'session_limit_count': WholeNumberRule(1, _MILLION),
-        'long_statement_ms': WholeNumberRule(1, _DAY_MS),
-        'aging_step_s': NumberRule(0.1, _HOUR_S),
+        'long_statement_ms': WholeNumberRule(1, DAY_MS),
+        'aging_step_s': NumberRule(0.1, HOUR_S),
     }
 )
 
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -9,6 +9,7 @@
 import attrs
 
 from soak.plan import SoakPlan
+from standins.database_group.group_settings import MemberPlace
 from standins.processes import free_addresses
 
 MEMBER_COUNT: Final = 3
@@ -34,16 +35,6 @@
     link_port: int
 
 
-@final
-@attrs.frozen
-class MemberPlace:
-    """Id and port of a member."""
-
-    member_id: str
-    port: int
-    data_centre: str
-
-
 @final
 @attrs.frozen
 class GroupPlace:
--- a/standins/platform_services/faulty_server.py
+++ b/standins/platform_services/faulty_server.py
@@ -1,7 +1,6 @@
 """HTTP server whose calls suffer the faults of a service."""
 
 import asyncio
-import json
 import time
 from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
@@ -9,10 +8,11 @@
 
 from loguru import logger
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.httputil import HTTPServerRequest
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
+from mimosapond.json_response import send_json
 from standins.platform_services.store_fault import StoreFault
 
 _SLOW_S: Final = 0.4
@@ -100,17 +100,7 @@
 
 def _send(request: HTTPServerRequest, answer: ServiceAnswer) -> None:
     status, body = answer
-    content = json.dumps(body).encode()
-    headers = HTTPHeaders({'Content-Length': str(len(content))})
-    connection = request.connection
-    if connection is None:
-        return
     try:
-        connection.write_headers(
-            ResponseStartLine('HTTP/1.1', status, status.phrase),
-            headers,
-            content,
-        )
-        connection.finish()
+        send_json(request, status, body)
     except StreamClosedError:
         logger.bind(path=request.path).debug('caller_left')
