Split the largest modules of the first path

Command groups, the wiring of terms, listeners and the spread of documents, the choice of an owner, grants and numbers of terms, and the steps of a transaction are modules of their own.

--- a/mimosapond/acquire_attempts.py
+++ b/mimosapond/acquire_attempts.py
@@ -2,6 +2,8 @@
 
 from typing import Final, final
 
+import attrs
+
 from mimosapond.group_spec import GroupSpec
 from mimosapond.invariant_error import InvariantError
 from mimosapond.keeper_ports import KeeperPorts
@@ -14,7 +16,7 @@
 _LEAST_PAUSE_RATIO: Final = 0.5
 # Delays between keepers of one group that see the same failure: longer than
 # the calls of an undisturbed promotion, so that the first one is done.
-RANK_DELAY_S: Final = 0.15
+_RANK_DELAY_S: Final = 0.15
 
 
 @final
@@ -34,6 +36,25 @@
         self._failure_count = 0
         self._next_s: float = 0
 
+    def delay_s(self, primary: str | None) -> float:
+        """Return how long to leave the action to keepers listed before."""
+        ranked = [
+            host.host_id
+            for host in self._ports.opinions.keepers(
+                attrs.evolve(
+                    self._group,
+                    members=tuple(
+                        member
+                        for member in self._group.members
+                        if member.name != primary
+                    ),
+                ),
+            )
+        ]
+        if self._parts.host_id in ranked:
+            return ranked.index(self._parts.host_id) * _RANK_DELAY_S
+        return len(ranked) * _RANK_DELAY_S
+
     def succeed(self) -> None:
         """Forget earlier failures."""
         self._failure_count = 0
--- a/mimosapond/cli.py
+++ b/mimosapond/cli.py
@@ -4,7 +4,6 @@
 only after all arguments were understood.
 """
 
-import pathlib
 import sys
 from collections.abc import Mapping, Sequence
 from typing import Any, Final, final
@@ -16,100 +15,30 @@
     CliReport,
     Deferred,
     bad_usage,
-    done,
-    invalid,
     pretty_json,
     report_outcome,
     run_deferred,
 )
+from mimosapond.cli_commands import (
+    GroupCommands,
+    HostCommands,
+    SettingsCommands,
+    TargetCommands,
+)
 from mimosapond.clock import MS_PER_S, SystemClock
 from mimosapond.codec import decode
 from mimosapond.document_commands import DocumentCommands
 from mimosapond.exit_code import ExitCode
-from mimosapond.file_problem import InvalidFile
 from mimosapond.host_status import HostStatus
-from mimosapond.settings_loader import load_settings
 from mimosapond.statement_body import BadOptionError, statement_body
 from mimosapond.status_tables import status_text
 from mimosapond.text_arguments import text_arguments
 
-_POST: Final = 'POST'
 # Time for the host to answer after the deadline of a statement.
 _ANSWER_MARGIN_S: Final = 2
 _MAX_TIMEOUT_S: Final = 3600
 
 
-@final
-class SettingsCommands:
-    """Check settings files."""
-
-    @text_arguments
-    def validate(self, path: str) -> Deferred:
-        """Check a settings file without starting a host."""
-        return Deferred(lambda: _validate_settings(path))
-
-
-@final
-class TargetCommands:
-    """Stop and resume new work for targets."""
-
-    def __init__(self, connection: CliConnection) -> None:
-        """Take the shared options."""
-        self._connection = connection
-
-    @text_arguments
-    def drain(self, name: str) -> Deferred:
-        """Send no new work to a target."""
-        return self._set(name, 'drain')
-
-    @text_arguments
-    def undrain(self, name: str) -> Deferred:
-        """Send work to a target again."""
-        return self._set(name, 'undrain')
-
-    def _set(self, name: str, action: str) -> Deferred:
-        path = url_path('targets', name, action)
-        return Deferred(
-            lambda: self._connection.operate(_POST, path, {}, _show_target)
-        )
-
-
-@final
-class GroupCommands:
-    """Change the primary of a group."""
-
-    def __init__(self, connection: CliConnection) -> None:
-        """Take the shared options."""
-        self._connection = connection
-
-    @text_arguments
-    def promote(self, group: str, member: str) -> Deferred:
-        """Make a member the primary of its group."""
-        path = url_path('groups', group, 'promote')
-        return Deferred(
-            lambda: self._connection.operate(
-                _POST, path, {'member': member}, _show_view
-            )
-        )
-
-
-@final
-class HostCommands:
-    """Stop hosts gracefully."""
-
-    def __init__(self, connection: CliConnection) -> None:
-        """Take the shared options."""
-        self._connection = connection
-
-    def drain(self) -> Deferred:
-        """Start the graceful shutdown of the host at --host."""
-        return Deferred(
-            lambda: self._connection.operate(
-                _POST, url_path('drain'), {}, _show_host_drain
-            )
-        )
-
-
 @final
 class Mimosapond:
     """Operate mimosapond. docs/cli.md describes commands and exit codes.
@@ -261,13 +190,6 @@
     return None if isinstance(component, Deferred) else component
 
 
-def _validate_settings(path: str) -> CliReport:
-    found = load_settings(pathlib.Path(path))
-    if isinstance(found, InvalidFile):
-        return invalid(path, found)
-    return done(f'the settings of {found.host_name} are valid')
-
-
 def _name_request(report: CliReport, body: Mapping[str, Any]) -> CliReport:
     names = ' '.join(
         str(body[name]) for name in ('service', 'workspace', 'request_id')
@@ -283,21 +205,5 @@
     return status_text(decode(HostStatus, fields))
 
 
-def _show_target(body: Mapping[str, Any]) -> str:
-    state = 'is leaving' if body['is_leaving'] else 'takes work again'
-    return f'{body["member"]} {state}'
-
-
-def _show_view(body: Mapping[str, Any]) -> str:
-    return (
-        f'{body["group"]} has the primary {body["primary"]} '
-        f'at term {body["term"]}'
-    )
-
-
-def _show_host_drain(body: Mapping[str, Any]) -> str:
-    return f'host {body["host_id"]} is shutting down'
-
-
 if __name__ == '__main__':
     main()
--- a/mimosapond/composition.py
+++ b/mimosapond/composition.py
@@ -10,79 +10,49 @@
 from collections.abc import Mapping
 from typing import Final, final
 
-from tornado.web import Application
-
 from mimosapond.address_book import AddressBook
-from mimosapond.age_trackers import AgeTrackers
-from mimosapond.anti_entropy import AntiEntropy
 from mimosapond.attempt_gate import AttemptGate
 from mimosapond.beacon_refresher import BeaconRefresher
-from mimosapond.caller_error_handler import UnknownPathHandler
 from mimosapond.caller_routes import build_caller_routes
 from mimosapond.clock import MS_PER_S, SystemClock
+from mimosapond.composition_listeners import open_listeners
+from mimosapond.composition_spread import SpreadNeeds, build_spread
+from mimosapond.composition_terms import TermComposition
 from mimosapond.decision_log import LoguruDecisionLog
 from mimosapond.degraded_paths import DegradedPaths
-from mimosapond.direct_members import DirectMembers
-from mimosapond.direct_terms import DirectTerms
 from mimosapond.document_editor import DocumentEditor
-from mimosapond.document_spreader import DocumentSpreader
-from mimosapond.document_store import DocumentStore
-from mimosapond.draining import LeavingTargets
 from mimosapond.entry_services import EntryServices
 from mimosapond.floor_finder import FloorFinder
-from mimosapond.gossip_pusher import GossipPusher
-from mimosapond.gossip_state import GossipState
-from mimosapond.group_keeper import GroupKeeper
-from mimosapond.group_spec import GroupSpec
-from mimosapond.group_supervisor import GroupSupervisor, SupervisedParts
 from mimosapond.group_views import GroupViews
-from mimosapond.holder_installer import HolderInstaller
 from mimosapond.host import Host
 from mimosapond.host_actions import HostActions
 from mimosapond.host_caller import HostCaller
 from mimosapond.host_leave import HostLeave
-from mimosapond.host_list_poller import HostListPoller
 from mimosapond.host_parts import HostParts
 from mimosapond.host_record import HostRecord
 from mimosapond.host_state import HostState
 from mimosapond.http_platform import HttpPlatform
 from mimosapond.in_flight import InFlight
-from mimosapond.json_link import MAX_MESSAGE_BYTES
-from mimosapond.json_link_server import JsonLinkHandler
 from mimosapond.json_peers import JsonPeers
-from mimosapond.keeper_ports import KeeperPorts
 from mimosapond.listeners import Listeners
 from mimosapond.member_reader import MemberReader
-from mimosapond.membership import Membership
 from mimosapond.metrics import Metrics, NullMetrics, StatsdMetrics
-from mimosapond.operator_handlers import operator_application
 from mimosapond.operator_promotion import OperatorPromotion
-from mimosapond.opinion_collector import OpinionCollector
-from mimosapond.options import Options, RoutingPolicy
+from mimosapond.options import Options
 from mimosapond.owner_operations import OwnerOperations
-from mimosapond.owner_registry import OwnerRegistry
-from mimosapond.peer_contacts import PeerContacts
 from mimosapond.peer_port import PeerOperation
-from mimosapond.planned_switchover import PlannedSwitchover
 from mimosapond.prober import Prober
 from mimosapond.read_planner import ReadPlanner
 from mimosapond.read_router import ReadRouter
-from mimosapond.rendezvous import Placement
 from mimosapond.request_resolver import RequestResolver
 from mimosapond.request_validator import RequestValidator
 from mimosapond.retry_budget import RetryBudget
 from mimosapond.router import Router
-from mimosapond.seed_addresses import SeedAddresses
 from mimosapond.spread_operations import SpreadOperations
-from mimosapond.term_acquirer import TermAcquirer
-from mimosapond.term_claim import TermClaims
-from mimosapond.term_parts import TermParts
-from mimosapond.term_registry import TermRegistry
+from mimosapond.term_needs import TermNeeds
 from mimosapond.websocket_target import WebsocketTarget
 
 _SUFFIX_BYTES: Final = 4
-_PEER_PING_INTERVAL_S: Final = 20
-_PEER_PING_TIMEOUT_S: Final = 10
 # With the baseline policy, the entry host runs these itself.
 _ENTRY_OPERATIONS: Final = frozenset(('run', 'begin', 'floor', 'settle'))
 _TRANSACTION_OPERATIONS: Final = ('execute', 'commit', 'rollback')
@@ -99,8 +69,22 @@
         self._random = random.Random()
         self._build_base()
         self._build_spread()
-        self._build_owner_side()
-        self._build_terms()
+        self._terms = TermComposition(
+            TermNeeds(
+                host_id=self._own.host_id,
+                options=self._options,
+                target=self._target,
+                platform=self._platform,
+                peers=self._peers,
+                views=self._views,
+                spread=self._spread,
+                clock=self._clock,
+                decisions=self._decisions,
+                metrics=self._metrics,
+                degraded=self._degraded,
+                random_source=self._random,
+            ),
+        )
         self._build_entry()
         self._build_listeners()
 
@@ -112,29 +96,29 @@
                 listeners=self._listeners,
                 in_flight=self._in_flight,
                 peer_calls=self._peer_calls,
-                supervisor=self._supervisor,
+                supervisor=self._terms.supervisor,
                 leave=HostLeave(
-                    self._membership,
-                    self._pusher,
-                    self._host_list,
+                    self._spread.membership,
+                    self._spread.pusher,
+                    self._spread.host_list,
                 ),
                 prober=Prober(
-                    self._gossip,
-                    self._contacts,
+                    self._spread.gossip,
+                    self._spread.contacts,
                     self._clock,
                     self._options,
                 ),
-                pusher=self._pusher,
-                anti_entropy=self._anti_entropy,
-                spreader=self._spreader,
-                host_list=self._host_list,
+                pusher=self._spread.pusher,
+                anti_entropy=self._spread.anti_entropy,
+                spreader=self._spread.spreader,
+                host_list=self._spread.host_list,
                 peers=self._peers,
                 target=self._target,
                 platform=self._platform,
-                direct_terms=self._direct_terms,
+                direct_terms=self._terms.direct_terms,
             ),
         )
-        self._membership.subscribe(
+        self._spread.membership.subscribe(
             functools.partial(self._follow_own_state, host),
         )
         self._listen(host)
@@ -167,163 +151,31 @@
         self._views = GroupViews()
 
     def _build_spread(self) -> None:
-        options = self._options
-        interval_s = options.probe_interval_ms / MS_PER_S
-        self._membership = Membership(
-            self._own,
-            self._clock,
-            self._decisions,
-            interval_s,
-        )
-        self._placement = Placement(self._membership, self._decisions)
-        self._store = DocumentStore(self._decisions)
-        self._leaving = LeavingTargets(self._decisions)
-        self._contacts = PeerContacts(
-            self._membership,
-            SeedAddresses(options.seed_addresses),
-            self._peers,
-            self._random,
-        )
-        self._spreader = DocumentSpreader(
-            self._store,
-            self._platform,
-            self._contacts,
-            self._degraded,
-            self._clock,
-            options,
-        )
-        self._gossip = GossipState(
-            self._membership,
-            self._views,
-            self._leaving,
-            self._spreader,
-        )
-        self._pusher = GossipPusher(self._gossip, self._contacts, options)
-        self._anti_entropy = AntiEntropy(
-            self._gossip,
-            self._contacts,
-            self._clock,
-            options,
-        )
-        self._host_list = HostListPoller(
-            self._platform,
-            self._contacts,
-            self._leaving,
-            self._store,
-            self._degraded,
-            self._clock,
-            options,
-        )
-
-    def _build_owner_side(self) -> None:
-        self._owners = OwnerRegistry(
-            self._target,
-            self._options,
-            self._clock,
-            self._decisions,
-            self._metrics,
-        )
-        self._holders = TermRegistry()
-        self._ages = AgeTrackers(self._clock)
-        self._reader = MemberReader(
-            self._owners,
-            self._holders.holder,
-            self._ages,
-            BeaconRefresher(self._ages, self._refresh),
-            self._clock,
-            self._decisions,
-            self._leaving,
-        )
-
-    async def _refresh(self, group: str) -> None:
-        await self._supervisor.refresh(group)
-
-    def _build_terms(self) -> None:
-        self._term_parts = TermParts(
-            host_id=self._own.host_id,
-            options=self._options,
-            target=self._target,
-            clock=self._clock,
-            decisions=self._decisions,
-            metrics=self._metrics,
-        )
-        self._build_direct()
-        slots = self._direct_members or self._owners
-        self._acquirer = TermAcquirer(
-            self._term_parts,
-            TermClaims(self._term_parts, self._platform),
-            self._views,
-            HolderInstaller(self._term_parts, slots, self._holders),
-            self._leaving,
-        )
-        self._planned = PlannedSwitchover(
-            self._term_parts,
-            self._acquirer,
-            self._holders,
-            self._leaving,
-        )
-        self._supervisor = GroupSupervisor(
-            SupervisedParts(
-                store=self._store,
-                membership=self._membership,
-                placement=self._placement,
-                owners=self._owners,
-                holders=self._holders,
+        self._spread = build_spread(
+            SpreadNeeds(
+                own=self._own,
+                options=self._options,
+                peers=self._peers,
+                platform=self._platform,
+                views=self._views,
                 clock=self._clock,
-                build_keeper=self._build_keeper,
-            ),
-        )
-
-    def _build_direct(self) -> None:
-        self._direct_members: DirectMembers | None = None
-        self._direct_terms: DirectTerms | None = None
-        if self._options.routing_policy is not RoutingPolicy.DIRECT:
-            return
-        self._direct_members = DirectMembers(
-            self._store,
-            self._target,
-            self._options,
-            self._clock,
-        )
-        self._direct_terms = DirectTerms(
-            self._term_parts,
-            self._store,
-            self._views,
-            self._direct_members,
-            self._ages,
-        )
-
-    def _build_keeper(self, group: GroupSpec) -> GroupKeeper:
-        ports = KeeperPorts(
-            views=self._views,
-            registry=self._holders,
-            acquirer=self._acquirer,
-            opinions=OpinionCollector(
-                self._term_parts,
-                self._peers,
-                self._placement,
+                decisions=self._decisions,
+                degraded=self._degraded,
+                random_source=self._random,
             ),
-            peers=self._peers,
-            hosts=self._membership,
-            placement=self._placement,
-            ages=self._ages.tracker(group.name),
-            degraded=self._degraded,
-            planned=self._planned,
-            jitter=self._random,
         )
-        return GroupKeeper(self._term_parts, ports, group)
 
     def _build_entry(self) -> None:
-        is_direct = self._direct_terms is not None
+        is_direct = self._terms.direct_terms is not None
         self._caller = HostCaller(
             self._own.host_id,
             self._peers,
             _ENTRY_OPERATIONS if is_direct else frozenset(),
         )
         services = EntryServices(
-            hosts=self._membership,
-            owners=self._placement,
-            leaving=self._leaving,
+            hosts=self._spread.membership,
+            owners=self._spread.placement,
+            leaving=self._spread.leaving,
             views=self._views,
             caller=self._caller,
             budget=RetryBudget(),
@@ -336,7 +188,7 @@
         self._router = Router(
             services,
             RequestResolver(
-                self._store,
+                self._spread.store,
                 RequestValidator(self._clock),
                 self._clock,
             ),
@@ -350,13 +202,13 @@
     def _build_listeners(self) -> None:
         options = self._options
         owner_side = OwnerOperations(
-            reader=self._reader,
-            holders=self._holders,
-            keepers=self._supervisor,
+            reader=self._terms.reader,
+            holders=self._terms.holders,
+            keepers=self._terms.supervisor,
             views=self._views,
             clock=self._clock,
-            store=self._store,
-            planned=self._planned,
+            store=self._spread.store,
+            planned=self._terms.planned,
         ).operations()
         entry_side = self._direct_operations() or owner_side
         self._caller.serve(entry_side)
@@ -365,10 +217,10 @@
             **{name: entry_side[name] for name in _TRANSACTION_OPERATIONS},
         }
         spread = SpreadOperations(
-            self._gossip,
-            self._anti_entropy,
-            self._contacts,
-            self._spreader,
+            self._spread.gossip,
+            self._spread.anti_entropy,
+            self._spread.contacts,
+            self._spread.spreader,
         ).mapping()
         self._in_flight = InFlight()
         self._peer_calls = InFlight()
@@ -376,89 +228,59 @@
         self._listeners = Listeners(options)
 
     def _direct_operations(self) -> Mapping[str, PeerOperation]:
-        terms, members = self._direct_terms, self._direct_members
+        terms, members = self._terms.direct_terms, self._terms.direct_members
         if terms is None or members is None:
             return {}
         reader = MemberReader(
             members,
             terms.holder,
-            self._ages,
-            BeaconRefresher(self._ages, terms.refresh),
+            self._terms.ages,
+            BeaconRefresher(self._terms.ages, terms.refresh),
             self._clock,
             self._decisions,
-            self._leaving,
+            self._spread.leaving,
         )
         operations = OwnerOperations(
             reader=reader,
             holders=terms,
-            keepers=self._supervisor,
+            keepers=self._terms.supervisor,
             views=self._views,
             clock=self._clock,
-            store=self._store,
-            planned=self._planned,
+            store=self._spread.store,
+            planned=self._terms.planned,
         ).operations()
         return {**operations, 'floor': terms.floor}
 
     def _listen(self, host: Host) -> None:
-        options = self._options
-        callers = build_caller_routes(
-            self._router,
-            options.body_limit_bytes,
-            self._in_flight,
-        )
-        peer = {
-            'operations': self._operations,
-            'secret': options.peer_secret,
-        }
-        self._listeners.open(
-            'callers',
-            options.caller_address,
-            Application(
-                list(callers),
-                default_handler_class=UnknownPathHandler,
-                log_function=_ignore_request,
-            ),
-            options.caller_connection_limit_count,
-        )
-        self._listeners.open(
-            'peers',
-            options.peer_address,
-            Application(
-                [('/peer', JsonLinkHandler, peer)],
-                default_handler_class=UnknownPathHandler,
-                log_function=_ignore_request,
-                websocket_max_message_size=MAX_MESSAGE_BYTES,
-                # Closes links whose other end vanished without a word.
-                websocket_ping_interval=_PEER_PING_INTERVAL_S,
-                websocket_ping_timeout=_PEER_PING_TIMEOUT_S,
-            ),
-        )
-        self._listeners.open(
-            'operators',
-            options.operator_address,
-            operator_application(
-                self._build_actions(host),
-                options.operator_secret,
+        open_listeners(
+            self._listeners,
+            self._options,
+            build_caller_routes(
+                self._router,
+                self._options.body_limit_bytes,
+                self._in_flight,
             ),
+            self._operations,
+            self._build_actions(host),
         )
 
     def _build_actions(self, host: Host) -> HostActions:
         return HostActions(
-            store=self._store,
+            store=self._spread.store,
             editor=DocumentEditor(
-                self._store,
+                self._spread.store,
                 self._platform,
                 self._clock,
                 self._random,
                 self._options,
             ),
-            membership=self._membership,
+            membership=self._spread.membership,
             views=self._views,
-            supervisor=self._supervisor,
-            owners=self._owners,
-            leaving=self._leaving,
+            supervisor=self._terms.supervisor,
+            owners=self._terms.owners,
+            leaving=self._spread.leaving,
             promoter=OperatorPromotion(
-                self._membership,
+                self._spread.membership,
                 self._views,
                 self._caller,
             ),
@@ -472,7 +294,3 @@
         return NullMetrics()
     host, port = options.statsd_address.rsplit(':', 1)
     return StatsdMetrics(host, int(port))
-
-
-def _ignore_request(_handler: object) -> None:
-    """Leave request logging to the decision log."""
--- /dev/null
+++ b/mimosapond/composition_spread.py
@@ -0,0 +1,103 @@
+"""Connects the parts that know hosts and documents and spread them."""
+
+import random
+from typing import final
+
+import attrs
+
+from mimosapond.anti_entropy import AntiEntropy
+from mimosapond.clock import MS_PER_S, SystemClock
+from mimosapond.decision_log import DecisionLog
+from mimosapond.degraded_paths import DegradedPaths
+from mimosapond.document_spreader import DocumentSpreader
+from mimosapond.document_store import DocumentStore
+from mimosapond.draining import LeavingTargets
+from mimosapond.gossip_pusher import GossipPusher
+from mimosapond.gossip_state import GossipState
+from mimosapond.group_views import GroupViews
+from mimosapond.host_list_poller import HostListPoller
+from mimosapond.host_record import HostRecord
+from mimosapond.http_platform import HttpPlatform
+from mimosapond.json_peers import JsonPeers
+from mimosapond.membership import Membership
+from mimosapond.options import Options
+from mimosapond.peer_contacts import PeerContacts
+from mimosapond.rendezvous import Placement
+from mimosapond.seed_addresses import SeedAddresses
+
+
+@final
+@attrs.frozen
+class SpreadNeeds:
+    """What the parts use of the rest of the host."""
+
+    own: HostRecord
+    options: Options
+    peers: JsonPeers
+    platform: HttpPlatform
+    views: GroupViews
+    clock: SystemClock
+    decisions: DecisionLog
+    degraded: DegradedPaths
+    random_source: random.Random
+
+
+@final
+@attrs.frozen
+class SpreadParts:
+    """Hosts, documents and leaving targets, and what spreads them."""
+
+    membership: Membership
+    placement: Placement
+    store: DocumentStore
+    leaving: LeavingTargets
+    contacts: PeerContacts
+    spreader: DocumentSpreader
+    gossip: GossipState
+    pusher: GossipPusher
+    anti_entropy: AntiEntropy
+    host_list: HostListPoller
+
+
+def build_spread(needs: SpreadNeeds) -> SpreadParts:
+    """Build the parts in the order of their dependencies."""
+    options = needs.options
+    interval_s = options.probe_interval_ms / MS_PER_S
+    membership = Membership(needs.own, needs.clock, needs.decisions, interval_s)
+    store = DocumentStore(needs.decisions)
+    leaving = LeavingTargets(needs.decisions)
+    contacts = PeerContacts(
+        membership,
+        SeedAddresses(options.seed_addresses),
+        needs.peers,
+        needs.random_source,
+    )
+    spreader = DocumentSpreader(
+        store,
+        needs.platform,
+        contacts,
+        needs.degraded,
+        needs.clock,
+        options,
+    )
+    gossip = GossipState(membership, needs.views, leaving, spreader)
+    return SpreadParts(
+        membership=membership,
+        placement=Placement(membership, needs.decisions),
+        store=store,
+        leaving=leaving,
+        contacts=contacts,
+        spreader=spreader,
+        gossip=gossip,
+        pusher=GossipPusher(gossip, contacts, options),
+        anti_entropy=AntiEntropy(gossip, contacts, needs.clock, options),
+        host_list=HostListPoller(
+            needs.platform,
+            contacts,
+            leaving,
+            store,
+            needs.degraded,
+            needs.clock,
+            options,
+        ),
+    )
--- a/mimosapond/group_keeper.py
+++ b/mimosapond/group_keeper.py
@@ -6,29 +6,26 @@
 """
 
 import asyncio
-from typing import Any, Final, final
+from typing import Final, final
 
 import attrs
 
-from mimosapond.acquire_attempts import RANK_DELAY_S, AcquireAttempts
+from mimosapond.acquire_attempts import AcquireAttempts
 from mimosapond.beacon_watch import BeaconWatch, Beat
 from mimosapond.clock import MS_PER_S
 from mimosapond.degraded_path import DegradedPath
+from mimosapond.group_decisions import GroupDecisions
 from mimosapond.group_spec import GroupSpec
 from mimosapond.group_survey import GroupSurvey
 from mimosapond.group_view import GroupView
 from mimosapond.keeper_ports import KeeperPorts
 from mimosapond.opinion_collector import Opinions
-from mimosapond.peer_results import PeerAnswered
+from mimosapond.owner_preference import OwnerPreference
 from mimosapond.standing import Standing
 from mimosapond.target_results import ControlResult, TargetSilent
 from mimosapond.term_holder import TermHolder
 from mimosapond.term_parts import TermParts
 
-# Beacon intervals for which placement must be stable before a handover.
-_STABLE_COUNT: Final = 4
-# Beacon intervals until the next request after a refused handover.
-_HANDOVER_PAUSE_COUNT: Final = 40
 # Beacon intervals between surveys for members left at an unled term.
 _SURVEY_COUNT: Final = 4
 # After this many suspicion periods a keeper no longer waits for the preferred
@@ -37,7 +34,6 @@
 # The holder's own rounds are one interval and a round trip apart; with less
 # slack, every other pull of a replica's owner would begin one more.
 _ROUND_AGE_RATIO: Final = 1.5
-_HANDOVER_MARGIN_S: Final = 0.5
 
 
 @final
@@ -65,9 +61,10 @@
         self._watch = BeaconWatch(parts, ports)
         self._survey = GroupSurvey(parts, group)
         self._attempts = AcquireAttempts(parts, ports, group)
+        self._decisions = GroupDecisions(parts.decisions)
+        self._preference = OwnerPreference(parts, ports, group, self._decisions)
         self._healthy_s = parts.clock.monotonic_s()
         self._term = 0
-        self._misplaced_count = 0
         self._step_count = 0
         self._is_unled = False
 
@@ -135,7 +132,7 @@
             return
         self._term = view.term
         self._healthy_s = self._parts.clock.monotonic_s()
-        self._misplaced_count = 0
+        self._preference.restart()
         holder = self._ports.registry.holder(view.group)
         if holder is not None and holder.view.term < view.term:
             self._ports.registry.remove(view.group)
@@ -153,7 +150,8 @@
         self._attempts.succeed()
         self._ports.degraded.clear(DegradedPath.WRITES_REFUSED, view.group)
         if holder is None:
-            await self._prefer_own(view)
+            if await self._preference.takes_over(view, self._check_primary):
+                await self._attempts.acquire(keep=view.primary)
         else:
             await self._heal(view)
             await self._ports.planned.follow(self._group, holder)
@@ -167,7 +165,9 @@
         )
         evidence = _Evidence(beat, primary, opinions)
         if beat is Beat.CONFIRMED:
-            self._decide(view, 'none', 'a new connection answers', evidence)
+            self._decisions.record(
+                view, 'none', 'a new connection answers', evidence
+            )
             await self._after_confirmed(view, self._watch.own_holder(view))
             return
         self._ports.degraded.enter(
@@ -177,7 +177,7 @@
         )
         is_own = self._watch.own_holder(view) is not None
         if beat is Beat.UNCONFIRMED and not is_own and not self._is_overdue():
-            self._decide(view, 'none', 'left to the holder', evidence)
+            self._decisions.record(view, 'none', 'left to the holder', evidence)
         elif isinstance(primary, TargetSilent):
             await self._replace(view, evidence)
         else:
@@ -190,13 +190,15 @@
     async def _replace(self, view: GroupView, evidence: _Evidence) -> None:
         """Promote the newest member if others don't reach the primary."""
         if not evidence.opinions.allow_promotion:
-            self._decide(view, 'none', 'no support of other keepers', evidence)
+            self._decisions.record(
+                view, 'none', 'no support of other keepers', evidence
+            )
             return
         is_own = self._watch.own_holder(view) is not None
-        delay_s = 0 if is_own else self._delay_s(view.primary)
+        delay_s = 0 if is_own else self._attempts.delay_s(view.primary)
         if await self._attempts.yield_to_others(delay_s):
             return
-        self._decide(view, 'promote', 'primary is silent', evidence)
+        self._decisions.record(view, 'promote', 'primary is silent', evidence)
         await self._attempts.acquire(keep=None)
 
     async def _keep(
@@ -214,15 +216,21 @@
             and primary.term == view.term
         )
         if is_own and is_leading:
-            self._decide(view, 'none', 'no majority of members', evidence)
+            self._decisions.record(
+                view, 'none', 'no majority of members', evidence
+            )
             return
-        if not is_own and not self._is_preferred(view):
+        if not is_own and not self._preference.is_own(view):
             if not self._is_overdue():
-                self._decide(view, 'none', 'left to preferred owner', evidence)
+                self._decisions.record(
+                    view, 'none', 'left to preferred owner', evidence
+                )
                 return
-            if await self._attempts.yield_to_others(self._delay_s(None)):
+            if await self._attempts.yield_to_others(
+                self._attempts.delay_s(None)
+            ):
                 return
-        self._decide(view, 'keep', 'holder is lost', evidence)
+        self._decisions.record(view, 'keep', 'holder is lost', evidence)
         await self._attempts.acquire(keep=view.primary)
 
     async def _check_primary(self, view: GroupView) -> ControlResult:
@@ -235,71 +243,6 @@
             fresh=True,
         )
 
-    def _is_preferred(self, view: GroupView) -> bool:
-        primary = self._group.member(view.primary)
-        if primary is None:
-            return False
-        owner = self._ports.placement.owner_of(primary)
-        return owner is not None and owner.host_id == self._parts.host_id
-
-    def _delay_s(self, primary: str | None) -> float:
-        """Return how long to leave the action to keepers listed before."""
-        ranked = [
-            host.host_id
-            for host in self._ports.opinions.keepers(
-                attrs.evolve(
-                    self._group,
-                    members=tuple(
-                        member
-                        for member in self._group.members
-                        if member.name != primary
-                    ),
-                ),
-            )
-        ]
-        if self._parts.host_id in ranked:
-            return ranked.index(self._parts.host_id) * RANK_DELAY_S
-        return len(ranked) * RANK_DELAY_S
-
-    async def _prefer_own(self, view: GroupView) -> None:
-        """Ask the holder for the group when it should be here."""
-        if not self._is_preferred(view):
-            self._misplaced_count = 0
-            return
-        self._misplaced_count += 1
-        if self._misplaced_count < _STABLE_COUNT:
-            return
-        # A host that can't reach the primary would stop all writes by taking
-        # the group over.
-        reached = await self._check_primary(view)
-        is_reached = isinstance(reached, Standing)
-        if not is_reached or not await self._request_handover(view):
-            self._misplaced_count = -_HANDOVER_PAUSE_COUNT
-            return
-        self._misplaced_count = 0
-        await self._attempts.acquire(keep=view.primary)
-
-    async def _request_handover(self, view: GroupView) -> bool:
-        host = self._ports.hosts.host(view.holder)
-        if host is None:
-            return False
-        timeout_s = self._parts.options.drain_timeout_s
-        answer = await self._ports.peers.call(
-            host.address,
-            'handover',
-            {
-                'group': view.group,
-                'term': view.term,
-                'timeout_ms': int(timeout_s * MS_PER_S),
-            },
-            timeout_s + _HANDOVER_MARGIN_S,
-        )
-        is_released = isinstance(answer, PeerAnswered) and bool(
-            answer.body.get('released'),
-        )
-        self._decide(view, 'handover', 'this host is preferred', is_released)
-        return is_released
-
     async def _heal(self, view: GroupView) -> None:
         """Bring back members that are at another term.
 
@@ -315,7 +258,9 @@
         was_unled = self._is_unled
         self._is_unled = any(one.term > view.term for one in known)
         if self._is_unled and was_unled:
-            self._decide(view, 'keep', 'a member left the term', known)
+            self._decisions.record(
+                view, 'keep', 'a member left the term', known
+            )
             await self._attempts.acquire(keep=view.primary)
 
     async def _find_group(self) -> None:
@@ -330,7 +275,9 @@
             return
         view = self._survey.reported_view(known)
         if view is not None:
-            self._decide(view, 'adopt_view', 'reported by members', known)
+            self._decisions.record(
+                view, 'adopt_view', 'reported by members', known
+            )
             await self._ports.views.merge(view)
             return
         if not self._parts.remaining_s(self._healthy_s + self._suspect_s):
@@ -344,23 +291,7 @@
             opinions = await self._ports.opinions.collect(self._group, term)
             if not opinions.allow_promotion:
                 return
-        if not await self._attempts.yield_to_others(self._delay_s(None)):
+        if not await self._attempts.yield_to_others(
+            self._attempts.delay_s(None)
+        ):
             await self._attempts.acquire(keep=None)
-
-    def _decide(
-        self,
-        view: GroupView,
-        action: str,
-        reason: str,
-        evidence: Any,
-    ) -> None:
-        self._parts.decisions.record(
-            'group_checked',
-            reason,
-            action=action,
-            group=view.group,
-            term=view.term,
-            primary=view.primary,
-            holder=view.holder,
-            evidence=repr(evidence),
-        )
--- a/mimosapond/group_survey.py
+++ b/mimosapond/group_survey.py
@@ -10,6 +10,7 @@
 from mimosapond.group_view import GroupView
 from mimosapond.member_survey import standings, survey
 from mimosapond.standing import Standing
+from mimosapond.term_grants import led_view
 from mimosapond.term_parts import TermParts
 
 
@@ -55,22 +56,7 @@
     def reported_view(self, known: tuple[Standing, ...]) -> GroupView | None:
         """Return the view of the newest primary that a majority supports."""
         newest_term = max((standing.term for standing in known), default=0)
-        for standing in known:
-            if standing.is_primary and standing.term == newest_term:
-                return self._view(standing, known)
-        return None
-
-    def _view(
-        self,
-        primary: Standing,
-        known: tuple[Standing, ...],
-    ) -> GroupView | None:
-        at_term = [one for one in known if one.term == primary.term]
+        at_term = [one for one in known if one.term == newest_term]
         if len(at_term) < self._group.majority_count:
             return None
-        return GroupView(
-            group=self._group.name,
-            term=primary.term,
-            primary=primary.member,
-            holder=primary.granted_to or '',
-        )
+        return led_view(known, newest_term)
--- a/mimosapond/interactive_transactions.py
+++ b/mimosapond/interactive_transactions.py
@@ -7,25 +7,24 @@
 import contextlib
 import secrets
 from collections.abc import AsyncIterator, Sequence
-from typing import Final, TypeAlias, final
+from typing import Final, final
 
 from mimosapond.completed import Completed
 from mimosapond.errors import refuse
 from mimosapond.held_term import HeldTerm
 from mimosapond.landed import Landed
 from mimosapond.ledger_access import LedgerAccess
-from mimosapond.ledger_row import LedgerRow, RowState
 from mimosapond.open_transaction import OpenTransaction
 from mimosapond.outcome import Outcome
 from mimosapond.peer_run import PeerRun
 from mimosapond.refusal_reason import RefusalReason
 from mimosapond.refused import Refused
-from mimosapond.slot_source import HeldSlot
 from mimosapond.statement import Statement
 from mimosapond.statement_result import StatementResult
 from mimosapond.target_results import TargetAnswered
 from mimosapond.term_ticket import run_ticket
 from mimosapond.term_writer import TermWriter
+from mimosapond.transaction_steps import TransactionSteps
 from mimosapond.unknown import Unknown
 
 # An entry host that died never ends its transactions; without a limit each
@@ -36,7 +35,6 @@
 # limit: proof runs saw a group without writes for 31 s.
 UNCONFIRMED_LIMIT_S: Final = 1
 _ID_BYTES: Final = 12
-_Attempt: TypeAlias = Landed | Refused | Unknown
 
 
 @final
@@ -52,7 +50,7 @@
         """Start without open transactions."""
         self._held = held
         self._access = access
-        self._writer = writer
+        self._steps = TransactionSteps(held, access, writer)
         self._open: dict[str, OpenTransaction] = {}
 
     @property
@@ -84,14 +82,14 @@
         now_s = self._held.parts.clock.monotonic_s()
         transaction = OpenTransaction(run, grant, now_s)
         try:
-            begun = await self._begin(grant, run, deadline_s)
+            begun = await self._steps.begin(grant, run, deadline_s)
         except BaseException:
             transaction.end(is_clean=False)
             raise
         match begun:
             case Landed():
                 transaction.end(is_clean=True)
-                return await self._conclude(run, begun, deadline_s)
+                return await self._steps.conclude(run, begun, deadline_s)
             case Refused() | Unknown():
                 transaction.end(is_clean=True)
                 return begun
@@ -139,11 +137,11 @@
             refused = await self._resume(transaction_id, (), deadline_s)
             if refused is not None:
                 return refused
-            attempt = await self._commit(transaction, deadline_s)
+            attempt = await self._steps.commit(transaction, deadline_s)
             transaction.end(is_clean=True)
         if not isinstance(attempt, Landed):
             return attempt
-        return await self._conclude(transaction.run, attempt, deadline_s)
+        return await self._steps.conclude(transaction.run, attempt, deadline_s)
 
     async def rollback(
         self,
@@ -189,40 +187,6 @@
             transaction.end(is_clean=False)
             self._open.pop(transaction_id, None)
 
-    async def _begin(
-        self,
-        grant: HeldSlot,
-        run: PeerRun,
-        deadline_s: float,
-    ) -> _Attempt | tuple[StatementResult, ...]:
-        request = run.request
-        connection = grant.connection
-        refused = self._writer.refuse_id(request.request_id)
-        if refused is None:
-            refused = await self._access.ensure_table(connection, deadline_s)
-        if refused is not None:
-            return refused
-        answer = await connection.begin(
-            self._held.view.term,
-            (
-                self._access.ledger.select(request.request_id),
-                *request.statements,
-            ),
-            self._held.parts.remaining_s(deadline_s),
-        )
-        if not isinstance(answer, TargetAnswered):
-            return await self._writer.failed(
-                connection,
-                answer,
-                request,
-                deadline_s,
-            )
-        row = self._access.ledger.row(answer.results[0])
-        if row is None:
-            return answer.results[1:]
-        connection.close()
-        return Landed(answer.standing.position, row, is_replayed=True)
-
     def _register(
         self,
         transaction: OpenTransaction,
@@ -294,45 +258,6 @@
             )
         return refused
 
-    async def _commit(
-        self,
-        transaction: OpenTransaction,
-        deadline_s: float,
-    ) -> _Attempt:
-        request = transaction.run.request
-        statement = self._access.ledger.insert(
-            request.request_id,
-            RowState.COMPLETED,
-        )
-        answer = await transaction.connection.commit(
-            (statement,),
-            self._held.parts.remaining_s(deadline_s),
-        )
-        if isinstance(answer, TargetAnswered):
-            row = LedgerRow(RowState.COMPLETED)
-            return Landed(answer.standing.position, row)
-        return await self._writer.commit_failed(
-            transaction.connection,
-            answer,
-            request,
-            deadline_s,
-        )
-
-    async def _conclude(
-        self,
-        run: PeerRun,
-        landed: Landed,
-        deadline_s: float,
-    ) -> Outcome:
-        request = run.request
-        self._held.sessions.note(request.session_id, landed.position)
-        return await self._held.conclude(
-            request.request_id,
-            landed,
-            request.required_durability,
-            deadline_s,
-        )
-
     def _completed(
         self,
         transaction_id: str,
--- a/mimosapond/term_acquirer.py
+++ b/mimosapond/term_acquirer.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable
 from typing import Any, Final, final
 
 from mimosapond.cluster_map import Leaving
@@ -10,12 +9,17 @@
 from mimosapond.group_view import GroupView
 from mimosapond.group_views import GroupViews
 from mimosapond.holder_installer import HolderInstaller
-from mimosapond.invariant_error import Invariant, InvariantError
-from mimosapond.member_address import MemberAddress
 from mimosapond.member_survey import Answers, LateCall, standings, survey
 from mimosapond.standing import Standing
-from mimosapond.target_results import ControlResult, TargetRejected
+from mimosapond.target_results import TargetRejected
 from mimosapond.term_claim import Claim, TermClaims
+from mimosapond.term_grants import (
+    choose_grant,
+    is_enough,
+    led_view,
+    verify_promoted,
+)
+from mimosapond.term_numbers import TermNumbers
 from mimosapond.term_parts import TermParts
 
 _PROMOTE_TRIES: Final = 2
@@ -44,13 +48,11 @@
         self._views = views
         self._installer = installer
         self._leaving = leaving
-        self._unfinished: dict[str, int] = {}
-        self._taken: dict[str, int] = {}
+        self._numbers = TermNumbers(parts.host_id)
         self._late_calls: set[LateCall] = set()
         # Members grant a term to this host as a whole, so two attempts at once
         # could promote two members at one term.
-        self._locks: defaultdict[str, asyncio.Lock]
-        self._locks = defaultdict(asyncio.Lock)
+        self._locks: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
 
     async def acquire(
         self,
@@ -86,13 +88,14 @@
         surveyed = await self._survey(group, needed)
         if not await self._may_proceed(group, surveyed, needed):
             return None
-        term = self._take_term(group, surveyed)
+        known = self._views.get(group.name)
+        term = self._numbers.take(group.name, known, surveyed)
         claim = await self._claims.claim(group.name, term)
         if claim is Claim.OTHER:
             self._fail(group, term, str(claim))
             return None
         grants = await self._adopt(group, term, needed)
-        if not _is_enough(group, grants, needed):
+        if not is_enough(group, grants, needed):
             self._fail(
                 group,
                 term,
@@ -100,7 +103,7 @@
                 granted=[grant.member for grant in grants],
             )
             return None
-        chosen = _choose(grants, keep, self._leaving.is_leaving)
+        chosen = choose_grant(grants, keep, self._leaving.is_leaving)
         promoted = await self._promote(group, term, chosen)
         if promoted is None:
             self._fail(
@@ -139,7 +142,7 @@
                 )
                 for member in group.members
             },
-            lambda known: _is_enough(group, standings(known), needed),
+            lambda known: is_enough(group, standings(known), needed),
         )
         return standings(answers)
 
@@ -149,7 +152,7 @@
         surveyed: tuple[Standing, ...],
         needed: frozenset[str],
     ) -> bool:
-        if not _is_enough(group, surveyed, needed):
+        if not is_enough(group, surveyed, needed):
             self._fail(
                 group,
                 0,
@@ -165,7 +168,14 @@
             return True
         if await self._learn(surveyed, newest.term):
             return False
-        is_left_over = self._is_left_over(group, newest)
+        is_left_over = self._numbers.is_left_over(newest)
+        if not is_left_over:
+            self._fail(
+                group,
+                newest.term,
+                'another host is acquiring a term',
+                other=newest.granted_to,
+            )
         # The primary of the newer term may be silent, so a planned change,
         # which loses nothing, is not based on the known one.
         return is_left_over and len(needed) <= 1
@@ -176,65 +186,17 @@
         term: int,
     ) -> bool:
         """Take over a newer term that already has a primary."""
-        for standing in surveyed:
-            if standing.term == term and standing.is_primary:
-                view = GroupView(
-                    standing.group,
-                    term,
-                    standing.member,
-                    standing.granted_to or '',
-                )
-                self._parts.decisions.record(
-                    'term_learned',
-                    'a member leads a newer term',
-                    group=view.group,
-                    term=term,
-                    primary=view.primary,
-                )
-                return await self._views.merge(view)
-        return False
-
-    def _is_left_over(self, group: GroupSpec, newest: Standing) -> bool:
-        """Tell whether a newer term without a primary was abandoned.
-
-        Another host may be between adopt and promote, so such a term is left
-        alone when it is seen first. The highest one is kept, because each
-        survey may hear another majority.
-        """
-        is_own = newest.granted_to == self._parts.host_id
-        seen_term = self._unfinished.get(group.name, 0)
-        is_seen = newest.term <= seen_term
-        self._unfinished[group.name] = max(newest.term, seen_term)
-        if is_own or is_seen:
-            return True
-        self._fail(
-            group,
-            newest.term,
-            'another host is acquiring a term',
-            other=newest.granted_to,
-        )
-        return False
-
-    def _take_term(
-        self,
-        group: GroupSpec,
-        surveyed: tuple[Standing, ...],
-    ) -> int:
-        """Return a term above all known ones and all earlier attempts.
-
-        Members grant a term to a host, not to an attempt: two attempts of one
-        host at one term could promote two members.
-        """
-        known = self._views.get(group.name)
-        highest = max(
-            self._taken.get(group.name, 0),
-            self._unfinished.get(group.name, 0),
-            *(standing.term for standing in surveyed),
+        view = led_view(surveyed, term)
+        if view is None:
+            return False
+        self._parts.decisions.record(
+            'term_learned',
+            'a member leads a newer term',
+            group=view.group,
+            term=term,
+            primary=view.primary,
         )
-        if known is not None:
-            highest = max(highest, known.term)
-        self._taken[group.name] = highest + 1
-        return highest + 1
+        return await self._views.merge(view)
 
     async def _adopt(
         self,
@@ -252,7 +214,7 @@
                 )
                 for member in group.members
             },
-            lambda known: _is_enough(group, self._grants(known, term), needed),
+            lambda known: is_enough(group, self._grants(known, term), needed),
             self._late_calls,
         )
         return self._grants(answers, term)
@@ -275,27 +237,20 @@
         if member is None:
             return None
         for _ in range(_PROMOTE_TRIES):
-            answer = await self._promote_once(member, term)
+            answer = await self._parts.target.promote(
+                member,
+                term,
+                self._parts.host_id,
+                self._parts.check_timeout_s,
+            )
             if isinstance(answer, Standing):
-                return _verify(answer, chosen, term)
+                return verify_promoted(answer, chosen, term)
             if isinstance(answer, TargetRejected):
                 return None
             # The kept connection may be dead while the member is alive.
             self._parts.target.disconnect(member)
         return None
 
-    async def _promote_once(
-        self,
-        member: MemberAddress,
-        term: int,
-    ) -> ControlResult:
-        return await self._parts.target.promote(
-            member,
-            term,
-            self._parts.host_id,
-            self._parts.check_timeout_s,
-        )
-
     async def _install(
         self,
         group: GroupSpec,
@@ -343,49 +298,3 @@
             **evidence,
         )
         self._parts.metrics.count('terms.not_acquired')
-
-
-def _is_enough(
-    group: GroupSpec,
-    known: tuple[Standing, ...],
-    needed: frozenset[str],
-) -> bool:
-    names = {standing.member for standing in known}
-    return needed <= names and len(names) >= group.majority_count
-
-
-def _log_end(standing: Standing) -> tuple[int, int]:
-    return (standing.last_term, standing.position)
-
-
-def _choose(
-    grants: tuple[Standing, ...],
-    keep: str | None,
-    is_leaving: Callable[[str], bool],
-) -> Standing:
-    """Return the newest member; among equals the one to keep.
-
-    A member to keep that is not the newest was replaced unnoticed, or has not
-    caught up, and choosing it would lose acknowledged writes. A member that
-    is leaving is chosen only when it is newer than all others.
-    """
-    return max(
-        grants,
-        key=lambda grant: (
-            _log_end(grant),
-            grant.member == keep,
-            not is_leaving(grant.member),
-            grant.member,
-        ),
-    )
-
-
-def _verify(promoted: Standing, chosen: Standing, term: int) -> Standing:
-    is_leading = promoted.is_primary and promoted.term == term
-    if not is_leading or _log_end(promoted) < _log_end(chosen):
-        raise InvariantError(
-            Invariant.NEWEST_PROMOTED,
-            promoted=promoted,
-            chosen=chosen,
-        )
-    return promoted
