Let replicas receive again only while the claim is held

Cause: a claim lapses, but what its holder did under it had no end.

Change: a claim carries the time at which it lapses. Members are told to receive again only while there is time for the request; a claim that is about to lapse is renewed first, and if another host holds it by then, members stay paused for that host.

Ruled out: members that were not asked (both hosts knew all three); a lower token (the later holder had the higher one, so the platform accepted it).

--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -1,6 +1,7 @@
 """A database group in memory, behind the product's ports."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Final, TypeAlias, final
 
@@ -242,7 +243,7 @@
 
     def __init__(self) -> None:
         """Give the claim to whoever asks."""
-        self.outcome: DutyOutcome = DutyClaim(7)
+        self.outcome: DutyOutcome = DutyClaim(7, math.inf)
         self.is_released = False
         self.reserve_token: int | None = 5
         self.claim_count = 0
@@ -252,6 +253,10 @@
         self.claim_count += 1
         return self.outcome
 
+    def answer(self, outcome: DutyOutcome) -> None:
+        """Answer further claims with this outcome."""
+        self.outcome = outcome
+
     async def reserve(self) -> int | None:
         """Return the token that the test set."""
         return self.reserve_token
--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -59,6 +59,22 @@
     When a host replaces the stalled primary
     Then replica b is paused
 
+  Scenario Outline: replicas receive again only while the claim is held
+    # Guards against LOST in the live test (seed 12): a new primary proved its lead
+    # as the claim lapsed, and replicas that the next holder had just paused were
+    # told to receive again.
+    Given a group whose primary is p
+    And members a and b are paused
+    And the claim lapses during the call and <next>
+    When a host replaces the stalled primary
+    Then replica b is <state>
+
+    Examples:
+      | next                      | state     |
+      | can be renewed            | receiving |
+      | is held by another host   | paused    |
+      | the store does not answer | paused    |
+
   Scenario: replicas stay paused if the platform refuses the newer token
     Given a group whose primary is p
     And members a and b are paused
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -8,6 +8,7 @@
 
 from behave import given, then, when
 
+from mimosapond.boot_clock import boot_time_s
 from mimosapond.configuration.configuration_source import (
     SourceGap,
     SourceState,
@@ -48,7 +49,9 @@
     context.add_cleanup(context.store.close)
     client = _run(context, _connect(context.store))
     context.client = client
-    context.duties = {host: StoreDuties(client, host) for host in 'ab'}
+    context.duties = {
+        host: StoreDuties(client, host, boot_time_s) for host in 'ab'
+    }
     context.outcomes = []
 
 
--- a/features/steps/primary_change_claims_steps.py
+++ b/features/steps/primary_change_claims_steps.py
@@ -1,17 +1,35 @@
 """Steps of primary_change.feature on claims of several hosts."""
 
 import asyncio
+import math
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, Final
 
 from behave import given, then
 
 from features.group_builders import GROUP
+from mimosapond.boot_clock import boot_time_s
+from mimosapond.failover.duty_port import (
+    DutyClaim,
+    DutyOutcome,
+    DutyTaken,
+    DutyUnknown,
+)
 from mimosapond.failover.promotion_port import PromotionRefused
 
+_TOKEN: Final = 7
 # Lower and higher than that of the claim that the tests give.
 _EARLIER_TOKEN: Final = 5
 _NEWER_TOKEN: Final = 9
 _CALL_LIMIT_S: Final = 1.0
+_RENEWALS: Final[Mapping[str, DutyOutcome]] = MappingProxyType(
+    {
+        'can be renewed': DutyClaim(_TOKEN + 1, math.inf),
+        'is held by another host': DutyTaken('other'),
+        'the store does not answer': DutyUnknown('no answer'),
+    },
+)
 
 
 @given('members a and b are paused under a newer claim')
@@ -27,6 +45,15 @@
     context.world.promotions.on_call = lambda: pause_newer(context)
 
 
+@given('the claim lapses during the call and {next_holder}')
+def lapse_claim(context: Any, next_holder: str) -> None:
+    """Let the claim end before replicas can be told to receive."""
+    duties = context.world.duties
+    duties.outcome = DutyClaim(_TOKEN, boot_time_s())
+    outcome = _RENEWALS[next_holder]
+    context.world.promotions.on_call = lambda: duties.answer(outcome)
+
+
 @given('the platform has seen a higher token')
 def raise_fence(context: Any) -> None:
     """Refuse the token of this host."""
--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -30,6 +30,7 @@
 
 _MS_PER_S = 1000
 _BORROW_S = 0.5
+_RESERVED_TOKEN = 5
 
 
 def _listed(names: str) -> str:
@@ -202,7 +203,7 @@
 
 
 async def _claim_reserved(store: Any) -> Any:
-    duties = ReservedDuties(store)
+    duties = ReservedDuties(store, boot_time_s)
     task = asyncio.create_task(duties.run())
     await asyncio.sleep(0)
     await asyncio.sleep(0)
@@ -274,7 +275,8 @@
 @then('the claim has the reserved token')
 def check_reserved(context: Any) -> None:
     """Compare the claim."""
-    assert context.claim == DutyClaim(5)
+    assert isinstance(context.claim, DutyClaim)
+    assert context.claim.token == _RESERVED_TOKEN
 
 
 @when('a host replaces the stalled primary')
--- a/mimosapond/failover/duty_port.py
+++ b/mimosapond/failover/duty_port.py
@@ -14,9 +14,12 @@
     ----------
     token
         Fencing token: higher than that of every earlier claim.
+    expires_s
+        From when on another host may hold the claim.
     """
 
     token: int
+    expires_s: float
 
 
 @final
--- a/mimosapond/failover/log_survey.py
+++ b/mimosapond/failover/log_survey.py
@@ -10,7 +10,7 @@
 from mimosapond.failover.member_round import ask_all
 from mimosapond.groups.connection_pool import NoConnection
 from mimosapond.groups.member import Member
-from mimosapond.groups.member_answer import Rejected, RejectionKind
+from mimosapond.groups.member_answer import LinkLost, Rejected, RejectionKind
 from mimosapond.groups.member_port import MemberConnection, StatusAnswer
 from mimosapond.groups.member_status import MemberStatus
 
@@ -63,9 +63,18 @@
     return await _ask_all(members, lambda link: link.pause(term, STEP_LIMIT_S))
 
 
-async def resume_all(members: Iterable[Member], term: int) -> None:
-    """Let replicas receive again, unless a newer claim paused them."""
-    await _ask_all(members, lambda link: _resume(link, term))
+async def resume_all(
+    members: Iterable[Member], term: int, has_time: Callable[[], bool]
+) -> None:
+    """Let replicas receive again, unless a newer claim paused them.
+
+    Parameters
+    ----------
+    has_time
+        Whether a member can still carry out a request while this host holds
+        the claim: a later one could end the pause of the next holder.
+    """
+    await _ask_all(members, lambda link: _resume(link, term, has_time))
 
 
 async def survey_all(members: Iterable[Member]) -> dict[str, SurveyedMember]:
@@ -84,11 +93,15 @@
     }
 
 
-async def _resume(link: MemberConnection, term: int) -> StatusAnswer:
+async def _resume(
+    link: MemberConnection, term: int, has_time: Callable[[], bool]
+) -> StatusAnswer:
     status = await link.status(STEP_LIMIT_S)
-    if isinstance(status, MemberStatus) and status.paused_term <= term:
-        return await link.resume(STEP_LIMIT_S)
-    return status
+    if not isinstance(status, MemberStatus) or status.paused_term > term:
+        return status
+    if not has_time():
+        return LinkLost('the claim ends', was_sent=False)
+    return await link.resume(STEP_LIMIT_S)
 
 
 async def _ask_once(member: Member, call: _Call) -> StatusAnswer | NoConnection:
--- a/mimosapond/failover/primary_change.py
+++ b/mimosapond/failover/primary_change.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 from typing import Final, final
 
 from loguru import logger
@@ -17,6 +18,7 @@
 from mimosapond.failover.group_members import GroupMembers
 from mimosapond.failover.group_pauses import GroupPauses
 from mimosapond.failover.log_survey import (
+    STEP_LIMIT_S,
     SurveyedMember,
     resume_all,
     status_of,
@@ -35,6 +37,8 @@
 _CATCH_UP_PAUSE_S: Final = 0.02
 # Between two looks at a primary whose commits seem not to be replicated.
 _STALL_CHECK_S: Final = 0.25
+# A connection, a status and the request itself.
+_RESUME_S: Final = 3 * STEP_LIMIT_S
 
 
 @final
@@ -143,7 +147,7 @@
             others = (
                 member for member in paused.members if member is not best.member
             )
-            await resume_all(others, claim.token)
+            await self._resume(group, claim, others)
         if end in {PromotionEnd.leads, PromotionEnd.refused}:
             await self._duties.release(group.name)
         return end is PromotionEnd.leads
@@ -163,10 +167,33 @@
         if paused.primary is not None:
             end = await self._promotion.run(group, paused.primary, claim.token)
         if end is PromotionEnd.leads:
-            await resume_all(paused.replicas, claim.token)
+            await self._resume(group, claim, paused.replicas)
         if end in {PromotionEnd.leads, PromotionEnd.refused}:
             await self._duties.release(group.name)
 
+    async def _resume(
+        self, group: Group, claim: DutyClaim, members: Iterable[Member]
+    ) -> None:
+        """Let members receive again that were paused under the claim.
+
+        A claim that is about to lapse is renewed first; members that stay
+        paused are left to the host that next finds writes waiting.
+        """
+        expires_s = claim.expires_s
+        if expires_s - self._now() < _RESUME_S:
+            renewed = await self._duties.claim(group.name)
+            logger.bind(group=group.name, outcome=str(renewed)).info(
+                'duty_renewed'
+            )
+            if not isinstance(renewed, DutyClaim):
+                return
+            expires_s = renewed.expires_s
+        await resume_all(
+            members,
+            claim.token,
+            lambda: expires_s - self._now() > STEP_LIMIT_S,
+        )
+
     async def _claim(self, group: Group, reason: str) -> DutyClaim | None:
         """Return a claim under whose token members may be paused.
 
--- a/mimosapond/failover/reserved_duties.py
+++ b/mimosapond/failover/reserved_duties.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from mimosapond.boot_clock import Now
 from mimosapond.failover.duty_port import (
     DutyClaim,
     DutyOutcome,
@@ -23,6 +24,8 @@
 _RETRY_S: Final = 1.0
 # A token that was refused as too low will be refused again.
 _USE_COUNT: Final = 3
+# As long as a claim at the store.
+_HOLD_S: Final = 2.5
 # Tokens that were taken before those of later claims are refused.
 _RENEW_S: Final = 20.0
 
@@ -31,8 +34,9 @@
 class ReservedDuties:
     """Claims at the store, or else by a token taken in advance."""
 
-    def __init__(self, store: DutyPort) -> None:
+    def __init__(self, store: DutyPort, now: Now) -> None:
         """Take the claims at the store."""
+        self._now = now
         self._store = store
         self._token: int | None = None
         self._uses: Counter[str] = Counter()
@@ -68,7 +72,7 @@
         logger.bind(
             group=group, token=self._token, reason=outcome.reason
         ).warning('reserved_token_used')
-        return DutyClaim(self._token)
+        return DutyClaim(self._token, self._now() + _HOLD_S)
 
     async def reserve(self) -> int | None:
         """Return the token that is held."""
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -90,7 +90,7 @@
         )
         self._probe = PrimaryProbe(self._now, self._finder)
         self._duties = ReservedDuties(
-            StoreDuties(self._store, settings.host),
+            StoreDuties(self._store, settings.host, self._now), self._now
         )
         self._desk = CallerDesk(self._session_services())
         self._peer_desk = PeerDesk(self._peer_services())
--- a/mimosapond/platform/store_duties.py
+++ b/mimosapond/platform/store_duties.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from mimosapond.boot_clock import Now
 from mimosapond.failover.duty_port import (
     DutyClaim,
     DutyOutcome,
@@ -27,6 +28,7 @@
 TABLE: Final = 'mimosapond-duties'
 # A holder that has not ended its work after this time is taken for lost.
 CLAIM_HOLD_MS: Final = 2500
+_MS_PER_S: Final = 1000
 _CALL_LIMIT_S: Final = 0.8
 _RESERVE_PREFIX: Final = 'reserve/'
 
@@ -35,10 +37,11 @@
 class StoreDuties:
     """Claims of one host; see ``DutyPort``."""
 
-    def __init__(self, store: StoreClient, host: str) -> None:
+    def __init__(self, store: StoreClient, host: str, now: Now) -> None:
         """Take the store and the name under which this host claims."""
         self._store = store
         self._host = host
+        self._now = now
 
     async def reserve(self) -> int | None:
         """Take a token for a time in which the store does not answer.
@@ -56,6 +59,7 @@
 
     async def claim(self, group: str) -> DutyOutcome:
         """Claim a group for a short time."""
+        expires_s = self._now() + CLAIM_HOLD_MS / _MS_PER_S
         found = await self._store.read_table(TABLE, _CALL_LIMIT_S)
         if isinstance(found, Unavailable):
             return DutyUnknown(found.reason)
@@ -63,7 +67,7 @@
         holder = _holder(row, found.now_ms)
         if holder not in {'', self._host}:
             return DutyTaken(holder)
-        return await self._write(row, found.now_ms)
+        return await self._write(row, found.now_ms, expires_s)
 
     async def release(self, group: str) -> None:
         """Let other hosts claim the group at once."""
@@ -78,13 +82,15 @@
             ended = StoredRow(group, b'{}', row.version)
             await self._store.write_if(TABLE, ended, _CALL_LIMIT_S)
 
-    async def _write(self, row: StoredRow, now_ms: int) -> DutyOutcome:
+    async def _write(
+        self, row: StoredRow, now_ms: int, expires_s: float
+    ) -> DutyOutcome:
         content = json.dumps({'holder': self._host, 'claimed_ms': now_ms})
         claim = StoredRow(row.key, content.encode(), row.version)
         written = await self._store.write_if(TABLE, claim, _CALL_LIMIT_S)
         match written:
             case StoredRows(version=version):
-                return DutyClaim(version)
+                return DutyClaim(version, expires_s)
             case ConditionFailed():
                 return DutyTaken('another host, just now')
             case Unavailable(reason=reason):
