End the hosts of a live test before the store that they call

The hosts end first now. A host that is stopped during an outage of the store still logs such lines; that is listed as open.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -95,7 +95,17 @@
                 violations.add('ENDED', host.name, [], f'exit code {code}')
 
     async def close(self) -> None:
-        """End all processes."""
+        """End the hosts, then what they use.
+
+        A host whose calls to the store are refused while it ends logs errors.
+        """
+        await asyncio.gather(
+            *(
+                self.end_host(host, is_graceful=True)
+                for host in self.layout.hosts
+                if host.name in self.processes.children
+            )
+        )
         await self.processes.close()
 
     async def _start_services(self) -> None:
