Wait for the first round of the documents watch before an edit

Cause: the scenario "documents live accept one of two concurrent edits" checked that every host had reported a revision, although its watch asks the hosts in turn and an edit can be in force before the first round has ended.

Change: the step that uses the deployment waits until each host has been asked once. The check itself is unchanged.

--- a/features/steps/documents_live_steps.py
+++ b/features/steps/documents_live_steps.py
@@ -13,6 +13,8 @@
 from mimosapond.document_body import document_body
 
 _FIRST_AGE_MS: Final = 2000
+# Limit of the first round of the watch, beside other load.
+_FIRST_ROUND_LIMIT_S: Final = 20
 
 
 @given('documents live deployment of {count:d} hosts')
@@ -27,6 +29,11 @@
     context.watch = world.loop.create_task(_watch(context))
     context.add_cleanup(context.watch.cancel)
     context.add_cleanup(_clear_faults, world)
+    # An edit that is in force before the watch has asked each host once would
+    # leave hosts without a recorded revision.
+    world.wait_until(
+        lambda: len(context.seen) == len(world.hosts), _FIRST_ROUND_LIMIT_S
+    )
     context.revision = world.run(_revision(world, world.hosts[0]))
 
 
