Bound what other programs wrote, and start failed tasks again

Cause: entries of other writers were decoded with json.loads and int(). A value of 100,000 nested lists, an integer or a port of 5,000 digits raised in the task that follows the members; nothing looked at the task again, and the host went on with a frozen list of members. Port 99999 raised in a dial, whose place under the connection limit was never freed. An entry of a service that no configuration names made a group without a primary, which kept every host from being ready. A claim in the future blocked all changes of its group.

Change: one decoder bounds size, depth and numbers and returns the problem; addresses, names and decimals are checked; groups come from the configuration; a claim that is not readable or lies in the future holds nothing. Long-lived tasks run under a supervisor that logs an unexpected error and starts them again with a back-off. A member that registers under its id at another address gets a new pool. A failed release is logged. Ruled out: msgspec, as a decoder of the standard library with bounded hooks needs no further dependency on the hosts.

--- a/features/group_builders.py
+++ b/features/group_builders.py
@@ -73,14 +73,18 @@
 
 
 def build_record(
-    member_id: str, *, is_leaving: bool = False, reports_primary: bool = False
+    member_id: str,
+    *,
+    is_leaving: bool = False,
+    reports_primary: bool = False,
+    port: int = 1,
 ) -> MemberRecord:
     """Build the registration of a member of the group."""
     return MemberRecord(
         member_id=member_id,
         group=GROUP,
         ip='127.0.0.1',
-        port=1,
+        port=port,
         data_centre=DATA_CENTRE,
         is_leaving=is_leaving,
         reports_primary=reports_primary,
--- a/mimosapond/entry/platform_host.py
+++ b/mimosapond/entry/platform_host.py
@@ -1,8 +1,8 @@
 """The process of one host on the platform: start, operation and stop."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any, Final, final
+from collections.abc import Callable
+from typing import Final, final
 
 import attrs
 from loguru import logger
@@ -25,6 +25,7 @@
 from mimosapond.peers.peer_discovery import PeerDiscovery
 from mimosapond.routing.primary_probe import PrimaryProbe
 from mimosapond.routing.relay_port import RelayFinder
+from mimosapond.task_supervisor import TaskSupervisor
 
 # Longest time that callers who connect while the host starts wait for the first
 # configuration. During an outage of the store, the host refuses them after this
@@ -85,7 +86,7 @@
         self._parts = parts
         self._stop_grace_s = stop_grace_s
         self._stop = asyncio.Event()
-        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._tasks = TaskSupervisor()
 
     def report_readiness(self) -> bool:
         """Answer the load balancer: whether it may send new callers here."""
@@ -104,19 +105,18 @@
 
     async def run(self) -> None:
         """Serve until a stop is requested, then drain the sessions."""
-        self._start('configuration', self._parts.configuration_follower.run())
-        self._start('registrations', self._parts.registration_poller.run())
-        self._start('duties', self._parts.reserved_token_claims.run())
-        self._start('peers', self._parts.peer_discovery.run())
+        parts = self._parts
+        self._tasks.start('configuration', parts.configuration_follower.run)
+        self._tasks.start('registrations', parts.registration_poller.run)
+        self._tasks.start('duties', parts.reserved_token_claims.run)
+        self._tasks.start('peers', parts.peer_discovery.run)
         await self._parts.active_configuration.wait_until_loaded(
             _CONFIGURATION_WAIT_S
         )
         self._parts.accept_callers()
         stopping = asyncio.create_task(self._stop.wait())
         while not self._stop.is_set():
-            self._monitor_groups()
-            self._redirect_callers()
-            self._parts.log_rate_limit.report()
+            self._run_round()
             await asyncio.wait((stopping,), timeout=_POLL_INTERVAL_S)
         await self._drain_sessions()
         logger.bind(sessions=self._parts.sessions.session_count).info('stopped')
@@ -128,8 +128,14 @@
             and self._parts.reachability.is_sufficient()
         )
 
-    def _start(self, name: str, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks[name] = asyncio.create_task(work, name=name)
+    def _run_round(self) -> None:
+        """Do the regular work once; an unexpected error costs one round."""
+        try:
+            self._monitor_groups()
+            self._redirect_callers()
+        except Exception:  # noqa: BLE001 -- the host goes on serving
+            logger.exception('host_round_failed')
+        self._parts.log_rate_limit.report()
 
     def _redirect_callers(self) -> None:
         """Close idle sessions of unreachable groups when out of rotation."""
@@ -143,7 +149,7 @@
 
     def _monitor_groups(self) -> None:
         for group in self._parts.directory.groups.values():
-            if group.name not in self._tasks:
+            if not self._tasks.is_started(f'group {group.name}'):
                 monitor = PrimaryMonitor(
                     group,
                     self._parts.primary_probe,
@@ -151,7 +157,7 @@
                     self._parts.relay_finder,
                     self._parts.now,
                 )
-                self._start(group.name, monitor.run())
+                self._tasks.start(f'group {group.name}', monitor.run)
 
     async def _drain_sessions(self) -> None:
         sessions = self._parts.sessions
--- a/mimosapond/groups/connection_pool.py
+++ b/mimosapond/groups/connection_pool.py
@@ -17,7 +17,7 @@
 from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.groups.member_answer import LinkLost, Rejected, RejectionKind
 from mimosapond.groups.member_load import MemberLoad
-from mimosapond.groups.member_port import MemberDialer
+from mimosapond.groups.member_port import MemberConnection, MemberDialer
 from mimosapond.groups.member_record import MemberRecord
 from mimosapond.groups.pooled_connection import PooledConnection
 from mimosapond.statements.reply import SessionState
@@ -269,8 +269,16 @@
             self._dial_tasks.add(task)
             task.add_done_callback(self._dial_tasks.discard)
 
+    async def _dial_safely(self) -> MemberConnection | Rejected | LinkLost:
+        """Dial; an unexpected error must not keep its place under the limit."""
+        try:
+            return await self._dialer.dial(self._record)
+        except Exception as error:  # noqa: BLE001 -- waiters need an answer
+            logger.bind(member=self._record.member_id).exception('dial_failed')
+            return LinkLost(repr(error), was_sent=False)
+
     async def _dial(self) -> None:
-        outcome = await self._dialer.dial(self._record)
+        outcome = await self._dial_safely()
         match outcome:
             case Rejected(kind=RejectionKind.wrong_member):
                 self.open_count -= 1
--- a/mimosapond/groups/group_directory.py
+++ b/mimosapond/groups/group_directory.py
@@ -42,6 +42,7 @@
         self._now = now
         self._created_s = now()
         self._connection_counts: dict[str, int] = {}
+        self._records: tuple[MemberRecord, ...] = ()
         self.groups: dict[str, Group] = {}
         # Whether the last read of the registry succeeded.
         self.is_current = False
@@ -66,9 +67,16 @@
         return self.groups[name]
 
     def apply_limits(self, configuration: Configuration) -> None:
-        """Adopt the connection limits of a configuration."""
-        for limits in configuration.groups.values():
-            self._connection_counts[limits.group] = limits.connection_count
+        """Adopt the groups of a configuration and their connection limits.
+
+        Members whose group was not configured before are adopted as well.
+        """
+        self._connection_counts = {
+            limits.group: limits.connection_count
+            for limits in configuration.groups.values()
+        }
+        for record in self._records:
+            self._apply(record)
         self._update_pool_limits()
 
     def record_registry_outage(self) -> None:
@@ -84,8 +92,9 @@
 
     def apply_registrations(self, records: Iterable[MemberRecord]) -> None:
         """Adopt the members that are registered now."""
-        registered = {record.member_id: record for record in records}
-        for record in registered.values():
+        self._records = tuple(records)
+        registered = {record.member_id for record in self._records}
+        for record in self._records:
             self._apply(record)
         self._update_pool_limits()
         self.is_current = True
@@ -97,8 +106,19 @@
                     self._unlist(group, member)
 
     def _apply(self, record: MemberRecord) -> None:
+        """Adopt a member, unless no configuration names its group.
+
+        A group that only an entry of another program names would never have a
+        primary, and this host would wait for it.
+        """
+        if record.group not in self._connection_counts:
+            return
         group = self.get_or_create(record.group)
         member = group.members.get(record.member_id)
+        if member is not None and _has_moved(member, record):
+            group.suspect_primary(member, 'the member has another address')
+            member.pool.close()
+            member = None
         if member is None:
             group.members[record.member_id] = self._create(record)
             logger.bind(group=record.group, member=record.member_id).info(
@@ -142,3 +162,9 @@
             group.members.pop(member.member_id)
             group.suspect_primary(member, 'unlisted')
             member.pool.close()
+
+
+def _has_moved(member: Member, record: MemberRecord) -> bool:
+    """Return whether a member was started again at another address."""
+    known = member.record
+    return (known.ip, known.port) != (record.ip, record.port)
--- a/mimosapond/peers/peer_client.py
+++ b/mimosapond/peers/peer_client.py
@@ -12,6 +12,7 @@
 from mimosapond.address_resolver import AddressResolver
 from mimosapond.boot_clock import Now
 from mimosapond.groups.log_position import LogPosition
+from mimosapond.json_decoding import UndecodableJson, decode_json_object
 from mimosapond.peers import peer_paths
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_directory import PeerDirectory
@@ -102,11 +103,13 @@
         )
         if isinstance(response, WorkUnanswered):
             return None
-        position = decode_position(response.get('position'))
-        if position is None:
+        try:
+            return _decode_report(response)
+        except _BODY_ERRORS as error:
+            self._unanswered(
+                peer, peer_paths.PRIMARY, repr(error), was_sent=True
+            )
             return None
-        age_s = float(response['age_ms']) / _MS_PER_S
-        return PrimaryReport(str(response['member_id']), position, age_s)
 
     async def read(self, peer: Peer, work: Work) -> WorkOutcome:
         """Have a peer run a single read."""
@@ -189,14 +192,16 @@
                     f'status {response.code}',
                     was_sent=response.code not in _NOT_RUN_STATUSES,
                 )
-            response_body: Mapping[str, Any] = json.loads(response.body)
         except _CALL_ERRORS as error:
             return self._unanswered(
                 peer, path, repr(error), was_sent=_may_be_sent(error)
             )
-        except ValueError as error:
-            return self._unanswered(peer, path, repr(error), was_sent=True)
-        return response_body
+        body_or_problem = decode_json_object(response.body)
+        if isinstance(body_or_problem, UndecodableJson):
+            return self._unanswered(
+                peer, path, body_or_problem.problem, was_sent=True
+            )
+        return body_or_problem
 
     def _unanswered(
         self, peer: Peer, path: str, reason: str, *, was_sent: bool
@@ -208,6 +213,14 @@
         return WorkUnanswered(reason, was_sent=was_sent)
 
 
+def _decode_report(body: Mapping[str, Any]) -> PrimaryReport | None:
+    position = decode_position(body.get('position'))
+    if position is None:
+        return None
+    age_s = float(body['age_ms']) / _MS_PER_S
+    return PrimaryReport(str(body['member_id']), position, age_s)
+
+
 def _may_be_sent(error: Exception) -> bool:
     """Return whether the peer may have received the request.
 
--- a/mimosapond/peers/peer_server.py
+++ b/mimosapond/peers/peer_server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import json
 from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
 from typing import Any, Final, TypeAlias, final
@@ -14,6 +13,7 @@
 
 from mimosapond.boot_clock import Now
 from mimosapond.groups.group_directory import GroupDirectory
+from mimosapond.json_decoding import UndecodableJson, decode_json_object
 from mimosapond.json_response import send_json
 from mimosapond.peers import peer_paths
 from mimosapond.peers.relayed_work_handler import RelayedWorkHandler
@@ -38,7 +38,13 @@
         peer_paths.COMMITS,
     ),
 )
-_BODY_ERRORS: Final = (KeyError, TypeError, ValueError)
+_BODY_ERRORS: Final = (
+    ArithmeticError,
+    AttributeError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
 
 
 @final
@@ -71,13 +77,14 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _answer(self, request: HTTPServerRequest) -> None:
+        body = decode_json_object(request.body)
+        if isinstance(body, UndecodableJson):
+            _reject(request, body.problem)
+            return
         try:
-            call = self._decode(request.path, json.loads(request.body))
+            call = self._decode(request.path, body)
         except _BODY_ERRORS as error:
-            logger.bind(path=request.path, problem=repr(error)).warning(
-                'peer_request_unreadable',
-            )
-            _send(request, HTTPStatus.BAD_REQUEST, {})
+            _reject(request, repr(error))
             return
         if call is None:
             _send(request, HTTPStatus.NOT_FOUND, {})
@@ -151,6 +158,14 @@
     return HTTPServer(PeerRequestHandler(handler, directory, now))
 
 
+def _reject(request: HTTPServerRequest, problem: str) -> None:
+    """Answer that nothing ran, because the body is no request."""
+    logger.bind(path=request.path, problem=problem).warning(
+        'peer_request_unreadable',
+    )
+    _send(request, HTTPStatus.BAD_REQUEST, {})
+
+
 def _send(
     request: HTTPServerRequest, status: HTTPStatus, body: Mapping[str, Any]
 ) -> None:
--- a/mimosapond/platform/configuration_codec.py
+++ b/mimosapond/platform/configuration_codec.py
@@ -1,12 +1,12 @@
 """Decodes the configuration that operators write to the platform's store."""
 
-import json
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any, Final
 
 from mimosapond.configuration.configuration import Configuration, GroupLimits
 from mimosapond.configuration.route import Freshness, Route
+from mimosapond.json_decoding import UndecodableJson, decode_json_object
 
 _FRESHNESS: Final = MappingProxyType(
     {
@@ -19,23 +19,29 @@
 
 def decode_configuration(content: bytes) -> Configuration | str:
     """Return the configuration, or the text of the error if it is invalid."""
+    body = decode_json_object(content)
+    if isinstance(body, UndecodableJson):
+        return body.problem
     try:
-        body = json.loads(content)
-        return Configuration(
-            version=int(body['version']),
-            routes={
-                entry['host']: _decode_route(entry) for entry in body['routes']
-            },
-            groups={
-                entry['name']: GroupLimits(entry['name'], entry['max_conns'])
-                for entry in body['services']
-            },
-            transaction_idle_timeout_ms=float(body['limits']['tx_idle_ms']),
-        )
-    except (ValueError, KeyError, TypeError) as error:
+        return _decode_body(body)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
         return repr(error)
 
 
+def _decode_body(body: Mapping[str, Any]) -> Configuration:
+    return Configuration(
+        version=int(body['version']),
+        routes={
+            entry['host']: _decode_route(entry) for entry in body['routes']
+        },
+        groups={
+            entry['name']: GroupLimits(entry['name'], int(entry['max_conns']))
+            for entry in body['services']
+        },
+        transaction_idle_timeout_ms=float(body['limits']['tx_idle_ms']),
+    )
+
+
 def _decode_route(entry: Mapping[str, Any]) -> Route:
     return Route(
         database=entry['host'],
--- a/mimosapond/platform/position_codec.py
+++ b/mimosapond/platform/position_codec.py
@@ -1,14 +1,16 @@
 """Encodes and decodes log positions in the platform's wire protocol."""
 
 from mimosapond.groups.log_position import LogPosition
+from mimosapond.platform.decimal_codec import decode_decimal
 
 
 def decode_position(text: str) -> LogPosition | None:
     """Return the position; None if ``text`` is a dash or not a position."""
-    term, dot, number = text.partition('.')
-    if not dot or not term.isdecimal() or not number.isdecimal():
+    term_text, _, number_text = text.partition('.')
+    term, number = decode_decimal(term_text), decode_decimal(number_text)
+    if term is None or number is None:
         return None
-    return LogPosition(int(term), int(number))
+    return LogPosition(term, number)
 
 
 def encode_position(position: LogPosition) -> str:
--- a/mimosapond/platform/registration_codec.py
+++ b/mimosapond/platform/registration_codec.py
@@ -1,12 +1,15 @@
 """Decodes the registrations of members in the platform's store."""
 
-import json
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, Final
 
 from mimosapond.groups.member_record import MemberRecord
+from mimosapond.json_decoding import UndecodableJson, decode_json_object
+from mimosapond.platform.address_codec import decode_address
 
-_STATES = frozenset(('ready', 'draining'))
+_STATES: Final = frozenset(('ready', 'draining'))
+# Limit of keys in the store.
+_MAX_NAME_CHARS: Final = 200
 
 
 def decode_registration(
@@ -17,12 +20,9 @@
 
     Other programs write to the same table, so any content is possible.
     """
-    try:
-        entry = json.loads(content)
-    except ValueError:
-        return 'the entry is not JSON'
-    if not isinstance(entry, Mapping):
-        return 'the entry is not a JSON object'
+    entry = decode_json_object(content)
+    if isinstance(entry, UndecodableJson):
+        return entry.problem
     return _decode_entry(member_id, entry)
 
 
@@ -32,17 +32,25 @@
     for field in ('service', 'addr', 'zone', 'state'):
         if not isinstance(entry.get(field), str):
             return f'{field} is missing or not a text'
-    ip, colon, port = entry['addr'].rpartition(':')
-    if not colon or not ip or not port.isdecimal():
+    if not (_is_name(member_id) and _is_name(entry['service'])):
+        return 'the id or service is not a name'
+    address = decode_address(entry['addr'])
+    if address is None:
         return 'addr is not ip:port'
     if entry['state'] not in _STATES:
         return 'state is not known'
     return MemberRecord(
         member_id=member_id,
         group=entry['service'],
-        ip=ip,
-        port=int(port),
+        ip=address.ip,
+        port=address.port,
         data_centre=entry['zone'],
         is_leaving=entry['state'] == 'draining',
         reports_primary=entry.get('db_role') == 'primary',
     )
+
+
+def _is_name(text: str) -> bool:
+    """Return whether a text can be a field of a line to a member."""
+    is_word = text.isprintable() and ' ' not in text
+    return is_word and 0 < len(text) <= _MAX_NAME_CHARS
--- a/mimosapond/platform/status_codec.py
+++ b/mimosapond/platform/status_codec.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from mimosapond.groups.member_status import MemberStatus
+from mimosapond.platform.decimal_codec import decode_decimal
 from mimosapond.platform.position_codec import decode_position
 
 _FIELD_COUNT: Final = 4
@@ -19,14 +20,14 @@
     fields = rows[0].split(' ') if rows else []
     if len(fields) < _FIELD_COUNT:
         raise ValueError('fields are missing')
-    received = decode_position(fields[2])
-    if received is None:
-        raise ValueError('the position is missing')
-    # The fourth field is the term for which the member has paused receiving.
-    paused_term = int(fields[3]) if fields[3].isdecimal() else 0
+    term, received = decode_decimal(fields[1]), decode_position(fields[2])
+    if term is None or received is None:
+        raise ValueError('the term or the position is missing')
     return MemberStatus(
         is_primary=fields[0] == 'primary',
-        term=int(fields[1]),
+        term=term,
         received=received,
-        paused_term=paused_term,
+        # The fourth field is the term for which the member has paused
+        # receiving.
+        paused_term=decode_decimal(fields[3]) or 0,
     )
--- a/mimosapond/platform/store_claims.py
+++ b/mimosapond/platform/store_claims.py
@@ -8,6 +8,7 @@
 import json
 from typing import Final, final
 
+import attrs
 from loguru import logger
 
 from mimosapond.boot_clock import Now
@@ -18,6 +19,7 @@
     DutyTaken,
     DutyUnknown,
 )
+from mimosapond.json_decoding import UndecodableJson, decode_json_object
 from mimosapond.platform.store_client import (
     ConditionFailed,
     StoreClient,
@@ -33,6 +35,15 @@
 _RESERVATION_PREFIX: Final = 'reserve/'
 
 
+@final
+@attrs.frozen
+class _StoredClaim:
+    """A claim in a row; a released one has no holder."""
+
+    holder: str
+    claimed_ms: int
+
+
 @final
 class StoreClaims:
     """Claims of one host; implements ``ClaimPort``."""
@@ -87,7 +98,7 @@
         if isinstance(found, Unavailable):
             return DutyUnknown(found.reason)
         row = _find_row(found, group)
-        holder = _active_holder(row, found.now_ms)
+        holder = active_holder(row, found.now_ms)
         if holder not in {'', self._host}:
             return DutyTaken(holder)
         return await self._write_claim(row, found.now_ms, expires_s)
@@ -101,9 +112,16 @@
             )
             return
         row = _find_row(found, group)
-        if _active_holder(row, found.now_ms) == self._host:
-            released = StoredRow(group, b'{}', row.version)
-            await self._store.compare_and_set(_TABLE, released, _CALL_TIMEOUT_S)
+        if active_holder(row, found.now_ms) != self._host:
+            return
+        released = StoredRow(group, b'{}', row.version)
+        written = await self._store.compare_and_set(
+            _TABLE, released, _CALL_TIMEOUT_S
+        )
+        if not isinstance(written, StoredRows):
+            logger.bind(group=group, reason=str(written)).warning(
+                'duty_not_released'
+            )
 
     async def _write_claim(
         self, row: StoredRow, now_ms: int, expires_s: float
@@ -129,9 +147,30 @@
     return StoredRow(row_key, None, 0)
 
 
-def _active_holder(row: StoredRow, now_ms: int) -> str:
-    """Return the host that holds an unexpired claim; empty if none does."""
-    body = json.loads(row.content or b'{}')
-    if now_ms - body.get('claimed_ms', 0) > _CLAIM_DURATION_MS:
+def active_holder(row: StoredRow, now_ms: int) -> str:
+    """Return the host that holds an unexpired claim; empty if none does.
+
+    A row that another program wrote, or that claims a time to come, holds
+    nothing: it would block every change of the group.
+    """
+    if row.content is None:
         return ''
-    return str(body.get('holder', ''))
+    claim = _decode_claim(row.content)
+    if claim is None:
+        logger.bind(row=row.key).warning('claim_unreadable')
+        return ''
+    age_ms = now_ms - claim.claimed_ms
+    return claim.holder if 0 <= age_ms <= _CLAIM_DURATION_MS else ''
+
+
+def _decode_claim(content: bytes) -> _StoredClaim | None:
+    body = decode_json_object(content)
+    match body:
+        case UndecodableJson():
+            return None
+        case {'holder': str(holder), 'claimed_ms': int(claimed_ms)}:
+            return _StoredClaim(holder, claimed_ms)
+        case _ if not body:
+            return _StoredClaim('', 0)
+        case _:
+            return None
--- a/mimosapond/platform/store_client.py
+++ b/mimosapond/platform/store_client.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import base64
-import binascii
 import json
+from collections.abc import Mapping
 from typing import Any, Final, final
 from urllib.parse import urlencode
 
@@ -13,6 +13,7 @@
 from tornado.httpclient import HTTPResponse
 
 from mimosapond.address_resolver import AddressResolver
+from mimosapond.json_decoding import UndecodableJson, decode_json_object
 
 _OK: Final = 200
 _PRECONDITION_FAILED: Final = 412
@@ -103,7 +104,7 @@
         query = urlencode({'table': table, 'part': ''})
         response = await self._fetch('GET', f'rows-get?{query}', None, limit_s)
         if isinstance(response, HTTPResponse):
-            return _decode_rows(response)
+            return decode_rows(response)
         return response
 
     async def wait_for_changes(
@@ -129,7 +130,7 @@
             return response
         if response.code == _GONE:
             return HistoryTruncated()
-        return _decode_rows(response)
+        return decode_rows(response)
 
     async def compare_and_set(
         self,
@@ -160,7 +161,7 @@
             return response
         if response.code == _PRECONDITION_FAILED:
             return ConditionFailed()
-        return _decode_rows(response)
+        return decode_rows(response)
 
     async def _fetch(
         self,
@@ -186,24 +187,31 @@
         return Unavailable(f'HTTP status {response.code}')
 
 
-def _decode_rows(response: HTTPResponse) -> StoredRows | Unavailable:
+def decode_rows(response: HTTPResponse) -> StoredRows | Unavailable:
+    body = decode_json_object(response.body)
+    if isinstance(body, UndecodableJson):
+        return _unreadable(body.problem)
     try:
-        body = json.loads(response.body)
         return StoredRows(
             tuple(_decode_row(row) for row in body.get('rows', ())),
             int(body['ver']),
             int(body['now_ms']),
         )
-    except (ValueError, KeyError, TypeError) as error:
-        logger.bind(problem=repr(error)).error('store_answer_unreadable')
-        return Unavailable('the answer could not be decoded')
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return _unreadable(repr(error))
 
 
-def _decode_row(row: dict[str, Any]) -> StoredRow:
+def _unreadable(problem: str) -> Unavailable:
+    logger.bind(problem=problem).error('store_answer_unreadable')
+    return Unavailable('the answer could not be decoded')
+
+
+def _decode_row(row: Mapping[str, Any]) -> StoredRow:
+    key, version = str(row['key']), int(row['ver'])
     if row.get('deleted'):
-        return StoredRow(row['key'], None, row['ver'])
+        return StoredRow(key, None, version)
     try:
         content = base64.b64decode(row['value'], validate=True)
-    except (binascii.Error, TypeError):
+    except (ValueError, TypeError):
         content = b''
-    return StoredRow(row['key'], content, row['ver'])
+    return StoredRow(key, content, version)
--- a/mimosapond/platform/store_peers.py
+++ b/mimosapond/platform/store_peers.py
@@ -5,9 +5,11 @@
 
 from loguru import logger
 
+from mimosapond.json_decoding import UndecodableJson, decode_json_object
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_discovery import ANNOUNCE_INTERVAL_S
 from mimosapond.peers.peer_source import Peers, PeersUnavailable
+from mimosapond.platform.address_codec import decode_address
 from mimosapond.platform.store_client import (
     StoreClient,
     StoredRow,
@@ -21,7 +23,6 @@
 # A host that missed this many announcements is considered down.
 _MISSED_LIMIT_COUNT: Final = 6
 _EXPIRY_MS: Final = _MISSED_LIMIT_COUNT * ANNOUNCE_INTERVAL_S * _MS_PER_S
-_DECODE_ERRORS: Final = (KeyError, TypeError, ValueError)
 
 
 @final
@@ -45,7 +46,7 @@
         if isinstance(found, Unavailable):
             return PeersUnavailable(found.reason)
         await self._write_announcement(own, found)
-        peers = [_decode(row, found.now_ms) for row in found.rows]
+        peers = [decode_announcement(row, found.now_ms) for row in found.rows]
         return Peers(tuple(peer for peer in peers if peer is not None))
 
     async def _write_announcement(self, own: Peer, found: StoredRows) -> None:
@@ -66,14 +67,21 @@
             logger.bind(outcome=str(written)).warning('host_not_announced')
 
 
-def _decode(row: StoredRow, now_ms: int) -> Peer | None:
-    try:
-        body = json.loads(row.content or b'')
-        if now_ms - body['announced_ms'] > _EXPIRY_MS:
-            return None
-        return Peer(row.key, str(body['address']), str(body['data_centre']))
-    except _DECODE_ERRORS as error:
-        logger.bind(row=row.key, problem=repr(error)).warning(
-            'announcement_unreadable',
-        )
+def decode_announcement(row: StoredRow, now_ms: int) -> Peer | None:
+    """Return the host of a row; None if it is outdated or not readable."""
+    body = decode_json_object(row.content or b'')
+    if isinstance(body, UndecodableJson):
+        _log_unreadable(row, body.problem)
+        return None
+    announced_ms = body.get('announced_ms')
+    address = decode_address(str(body.get('address')))
+    if not isinstance(announced_ms, int) or address is None:
+        _log_unreadable(row, 'a field is missing or has another type')
+        return None
+    if now_ms - announced_ms > _EXPIRY_MS:
         return None
+    return Peer(row.key, str(address), str(body.get('data_centre', '')))
+
+
+def _log_unreadable(row: StoredRow, problem: str) -> None:
+    logger.bind(row=row.key, problem=problem).warning('announcement_unreadable')
