Keep connections between hosts open and share them

Cause: work that one host passed on to another opened an HTTP connection for each request. With hundreds of hosts most work is passed on, and the connection and the HTTP layer would be the larger part of its cost.

Change: hosts exchange frames (number, path or status, JSON body) over one connection for each pair, with many requests in flight. A peer that fails again is left alone for longer, up to 8 s, and chosen at once after an answer; a question for a primary that takes long is not held against the peer. A stopping host answers new single work with a status that says that nothing ran. Bytes that are no frame end their connection only. Requests wait 0.1 s longer than the deadline of their work, so that the peer's own answer is seen.

--- a/features/relay_builders.py
+++ b/features/relay_builders.py
@@ -4,7 +4,6 @@
 from typing import Final, final
 
 import attrs
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
 from features.group_builders import (
@@ -18,12 +17,14 @@
 from mimosapond.configuration.route import Route
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_client import PeerClient
+from mimosapond.peers.peer_frame import PeerFrame
+from mimosapond.peers.peer_links import PeerLinks
 from mimosapond.peers.relayed_work_handler import (
     RelayedWorkServices,
     RelayedWorkHandler,
 )
 from mimosapond.peers.peer_directory import PeerDirectory
-from mimosapond.peers.peer_server import build_peer_server
+from mimosapond.peers.peer_server import PeerServer
 from mimosapond.peers.peer_relay_finder import PeerRelayFinder
 from mimosapond.peers.transaction_keys import TransactionKeys
 from mimosapond.routing.primary_path import PrimaryPathFinder
@@ -34,6 +35,7 @@
 from mimosapond.sessions.transaction import TransactionRouting
 
 _LOOPBACK: Final = '127.0.0.1'
+_ANSWER_S: Final = 2.0
 
 
 @final
@@ -58,7 +60,7 @@
     directory: PeerDirectory
     finder: PeerRelayFinder
     handler: RelayedWorkHandler
-    server: HTTPServer
+    server: PeerServer
 
 
 def build_pair(route: Route) -> RelayingPair:
@@ -73,9 +75,9 @@
 
 def serve_handler(
     handler: RelayedWorkHandler, world: GroupWorld
-) -> tuple[HTTPServer, str]:
+) -> tuple[PeerServer, str]:
     """Start the listener of a host; return its server and ``ip:port``."""
-    server = build_peer_server(handler, world.directory, boot_time_s)
+    server = PeerServer(handler, world.directory, boot_time_s)
     sockets = bind_sockets(0, _LOOPBACK)
     server.add_sockets(sockets)
     return server, f'{_LOOPBACK}:{sockets[0].getsockname()[1]}'
@@ -117,6 +119,13 @@
     )
 
 
+async def send_to_peer(peer: Peer, path: str, body: bytes) -> int:
+    """Send a body to a host and return the status of its answer."""
+    answer = await PeerLinks(boot_time_s).call(peer, path, body, _ANSWER_S)
+    assert isinstance(answer, PeerFrame), answer
+    return int(answer.word)
+
+
 def caller_statements(fakes: Mapping[str, FakeMember]) -> list[str]:
     """Return the statements of callers that members ran, without probes."""
     return [
--- a/features/relaying.feature
+++ b/features/relaying.feature
@@ -113,6 +113,27 @@
   Scenario: relayed work arrives unchanged and its reads are not staler
     Then any work is unchanged after it is encoded and decoded
 
+  # Guards against requests that wait for each other, and against a connection
+  # for each request.
+  Scenario: requests to another host share a connection
+    Given another host that answers its first request last
+    When 20 requests are sent to it at the same time
+    Then each request gets its own answer over 1 connection
+
+  # Guards against work that is sent over a connection which fell silent, until
+  # its deadline has passed.
+  Scenario: a connection that fell silent is replaced
+    Given another host that is silent on its first connection
+    When a request gets no answer, and others follow
+    Then the others are answered over a second connection
+
+  # Guards against a whole listener that ends after bytes that are no request.
+  Scenario: bytes that are no request end only their connection
+    Given a host that listens for requests of other hosts
+    When another host sends bytes that are no request
+    And another host sends {} to /v1/writes
+    Then the other host gets status 400
+
   Scenario Outline: malformed requests between hosts
     Given a host that listens for requests of other hosts
     When another host sends <body> to <path>
--- a/features/steps/foreign_entries_steps.py
+++ b/features/steps/foreign_entries_steps.py
@@ -8,7 +8,6 @@
 from behave import given, then, when
 from hypothesis import given as hypothesis_given
 from hypothesis import settings, strategies
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 from features.foreign_entry_decoders import DECODERS
 from features.foreign_entry_builders import (
@@ -17,6 +16,7 @@
     build_registration,
 )
 from features.group_builders import (
+    DATA_CENTRE,
     GROUP,
     build_configuration,
     build_record,
@@ -24,13 +24,19 @@
     build_world,
 )
 from features.group_fakes import FakeConnection, FakeDialer, FakeMember
-from features.relay_builders import build_relayed_work_services, serve_handler
+from features.relay_builders import (
+    build_relayed_work_services,
+    send_to_peer,
+    serve_handler,
+)
 from mimosapond.boot_clock import boot_time_s
 from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.groups.connection_pool import ConnectionPool
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.member_load import MemberLoad
 from mimosapond.groups.registration_poller import RegistrationPoller
+from mimosapond.peers import peer_paths
+from mimosapond.peers.peer import Peer
 from mimosapond.peers.relayed_work_handler import RelayedWorkHandler
 from mimosapond.platform.store_client import StoreClient
 from mimosapond.platform.store_registrations import StoreRegistrations
@@ -300,16 +306,10 @@
 async def _send(world: Any, body: str) -> int:
     handler = RelayedWorkHandler(build_relayed_work_services(world))
     server, address = serve_handler(handler, world)
-    request = HTTPRequest(
-        f'http://{address}/v1/reads',
-        method='POST',
-        body=body,
-        request_timeout=2.0,
-    )
-    client = AsyncHTTPClient(force_instance=True)
-    response = await client.fetch(request, raise_error=False)
+    peer = Peer('far', address, DATA_CENTRE)
+    code = await send_to_peer(peer, peer_paths.READS, body.encode())
     server.stop()
-    return int(response.code)
+    return code
 
 
 @then('the host answers {code:d}')
--- a/features/steps/relaying_steps.py
+++ b/features/steps/relaying_steps.py
@@ -9,10 +9,13 @@
 from hypothesis import given as for_all
 from hypothesis import settings
 from hypothesis import strategies as st
-from tornado.httpclient import AsyncHTTPClient
 
 from features.group_builders import build_route, build_world
-from features.relay_builders import build_pair, caller_statements
+from features.relay_builders import (
+    build_pair,
+    caller_statements,
+    send_to_peer,
+)
 from mimosapond.boot_clock import boot_time_s
 from mimosapond.failover.primary_monitor import PrimaryMonitor
 from mimosapond.groups.log_position import LogPosition
@@ -293,7 +296,7 @@
 
 @when('another host sends {body} to {path}')
 def send_body(context: Any, body: str, path: str) -> None:
-    """Post the body to the other host and keep the status."""
+    """Send the body to the other host and keep the status."""
     context.status = context.loop.run_until_complete(
         _post(context.pair, path, body),
     )
@@ -301,16 +304,10 @@
 
 async def _post(pair: Any, path: str, body: str) -> int:
     peer = pair.directory.choose(1)[0]
-    response = await AsyncHTTPClient(force_instance=True).fetch(
-        f'http://{peer.address}{path}',
-        method='POST',
-        body=body,
-        raise_error=False,
-    )
-    return response.code
+    return await send_to_peer(peer, path, body.encode())
 
 
 @then('the other host gets status {status:d}')
 def check_status(context: Any, status: int) -> None:
-    """Compare the HTTP status."""
+    """Compare the status of the answer."""
     assert context.status == status, context.status
--- a/mimosapond/peers/peer_client.py
+++ b/mimosapond/peers/peer_client.py
@@ -1,21 +1,21 @@
-"""HTTP client for requests to other hosts."""
+"""Client for requests to other hosts."""
 
-import asyncio
 import json
 from collections.abc import Mapping
+from http import HTTPStatus
 from typing import Any, Final, final
 
 import attrs
 from loguru import logger
-from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
 
-from mimosapond.address_resolver import AddressResolver
 from mimosapond.boot_clock import Now
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.json_decoding import UndecodableJson, decode_json_object
 from mimosapond.peers import peer_paths
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_directory import PeerDirectory
+from mimosapond.peers.peer_link import LinkFailure
+from mimosapond.peers.peer_links import PeerLinks
 from mimosapond.peers.work_codec import (
     decode_outcome,
     decode_position,
@@ -25,14 +25,21 @@
 from mimosapond.routing.work import Work
 from mimosapond.statements.statement import Begin
 
-_OK: Final = 200
-_NOT_RUN_STATUSES: Final = frozenset((400, 404))
 _MS_PER_S: Final = 1000
-_CONNECT_TIMEOUT_S: Final = 0.15
 _ROLLBACK_TIMEOUT_S: Final = 1.0
-_CALL_ERRORS: Final = (HTTPError, OSError, asyncio.TimeoutError)
+# A peer answers work at its deadline at the latest; the answer travels.
+_ANSWER_MARGIN_S: Final = 0.1
 _BODY_ERRORS: Final = (KeyError, TypeError, ValueError)
-_MAX_CONCURRENT_REQUESTS: Final = 200
+# Statuses of answers which say that nothing ran.
+_NOT_RUN_STATUSES: Final = frozenset(
+    str(status.value)
+    for status in (
+        HTTPStatus.BAD_REQUEST,
+        HTTPStatus.NOT_FOUND,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+_OK: Final = str(HTTPStatus.OK.value)
 
 
 @final
@@ -54,11 +61,7 @@
 
 @final
 class PeerClient:
-    """Sends requests to peers, each over a new connection.
-
-    Connections are not reused, because requests over a connection whose state
-    the network has lost would get no answer.
-    """
+    """Sends requests to peers over connections that stay open."""
 
     def __init__(self, directory: PeerDirectory, now: Now) -> None:
         """Create a client.
@@ -66,17 +69,13 @@
         Parameters
         ----------
         directory
-            Records the peers that give no answer.
+            Records which peers answer.
         now
             Clock of the deadlines of work.
         """
         self._directory = directory
         self._now = now
-        self._client = AsyncHTTPClient(
-            force_instance=True,
-            max_clients=_MAX_CONCURRENT_REQUESTS,
-            resolver=AddressResolver(),
-        )
+        self._links = PeerLinks(now)
 
     async def ask_primary(
         self, peer: Peer, group: str, max_age_s: float, limit_s: float
@@ -162,7 +161,10 @@
             key=fields.get('key', ''),
         ).info('work_passed_on')
         body = {**fields, 'work': encode_work(work, now_s)}
-        response = await self._call(peer, path, body, work.deadline_s - now_s)
+        left_s = work.deadline_s - now_s
+        if left_s <= 0:
+            return WorkUnanswered('the deadline has passed', was_sent=False)
+        response = await self._call(peer, path, body, left_s + _ANSWER_MARGIN_S)
         if isinstance(response, WorkUnanswered):
             return response
         try:
@@ -173,35 +175,27 @@
     async def _call(
         self, peer: Peer, path: str, body: Mapping[str, Any], limit_s: float
     ) -> Mapping[str, Any] | WorkUnanswered:
-        if limit_s <= 0:
-            return WorkUnanswered('the deadline has passed', was_sent=False)
-        request = HTTPRequest(
-            f'http://{peer.address}{path}',
-            method='POST',
-            headers={'Content-Type': 'application/json'},
-            body=json.dumps(body),
-            connect_timeout=min(_CONNECT_TIMEOUT_S, limit_s),
-            request_timeout=limit_s,
-        )
-        try:
-            response = await self._client.fetch(request, raise_error=False)
-            if response.code != _OK:
+        content = json.dumps(body).encode()
+        answer = await self._links.call(peer, path, content, limit_s)
+        if isinstance(answer, LinkFailure):
+            # A peer that probes a silent primary answers the question for it
+            # late, and is not at fault.
+            is_at_fault = answer.was_silent and path != peer_paths.PRIMARY
+            if is_at_fault or not answer.was_sent:
                 return self._unanswered(
-                    peer,
-                    path,
-                    f'status {response.code}',
-                    was_sent=response.code not in _NOT_RUN_STATUSES,
+                    peer, path, answer.reason, was_sent=answer.was_sent
                 )
-        except _CALL_ERRORS as error:
-            return self._unanswered(
-                peer, path, repr(error), was_sent=_may_be_sent(error)
-            )
-        body_or_problem = decode_json_object(response.body)
-        if isinstance(body_or_problem, UndecodableJson):
+            return WorkUnanswered(answer.reason, was_sent=answer.was_sent)
+        if answer.word != _OK:
+            was_sent = answer.word not in _NOT_RUN_STATUSES
             return self._unanswered(
-                peer, path, body_or_problem.problem, was_sent=True
+                peer, path, f'status {answer.word}', was_sent=was_sent
             )
-        return body_or_problem
+        decoded = decode_json_object(answer.body)
+        if isinstance(decoded, UndecodableJson):
+            return self._unanswered(peer, path, decoded.problem, was_sent=True)
+        self._directory.record_answer(peer)
+        return decoded
 
     def _unanswered(
         self, peer: Peer, path: str, reason: str, *, was_sent: bool
@@ -219,14 +213,3 @@
         return None
     age_s = float(body['age_ms']) / _MS_PER_S
     return PrimaryReport(str(body['member_id']), position, age_s)
-
-
-def _may_be_sent(error: Exception) -> bool:
-    """Return whether the peer may have received the request.
-
-    Tornado raises the same error for all timeouts; only its text tells
-    whether the connection was established.
-    """
-    if isinstance(error, ConnectionRefusedError):
-        return False
-    return 'while connecting' not in str(error)
--- a/mimosapond/peers/peer_directory.py
+++ b/mimosapond/peers/peer_directory.py
@@ -10,8 +10,10 @@
 from mimosapond.boot_clock import Now
 from mimosapond.peers.peer import Peer
 
-# Time for which a peer that gave no answer is not chosen again.
+# Time for which a peer that gave no answer is not chosen again; it doubles
+# with each further failure.
 _FAILED_PEER_PAUSE_S: Final = 1.0
+_MAX_FAILED_PEER_PAUSE_S: Final = 8.0
 # Failures of a peer are logged again only after an interval without any.
 _FAILURE_LOG_INTERVAL_S: Final = 5.0
 
@@ -26,6 +28,8 @@
         self._now = now
         self._peers: dict[str, Peer] = {}
         self._failed_s: dict[str, float] = {}
+        self._paused_until_s: dict[str, float] = {}
+        self._pause_s: dict[str, float] = {}
 
     def update(self, peers: Iterable[Peer]) -> None:
         """Replace the peers with the announced hosts, except this one."""
@@ -42,9 +46,25 @@
             Whether to log the failure, because the peer had none for some
             seconds.
         """
+        now_s = self._now()
         last_s = self._failed_s.get(peer.host, -math.inf)
-        self._failed_s[peer.host] = self._now()
-        return self._now() - last_s > _FAILURE_LOG_INTERVAL_S
+        self._failed_s[peer.host] = now_s
+        if self.is_available(peer):
+            pause_s = self._pause_s.get(peer.host, _FAILED_PEER_PAUSE_S)
+            self._paused_until_s[peer.host] = now_s + pause_s
+            self._pause_s[peer.host] = min(
+                pause_s * 2, _MAX_FAILED_PEER_PAUSE_S
+            )
+        return now_s - last_s > _FAILURE_LOG_INTERVAL_S
+
+    def record_answer(self, peer: Peer) -> None:
+        """Record that a peer answered, so that it is chosen again at once."""
+        self._pause_s.pop(peer.host, None)
+        self._paused_until_s.pop(peer.host, None)
+
+    def is_available(self, peer: Peer) -> bool:
+        """Return whether a peer may be chosen now."""
+        return self._now() >= self._paused_until_s.get(peer.host, -math.inf)
 
     def choose(self, count: int) -> list[Peer]:
         """Return random peers, spread over as many data centres as possible.
@@ -64,8 +84,7 @@
         """
         by_data_centre: dict[str, list[Peer]] = defaultdict(list)
         for peer in self._peers.values():
-            last_s = self._failed_s.get(peer.host, -math.inf)
-            if self._now() - last_s > _FAILED_PEER_PAUSE_S:
+            if self.is_available(peer):
                 by_data_centre[peer.data_centre].append(peer)
         for peers in by_data_centre.values():
             random.shuffle(peers)
--- a/mimosapond/peers/peer_server.py
+++ b/mimosapond/peers/peer_server.py
@@ -1,21 +1,26 @@
-"""HTTP server for the requests of other hosts."""
+"""Server for the requests of other hosts."""
 
 import asyncio
 import functools
+import json
 from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
 from typing import Any, Final, TypeAlias, final
 
 from loguru import logger
-from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPServerRequest
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
 
 from mimosapond.boot_clock import Now
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.json_decoding import UndecodableJson, decode_json_object
-from mimosapond.json_response import send_json
 from mimosapond.peers import peer_paths
+from mimosapond.peers.peer_frame import (
+    FrameUnreadableError,
+    PeerFrame,
+    encode_frame,
+    read_frame,
+)
 from mimosapond.peers.relayed_work_handler import RelayedWorkHandler
 from mimosapond.peers.work_codec import (
     decode_work,
@@ -38,6 +43,8 @@
         peer_paths.COMMITS,
     ),
 )
+# Paths of work that another host can run as well.
+_NEW_WORK_PATHS: Final = frozenset((peer_paths.READS, peer_paths.WRITES))
 _BODY_ERRORS: Final = (
     ArithmeticError,
     AttributeError,
@@ -48,13 +55,16 @@
 
 
 @final
-class PeerRequestHandler:
-    """Answers each request in a task of its own."""
+class PeerServer(TCPServer):
+    """Answers each request in a task of its own.
+
+    The answers of a connection are sent in the order in which they are ready.
+    """
 
     def __init__(
         self, handler: RelayedWorkHandler, directory: GroupDirectory, now: Now
     ) -> None:
-        """Create a request handler.
+        """Create a server, not yet bound.
 
         Parameters
         ----------
@@ -65,37 +75,57 @@
         now
             Clock of the deadlines of work.
         """
+        super().__init__()
         self._handler = handler
         self._directory = directory
         self._now = now
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def __call__(self, request: HTTPServerRequest) -> None:
-        """Start a task that answers a request."""
-        task = asyncio.create_task(self._answer(request))
+    async def handle_stream(
+        self, stream: IOStream, address: tuple[str, int]
+    ) -> None:
+        """Read the requests of one connection until it is closed."""
+        stream.set_nodelay(True)  # noqa: FBT003 -- tornado's own signature
+        try:
+            while True:
+                self._start_answer(stream, await read_frame(stream))
+        except StreamClosedError:
+            logger.bind(peer=address[0]).debug('peer_disconnected')
+        except FrameUnreadableError as error:
+            logger.bind(problem=repr(error)).warning('peer_frame_unreadable')
+        finally:
+            stream.close()
+
+    def _start_answer(self, stream: IOStream, request: PeerFrame) -> None:
+        task = asyncio.create_task(self._answer(stream, request))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _answer(self, request: HTTPServerRequest) -> None:
-        body = decode_json_object(request.body)
-        if isinstance(body, UndecodableJson):
-            _reject(request, body.problem)
-            return
-        try:
-            call = self._decode(request.path, body)
-        except _BODY_ERRORS as error:
-            _reject(request, repr(error))
-            return
-        if call is None:
-            _send(request, HTTPStatus.NOT_FOUND, {})
+    async def _answer(self, stream: IOStream, request: PeerFrame) -> None:
+        call = self._find_call(request)
+        if isinstance(call, HTTPStatus):
+            _send(stream, request, call, {})
             return
         # From here on the work may run, so the status must not be one that
         # tells the client that it did not.
         try:
-            _send(request, HTTPStatus.OK, await call())
+            _send(stream, request, HTTPStatus.OK, await call())
         except Exception:  # noqa: BLE001 -- one request must not stop others
-            logger.bind(path=request.path).exception('peer_request_failed')
-            _send(request, HTTPStatus.INTERNAL_SERVER_ERROR, {})
+            logger.bind(path=request.word).exception('peer_request_failed')
+            _send(stream, request, HTTPStatus.INTERNAL_SERVER_ERROR, {})
+
+    def _find_call(self, request: PeerFrame) -> _Call | HTTPStatus:
+        """Return the call of a request, or the status if nothing runs."""
+        body = decode_json_object(request.body)
+        if isinstance(body, UndecodableJson):
+            return _reject(request, body.problem)
+        if self._handler.is_stopping and request.word in _NEW_WORK_PATHS:
+            return HTTPStatus.SERVICE_UNAVAILABLE
+        try:
+            call = self._decode(request.word, body)
+        except _BODY_ERRORS as error:
+            return _reject(request, repr(error))
+        return HTTPStatus.NOT_FOUND if call is None else call
 
     def _decode(self, path: str, body: Mapping[str, Any]) -> _Call | None:
         match path:
@@ -151,25 +181,20 @@
     return encode_outcome(outcome.reply, outcome.position)
 
 
-def build_peer_server(
-    handler: RelayedWorkHandler, directory: GroupDirectory, now: Now
-) -> HTTPServer:
-    """Return an HTTP server, not yet bound, for requests of other hosts."""
-    return HTTPServer(PeerRequestHandler(handler, directory, now))
-
-
-def _reject(request: HTTPServerRequest, problem: str) -> None:
-    """Answer that nothing ran, because the body is no request."""
-    logger.bind(path=request.path, problem=problem).warning(
+def _reject(request: PeerFrame, problem: str) -> HTTPStatus:
+    """Log that a body is no request, and return the status of the answer."""
+    logger.bind(path=request.word, problem=problem).warning(
         'peer_request_unreadable',
     )
-    _send(request, HTTPStatus.BAD_REQUEST, {})
+    return HTTPStatus.BAD_REQUEST
 
 
 def _send(
-    request: HTTPServerRequest, status: HTTPStatus, body: Mapping[str, Any]
+    stream: IOStream, request: PeerFrame, status: HTTPStatus, body: _Body
 ) -> None:
+    content = json.dumps(body).encode()
+    answer = PeerFrame(request.number, str(status.value), content)
     try:
-        send_json(request, status, body)
+        stream.write(encode_frame(answer))
     except StreamClosedError:
-        logger.bind(path=request.path).info('peer_left')
+        logger.bind(path=request.word).info('peer_left')
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -32,7 +32,7 @@
 )
 from mimosapond.peers.peer_directory import PeerDirectory
 from mimosapond.peers.peer_discovery import PeerDiscovery
-from mimosapond.peers.peer_server import build_peer_server
+from mimosapond.peers.peer_server import PeerServer
 from mimosapond.peers.peer_relay_finder import PeerRelayFinder
 from mimosapond.peers.transaction_keys import TransactionKeys
 from mimosapond.platform.caller_server import CallerServer
@@ -124,7 +124,7 @@
             ready_port, ready_ip
         )
         peer_ip, peer_port = _split_address(self._settings.peer_address)
-        build_peer_server(
+        PeerServer(
             self._relayed_work_handler, self._directory, self._now
         ).listen(peer_port, peer_ip)
         return host
