--- a/features/group_builders.py
+++ b/features/group_builders.py
@@ -24,6 +24,7 @@
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.member_record import MemberRecord
 from mimosapond.groups.registration_poller import RegistrationPoller
+from mimosapond.routing.lead_proof import ReplicaProof
 from mimosapond.routing.member_selector import MemberSelector
 from mimosapond.routing.primary_path import PrimaryPathFinder
 from mimosapond.routing.primary_probe import PrimaryProbe
@@ -194,3 +195,19 @@
             positions, selector, paths, writes, boot_time_s
         ),
     )
+
+
+def with_replica_proof(world: GroupWorld) -> GroupWorld:
+    """Return the world with services that do not trust a former primary."""
+    proof = ReplicaProof()
+    probe = PrimaryProbe(boot_time_s, _NO_RELAYS, proof)
+    routing = attrs.evolve(
+        world.services.routing,
+        positions=ReadPositionFinder(probe, boot_time_s),
+        proof=proof,
+    )
+    reads = ReadRouter(
+        routing.positions, routing.member_selector, _NO_RELAYS, boot_time_s
+    )
+    services = attrs.evolve(world.services, reads=reads, routing=routing)
+    return attrs.evolve(world, probe=probe, services=services)
--- /dev/null
+++ b/features/holders.feature
@@ -0,0 +1,132 @@
+Feature: Hosts that hold a group
+  In a large system a few hosts hold the connections to a group, and the others
+  pass work on to them. All hosts compute the same holders.
+
+  # Guards against groups without a holder, members that are asked for more
+  # connections than they accept, and hosts that all move when one is lost.
+  Scenario: any hosts choose holders that agree
+    Then any hosts agree on the holders of any group
+    And the shares of the holders of any group stay under the members' limit
+    And a host that is lost moves only the groups that it held
+
+  Scenario Outline: the number of holders follows from the size of the system
+    Given a system of <hosts> hosts in <data_centres> data centres
+    Then <holders> hosts hold each group
+
+    Examples:
+      | hosts | data_centres | holders |
+      | 8     | 3            | 8       |
+      | 12    | 4            | 12      |
+      | 18    | 5            | 5       |
+      | 72    | 3            | 6       |
+      | 195   | 5            | 5       |
+
+  # Guards against all hosts of a data centre that pass their work on to hosts of
+  # another one, and against one that is tried again and again though it is lost.
+  Scenario: work is passed on within the data centre, and past a lost holder
+    Given a system of 72 hosts in 3 data centres
+    And a host that does not hold the group
+    Then the first 2 candidates are holders of its own data centre
+    When the first candidate gives no answer
+    Then the first candidate is another holder of its own data centre
+    When all hosts of its own data centre give no answer
+    Then the first candidate is a holder of another data centre
+
+  # Guards against a group that nobody holds after its holders were lost.
+  Scenario: a host holds a group while others ask it to
+    Given a system of 72 hosts in 3 data centres
+    And a host that does not hold the group
+    When another host passes on work for the group
+    Then the host holds the group
+    When 11 s pass
+    Then the host does not hold the group
+
+  # Guards against hosts that all open connections at once when they restart and
+  # reach no holder for a moment.
+  Scenario: a host that reaches no holder takes over after some seconds
+    Given a system of 72 hosts in 3 data centres
+    And a host that does not hold the group
+    When all hosts give no answer
+    Then the host does not hold the group
+    And the group is not reachable
+    When 4 s pass while all hosts give no answer
+    Then the host holds the group
+
+  # Guards against a herd of hosts that know none of the others yet.
+  Scenario: a host that knows no other host yet holds nothing
+    Given a host that has not read the announcements
+    Then the host does not hold the group
+
+  Scenario Outline: a host that does not hold a group passes its work on
+    Given a host that does not hold the group of its callers, and one that does
+    When the caller sends <statements>
+    Then the last reply is <reply>
+    And the members of the holder ran <runs>
+    And the first host sent nothing to a member
+
+    Examples:
+      | statements               | reply   | runs                    |
+      | write                    | success | write x                 |
+      | read                     | success | read x                  |
+      | begin, write, commit     | success | write x, COMMIT         |
+      | begin, read, rollback    | success | read x                  |
+      | set, write               | success | DISCARD or SET, write x |
+
+  # Guards against work that is lost or repeated when a holder stops or is lost.
+  Scenario Outline: a holder that is lost is followed by the next
+    Given a host that does not hold the group of its callers, and one that does
+    And before it in the ranking a holder that <fault>
+    When the caller sends <statements>
+    Then the last reply is success
+    And the members of the holder ran <runs>
+
+    Examples:
+      | fault            | statements           | runs            |
+      | is unreachable   | write                | write x         |
+      | is unreachable   | read                 | read x          |
+      | is unreachable   | begin, write, commit | write x, COMMIT |
+      | is stopping      | write                | write x         |
+      | is stopping      | read                 | read x          |
+      | is stopping      | begin, write, commit | write x, COMMIT |
+      | answers no reads | read                 | read x          |
+
+  # Guards against a write that is repeated at another holder although the first
+  # one may have run it.
+  Scenario: a write without an answer is not repeated at another holder
+    Given a host that does not hold the group of its callers, and one that does
+    And before it in the ranking a holder that answers nothing
+    When the caller sends write
+    Then the last reply is unknown
+    And the members of the holder ran nothing
+
+  # Guards against reads that run on old data (STALE on further, scale-1): a
+  # former primary goes on to accept transactions on that platform.
+  Scenario Outline: a former primary proves nothing where it goes on to answer
+    Given a group whose primary is p
+    And an answer of a former primary proves nothing
+    And replica a <a>
+    And replica b <b>
+    When primary p is probed
+    Then p is <known> as the primary
+
+    Examples:
+      | a                   | b                   | known         |
+      | follows             | follows             | confirmed     |
+      | is silent           | follows             | confirmed     |
+      | is paused           | follows             | confirmed     |
+      | is paused           | is paused           | not confirmed |
+      | is silent           | is silent           | not confirmed |
+      | leads a newer term  | is silent           | not confirmed |
+      | leads a newer term  | follows a newer one | not confirmed |
+
+  Scenario Outline: callers behind a partition with a former primary are refused
+    Given a group whose primary is p
+    And an answer of a former primary proves nothing
+    And the members a,b are silent
+    When the caller sends <statements>
+    Then the last reply is not_run
+
+    Examples:
+      | statements  |
+      | read        |
+      | begin, read |
--- a/features/relay_builders.py
+++ b/features/relay_builders.py
@@ -13,8 +13,11 @@
     build_world,
 )
 from features.group_fakes import FakeMember
+from features.peer_fakes import FakePeer
 from mimosapond.boot_clock import boot_time_s
 from mimosapond.configuration.route import Route
+from mimosapond.groups.group import Group
+from mimosapond.peers.holder_relay import HolderRelay
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_client import PeerClient
 from mimosapond.peers.peer_frame import PeerFrame
@@ -25,6 +28,7 @@
 )
 from mimosapond.peers.peer_directory import PeerDirectory
 from mimosapond.peers.peer_server import PeerServer
+from mimosapond.peers.peer_relay import PeerRelay
 from mimosapond.peers.peer_relay_finder import PeerRelayFinder
 from mimosapond.peers.transaction_keys import TransactionKeys
 from mimosapond.routing.primary_path import PrimaryPathFinder
@@ -36,6 +40,7 @@
 
 _LOOPBACK: Final = '127.0.0.1'
 _ANSWER_S: Final = 2.0
+_ASKED_COUNT: Final = 4
 
 
 @final
@@ -91,7 +96,10 @@
     directory.update([Peer('far', address, DATA_CENTRE)])
     client = PeerClient(directory, boot_time_s)
     finder = PeerRelayFinder(
-        directory, client, TransactionKeys(host), boot_time_s
+        lambda _: directory.choose(_ASKED_COUNT),
+        client,
+        TransactionKeys(host),
+        boot_time_s,
     )
     return directory, finder
 
@@ -134,3 +142,76 @@
         for text in fake.executed_statements
         if text not in {'BEGIN', 'ROLLBACK'}
     ]
+
+
+async def build_held_pair(route: Route, fault: str) -> RelayingPair:
+    """Build a host without connections, and one that holds its group.
+
+    Parameters
+    ----------
+    fault
+        What a holder that is preferred to the other one does; empty without
+        such a holder.
+    """
+    pair = build_pair(route)
+    peers = [*_build_faulty_peers(route, fault), *pair.directory.peers]
+    pair.directory.update(peers)
+    client = PeerClient(pair.directory, boot_time_s)
+    keys = TransactionKeys('near')
+    holders = _FixedHolders(peers, pair.directory, client, keys)
+    services = pair.origin.services
+    paths = PrimaryPathFinder(NoRelays(), boot_time_s, LEAVING_LIMIT_S, holders)
+    routing = attrs.evolve(
+        services.routing,
+        paths=paths,
+        writes=WriteRouter(paths, boot_time_s),
+        holders=holders,
+    )
+    reads = ReadRouter(
+        routing.positions,
+        routing.member_selector,
+        NoRelays(),
+        boot_time_s,
+        holders,
+    )
+    pair.origin.services = attrs.evolve(services, reads=reads, routing=routing)
+    return pair
+
+
+def _build_faulty_peers(route: Route, fault: str) -> list[Peer]:
+    match fault:
+        case '':
+            return []
+        case 'is unreachable':
+            return [Peer('lost', f'{_LOOPBACK}:1', DATA_CENTRE)]
+        case 'is stopping':
+            world = build_world(route)
+            handler = RelayedWorkHandler(build_relayed_work_services(world))
+            handler.is_stopping = True
+            return [Peer('lost', serve_handler(handler, world)[1], DATA_CENTRE)]
+        case _:
+            silent = FakePeer(is_first_connection_silent=True)
+            return [Peer('lost', silent.open_port(), DATA_CENTRE)]
+
+
+@final
+@attrs.frozen
+class _FixedHolders:
+    """Holders in a fixed order; see ``HolderFinder``."""
+
+    peers: list[Peer]
+    directory: PeerDirectory
+    client: PeerClient
+    keys: TransactionKeys
+
+    def find(self, group: Group) -> HolderRelay:
+        """Return the holders that are available."""
+        relays = [
+            PeerRelay(peer, self.client, self, self.keys)
+            for peer in self.peers
+            if self.directory.is_available(peer)
+        ]
+        return HolderRelay(relays, boot_time_s)
+
+    def forget(self, group: str) -> None:
+        """Do nothing: the directory records failures."""
--- a/features/steps/connection_ownership_steps.py
+++ b/features/steps/connection_ownership_steps.py
@@ -14,6 +14,7 @@
 from features.ownership_builders import build_access, build_ownership_world
 from features.wire_member import Refusal, Request
 from mimosapond.failover import control_requests
+from mimosapond.groups.connection_pool import ConnectionPool
 from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.groups.member_answer import Completed
 from mimosapond.peers.transaction_keys import TransactionKeys
@@ -306,7 +307,11 @@
 @when('the host closes its idle connections')
 def close_idle(context: Any) -> None:
     """Close them, so that the next statement opens a new connection."""
-    context.ownership.pool.close_idle()
+    _run(context, _close_idle(context.ownership.pool))
+
+
+async def _close_idle(pool: ConnectionPool) -> None:
+    pool.close_idle()
 
 
 @then('all statements that were sent succeed')
--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -211,7 +211,7 @@
 
 
 async def _claim_reserved(store: Any) -> Any:
-    claims = ReservedTokenClaims(store, boot_time_s)
+    claims = ReservedTokenClaims(store, boot_time_s, lambda: True)
     task = asyncio.create_task(claims.run())
     await asyncio.sleep(0)
     await asyncio.sleep(0)
--- a/mimosapond/configuration/configuration_follower.py
+++ b/mimosapond/configuration/configuration_follower.py
@@ -14,9 +14,9 @@
 )
 from mimosapond.dependency_monitor import DependencyMonitor
 
-# A change feed that does not answer is noticed after this timeout, well within
-# the time in which a new configuration must be in force.
-_FEED_TIMEOUT_S: Final = 1.5
+# Share of the time in which a new configuration must be in force, after which a
+# feed that does not answer is noticed. The rest is for reading the whole state.
+_FEED_TIMEOUT_RATIO: Final = 0.5
 _MIN_RETRY_DELAY_S: Final = 0.15
 _MAX_RETRY_DELAY_S: Final = 0.6
 
@@ -33,6 +33,7 @@
         source: ConfigurationSource,
         active: ActiveConfiguration,
         on_change: Callable[[Configuration], None],
+        apply_s: float,
     ) -> None:
         """Create a follower that has not read anything yet.
 
@@ -40,7 +41,10 @@
         ----------
         on_change
             Called with each configuration that has come into force.
+        apply_s
+            Time within which a new configuration must be in force.
         """
+        self._feed_timeout_s = apply_s * _FEED_TIMEOUT_RATIO
         self._source = source
         self._active = active
         self._on_change = on_change
@@ -57,7 +61,9 @@
         if self._cursor is None:
             answer = await self._source.read()
         else:
-            answer = await self._source.follow(self._cursor, _FEED_TIMEOUT_S)
+            answer = await self._source.follow(
+                self._cursor, self._feed_timeout_s
+            )
         match answer:
             case SourceState(configuration=configuration, cursor=cursor):
                 self._dependency.report_status(is_connected=True)
--- a/mimosapond/entry/host_settings.py
+++ b/mimosapond/entry/host_settings.py
@@ -24,9 +24,17 @@
     invalid_file,
     unreadable_file,
 )
-from mimosapond.setting_limits import DAY_MS, HOUR_S, LOG_LEVELS
+from mimosapond.setting_limits import (
+    DAY_MS,
+    HOUR_S,
+    LOG_LEVELS,
+    MAX_PROCESSOR_RATIO,
+)
 from mimosapond.yaml_mapping import compose_mapping
 
+_TRUE: Final = 'true'
+_FALSE: Final = 'false'
+_FLAGS: Final = (_TRUE, _FALSE)
 _REQUIRED: Final = (
     'host',
     'data_centre',
@@ -47,6 +55,11 @@
         'promotion_address': AddressRule(),
         'stop_grace_s': NumberRule(0.1, HOUR_S),
         'member_drain_ms': NumberRule(1, DAY_MS),
+        'configuration_apply_ms': NumberRule(1, DAY_MS),
+        'processor_ratio': NumberRule(0.001, MAX_PROCESSOR_RATIO),
+        'processor_speed_ratio': NumberRule(0.001, MAX_PROCESSOR_RATIO),
+        'is_first_start': ChoiceRule(_FLAGS),
+        'checks_tokens': ChoiceRule(_FLAGS),
         'log_level': ChoiceRule(LOG_LEVELS),
     },
 )
@@ -69,6 +82,16 @@
     member_drain_ms
         Time within which work on a member must stop after the member has
         announced that it is leaving.
+    configuration_apply_ms
+        Time within which an acknowledged configuration must be in force.
+    processor_ratio, processor_speed_ratio
+        Share of a processor core that the host gets, and the speed of that
+        core; their product is the capacity of the host.
+    is_first_start
+        ``true`` if the whole system starts for the first time.
+    checks_tokens
+        ``true`` if the promotion service refuses a fencing token that is lower
+        than one it has seen, and a former primary refuses requests at once.
     """
 
     host: str
@@ -80,8 +103,28 @@
     promotion_address: str
     stop_grace_s: float = 6.0
     member_drain_ms: float = 7000
+    configuration_apply_ms: float = 3000
+    processor_ratio: float = 1
+    processor_speed_ratio: float = 1
+    is_first_start: str = _FALSE
+    checks_tokens: str = _TRUE
     log_level: str = 'INFO'
 
+    @property
+    def capacity(self) -> float:
+        """Processor time that the host gets, in cores."""
+        return self.processor_ratio * self.processor_speed_ratio
+
+    @property
+    def starts_system(self) -> bool:
+        """Whether all hosts of the system start for the first time."""
+        return self.is_first_start == _TRUE
+
+    @property
+    def has_token_check(self) -> bool:
+        """Whether a promotion with a lower token than earlier is refused."""
+        return self.checks_tokens == _TRUE
+
 
 LoadedHostSettings: TypeAlias = HostSettings | InvalidFile
 
--- a/mimosapond/entry/platform_host.py
+++ b/mimosapond/entry/platform_host.py
@@ -19,6 +19,7 @@
 from mimosapond.failover.primary_monitor import PrimaryMonitor
 from mimosapond.failover.reserved_token_claims import ReservedTokenClaims
 from mimosapond.groups.group_directory import GroupDirectory
+from mimosapond.groups.holding import Holding
 from mimosapond.groups.registration_poller import RegistrationPoller
 from mimosapond.log_rate_limit import LogRateLimit
 from mimosapond.peers.relayed_work_handler import RelayedWorkHandler
@@ -61,6 +62,7 @@
     sessions: SessionRegistry
     relayed_work_handler: RelayedWorkHandler
     primary_probe: PrimaryProbe
+    holding: Holding
     relay_finder: RelayFinder
     reserved_token_claims: ReservedTokenClaims
     failover_coordinator: FailoverCoordinator
@@ -132,6 +134,7 @@
         """Do the regular work once; an unexpected error costs one round."""
         try:
             self._monitor_groups()
+            self._parts.directory.update_pool_limits()
             self._redirect_callers()
         except Exception:  # noqa: BLE001 -- the host goes on serving
             logger.exception('host_round_failed')
@@ -156,6 +159,7 @@
                     self._parts.failover_coordinator,
                     self._parts.relay_finder,
                     self._parts.now,
+                    self._parts.holding,
                 )
                 self._tasks.start(f'group {group.name}', monitor.run)
 
--- a/mimosapond/entry/reachability.py
+++ b/mimosapond/entry/reachability.py
@@ -4,24 +4,39 @@
 balancer then takes it out of rotation, and callers reach other hosts.
 """
 
-import math
 from typing import Final, final
 
 from mimosapond.boot_clock import Now
+from mimosapond.groups.group import Group
 from mimosapond.groups.group_directory import GroupDirectory
+from mimosapond.groups.holding import Holding, HoldsAll
 
 # Longer than the time between two confirmations of a reachable primary.
 _UNREACHABLE_AFTER_S: Final = 0.6
 # Longer than a change of primary takes.
 _MAX_CONFIRMATION_AGE_S: Final = 2.5
+_HOLDS_ALL: Final = HoldsAll()
 
 
 @final
 class Reachability:
     """Checks reachable members and the age of primary confirmations."""
 
-    def __init__(self, directory: GroupDirectory, now: Now) -> None:
-        """Check the groups in ``directory`` by the time of ``now``."""
+    def __init__(
+        self,
+        directory: GroupDirectory,
+        now: Now,
+        holding: Holding = _HOLDS_ALL,
+    ) -> None:
+        """Check the groups in ``directory`` by the time of ``now``.
+
+        Parameters
+        ----------
+        holding
+            Tells which groups this host holds, and whether it reaches the
+            holders of the others.
+        """
+        self._holding = holding
         self._directory = directory
         self._now = now
 
@@ -35,8 +50,7 @@
         return frozenset(
             group.name
             for group in self._directory.groups.values()
-            if group.is_majority_unreachable
-            and now_s - group.primary_confirmed_s > _UNREACHABLE_AFTER_S
+            if self._is_unreachable(group, now_s)
         )
 
     def is_sufficient(self) -> bool:
@@ -47,14 +61,21 @@
         new primary. So does an unreachable group, or the lack of any group
         with members.
         """
-        now_s = self._now()
-        ages_s = [
-            now_s - group.primary_confirmed_s
-            if group.has_seen_primary
-            else math.inf
-            for group in self._directory.groups.values()
-            if group.members
+        groups = [
+            group for group in self._directory.groups.values() if group.members
         ]
-        if not ages_s or max(ages_s) > _MAX_CONFIRMATION_AGE_S:
+        if not groups or not all(map(self._is_confirmed, groups)):
             return False
         return not self.unreachable_groups()
+
+    def _is_confirmed(self, group: Group) -> bool:
+        if not self._holding.holds(group.name):
+            return self._holding.is_reachable(group.name)
+        age_s = self._now() - group.primary_confirmed_s
+        return group.has_seen_primary and age_s <= _MAX_CONFIRMATION_AGE_S
+
+    def _is_unreachable(self, group: Group, now_s: float) -> bool:
+        if not self._holding.holds(group.name):
+            return not self._holding.is_reachable(group.name)
+        age_s = now_s - group.primary_confirmed_s
+        return group.is_majority_unreachable and age_s > _UNREACHABLE_AFTER_S
--- a/mimosapond/failover/failover_coordinator.py
+++ b/mimosapond/failover/failover_coordinator.py
@@ -167,7 +167,11 @@
             paused.add(MemberReport(leaving, status))
             await self._abort(group, claim, paused)
             return False
-        return await self._promote(group, caught_up, claim, paused)
+        leads = await self._promote(group, caught_up, claim, paused)
+        if leads:
+            # A former primary may go on to accept requests until it is told.
+            await step_down(leaving, claim.token)
+        return leads
 
     async def _replace_primary(
         self, group: Group, claim: DutyClaim, excluded: Member | None
--- a/mimosapond/failover/primary_monitor.py
+++ b/mimosapond/failover/primary_monitor.py
@@ -11,12 +11,15 @@
 from mimosapond.failover.member_fanout import gather_answers
 from mimosapond.failover.failover_coordinator import FailoverCoordinator
 from mimosapond.groups.group import Group
+from mimosapond.groups.holding import Holding, HoldsAll
 from mimosapond.groups.member import Member
 from mimosapond.routing.primary_probe import PrimaryProbe, ProbeResult
 from mimosapond.routing.relay_port import RelayFinder
 
 _POLL_INTERVAL_S: Final = 0.1
 _SEARCH_INTERVAL_S: Final = 0.04
+# Interval at which it is checked whether this host holds the group now.
+_REST_INTERVAL_S: Final = 0.5
 # Time between two searches while another host reaches the primary.
 _RELAYED_SEARCH_INTERVAL_S: Final = 0.25
 # Time without contact after which a primary with requests in flight is probed.
@@ -46,6 +49,7 @@
 _IDLE_CONNECTION_TIMEOUT_S: Final = 0.5
 # Idle connections to each member that stay open.
 _KEPT_IDLE_COUNT: Final = 1
+_HOLDS_ALL: Final = HoldsAll()
 
 
 @final
@@ -63,6 +67,7 @@
         failover: FailoverCoordinator,
         relays: RelayFinder,
         now: Now,
+        holding: Holding = _HOLDS_ALL,
     ) -> None:
         """Create a monitor that does nothing until it runs.
 
@@ -70,12 +75,15 @@
         ----------
         relays
             Finds a host that reaches the primary when this host does not.
+        holding
+            Tells whether this host holds the group; it does nothing otherwise.
         """
         self._group = group
         self._probe = probe
         self._failover = failover
         self._relays = relays
         self._now = now
+        self._holding = holding
         self._lost_since_s: float | None = None
         self._failover_backoff_s = _FAILOVER_BACKOFF_S
         self._next_failover_s: float = 0
@@ -92,6 +100,9 @@
                 await asyncio.sleep(_POLL_INTERVAL_S)
 
     async def _step(self) -> None:
+        if not self._holding.holds(self._group.name):
+            await self._rest()
+            return
         primary = self._group.primary
         if primary is None:
             await self._search()
@@ -107,9 +118,22 @@
         self._group.primary_check_needed.clear()
         await self._wait_for_next_check()
 
-    async def _wait_for_next_check(self) -> None:
+    async def _rest(self) -> None:
+        """Release what is kept for a group that other hosts hold."""
+        self._lost_since_s = None
+        for member in self._group.members.values():
+            member.pool.trim(0, _IDLE_CONNECTION_TIMEOUT_S)
+        primary = self._group.primary
+        if primary is not None:
+            self._group.suspect_primary(primary, 'other hosts hold the group')
+        self._group.primary_check_needed.clear()
+        await self._wait_for_next_check(_REST_INTERVAL_S)
+
+    async def _wait_for_next_check(
+        self, limit_s: float = _POLL_INTERVAL_S
+    ) -> None:
         try:
-            async with asyncio.timeout(_POLL_INTERVAL_S):
+            async with asyncio.timeout(limit_s):
                 await self._group.primary_check_needed.wait()
         except TimeoutError:
             return
--- a/mimosapond/failover/reserved_token_claims.py
+++ b/mimosapond/failover/reserved_token_claims.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 from collections import Counter
+from collections.abc import Callable
 from typing import Final, final
 
 from loguru import logger
@@ -37,14 +38,21 @@
 class ReservedTokenClaims:
     """Claims a group at the store, or with a reserved token in an outage."""
 
-    def __init__(self, store: ClaimPort, now: Now) -> None:
+    def __init__(
+        self, store: ClaimPort, now: Now, is_needed: Callable[[], bool]
+    ) -> None:
         """Create the claims of this host, without a reserved token yet.
 
         Parameters
         ----------
         store
             Grants claims while the store answers.
+        is_needed
+            Tells whether a token is to be reserved now. It must return False
+            where the platform does not refuse a token that is lower than one
+            it has seen: a reserved token may be older than a claim.
         """
+        self._is_needed = is_needed
         self._now = now
         self._store = store
         self._token: int | None = None
@@ -55,6 +63,10 @@
         """Keep a reserved token and renew it, until cancelled."""
         while True:
             self._renewal_requested.clear()
+            if not self._is_needed():
+                self._token = None
+                await asyncio.sleep(_RESERVE_RETRY_DELAY_S)
+                continue
             token = await self._store.reserve()
             if token is None:
                 await asyncio.sleep(_RESERVE_RETRY_DELAY_S)
--- a/mimosapond/groups/group.py
+++ b/mimosapond/groups/group.py
@@ -113,6 +113,12 @@
         self.primary_confirmed_s = max(asked_s, self.primary_confirmed_s)
         self.observations.add(asked_s, position)
 
+    def start_search(self, now_s: float) -> None:
+        """Let requests wait for a primary, as this host only now seeks it."""
+        if self._primary is None:
+            self.primary_confirmed_s = max(now_s, self.primary_confirmed_s)
+        self.primary_check_needed.set()
+
     def suspect_primary(self, member: Member, reason: str) -> None:
         """Record that a member may no longer be the primary, and why."""
         if self._primary is member:
--- a/mimosapond/groups/group_directory.py
+++ b/mimosapond/groups/group_directory.py
@@ -9,6 +9,7 @@
 from mimosapond.configuration.configuration import Configuration
 from mimosapond.groups.connection_pool import ConnectionPool
 from mimosapond.groups.group import Group
+from mimosapond.groups.holding import Holding, HoldsAll
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_load import MemberLoad
 from mimosapond.groups.member_port import MemberDialer
@@ -30,14 +31,28 @@
 # share at first and leaves the remaining connections to other hosts.
 _STARTUP_S: Final = 3.5
 _STARTUP_SHARE_RATIO: Final = 0.0625
+# Share of a member's connections that the hosts which hold its group open
+# together. The rest is left to hosts that take over from them.
+_HELD_SHARE_RATIO: Final = 0.8
+_STARTUP_HELD_RATIO: Final = 0.5
+_HOLDS_ALL: Final = HoldsAll()
 
 
 @final
 class GroupDirectory:
     """Holds the groups by name, with their members and connection limits."""
 
-    def __init__(self, dialer: MemberDialer, now: Now) -> None:
-        """Create a directory without groups."""
+    def __init__(
+        self, dialer: MemberDialer, now: Now, holding: Holding = _HOLDS_ALL
+    ) -> None:
+        """Create a directory without groups.
+
+        Parameters
+        ----------
+        holding
+            Tells which groups this host holds, and how many others do.
+        """
+        self._holding = holding
         self._dialer = dialer
         self._now = now
         self._created_s = now()
@@ -60,6 +75,11 @@
         """
         return self._now() >= self.registrations_complete_from_s
 
+    @property
+    def holds_any(self) -> bool:
+        """Whether this host holds any group."""
+        return any(self._holding.holds(name) for name in self.groups)
+
     def get_or_create(self, name: str) -> Group:
         """Return a group, created without members if it is not known yet."""
         if name not in self.groups:
@@ -77,7 +97,7 @@
         }
         for record in self._records:
             self._apply(record)
-        self._update_pool_limits()
+        self.update_pool_limits()
 
     def record_registry_outage(self) -> None:
         """Record that the registry did not answer.
@@ -96,7 +116,7 @@
         registered = {record.member_id for record in self._records}
         for record in self._records:
             self._apply(record)
-        self._update_pool_limits()
+        self.update_pool_limits()
         self.is_current = True
         if self._now() < self._unlist_from_s:
             return
@@ -105,6 +125,12 @@
                 if member.member_id not in registered:
                     self._unlist(group, member)
 
+    def update_pool_limits(self) -> None:
+        """Adopt the connection limits that follow from the held groups."""
+        for group in self.groups.values():
+            for member in group.members.values():
+                member.pool.limit_count = self._pool_limit_count(group.name)
+
     def _apply(self, record: MemberRecord) -> None:
         """Adopt a member, unless no configuration names its group.
 
@@ -140,18 +166,27 @@
         pool.limit_count = self._pool_limit_count(record.group)
         return Member(record, pool, load)
 
-    def _update_pool_limits(self) -> None:
-        for group in self.groups.values():
-            for member in group.members.values():
-                member.pool.limit_count = self._pool_limit_count(group.name)
-
     def _pool_limit_count(self, group: str) -> int:
         """Return how many connections this host may open to each member."""
         count = self._connection_counts.get(group, 1)
+        holder_count = self._holding.holder_count(group)
+        if holder_count is not None:
+            return self._holder_limit_count(group, count, holder_count)
         if self._now() - self._created_s < _STARTUP_S:
             return max(1, int(count * _STARTUP_SHARE_RATIO))
         return max(_MIN_CONNECTION_COUNT, int(count * _CONNECTION_SHARE_RATIO))
 
+    def _holder_limit_count(
+        self, group: str, connection_count: int, holder_count: int
+    ) -> int:
+        """Return the limit if a few hosts hold the group."""
+        if not self._holding.holds(group):
+            return 1
+        ratio = _HELD_SHARE_RATIO / holder_count
+        if self._now() - self._created_s < _STARTUP_S:
+            ratio *= _STARTUP_HELD_RATIO
+        return max(1, int(connection_count * ratio))
+
     def _unlist(self, group: Group, member: Member) -> None:
         if member.unlisted_since_s is None:
             member.unlisted_since_s = self._now()
--- a/mimosapond/groups/registration_poller.py
+++ b/mimosapond/groups/registration_poller.py
@@ -12,6 +12,8 @@
 
 # Short enough that a leaving member gets no new work after a few seconds.
 _POLL_INTERVAL_S: Final = 1.5
+# Interval while this host holds no group, and so sends members no work.
+_RESTING_POLL_INTERVAL_S: Final = 5.0
 _READ_TIMEOUT_S: Final = 1.0
 _MIN_BACK_OFF_S: Final = 0.2
 _MAX_BACK_OFF_S: Final = 0.8
@@ -35,7 +37,11 @@
         while True:
             if await self.refresh(_READ_TIMEOUT_S):
                 back_off_s = _MIN_BACK_OFF_S
-                await asyncio.sleep(_POLL_INTERVAL_S)
+                await asyncio.sleep(
+                    _POLL_INTERVAL_S
+                    if self._directory.holds_any
+                    else _RESTING_POLL_INTERVAL_S
+                )
                 continue
             await asyncio.sleep(back_off_s)
             back_off_s = min(back_off_s * 2, _MAX_BACK_OFF_S)
--- /dev/null
+++ b/mimosapond/peers/holder_relay.py
@@ -0,0 +1,163 @@
+"""Passes work on to the hosts that hold a group."""
+
+import asyncio
+from typing import Final, final
+
+from mimosapond.boot_clock import Now
+from mimosapond.groups.group import Group
+from mimosapond.peers.holder_directory import HolderDirectory
+from mimosapond.peers.peer_client import PeerClient
+from mimosapond.peers.peer_relay import PeerRelay
+from mimosapond.peers.transaction_keys import TransactionKeys
+from mimosapond.routing import failures
+from mimosapond.routing.open_transaction import OpenTransaction
+from mimosapond.routing.work import Work
+from mimosapond.routing.work_outcome import (
+    WorkDone,
+    WorkOutcome,
+    WorkUnanswered,
+)
+from mimosapond.statements.reply import Failure, FailureKind
+from mimosapond.statements.statement import Begin
+
+# Hosts that one request is passed on to at most, one after another.
+_ATTEMPT_COUNT: Final = 3
+# Share of the remaining time after which a read is also sent to a second host,
+# as the first may be suspended.
+_HEDGE_RATIO: Final = 0.4
+
+_ReadTask = asyncio.Task[WorkOutcome]
+
+
+@final
+class HolderRelayFinder:
+    """Finds the holders of groups that this host does not hold itself."""
+
+    def __init__(
+        self,
+        holders: HolderDirectory,
+        client: PeerClient,
+        keys: TransactionKeys,
+        now: Now,
+    ) -> None:
+        """Create a finder.
+
+        Parameters
+        ----------
+        client
+            Sends the requests to other hosts.
+        keys
+            Generates the keys of transactions.
+        """
+        self._holders = holders
+        self._client = client
+        self._keys = keys
+        self._now = now
+
+    def find(self, group: Group) -> 'HolderRelay | Failure | None':
+        """Return the holders of a group; see ``HolderFinder``."""
+        if self._holders.holds(group.name):
+            return None
+        peers = self._holders.candidates(group.name)
+        if not peers:
+            return failures.NO_HOLDER
+        relays = [
+            PeerRelay(peer, self._client, self, self._keys) for peer in peers
+        ]
+        return HolderRelay(relays, self._now)
+
+    def forget(self, group: str) -> None:
+        """Do nothing: the peer directory records which peers fail."""
+
+
+@final
+class HolderRelay:
+    """The holders of a group that can be reached; implements ``Relay``."""
+
+    def __init__(self, relays: list[PeerRelay], now: Now) -> None:
+        """Create a relay.
+
+        Parameters
+        ----------
+        relays
+            One for each holder, the preferred one first; at least one.
+        """
+        self._relays = relays[:_ATTEMPT_COUNT]
+        self._now = now
+
+    def __str__(self) -> str:
+        """Return the host name of the preferred holder."""
+        return str(self._relays[0])
+
+    async def read(self, work: Work) -> WorkOutcome:
+        """Run a read at a holder, and at another one if that takes long."""
+        tasks: list[_ReadTask] = []
+        outcome: WorkOutcome = WorkUnanswered('not sent', was_sent=False)
+        try:
+            for relay in self._relays:
+                tasks.append(asyncio.create_task(relay.read(work)))
+                left_s = work.deadline_s - self._now()
+                is_hedged = sum(not task.done() for task in tasks) > 1
+                wait_s = left_s if is_hedged else left_s * _HEDGE_RATIO
+                outcome = await _first_final(tasks, wait_s)
+                if _is_final(outcome) or self._now() >= work.deadline_s:
+                    return outcome
+            return await _first_final(tasks, work.deadline_s - self._now())
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def write(self, work: Work) -> WorkOutcome:
+        """Run a write at a holder, and at another one only if none ran it."""
+        outcome: WorkOutcome = WorkUnanswered('not sent', was_sent=False)
+        for relay in self._relays:
+            outcome = await relay.write(work)
+            has_time = self._now() < work.deadline_s
+            if _is_final(outcome) or _may_have_run(outcome) or not has_time:
+                return outcome
+        return outcome
+
+    def open(self, begin: Begin) -> OpenTransaction:
+        """Return a transaction at the preferred holder."""
+        return self._relays[0].open(begin)
+
+
+def _is_final(outcome: WorkOutcome) -> bool:
+    """Return whether no other holder should be asked."""
+    match outcome:
+        case WorkDone(reply=Failure(kind=FailureKind.not_run)):
+            return False
+        case WorkDone():
+            return True
+        case WorkUnanswered():
+            return False
+
+
+def _may_have_run(outcome: WorkOutcome) -> bool:
+    return isinstance(outcome, WorkUnanswered) and outcome.was_sent
+
+
+async def _first_final(tasks: list[_ReadTask], limit_s: float) -> WorkOutcome:
+    """Wait for a final outcome of any task, at most ``limit_s``.
+
+    Returns
+    -------
+    WorkOutcome
+        The final outcome, or the last other one when all tasks have ended or
+        the time is over.
+    """
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + limit_s
+    outcome: WorkOutcome = WorkUnanswered('no answer yet', was_sent=True)
+    pending = {task for task in tasks if not task.done()}
+    while pending and loop.time() < end_s:
+        done, pending = await asyncio.wait(
+            pending,
+            timeout=max(end_s - loop.time(), 0),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for task in done:
+            outcome = task.result()
+            if _is_final(outcome):
+                return outcome
+    return outcome
--- a/mimosapond/peers/peer.py
+++ b/mimosapond/peers/peer.py
@@ -16,8 +16,11 @@
         Name of the host.
     address
         ``ip:port`` of its listener for requests of other hosts.
+    capacity
+        Processor time that it gets, in cores; hosts with more hold more groups.
     """
 
     host: str
     address: str
     data_centre: str
+    capacity: float = 1.0
--- a/mimosapond/peers/peer_directory.py
+++ b/mimosapond/peers/peer_directory.py
@@ -4,7 +4,7 @@
 import math
 import random
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Final, final
 
 from mimosapond.boot_clock import Now
@@ -27,15 +27,32 @@
         self._own = own
         self._now = now
         self._peers: dict[str, Peer] = {}
+        # Whether the announcements have been read, and how often they changed.
+        self.is_loaded = False
+        self.revision = 0
         self._failed_s: dict[str, float] = {}
         self._paused_until_s: dict[str, float] = {}
         self._pause_s: dict[str, float] = {}
 
     def update(self, peers: Iterable[Peer]) -> None:
         """Replace the peers with the announced hosts, except this one."""
-        self._peers = {
+        announced = {
             peer.host: peer for peer in peers if peer.host != self._own.host
         }
+        if announced != self._peers:
+            self._peers = announced
+            self.revision += 1
+        self.is_loaded = True
+
+    @property
+    def peers(self) -> Collection[Peer]:
+        """The announced hosts."""
+        return self._peers.values()
+
+    @property
+    def count(self) -> int:
+        """Number of announced hosts."""
+        return len(self._peers)
 
     def record_failure(self, peer: Peer) -> bool:
         """Record that a peer gave no answer.
--- a/mimosapond/peers/peer_relay_finder.py
+++ b/mimosapond/peers/peer_relay_finder.py
@@ -1,6 +1,7 @@
 """Finds peers that reach a primary which this host does not reach."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final, final
 
 import attrs
@@ -10,12 +11,10 @@
 from mimosapond.groups.group import Group
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_client import PeerClient, PrimaryReport
-from mimosapond.peers.peer_directory import PeerDirectory
 from mimosapond.peers.peer_relay import PeerRelay
 from mimosapond.peers.transaction_keys import TransactionKeys
 from mimosapond.routing.relay_port import Relay
 
-_ASKED_PEER_COUNT: Final = 4
 # Includes the time in which the peer probes the primary.
 _ASK_TIMEOUT_S: Final = 0.2
 # Time for which a peer that reached the primary is used without a new lookup.
@@ -41,7 +40,7 @@
 
     def __init__(
         self,
-        directory: PeerDirectory,
+        choose: Callable[[str], list[Peer]],
         client: PeerClient,
         keys: TransactionKeys,
         now: Now,
@@ -50,8 +49,8 @@
 
         Parameters
         ----------
-        directory
-            Selects the peers to ask.
+        choose
+            Returns the peers to ask for the primary of a group.
         client
             Sends the requests to them.
         keys
@@ -60,7 +59,7 @@
             Clock of the cache and of observations.
         """
         self._keys = keys
-        self._directory = directory
+        self._choose = choose
         self._client = client
         self._now = now
         self._cache: dict[str, _CachedRelay] = {}
@@ -116,7 +115,7 @@
 
     async def _look_up(self, group: Group, max_age_s: float) -> Relay | None:
         asked_s = self._now()
-        peers = self._directory.choose(_ASKED_PEER_COUNT)
+        peers = self._choose(group.name)
         tasks = {
             asyncio.create_task(
                 self._client.ask_primary(
--- a/mimosapond/peers/peer_server.py
+++ b/mimosapond/peers/peer_server.py
@@ -43,8 +43,6 @@
         peer_paths.COMMITS,
     ),
 )
-# Paths of work that another host can run as well.
-_NEW_WORK_PATHS: Final = frozenset((peer_paths.READS, peer_paths.WRITES))
 _BODY_ERRORS: Final = (
     ArithmeticError,
     AttributeError,
@@ -119,7 +117,7 @@
         body = decode_json_object(request.body)
         if isinstance(body, UndecodableJson):
             return _reject(request, body.problem)
-        if self._handler.is_stopping and request.word in _NEW_WORK_PATHS:
+        if self._handler.is_stopping and _is_new_work(request.word, body):
             return HTTPStatus.SERVICE_UNAVAILABLE
         try:
             call = self._decode(request.word, body)
@@ -181,6 +179,12 @@
     return encode_outcome(outcome.reply, outcome.position)
 
 
+def _is_new_work(path: str, body: _Body) -> bool:
+    """Return whether another host can run the work as well."""
+    is_begin = path == peer_paths.TRANSACTIONS and body.get('is_first') is True
+    return is_begin or path in {peer_paths.READS, peer_paths.WRITES}
+
+
 def _reject(request: PeerFrame, problem: str) -> HTTPStatus:
     """Log that a body is no request, and return the status of the answer."""
     logger.bind(path=request.word, problem=problem).warning(
--- a/mimosapond/peers/relayed_work_handler.py
+++ b/mimosapond/peers/relayed_work_handler.py
@@ -10,7 +10,9 @@
 
 from mimosapond.boot_clock import Now
 from mimosapond.configuration.active_configuration import ActiveConfiguration
+from mimosapond.groups.group import Group
 from mimosapond.groups.group_directory import GroupDirectory
+from mimosapond.groups.holding import Holding, HoldsAll
 from mimosapond.peers.peer_client import PrimaryReport
 from mimosapond.routing import failures
 from mimosapond.routing.primary_probe import PrimaryProbe, ProbeResult
@@ -43,6 +45,7 @@
     reads: ReadRouter
     routing: TransactionRouting
     now: Now
+    holding: Holding = HoldsAll()
 
 
 @final
@@ -103,17 +106,21 @@
             newest = group.observations.newest
             if result is not ProbeResult.leads or newest is None:
                 return None
+            if newest.asked_s < asked_s - max_age_s:
+                return None
         age_s = max(asked_s - newest.asked_s, 0)
         return PrimaryReport(primary.member_id, newest.position, age_s)
 
     async def read(self, work: Work) -> WorkDone:
         """Run a single read."""
+        self._hold(work.group)
         with self._count_running():
             reply = await self._services.reads.run(work)
         return WorkDone(reply)
 
     async def write(self, work: Work) -> WorkDone:
         """Run a single write."""
+        self._hold(work.group)
         with self._count_running():
             reply, position = await self._services.routing.writes.run(work)
         return WorkDone(reply, position)
@@ -138,6 +145,7 @@
             With a failure if the transaction is unknown, or if it is to begin
             and its key is in use.
         """
+        self._hold(work.group)
         entry = self._begin(key, begin) if is_first else self._open.get(key)
         if entry is None:
             return WorkDone(failures.ROLLED_BACK)
@@ -175,6 +183,14 @@
         logger.bind(key=key).info('relayed_transaction_expired')
         self.roll_back(key)
 
+    def _hold(self, group: Group) -> None:
+        """Hold a group that another host passes work on for."""
+        services = self._services
+        if services.holding.record_request(group.name):
+            logger.bind(group=group.name).info('group_held_on_request')
+            services.directory.update_pool_limits()
+            group.start_search(services.now())
+
     def _begin(self, key: str, begin: Begin) -> _RelayedTransaction | None:
         if key in self._open:
             # The statement would run in the transaction of another caller.
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -24,6 +24,8 @@
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.registration_poller import RegistrationPoller
 from mimosapond.log_rate_limit import LogRateLimit
+from mimosapond.peers.holder_directory import HolderDirectory
+from mimosapond.peers.holder_relay import HolderRelayFinder
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_client import PeerClient
 from mimosapond.peers.relayed_work_handler import (
@@ -43,6 +45,12 @@
 from mimosapond.platform.store_claims import StoreClaims
 from mimosapond.platform.store_peers import StorePeers
 from mimosapond.platform.store_registrations import StoreRegistrations
+from mimosapond.routing.holder_port import HolderFinder, RunsHere
+from mimosapond.routing.lead_proof import (
+    AnswerProof,
+    LeadProof,
+    ReplicaProof,
+)
 from mimosapond.routing.member_selector import MemberSelector
 from mimosapond.routing.primary_path import PrimaryPathFinder
 from mimosapond.routing.primary_probe import PrimaryProbe
@@ -78,25 +86,40 @@
         self._now = boot_time_s
         self._store = StoreClient(settings.store_address)
         self._active_configuration = ActiveConfiguration()
+        self._own_peer = Peer(
+            settings.host,
+            settings.peer_address,
+            settings.data_centre,
+            settings.capacity,
+        )
+        self._peers = PeerDirectory(self._own_peer, self._now)
+        self._holders = HolderDirectory(self._peers, self._own_peer, self._now)
         self._directory = GroupDirectory(
-            WireMemberDialer(_CONNECT_TIMEOUT_S, _START_TIMEOUT_S), self._now
+            WireMemberDialer(_CONNECT_TIMEOUT_S, _START_TIMEOUT_S),
+            self._now,
+            self._holders,
         )
         self._registrations = RegistrationPoller(
             StoreRegistrations(self._store), self._directory
         )
-        self._own_peer = Peer(
-            settings.host, settings.peer_address, settings.data_centre
-        )
-        self._peers = PeerDirectory(self._own_peer, self._now)
+        peer_client = PeerClient(self._peers, self._now)
+        keys = TransactionKeys(settings.host)
         self._relay_finder = PeerRelayFinder(
-            self._peers,
-            PeerClient(self._peers, self._now),
-            TransactionKeys(settings.host),
-            self._now,
+            self._holders.other_holders, peer_client, keys, self._now
+        )
+        self._holder_finder = HolderRelayFinder(
+            self._holders, peer_client, keys, self._now
+        )
+        self._lead_proof: LeadProof = (
+            AnswerProof() if settings.has_token_check else ReplicaProof()
+        )
+        self._primary_probe = PrimaryProbe(
+            self._now, self._relay_finder, self._lead_proof
         )
-        self._primary_probe = PrimaryProbe(self._now, self._relay_finder)
         self._claims = ReservedTokenClaims(
-            StoreClaims(self._store, settings.host, self._now), self._now
+            StoreClaims(self._store, settings.host, self._now),
+            self._now,
+            lambda: settings.has_token_check and self._directory.holds_any,
         )
         self._sessions = SessionRegistry(self._build_session_services())
         self._relayed_work_handler = RelayedWorkHandler(
@@ -130,7 +153,9 @@
         return host
 
     def _build_session_services(self) -> SessionServices:
-        routing = self._build_routing(self._primary_probe, self._relay_finder)
+        routing = self._build_routing(
+            self._primary_probe, self._relay_finder, self._holder_finder
+        )
         return SessionServices(
             configuration=self._active_configuration,
             directory=self._directory,
@@ -139,8 +164,8 @@
         )
 
     def _build_relayed_work_services(self) -> RelayedWorkServices:
-        probe = PrimaryProbe(self._now, NoRelays())
-        routing = self._build_routing(probe, NoRelays())
+        probe = PrimaryProbe(self._now, NoRelays(), self._lead_proof)
+        routing = self._build_routing(probe, NoRelays(), RunsHere())
         return RelayedWorkServices(
             configuration=self._active_configuration,
             directory=self._directory,
@@ -148,20 +173,28 @@
             reads=self._build_read_router(routing, NoRelays()),
             routing=routing,
             now=self._now,
+            holding=self._holders,
         )
 
     def _build_read_router(
         self, routing: TransactionRouting, relays: RelayFinder
     ) -> ReadRouter:
         return ReadRouter(
-            routing.positions, routing.member_selector, relays, self._now
+            routing.positions,
+            routing.member_selector,
+            relays,
+            self._now,
+            routing.holders,
         )
 
     def _build_routing(
-        self, probe: PrimaryProbe, relays: RelayFinder
+        self, probe: PrimaryProbe, relays: RelayFinder, holders: HolderFinder
     ) -> TransactionRouting:
         paths = PrimaryPathFinder(
-            relays, self._now, self._member_drain_s() - _DRAIN_MARGIN_S
+            relays,
+            self._now,
+            self._member_drain_s() - _DRAIN_MARGIN_S,
+            holders,
         )
         return TransactionRouting(
             positions=ReadPositionFinder(probe, self._now),
@@ -171,6 +204,8 @@
             paths=paths,
             writes=WriteRouter(paths, self._now),
             now=self._now,
+            holders=holders,
+            proof=self._lead_proof,
         )
 
     def _member_drain_s(self) -> float:
@@ -186,18 +221,25 @@
                 StoreConfiguration(self._store),
                 self._active_configuration,
                 self._directory.apply_limits,
+                self._settings.configuration_apply_ms / _MS_PER_S,
             ),
             registration_poller=self._registrations,
             peer_discovery=PeerDiscovery(
-                self._own_peer, StorePeers(self._store), self._peers
+                self._own_peer,
+                StorePeers(self._store),
+                self._peers,
+                is_first_start=self._settings.starts_system,
             ),
             sessions=self._sessions,
             relayed_work_handler=self._relayed_work_handler,
             primary_probe=self._primary_probe,
+            holding=self._holders,
             relay_finder=self._relay_finder,
             reserved_token_claims=self._claims,
             failover_coordinator=self._build_failover_coordinator(),
-            reachability=Reachability(self._directory, self._now),
+            reachability=Reachability(
+                self._directory, self._now, self._holders
+            ),
             rotation=RotationTracker(self._now),
             accept_callers=accept_callers,
             log_rate_limit=self._log_rate_limit,
--- a/mimosapond/platform/store_claims.py
+++ b/mimosapond/platform/store_claims.py
@@ -73,10 +73,11 @@
         int or None
             None if the write was not confirmed.
         """
-        found = await self._store.read_table(_TABLE, _CALL_TIMEOUT_S)
+        row_key = f'{_RESERVATION_PREFIX}{self._host}'
+        found = await self._read(row_key)
         if isinstance(found, Unavailable):
             return None
-        row = _find_row(found, f'{_RESERVATION_PREFIX}{self._host}')
+        row = _find_row(found, row_key)
         written = await self._store.compare_and_set(
             _TABLE, row, _CALL_TIMEOUT_S
         )
@@ -94,7 +95,7 @@
             have been written, but must not be relied on.
         """
         expires_s = self._now() + CLAIM_DURATION_S
-        found = await self._store.read_table(_TABLE, _CALL_TIMEOUT_S)
+        found = await self._read(group)
         if isinstance(found, Unavailable):
             return DutyUnknown(found.reason)
         row = _find_row(found, group)
@@ -105,7 +106,7 @@
 
     async def release(self, group: str) -> None:
         """Release this host's claim, so that others need not await its expiry."""
-        found = await self._store.read_table(_TABLE, _CALL_TIMEOUT_S)
+        found = await self._read(group)
         if isinstance(found, Unavailable):
             logger.bind(group=group, reason=found.reason).warning(
                 'duty_not_released',
@@ -123,6 +124,9 @@
                 'duty_not_released'
             )
 
+    async def _read(self, row_key: str) -> StoredRows | Unavailable:
+        return await self._store.read_row(_TABLE, row_key, _CALL_TIMEOUT_S)
+
     async def _write_claim(
         self, row: StoredRow, now_ms: int, expires_s: float
     ) -> ClaimOutcome:
--- a/mimosapond/platform/store_client.py
+++ b/mimosapond/platform/store_client.py
@@ -52,11 +52,14 @@
         Newest version of the whole store when it answered.
     now_ms
         The store's monotonic clock when it answered.
+    has_more
+        Whether the table has further rows in ascending order of keys.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     now_ms: int
+    has_more: bool = False
 
 
 @final
@@ -100,12 +103,31 @@
     async def read_table(
         self, table: str, limit_s: float
     ) -> StoredRows | Unavailable:
-        """Return the rows in the unnamed partition of a table."""
-        query = urlencode({'table': table, 'part': ''})
-        response = await self._fetch('GET', f'rows-get?{query}', None, limit_s)
-        if isinstance(response, HTTPResponse):
-            return decode_rows(response)
-        return response
+        """Return the rows in the unnamed partition of a table.
+
+        A large table is read in several calls of ``limit_s`` each, so that its
+        rows are not all of the same moment.
+        """
+        pages: list[StoredRows] = []
+        first = ''
+        while True:
+            page = await self._read(limit_s, table=table, first=first)
+            if isinstance(page, Unavailable):
+                return page
+            pages.append(page)
+            if not (page.has_more and page.rows):
+                break
+            first = _key_after(page.rows[-1].key)
+        rows = tuple(row for page in pages for row in page.rows)
+        return attrs.evolve(pages[0], rows=rows)
+
+    async def read_row(
+        self, table: str, row_key: str, limit_s: float
+    ) -> StoredRows | Unavailable:
+        """Return one row of a table; no row if it does not exist."""
+        return await self._read(
+            limit_s, table=table, first=row_key, end=_key_after(row_key)
+        )
 
     async def wait_for_changes(
         self, table: str, after: int, wait_s: float, limit_s: float
@@ -163,6 +185,18 @@
             return ConditionFailed()
         return decode_rows(response)
 
+    async def _read(
+        self, limit_s: float, *, table: str, first: str = '', end: str = ''
+    ) -> StoredRows | Unavailable:
+        bounds = {
+            name: key for name, key in (('from', first), ('to', end)) if key
+        }
+        query = urlencode({'table': table, 'part': '', **bounds})
+        response = await self._fetch('GET', f'rows-get?{query}', None, limit_s)
+        if isinstance(response, HTTPResponse):
+            return decode_rows(response)
+        return response
+
     async def _fetch(
         self,
         method: str,
@@ -187,6 +221,11 @@
         return Unavailable(f'HTTP status {response.code}')
 
 
+def _key_after(row_key: str) -> str:
+    """Return the lowest key above a key."""
+    return f'{row_key}\0'
+
+
 def decode_rows(response: HTTPResponse) -> StoredRows | Unavailable:
     body = decode_json_object(response.body)
     if isinstance(body, UndecodableJson):
@@ -196,6 +235,7 @@
             tuple(_decode_row(row) for row in body.get('rows', ())),
             int(body['ver']),
             int(body['now_ms']),
+            has_more=body.get('has_more') is True,
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         return _unreadable(repr(error))
--- a/mimosapond/platform/store_peers.py
+++ b/mimosapond/platform/store_peers.py
@@ -1,7 +1,7 @@
 """Announcements of hosts, stored as rows in the platform's store."""
 
 import json
-from typing import Final, final
+from typing import Final, TypeGuard, final
 
 from loguru import logger
 
@@ -22,6 +22,8 @@
 _MS_PER_S: Final = 1000
 # A host that missed this many announcements is considered down.
 _MISSED_LIMIT_COUNT: Final = 6
+_DEFAULT_CAPACITY: Final = 1.0
+_MAX_CAPACITY: Final = 1000.0
 _EXPIRY_MS: Final = _MISSED_LIMIT_COUNT * ANNOUNCE_INTERVAL_S * _MS_PER_S
 
 
@@ -55,6 +57,7 @@
                 'address': own.address,
                 'data_centre': own.data_centre,
                 'announced_ms': found.now_ms,
+                'capacity': own.capacity,
             },
         )
         versions = {row.key: row.version for row in found.rows}
@@ -80,7 +83,17 @@
         return None
     if now_ms - announced_ms > _EXPIRY_MS:
         return None
-    return Peer(row.key, str(address), str(body.get('data_centre', '')))
+    capacity = body.get('capacity')
+    return Peer(
+        row.key,
+        str(address),
+        str(body.get('data_centre', '')),
+        capacity if _is_capacity(capacity) else _DEFAULT_CAPACITY,
+    )
+
+
+def _is_capacity(value: object) -> TypeGuard[float]:
+    return isinstance(value, float | int) and 0 < value <= _MAX_CAPACITY
 
 
 def _log_unreadable(row: StoredRow, problem: str) -> None:
--- a/mimosapond/routing/failures.py
+++ b/mimosapond/routing/failures.py
@@ -11,6 +11,11 @@
     FailureKind.not_run,
     f'no primary is available; retry after {RETRY_AFTER_MS} ms',
 )
+NO_HOLDER: Final = Failure(
+    FailureKind.not_run,
+    'no host that holds the group is reachable; '
+    f'retry after {RETRY_AFTER_MS} ms',
+)
 NO_CONNECTION: Final = Failure(
     FailureKind.not_run,
     'no connection to a member became free in time; '
--- a/mimosapond/routing/primary_path.py
+++ b/mimosapond/routing/primary_path.py
@@ -8,6 +8,7 @@
 from mimosapond.groups.member import Member
 from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.routing import failures
+from mimosapond.routing.holder_port import HolderFinder, RunsHere
 from mimosapond.routing.relay_port import Relay, RelayFinder
 from mimosapond.routing.work import Work
 from mimosapond.statements.reply import Failure
@@ -20,6 +21,7 @@
 # Wait for a connection to the primary if this host has none. After it, another
 # host is asked to relay, because the primary may have no free connections.
 _NO_CONNECTION_WAIT_S: Final = 0.2
+_RUNS_HERE: Final = RunsHere()
 
 
 @final
@@ -47,7 +49,11 @@
     """Finds a path to the primary for a request."""
 
     def __init__(
-        self, relays: RelayFinder, now: Now, leaving_limit_s: float
+        self,
+        relays: RelayFinder,
+        now: Now,
+        leaving_limit_s: float,
+        holders: HolderFinder = _RUNS_HERE,
     ) -> None:
         """Create a path finder.
 
@@ -60,7 +66,10 @@
         leaving_limit_s
             Time for which a primary that is leaving still gets new work if
             no other primary has replaced it.
+        holders
+            Finds the hosts that hold a group if this one does not.
         """
+        self._holders = holders
         self._relays = relays
         self._now = now
         self._leaving_limit_s = leaving_limit_s
@@ -79,6 +88,11 @@
             remaining_s = work.deadline_s - self._now() - _SEND_MARGIN_S
             if remaining_s <= 0:
                 return failures.NO_CONNECTION
+            holder = self._holders.find(work.group)
+            if isinstance(holder, Failure):
+                return holder
+            if holder is not None:
+                return RelayPath(holder)
             path = await self._find_once(work, remaining_s)
             if path is not None:
                 return path
--- a/mimosapond/routing/primary_probe.py
+++ b/mimosapond/routing/primary_probe.py
@@ -14,6 +14,7 @@
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_answer import Completed, Rejected, RejectionKind
 from mimosapond.groups.connection_lease import ConnectionLease
+from mimosapond.routing.lead_proof import AnswerProof, LeadProof
 from mimosapond.routing.relay_port import RelayFinder
 from mimosapond.statements.statement import Begin
 
@@ -22,6 +23,7 @@
 # Longer than the connect timeout, so that an unreachable member is told apart
 # from a member without free connections.
 PROBE_TIMEOUT_S: Final = 0.35
+_ANSWER_PROOF: Final = AnswerProof()
 
 
 @final
@@ -31,7 +33,8 @@
     Attributes
     ----------
     leads
-        The member is the primary.
+        The member considers itself the primary. Whether it still is shows in
+        the group's primary and observations.
     follows
         The member answered that it is not the primary.
     crowded
@@ -50,7 +53,9 @@
 class PrimaryProbe:
     """Confirms primaries and refreshes the log positions that reads need."""
 
-    def __init__(self, now: Now, relays: RelayFinder) -> None:
+    def __init__(
+        self, now: Now, relays: RelayFinder, proof: LeadProof = _ANSWER_PROOF
+    ) -> None:
         """Create a probe.
 
         Parameters
@@ -58,7 +63,10 @@
         relays
             Finds other hosts that reach a primary which this host does not
             reach.
+        proof
+            Proves that a member which accepted a probe still leads.
         """
+        self._proof = proof
         self._now = now
         self._relays = relays
         self._in_flight: dict[str, asyncio.Task[None]] = {}
@@ -130,8 +138,9 @@
         answer = await connection.ask(begin)
         match answer:
             case Completed(position=position):
-                group.confirm_primary(member, asked_s, position)
                 await connection.ask(connection.link.rollback(limit_s))
+                if await self._proof.proves(group, member, limit_s):
+                    group.confirm_primary(member, asked_s, position)
                 return ProbeResult.leads
             case Rejected(kind=RejectionKind.not_primary):
                 group.suspect_primary(
--- a/mimosapond/routing/read_router.py
+++ b/mimosapond/routing/read_router.py
@@ -19,11 +19,12 @@
 from mimosapond.routing.member_selector import MemberSelector
 from mimosapond.routing.read_position_finder import ReadPositionFinder
 from mimosapond.routing import failures
+from mimosapond.routing.holder_port import HolderFinder, RunsHere
 from mimosapond.routing.relay_port import RelayFinder
-from mimosapond.routing.work_outcome import WorkDone
+from mimosapond.routing.work_outcome import WorkDone, WorkOutcome
 from mimosapond.routing.statement_runner import RestoreFailed, run_work
 from mimosapond.routing.work import Work
-from mimosapond.statements.reply import Reply, Success
+from mimosapond.statements.reply import Failure, Reply, Success
 
 _Attempt: TypeAlias = asyncio.Task[MemberAnswer | NoConnection]
 
@@ -34,6 +35,7 @@
 # Wait for a connection to one member before the attempt fails.
 _BORROW_TIMEOUT_S: Final = 0.15
 _ROUND_BACKOFF_S: Final = 0.02
+_RUNS_HERE: Final = RunsHere()
 
 
 @final
@@ -49,6 +51,7 @@
         selector: MemberSelector,
         relays: RelayFinder,
         now: Now,
+        holders: HolderFinder = _RUNS_HERE,
     ) -> None:
         """Create a router.
 
@@ -60,7 +63,10 @@
             Ranks the members.
         relays
             Finds a host to read through if this one has no connections.
+        holders
+            Finds the hosts that hold a group if this one does not.
         """
+        self._holders = holders
         self._positions = positions
         self._relays = relays
         self._selector = selector
@@ -70,6 +76,11 @@
 
     async def run(self, work: Work) -> Reply:
         """Return the reply to a read, or a failure at its deadline."""
+        holder = self._holders.find(work.group)
+        if isinstance(holder, Failure):
+            return holder
+        if holder is not None:
+            return _reply_of(await holder.read(work))
         position = await self._positions.find(work)
         if position is None:
             return failures.NO_FRESH_MEMBER
@@ -105,6 +116,12 @@
         return outcome.reply if isinstance(outcome, WorkDone) else None
 
 
+def _reply_of(outcome: WorkOutcome) -> Reply:
+    if isinstance(outcome, WorkDone):
+        return outcome.reply
+    return failures.READ_UNANSWERED
+
+
 @final
 class _ReadAttempts:
     """The attempts to run one read at members."""
--- a/mimosapond/sessions/transaction.py
+++ b/mimosapond/sessions/transaction.py
@@ -18,6 +18,8 @@
 )
 from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.routing import failures
+from mimosapond.routing.holder_port import HolderFinder, RunsHere
+from mimosapond.routing.lead_proof import AnswerProof, LeadProof
 from mimosapond.routing.member_selector import MemberSelector
 from mimosapond.routing.open_transaction import OpenTransaction
 from mimosapond.routing.primary_path import (
@@ -46,6 +48,10 @@
     ----------
     now
         Clock that deadlines and waits are measured with.
+    holders
+        Finds the hosts that hold a group if this one does not.
+    proof
+        Tells whether a transaction that a member accepted proves that it leads.
     """
 
     positions: ReadPositionFinder
@@ -53,6 +59,8 @@
     paths: PrimaryPathFinder
     writes: WriteRouter
     now: Now
+    holders: HolderFinder = RunsHere()
+    proof: LeadProof = AnswerProof()
 
 
 @final
@@ -155,6 +163,11 @@
         return opened
 
     async def _open_read_write(self, work: Work) -> OpenTransaction | Failure:
+        wait_for = None
+        if not (self._routing.proof.is_answer_enough or self._is_remote(work)):
+            wait_for = await self._routing.positions.find(work)
+            if wait_for is None:
+                return failures.NO_FRESH_MEMBER
         while True:
             path = await self._routing.paths.find(work)
             match path:
@@ -163,18 +176,28 @@
                 case RelayPath(relay=relay):
                     return relay.open(self._begin)
                 case LocalPath(member=member, connection=connection):
-                    opened = await self._begin_at(work, member, connection)
+                    opened = await self._begin_at(
+                        work, member, connection, wait_for
+                    )
             if opened is not None:
                 return opened
 
+    def _is_remote(self, work: Work) -> bool:
+        return self._routing.holders.find(work.group) is not None
+
     async def _begin_at(
-        self, work: Work, member: Member, connection: ConnectionLease
+        self,
+        work: Work,
+        member: Member,
+        connection: ConnectionLease,
+        wait_for: LogPosition | None,
     ) -> OpenTransaction | None:
         sent_s = self._routing.now()
-        answer = await self._send_begin(work, connection, None)
+        answer = await self._send_begin(work, connection, wait_for)
         match answer:
             case Completed(position=position):
-                work.group.confirm_primary(member, sent_s, position)
+                if self._routing.proof.is_answer_enough:
+                    work.group.confirm_primary(member, sent_s, position)
                 return self._pin(member, connection)
             case Rejected(kind=RejectionKind.not_primary):
                 work.group.suspect_primary(
@@ -186,6 +209,11 @@
         return None
 
     async def _open_read_only(self, work: Work) -> OpenTransaction | Failure:
+        holder = self._routing.holders.find(work.group)
+        if isinstance(holder, Failure):
+            return holder
+        if holder is not None:
+            return holder.open(self._begin)
         position = await self._routing.positions.find(work)
         if position is None:
             return failures.NO_FRESH_MEMBER
@@ -225,7 +253,10 @@
             member,
             connection,
             self._routing.now,
-            proves_primary=not self._begin.is_read_only,
+            proves_primary=(
+                self._routing.proof.is_answer_enough
+                and not self._begin.is_read_only
+            ),
         )
 
     async def _send_begin(
