Detect hosts that promote in turn in the live test

Change: a holder that calls again within 3 s of its own call, after another holder's, is a violation, unless the store had a fault in the last 4 s: hosts cannot exclude each other then.

--- a/features/holders.feature
+++ b/features/holders.feature
@@ -17,7 +17,9 @@
       | hosts | data_centres | holders |
       | 8     | 3            | 8       |
       | 12    | 4            | 12      |
-      | 18    | 5            | 5       |
+      | 24    | 5            | 24      |
+      | 25    | 5            | 5       |
+      | 30    | 4            | 8       |
       | 72    | 3            | 6       |
       | 195   | 5            | 5       |
 
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -38,6 +38,20 @@
       | refused      | 0     | -       |
       | refused      | 1     | REFUSED |
 
+  # Guards against hosts that change a primary in turn without a report: the live
+  # test compared the holders of equal tokens only.
+  Scenario Outline: hosts that promote in turn are detected
+    Given promotions by <hosts> that are <gap_ms> ms apart, with a store that is <state>
+    Then the promotion stand-in reports <count> violations
+
+    Examples:
+      | hosts   | gap_ms | state     | count |
+      | a, b, a | 10     | stable    | 1     |
+      | a, a, b | 10     | stable    | 0     |
+      | a, b    | 10     | stable    | 0     |
+      | a, b, a | 1600   | stable    | 0     |
+      | a, b, a | 10     | disturbed | 0     |
+
   # Guards against host errors that do not show in any answer to a caller.
   Scenario: an error in the log of a host is detected
     Given a log with a line of each level and a line of the interpreter
--- a/features/steps/holders_steps.py
+++ b/features/steps/holders_steps.py
@@ -30,7 +30,7 @@
 
 _GROUP: Final = 'orders'
 _TIMEOUT_MS: Final = 800
-_MAX_HOST_COUNT: Final = 40
+_MAX_HOST_COUNT: Final = 50
 _HELD_RATIO: Final = 0.8
 _NEWER: Final = LogPosition(2, 10)
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -7,6 +7,7 @@
 from typing import Any, Final
 
 from behave import given, then, when
+from tornado.httpclient import AsyncHTTPClient
 
 from features.soak_fakes import FaultyHost
 from soak.caller_connection import CallerConnection
@@ -20,10 +21,12 @@
 from soak.shared_state import SharedState
 from soak.soak_run import SoakRun
 from soak.violation import ViolationLog
+from standins.platform_services.promotion_service import PromotionService
 
 _SEED: Final = 5
 _LEVELS: Final = ('INFO', 'WARNING', 'ERROR')
 _PAUSE_S: Final = 0.05
+_MS_PER_S: Final = 1000
 _HOST: Final = HostLayout('wrong', '127.0.0.1', 'a', 0)
 
 
@@ -135,3 +138,41 @@
     faults = build_schedule(SoakPlan(first))
     assert faults and faults == build_schedule(SoakPlan(first))
     assert faults != build_schedule(SoakPlan(other))
+
+
+@given(
+    'promotions by {hosts} that are {gap_ms:d} ms apart, '
+    'with a store that is {state}'
+)
+def promote_in_turn(context: Any, hosts: str, gap_ms: int, state: str) -> None:
+    """Call the promotion stand-in with increasing tokens."""
+    context.promotion_violations = asyncio.run(
+        _promote_in_turn(hosts.split(', '), gap_ms, state == 'disturbed')
+    )
+
+
+async def _promote_in_turn(
+    hosts: list[str], gap_ms: int, is_disturbed: bool
+) -> list[str]:
+    # No group listens at this address; only the calls are recorded.
+    service = PromotionService({'g0': '127.0.0.1:1'}, 0, lambda: is_disturbed)
+    address = service.server.listen('127.0.0.1')
+    client = AsyncHTTPClient(force_instance=True)
+    for token, host in enumerate(hosts):
+        await client.fetch(
+            f'http://{address}/promote',
+            method='POST',
+            headers={'Duty-Holder': host, 'Fence-Token': str(token)},
+            body='{"service": "g0", "id": "m1"}',
+            raise_error=False,
+        )
+        await asyncio.sleep(gap_ms / _MS_PER_S)
+    service.server.close()
+    return service.violations
+
+
+@then('the promotion stand-in reports {count:d} violations')
+def check_promotion_violations(context: Any, count: int) -> None:
+    """Count the violations of the rule on one holder."""
+    found = context.promotion_violations
+    assert len(found) == count, found
--- a/mimosapond/peers/holder_directory.py
+++ b/mimosapond/peers/holder_directory.py
@@ -12,8 +12,8 @@
 from mimosapond.peers.peer_directory import PeerDirectory
 
 # Up to this number of hosts, each holds every group: the members accept
-# connections of all of them, and no work has to be passed on.
-_MAX_SMALL_SYSTEM_COUNT: Final = 12
+# connections of all of them, and passing work on would only cost time.
+_MAX_SMALL_SYSTEM_COUNT: Final = 24
 # Hosts that work may be passed on to, in order of preference.
 _CANDIDATE_COUNT: Final = 4
 # Time for which a host holds a group after other hosts asked it to, because
--- a/standins/platform_services/daemon.py
+++ b/standins/platform_services/daemon.py
@@ -7,6 +7,7 @@
 import json
 import pathlib
 import sys
+from typing import Final
 
 import fire
 from loguru import logger
@@ -17,9 +18,17 @@
 from standins.platform_services.table_store import TableStore
 
 
+# Time without a fault after which the store counts as stable again.
+_STABLE_WINDOW_S: Final = 4.0
+
+
 async def _serve(settings: PlatformServicesSettings) -> None:
     store = TableStore(settings.late_s, settings.link_ports)
-    promotion = PromotionService(settings.groups, settings.late_s)
+    promotion = PromotionService(
+        settings.groups,
+        settings.late_s,
+        lambda: store.server.was_disturbed_within(_STABLE_WINDOW_S),
+    )
     for ip in ('127.0.0.1', *settings.host_ips):
         store.listen(ip, settings.store_port)
         promotion.server.listen(ip, settings.promotion_port)
--- a/standins/platform_services/faulty_server.py
+++ b/standins/platform_services/faulty_server.py
@@ -1,6 +1,7 @@
 """HTTP server that injects the faults of a service into its calls."""
 
 import asyncio
+import math
 import time
 from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
@@ -48,6 +49,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._server = HTTPServer(self._handle)
         self._host_faults: dict[str, tuple[StoreFault, float]] = {}
+        self._fault_end_s = -math.inf
         self.fault = StoreFault.none
 
     def listen(self, ip: str, port: int = 0) -> str:
@@ -72,9 +74,14 @@
             are affected.
         """
         end_s = time.monotonic() + for_s
+        self._fault_end_s = max(self._fault_end_s, end_s)
         for host in hosts or ['']:
             self._host_faults[host] = (fault, end_s)
 
+    def was_disturbed_within(self, age_s: float) -> bool:
+        """Return whether a timed fault ended less than ``age_s`` ago."""
+        return time.monotonic() - self._fault_end_s < age_s
+
     def _fault_of(self, request: HTTPServerRequest) -> StoreFault:
         if request.path.startswith(_FAULT_FREE_PREFIX):
             return StoreFault.none
--- a/standins/platform_services/promotion_service.py
+++ b/standins/platform_services/promotion_service.py
@@ -1,7 +1,8 @@
 """Stand-in for the platform's call that promotes a member."""
 
 import json
-from collections.abc import Mapping
+import time
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from typing import Final, final
 
@@ -16,6 +17,8 @@
 from standins.platform_services.store_fault import StoreFault
 
 _FORWARD_TIMEOUT_S: Final = 5.0
+# Time within which two holders must not call in turn.
+_TURN_S: Final = 3.0
 
 
 @final
@@ -23,6 +26,7 @@
 class _PromotionCall:
     holder: str
     token: int
+    called_s: float
 
 
 @final
@@ -32,10 +36,16 @@
     Attributes
     ----------
     violations
-        One text for each token that two different holders used.
+        One text for each token that two different holders used, and for each
+        time that two holders called in turn while the store had no fault.
     """
 
-    def __init__(self, groups: Mapping[str, str], late_s: float) -> None:
+    def __init__(
+        self,
+        groups: Mapping[str, str],
+        late_s: float,
+        is_store_disturbed: Callable[[], bool],
+    ) -> None:
         """Create the server without listening.
 
         Parameters
@@ -44,9 +54,15 @@
             Control address (``ip:port``) of each group by name.
         late_s
             Delay of calls under the fault ``applies_late``.
+        is_store_disturbed
+            Tells whether the store has or had a fault shortly before. Hosts
+            cannot exclude each other then.
         """
         self._groups = groups
-        self._newest_calls: dict[str, _PromotionCall] = {}
+        self._is_store_disturbed = is_store_disturbed
+        # The newest calls of each group, each by another holder than the one
+        # before; the last one is the newest.
+        self._newest_calls: dict[str, list[_PromotionCall]] = {}
         self._client = AsyncHTTPClient(force_instance=True)
         self.violations: list[str] = []
         self.server = FaultyServer(self._handle, late_s)
@@ -76,14 +92,33 @@
         call = _PromotionCall(
             request.headers['Duty-Holder'],
             int(request.headers['Fence-Token']),
+            time.monotonic(),
         )
-        newest = self._newest_calls.get(group)
+        earlier = self._newest_calls.get(group, [])
+        newest = earlier[-1] if earlier else None
         if newest is not None and call.token < newest.token:
             return HTTPStatus.CONFLICT, {'reason': 'lower fencing token'}
         self._check_holder(group, call, newest)
-        self._newest_calls[group] = call
+        if newest is not None and newest.holder == call.holder:
+            earlier.pop()
+        else:
+            self._check_turns(group, call, earlier)
+        self._newest_calls[group] = [*earlier[-1:], call]
         return await self._forward(group, member_id)
 
+    def _check_turns(
+        self, group: str, call: _PromotionCall, earlier: list[_PromotionCall]
+    ) -> None:
+        """Record a holder that calls again soon after another one did."""
+        is_turn = bool(earlier) and earlier[0].holder == call.holder
+        if not is_turn or self._is_store_disturbed():
+            return
+        if call.called_s - earlier[0].called_s < _TURN_S:
+            self.violations.append(
+                f'ONE {group}: {call.holder} and {earlier[-1].holder} promote '
+                f'in turn with the tokens up to {call.token}',
+            )
+
     def _check_holder(
         self, group: str, call: _PromotionCall, newest: _PromotionCall | None
     ) -> None:
