Do not call under an expired claim, and leave lagging replicas alone

Cause 1: a host that was suspended between its claim and its promotion call called under the expired claim. Where the platform checks no tokens, that promotes beside the next holder. Change: nothing is called under a claim that has expired.

Cause 2: while replicas receive nothing, each waiting read asked both of them again every 20 ms. Change: a member that refused a position gets no read that needs it for 0.05 s, doubling up to 0.8 s, and the rounds of a read back off from 20 to 160 ms.

--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -51,6 +51,10 @@
 _ANSWER_DELAY_S: Final = 0.001
 
 
+def _do_nothing() -> None:
+    """Let a request or call happen without an event beside it."""
+
+
 @final
 @attrs.define(eq=False)
 class FakeMember:
@@ -73,6 +77,7 @@
     # Numbers of the control requests, counted from 1, that get no answer.
     unanswered_requests: set[int] = attrs.field(factory=set)
     control_request_count: int = 0
+    refusal_count: int = 0
 
     @property
     def status(self) -> MemberStatus:
@@ -89,9 +94,14 @@
 class FakeConnection:
     """A connection to a fake member; see ``MemberConnection``."""
 
-    def __init__(self, member: FakeMember) -> None:
+    def __init__(
+        self,
+        member: FakeMember,
+        on_request: Callable[[], None] = _do_nothing,
+    ) -> None:
         """Open an idle connection."""
         self._member = member
+        self._on_request = on_request
         self._state = SessionState.idle
         self.is_open = True
         self.name = member.member_id
@@ -165,7 +175,8 @@
 
     async def status(self, limit_s: float) -> StatusAnswer:
         """Report the role and the log position."""
-        return self._count_control_request() or self._member.status
+        status = self._member.status
+        return self._count_control_request() or status
 
     async def pause(self, term: int, limit_s: float) -> StatusAnswer:
         """Stop receiving, unless the member is the primary."""
@@ -175,17 +186,20 @@
         if not self._member.is_primary:
             self._member.paused_term = term
             self._member.pause_count += 1
-        return self._count_control_request() or self._member.status
+        status = self._member.status
+        return self._count_control_request() or status
 
     async def resume(self, limit_s: float) -> StatusAnswer:
         """End a pause, whichever term it has."""
         self._member.paused_term = 0
-        return self._count_control_request() or self._member.status
+        status = self._member.status
+        return self._count_control_request() or status
 
     async def step_down(self, term: int, limit_s: float) -> StatusAnswer:
         """Become a replica."""
         self._member.is_primary = False
-        return self._count_control_request() or self._member.status
+        status = self._member.status
+        return self._count_control_request() or status
 
     def close(self) -> None:
         """Mark the connection as closed."""
@@ -193,6 +207,7 @@
 
     def _count_control_request(self) -> LinkLost | None:
         self._member.control_request_count += 1
+        self._on_request()
         is_unanswered = (
             self._member.control_request_count
             in self._member.unanswered_requests
@@ -224,6 +239,7 @@
         )
 
     def _reject(self, kind: RejectionKind) -> Rejected:
+        self._member.refusal_count += 1
         return Rejected(kind, kind.value, self._state, self._member.position)
 
 
@@ -231,9 +247,20 @@
 class FakeDialer:
     """Opens connections to fake members; see ``MemberDialer``."""
 
-    def __init__(self, members: dict[str, FakeMember]) -> None:
-        """Create a dialer for members by id."""
+    def __init__(
+        self,
+        members: dict[str, FakeMember],
+        on_request: Callable[[], None] = _do_nothing,
+    ) -> None:
+        """Create a dialer for members by id.
+
+        Parameters
+        ----------
+        on_request
+            Called after each control request of the connections.
+        """
         self._members = members
+        self._on_request = on_request
 
     async def dial(
         self, record: MemberRecord
@@ -254,7 +281,7 @@
         if member.is_full:
             kind = RejectionKind.too_many_connections
             return Rejected(kind, 'full', SessionState.idle, None)
-        return FakeConnection(member)
+        return FakeConnection(member, self._on_request)
 
 
 @final
@@ -348,13 +375,15 @@
         self._members = members
         self.calls: list[tuple[str, int]] = []
         self.is_silent = False
+        self.delay_s: float = 0
         self.newest_token = 0
         self.on_call: Callable[[], None] = _do_nothing
 
     async def promote(
         self, group: str, member_id: str, token: int, limit_s: float
     ) -> PromotionOutcome:
-        """Make the member the primary at once, unless its token is too low."""
+        """Make the member the primary, unless its token is too low."""
+        await asyncio.sleep(self.delay_s)
         self.calls.append((member_id, token))
         self.on_call()
         if self.is_silent:
@@ -375,10 +404,6 @@
         return Promoted()
 
 
-def _do_nothing() -> None:
-    pass
-
-
 @final
 class FakeRegistrations:
     """Registrations that a test sets; see ``RegistrationSource``."""
--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -79,6 +79,15 @@
       | is held by another host   | paused    |
       | the store does not answer | paused    |
 
+  Scenario: a host that was suspended does not promote under its old claim
+    # Guards against a host that slept for longer than its claim lasts, and then
+    # promotes beside the next holder: not every platform checks the tokens.
+    Given a group whose primary is p
+    And the members p are silent
+    And the host is suspended between its claim and its promotion call
+    When a host replaces the lost primary
+    Then the promotion calls name none
+
   Scenario: replicas stay paused if the platform refuses the newer token
     Given a group whose primary is p
     And members a and b are paused
--- a/features/sessions.feature
+++ b/features/sessions.feature
@@ -112,6 +112,14 @@
     Then it waits 50 ms for the first one
     And it does not wait once one is in force
 
+  # Guards against members and hosts that are kept busy by refusals: while two
+  # replicas received nothing on further, trouble-1, each waiting read asked both
+  # of them again every 20 ms, and a third of all requests to members were refused.
+  Scenario: reads that wait do not ask lagging replicas again and again
+    Given replicas a and b that receive nothing, and a primary that is slow
+    When 20 callers read at the same time
+    Then the replicas refused fewer than 3 requests for each read
+
   Scenario: a read avoids a replica behind the position of the primary
     Given a session on a group whose primary is p
     And member p has received up to 1.30
--- a/features/steps/primary_change_claims_steps.py
+++ b/features/steps/primary_change_claims_steps.py
@@ -24,6 +24,8 @@
 _EARLIER_TOKEN: Final = 5
 _NEWER_TOKEN: Final = 9
 _CALL_TIMEOUT_S: Final = 1.0
+# Longer than the steps of a change before its promotion call.
+_CLAIM_LEFT_S: Final = 0.3
 _RENEWAL_OUTCOMES: Final[Mapping[str, ClaimOutcome]] = MappingProxyType(
     {
         'can be renewed': DutyClaim(_TOKEN + 1, math.inf),
@@ -50,7 +52,8 @@
 def expire_claim(context: Any, next_holder: str) -> None:
     """Grant a claim that has expired before the replicas are resumed."""
     claims = context.world.claims
-    claims.outcome = DutyClaim(_TOKEN, boot_time_s())
+    claims.outcome = DutyClaim(_TOKEN, boot_time_s() + _CLAIM_LEFT_S)
+    context.world.promotions.delay_s = 2 * _CLAIM_LEFT_S
     outcome = _RENEWAL_OUTCOMES[next_holder]
     context.world.promotions.on_call = lambda: claims.use_outcome(outcome)
 
@@ -116,3 +119,9 @@
 def check_released(context: Any) -> None:
     """Check that other hosts can claim the group at once."""
     assert context.world.claims.is_released
+
+
+@given('the host is suspended between its claim and its promotion call')
+def suspend_host(context: Any) -> None:
+    """Grant a claim that has expired when the members have been paused."""
+    context.world.claims.outcome = DutyClaim(_TOKEN, boot_time_s())
--- a/features/steps/sessions_steps.py
+++ b/features/steps/sessions_steps.py
@@ -18,6 +18,7 @@
 from mimosapond.configuration.active_configuration import ActiveConfiguration
 from mimosapond.configuration.route import Freshness
 from mimosapond.entry.session_registry import SessionRegistry
+from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member_answer import RejectionKind
 from mimosapond.sessions.session import Session
 from mimosapond.statements.reply import Failure
@@ -366,3 +367,38 @@
     started_s = boot_time_s()
     asyncio.run(active.wait_until_loaded(limit_s))
     return boot_time_s() - started_s
+
+
+@given('replicas a and b that receive nothing, and a primary that is slow')
+def lag_replicas(context: Any) -> None:
+    """Let the replicas lag behind, and the primary answer too late."""
+    _open_session(context, build_world())
+    for name in ('a', 'b'):
+        context.world.fakes[name].position = LogPosition(1, 5)
+    context.world.fakes['p'].loses_answers = True
+
+
+@when('{count:d} callers read at the same time')
+def read_together(context: Any, count: int) -> None:
+    """Send a read on each of several sessions."""
+    context.read_count = count
+    asyncio.run(_read_together(context.world, count))
+
+
+async def _read_together(world: GroupWorld, count: int) -> None:
+    await world.probe.ask(world.group, world.group.members['p'])
+    sessions = [world.open_session() for _ in range(count)]
+    await asyncio.gather(
+        *(
+            session.execute(f'r{number}', _STATEMENTS['read'])
+            for number, session in enumerate(sessions)
+        )
+    )
+
+
+@then('the replicas refused fewer than {limit:d} requests for each read')
+def check_refusals(context: Any, limit: int) -> None:
+    """Count the refusals of both replicas."""
+    fakes = context.world.fakes
+    count = fakes['a'].refusal_count + fakes['b'].refusal_count
+    assert count < limit * context.read_count, count
--- a/mimosapond/failover/failover_coordinator.py
+++ b/mimosapond/failover/failover_coordinator.py
@@ -207,8 +207,9 @@
     async def _call_promotion(
         self, group: Group, candidate: MemberReport, claim: DutyClaim
     ) -> PromotionResult:
-        result = await self._promoter.promote(group, candidate, claim.token)
-        await self._turns.record_call(group.name, claim)
+        result = await self._promoter.promote(group, candidate, claim)
+        if result is not PromotionResult.not_called:
+            await self._turns.record_call(group.name, claim)
         return result
 
     async def _abort(
--- a/mimosapond/failover/promoter.py
+++ b/mimosapond/failover/promoter.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from mimosapond.boot_clock import Now
+from mimosapond.failover.claim_port import DutyClaim
 from mimosapond.failover.control_requests import MemberReport
 from mimosapond.failover.promotion_port import Promoted, PromotionPort
 from mimosapond.failover.promotion_port import PromotionRefused
@@ -29,6 +30,8 @@
     # The platform agreed, but the member has not been seen to lead yet.
     accepted = 'accepted'
     refused = 'refused'
+    # The claim expired before the first call, so nothing was called.
+    not_called = 'not_called'
     # No call was answered, so a call may still take effect.
     unknown = 'unknown'
 
@@ -54,36 +57,48 @@
         self._now = now
 
     async def promote(
-        self, group: Group, candidate: MemberReport, token: int
+        self, group: Group, candidate: MemberReport, claim: DutyClaim
     ) -> PromotionResult:
         """Promote a member and wait until it leads.
 
         The caller holds the claim meanwhile, so that no other host starts a
-        change before the member leads.
+        change before the member leads. Nothing is called under a claim that
+        has expired: this host may have been suspended, and another one may
+        have followed.
 
         Parameters
         ----------
         candidate
             The member to promote and its last status.
-        token
-            Fencing token of the claim.
+        claim
+            Claim of this host; its token fences the calls.
         """
+        result = PromotionResult.not_called
         for _ in range(_ATTEMPT_COUNT):
+            if self._now() >= claim.expires_s:
+                logger.bind(group=group.name, token=claim.token).warning(
+                    'promotion_claim_expired'
+                )
+                return result
+            result = PromotionResult.unknown
             outcome = await self._port.promote(
-                group.name, candidate.member.member_id, token, _CALL_TIMEOUT_S
+                group.name,
+                candidate.member.member_id,
+                claim.token,
+                _CALL_TIMEOUT_S,
             )
             logger.bind(
                 group=group.name,
                 member=candidate.member.member_id,
                 at=str(candidate.status.received),
-                token=token,
+                token=claim.token,
                 outcome=str(outcome),
             ).info('promotion')
             if isinstance(outcome, Promoted):
                 return await self._await_leadership(group, candidate.member)
             if isinstance(outcome, PromotionRefused):
                 return PromotionResult.refused
-        return PromotionResult.unknown
+        return result
 
     async def _await_leadership(
         self, group: Group, member: Member
--- a/mimosapond/groups/member_load.py
+++ b/mimosapond/groups/member_load.py
@@ -18,9 +18,13 @@
 _INITIAL_LATENCY_S: Final = 0.015
 # Weight of a new sample in the smoothed latency.
 _LATENCY_SAMPLE_WEIGHT: Final = 0.15
-# Time for which a member is avoided after it refused work because it was busy
-# or its log lagged behind.
+# Time for which a member is avoided after it refused work because it was busy.
 _AVOID_AFTER_REJECTION_S: Final = 0.1
+# Time for which a member whose log lagged behind gets no read that needs a later
+# position. It doubles with each further refusal: a replica that receives nothing
+# lags for seconds.
+_MIN_LAG_PAUSE_S: Final = 0.05
+_MAX_LAG_PAUSE_S: Final = 0.8
 # Time for which a member is avoided after a request got no complete answer.
 _AVOID_AFTER_LINK_LOSS_S: Final = 0.5
 
@@ -49,12 +53,22 @@
         # Whether an attempt to connect has failed since the last contact.
         self.is_unreachable = False
         self.avoid_until_s: float = 0
+        self._lag_pause_s = _MIN_LAG_PAUSE_S
+        self._lags_until_s: float = 0
 
     @property
     def in_flight_count(self) -> int:
         """Number of requests without an answer yet."""
         return len(self._in_flight)
 
+    def lags_behind(self, position: LogPosition) -> bool:
+        """Return whether the member refused a read that needs a position.
+
+        Its log has not been seen to reach the position since.
+        """
+        is_paused = self._now() < self._lags_until_s
+        return is_paused and (self.position is None or self.position < position)
+
     def had_contact_within(self, age_s: float) -> bool:
         """Return whether the member answered within the last ``age_s``."""
         return self._now() - self.last_contact_s < age_s
@@ -86,9 +100,13 @@
                 self.latency_s += _LATENCY_SAMPLE_WEIGHT * (
                     elapsed_s - self.latency_s
                 )
+                self._lag_pause_s = _MIN_LAG_PAUSE_S
+                self.record_contact(position)
+            case Rejected(position=position, kind=RejectionKind.behind):
+                self._record_lag()
                 self.record_contact(position)
             case Rejected(position=position, kind=kind):
-                if kind in {RejectionKind.behind, RejectionKind.busy}:
+                if kind is RejectionKind.busy:
                     self.avoid_until_s = self._now() + _AVOID_AFTER_REJECTION_S
                 self.record_contact(position)
             case LinkLost():
@@ -101,3 +119,10 @@
         if position is not None:
             self.position = position
             self.term = max(self.term, position.term)
+
+    def _record_lag(self) -> None:
+        """Pause reads of later positions; refusals at one time count once."""
+        if self._now() < self._lags_until_s:
+            return
+        self._lags_until_s = self._now() + self._lag_pause_s
+        self._lag_pause_s = min(self._lag_pause_s * 2, _MAX_LAG_PAUSE_S)
--- a/mimosapond/routing/member_selector.py
+++ b/mimosapond/routing/member_selector.py
@@ -52,17 +52,23 @@
         Returns
         -------
         Member | None
-            None if every member is excluded or takes no new work.
+            None if every member is excluded or takes no new work, or if only
+            members are left whose logs lag behind the position.
         """
         candidates = [
             member
             for member in group.members.values()
             if member.accepts_new_work and member not in excluded
         ]
-        if not candidates:
+        current = [
+            member
+            for member in candidates
+            if not member.load.lags_behind(position)
+        ]
+        if not candidates or (excluded and not current):
             return None
         return min(
-            candidates,
+            current or candidates,
             key=lambda member: self._expected_s(group, member, position),
         )
 
--- a/mimosapond/routing/read_router.py
+++ b/mimosapond/routing/read_router.py
@@ -34,7 +34,10 @@
 _MIN_HEDGE_DELAY_S: Final = 0.1
 # Wait for a connection to one member before the attempt fails.
 _BORROW_TIMEOUT_S: Final = 0.15
-_ROUND_BACKOFF_S: Final = 0.02
+# Delay before members are tried again; it doubles with each round, as many
+# reads wait at the same time when members are overloaded or lag behind.
+_MIN_ROUND_BACK_OFF_S: Final = 0.02
+_MAX_ROUND_BACK_OFF_S: Final = 0.16
 _RUNS_HERE: Final = RunsHere()
 
 
@@ -99,7 +102,7 @@
             reply = await attempts.run() or await self._read_by_relay(work)
             if reply is not None:
                 return reply
-            await asyncio.sleep(_ROUND_BACKOFF_S)
+            await asyncio.sleep(_MIN_ROUND_BACK_OFF_S)
 
     async def _read_by_relay(self, work: Work) -> Reply | None:
         """Have another host, which has connections to members, run the read.
@@ -144,6 +147,7 @@
         # Members whose current attempt has not sent the read yet.
         self._unsent: set[Member] = set()
         self._was_sent = False
+        self._round_back_off_s = _MIN_ROUND_BACK_OFF_S
 
     async def run(self) -> Reply | None:
         """Return the reply of a member.
@@ -214,7 +218,11 @@
         # Members that refused are tried again in the next round. Members that
         # still run the read, or whose answer may be lost, are not.
         self._tried = list(self._pending.values())
-        return _ROUND_BACKOFF_S if self._was_sent else None
+        if not self._was_sent:
+            return None
+        back_off_s = self._round_back_off_s
+        self._round_back_off_s = min(back_off_s * 2, _MAX_ROUND_BACK_OFF_S)
+        return back_off_s
 
     async def _wait(self, limit_s: float) -> Reply | None:
         if not self._pending:
