Compute the order of holders once for each change of the hosts

Cause: each round of a host, 20 a second, computed the candidates of every group up to three times, at 0.10 ms each: with ten groups, 6% of a core. Change: the order is computed when the announced hosts change; a look at it only checks which hosts are available.

--- a/mimosapond/peers/holder_directory.py
+++ b/mimosapond/peers/holder_directory.py
@@ -1,7 +1,11 @@
 """Which hosts hold which groups, as this host knows the others."""
 
+import itertools
+from collections.abc import Iterable, Iterator
 from typing import Final, final
 
+import attrs
+
 from mimosapond.boot_clock import Now
 from mimosapond.peers.holder_ranking import (
     holders_per_data_centre,
@@ -23,6 +27,30 @@
 _ISOLATION_TIMEOUT_S: Final = 3.0
 
 
+@final
+@attrs.frozen
+class _Ranking:
+    """The hosts of one group, as one host sees them.
+
+    Parameters
+    ----------
+    holders
+        Hosts that hold the group, in all data centres.
+    near
+        Other hosts of the own data centre, in the order in which work is
+        passed on to them; the first hold the group.
+    near_count
+        How many hosts of a data centre hold the group.
+    far
+        The same of other data centres: holders, and those that follow them.
+    """
+
+    holders: tuple[Peer, ...]
+    near: tuple[Peer, ...]
+    near_count: int
+    far: tuple[Peer, ...]
+
+
 @final
 class HolderDirectory:
     """Ranks the hosts for each group; implements ``Holding``."""
@@ -39,7 +67,7 @@
         self._own = own
         self._now = now
         self._revision = -1
-        self._rankings: dict[str, dict[str, list[Peer]]] = {}
+        self._rankings: dict[str, _Ranking] = {}
         self._asked_s: dict[str, float] = {}
         self._isolated_since_s: dict[str, float] = {}
 
@@ -49,7 +77,7 @@
             return False
         return (
             self._is_small_system
-            or self._own in self._ranked_holders(group)
+            or self._own in self._ranking(group).holders
             or self._was_asked(group)
             or self._is_isolated(group)
         )
@@ -58,11 +86,16 @@
         """Return how many hosts hold a group; None if all hosts do."""
         if self._is_small_system:
             return None
-        return max(len(self._ranked_holders(group)), 1)
+        return max(len(self._ranking(group).holders), 1)
 
     def is_reachable(self, group: str) -> bool:
         """Return whether this host holds a group or reaches one that does."""
-        return self.holds(group) or bool(self.candidates(group))
+        if self.holds(group):
+            return True
+        ranking = self._ranking(group)
+        if any(map(self._peers.is_available, ranking.near)):
+            return True
+        return bool(self.candidates(group))
 
     def record_request(self, group: str) -> bool:
         """Record that another host passed on work for a group."""
@@ -78,18 +111,11 @@
         as it is asked.
         """
         ranking = self._ranking(group)
-        count = holders_per_data_centre(ranking)
-        near = self._available(ranking.get(self._own.data_centre, []))
-        far = [
-            peer
-            for data_centre, ranked in ranking.items()
-            if data_centre != self._own.data_centre
-            for peer in self._available(ranked)[:count]
-        ]
-        found = [
-            *prefer_by_host(self._own.host, near[:count]),
-            *prefer_by_host(self._own.host, far),
-        ][:_CANDIDATE_COUNT]
+        near = itertools.islice(
+            self._available(ranking.near), ranking.near_count
+        )
+        ordered = itertools.chain(near, self._available(ranking.far))
+        found = list(itertools.islice(ordered, _CANDIDATE_COUNT))
         self._record_candidates(group, found)
         return found
 
@@ -97,33 +123,58 @@
         """Return other hosts that may reach the primary of a group."""
         if self._is_small_system or not self._peers.is_loaded:
             return self._peers.choose(_CANDIDATE_COUNT)
-        holders = self._available(self._ranked_holders(group))
+        holders = [
+            peer
+            for peer in self._available(self._ranking(group).holders)
+            if peer.host != self._own.host
+        ]
         return holders or self._peers.choose(_CANDIDATE_COUNT)
 
     @property
     def _is_small_system(self) -> bool:
         return self._peers.count + 1 <= _MAX_SMALL_SYSTEM_COUNT
 
-    def _ranking(self, group: str) -> dict[str, list[Peer]]:
+    def _ranking(self, group: str) -> _Ranking:
         if self._revision != self._peers.revision:
             self._revision = self._peers.revision
             self._rankings.clear()
         if group not in self._rankings:
-            hosts = (*self._peers.peers, self._own)
-            self._rankings[group] = rank_by_data_centre(group, hosts)
+            self._rankings[group] = self._rank(group)
         return self._rankings[group]
 
-    def _ranked_holders(self, group: str) -> list[Peer]:
-        ranking = self._ranking(group)
+    def _rank(self, group: str) -> _Ranking:
+        hosts = (*self._peers.peers, self._own)
+        ranking = rank_by_data_centre(group, hosts)
         count = holders_per_data_centre(ranking)
-        return [peer for ranked in ranking.values() for peer in ranked[:count]]
-
-    def _available(self, peers: list[Peer]) -> list[Peer]:
-        return [
+        holders = tuple(
+            peer for ranked in ranking.values() for peer in ranked[:count]
+        )
+        near = [
             peer
-            for peer in peers
-            if peer.host != self._own.host and self._peers.is_available(peer)
+            for peer in ranking.pop(self._own.data_centre)
+            if peer.host != self._own.host
         ]
+        first = prefer_by_host(self._own.host, near[:count])
+        far = [
+            prefer_by_host(
+                self._own.host,
+                (
+                    peer
+                    for ranked in ranking.values()
+                    for peer in ranked[start : start + count]
+                ),
+            )
+            for start in (0, count)
+        ]
+        return _Ranking(
+            holders=holders,
+            near=(*first, *near[count:]),
+            near_count=count,
+            far=tuple(itertools.chain.from_iterable(far)),
+        )
+
+    def _available(self, peers: Iterable[Peer]) -> Iterator[Peer]:
+        return filter(self._peers.is_available, peers)
 
     def _was_asked(self, group: str) -> bool:
         asked_s = self._asked_s.get(group)
