Refuse a read as not run when no holder was reached

Cause: a read that no holder was reached for, or that each holder refused as not run, was answered as timed out: the wait for the last attempt forgot the outcome before it. Change: that outcome is kept, and a read that was not sent is refused as not run.

--- a/features/holders.feature
+++ b/features/holders.feature
@@ -92,6 +92,21 @@
       | is stopping      | begin, write, commit | write x, COMMIT |
       | answers no reads | read                 | read x          |
 
+  # Guards against a refusal that promises too little, or one only at the deadline.
+  Scenario Outline: work is refused as not run if no holder is reached
+    Given a host that does not hold the group of its callers, and one that does
+    And before it in the ranking a holder that is unreachable
+    And the other holder is unreachable as well
+    When the caller sends <statements>
+    Then the last reply is not_run
+    And the members of the holder ran nothing
+
+    Examples:
+      | statements   |
+      | write        |
+      | read         |
+      | begin, write |
+
   # Guards against a write that is repeated at another holder although the first
   # one may have run it.
   Scenario: a write without an answer is not repeated at another holder
--- a/features/relay_builders.py
+++ b/features/relay_builders.py
@@ -31,12 +31,14 @@
 from mimosapond.peers.peer_relay import PeerRelay
 from mimosapond.peers.peer_relay_finder import PeerRelayFinder
 from mimosapond.peers.transaction_keys import TransactionKeys
+from mimosapond.routing import failures
 from mimosapond.routing.primary_path import PrimaryPathFinder
 from mimosapond.routing.primary_probe import PrimaryProbe
 from mimosapond.routing.read_router import ReadRouter
 from mimosapond.routing.relay_port import NoRelays
 from mimosapond.routing.write_router import WriteRouter
 from mimosapond.sessions.transaction import TransactionRouting
+from mimosapond.statements.reply import Failure
 
 _LOOPBACK: Final = '127.0.0.1'
 _ANSWER_S: Final = 2.0
@@ -204,13 +206,15 @@
     client: PeerClient
     keys: TransactionKeys
 
-    def find(self, group: Group) -> HolderRelay:
+    def find(self, group: Group) -> HolderRelay | Failure:
         """Return the holders that are available."""
         relays = [
             PeerRelay(peer, self.client, self, self.keys)
             for peer in self.peers
             if self.directory.is_available(peer)
         ]
+        if not relays:
+            return failures.NO_HOLDER
         return HolderRelay(relays, boot_time_s)
 
     def forget(self, group: str) -> None:
--- a/features/steps/holders_steps.py
+++ b/features/steps/holders_steps.py
@@ -236,6 +236,12 @@
     _start(context, fault)
 
 
+@given('the other holder is unreachable as well')
+def close_holder(context: Any) -> None:
+    """Close the listener of the last holder."""
+    context.pair.server.stop()
+
+
 def _start(context: Any, fault: str) -> None:
     if not fault:
         context.loop = asyncio.new_event_loop()
--- a/mimosapond/peers/holder_relay.py
+++ b/mimosapond/peers/holder_relay.py
@@ -99,10 +99,11 @@
                 left_s = work.deadline_s - self._now()
                 is_hedged = sum(not task.done() for task in tasks) > 1
                 wait_s = left_s if is_hedged else left_s * _HEDGE_RATIO
-                outcome = await _first_final(tasks, wait_s)
+                outcome = await _first_final(tasks, wait_s, outcome)
                 if _is_final(outcome) or self._now() >= work.deadline_s:
                     return outcome
-            return await _first_final(tasks, work.deadline_s - self._now())
+            left_s = work.deadline_s - self._now()
+            return await _first_final(tasks, left_s, outcome)
         finally:
             for task in tasks:
                 task.cancel()
@@ -137,18 +138,20 @@
     return isinstance(outcome, WorkUnanswered) and outcome.was_sent
 
 
-async def _first_final(tasks: list[_ReadTask], limit_s: float) -> WorkOutcome:
+async def _first_final(
+    tasks: list[_ReadTask], limit_s: float, earlier: WorkOutcome
+) -> WorkOutcome:
     """Wait for a final outcome of any task, at most ``limit_s``.
 
     Returns
     -------
     WorkOutcome
-        The final outcome, or the last other one when all tasks have ended or
-        the time is over.
+        The final outcome. Without one, the last other outcome, which may be
+        the earlier one, or that the read is unanswered if it still runs.
     """
     loop = asyncio.get_running_loop()
     end_s = loop.time() + limit_s
-    outcome: WorkOutcome = WorkUnanswered('no answer yet', was_sent=True)
+    outcome = earlier
     pending = {task for task in tasks if not task.done()}
     while pending and loop.time() < end_s:
         done, pending = await asyncio.wait(
@@ -160,4 +163,6 @@
             outcome = task.result()
             if _is_final(outcome):
                 return outcome
+    if pending:
+        return WorkUnanswered('no answer yet', was_sent=True)
     return outcome
--- a/mimosapond/routing/read_router.py
+++ b/mimosapond/routing/read_router.py
@@ -21,7 +21,11 @@
 from mimosapond.routing import failures
 from mimosapond.routing.holder_port import HolderFinder, RunsHere
 from mimosapond.routing.relay_port import RelayFinder
-from mimosapond.routing.work_outcome import WorkDone, WorkOutcome
+from mimosapond.routing.work_outcome import (
+    WorkDone,
+    WorkOutcome,
+    WorkUnanswered,
+)
 from mimosapond.routing.statement_runner import RestoreFailed, run_work
 from mimosapond.routing.work import Work
 from mimosapond.statements.reply import Failure, Reply, Success
@@ -120,9 +124,13 @@
 
 
 def _reply_of(outcome: WorkOutcome) -> Reply:
-    if isinstance(outcome, WorkDone):
-        return outcome.reply
-    return failures.READ_UNANSWERED
+    match outcome:
+        case WorkDone(reply=reply):
+            return reply
+        case WorkUnanswered(was_sent=False):
+            return failures.NO_HOLDER
+        case WorkUnanswered():
+            return failures.READ_UNANSWERED
 
 
 @final
