--- a/features/holders.feature
+++ b/features/holders.feature
@@ -147,8 +147,9 @@
   Scenario Outline: callers behind a partition with a former primary are refused
     Given a group whose primary is p
     And an answer of a former primary proves nothing
+    When primary p is probed
     And the members a,b are silent
-    When the caller sends <statements>
+    And the caller sends <statements>
     Then the last reply is not_run
 
     Examples:
