Answer every statement before a stopping host ends

Cause: the drain waited for a moment without sessions until the grace less 0.4 s and then returned. If the balancer has no better host, callers keep coming, there is no such moment, and the process ended with statements under way. Ruled out: the balancer's view of the host, and the margin for replies; the lost ones had not been answered by their member yet.

Change: the time by which answers have to be given limits deadlines and what is begun. Statements, sessions and relayed transactions that come too late are refused as not run or rolled back; what is still under way is interrupted and answered with what is certain about it. Sessions that begin during a stop are closed after a reply, no longer within 50 ms.

--- a/features/group_builders.py
+++ b/features/group_builders.py
@@ -32,6 +32,7 @@
 from mimosapond.routing.read_router import ReadRouter
 from mimosapond.routing.relay_port import NoRelays, RelayFinder
 from mimosapond.routing.write_router import WriteRouter
+from mimosapond.sessions.serving_limits import ServingLimits
 from mimosapond.sessions.session import Session, SessionServices
 from mimosapond.sessions.transaction import TransactionRouting
 
@@ -194,6 +195,7 @@
         routing=TransactionRouting(
             positions, selector, paths, writes, boot_time_s
         ),
+        limits=ServingLimits(boot_time_s),
     )
 
 
--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -49,6 +49,10 @@
 
 # Time that a fake needs for an answer or a new connection.
 _ANSWER_DELAY_S: Final = 0.001
+# Statements that a host sends to prepare a connection for those of callers.
+_PREPARING_WORDS: Final = frozenset(
+    ('BEGIN', 'ROLLBACK', 'SET', 'PREPARE', 'DISCARD')
+)
 
 
 def _do_nothing() -> None:
@@ -78,6 +82,8 @@
     unanswered_requests: set[int] = attrs.field(factory=set)
     control_request_count: int = 0
     refusal_count: int = 0
+    # Time that a caller's statement takes.
+    statement_s: float = 0
 
     @property
     def status(self) -> MemberStatus:
@@ -222,7 +228,9 @@
     ) -> MemberAnswer:
         member = self._member
         await asyncio.sleep(_ANSWER_DELAY_S)
-        if member.is_silent:
+        if text.partition(' ')[0] not in _PREPARING_WORDS:
+            await asyncio.sleep(min(member.statement_s, limit_s))
+        if member.is_silent or member.statement_s > limit_s:
             self.close()
             return LinkLost('silent')
         if member.pending_rejections:
--- a/features/relay_builders.py
+++ b/features/relay_builders.py
@@ -126,6 +126,7 @@
             boot_time_s,
         ),
         now=boot_time_s,
+        limits=world.services.limits,
     )
 
 
--- a/mimosapond/entry/platform_host.py
+++ b/mimosapond/entry/platform_host.py
@@ -12,9 +12,10 @@
 from mimosapond.configuration.configuration_follower import (
     ConfigurationFollower,
 )
-from mimosapond.entry.session_registry import SessionRegistry
 from mimosapond.entry.reachability import Reachability
 from mimosapond.entry.rotation_tracker import RotationTracker
+from mimosapond.entry.session_drain import SessionDrain
+from mimosapond.entry.session_registry import SessionRegistry
 from mimosapond.failover.failover_coordinator import FailoverCoordinator
 from mimosapond.failover.primary_monitor import PrimaryMonitor
 from mimosapond.failover.reserved_token_claims import ReservedTokenClaims
@@ -26,18 +27,13 @@
 from mimosapond.peers.peer_discovery import PeerDiscovery
 from mimosapond.routing.primary_probe import PrimaryProbe
 from mimosapond.routing.relay_port import RelayFinder
+from mimosapond.sessions.serving_limits import ServingLimits
 from mimosapond.task_supervisor import TaskSupervisor
 
 # Longest time that callers who connect while the host starts wait for the first
 # configuration. During an outage of the store, the host refuses them after this
 # time, so that they use another host.
 _CONFIGURATION_WAIT_S: Final = 0.5
-# Time allowed for callers that the load balancer sent just before it took the
-# host out of rotation.
-_LATE_CALLER_GRACE_S: Final = 0.3
-# Part of the grace period that is reserved for the last replies to reach their
-# callers.
-_REPLY_DELIVERY_MARGIN_S: Final = 0.4
 _POLL_INTERVAL_S: Final = 0.05
 
 
@@ -68,6 +64,7 @@
     failover_coordinator: FailoverCoordinator
     reachability: Reachability
     rotation: RotationTracker
+    limits: ServingLimits
     accept_callers: Callable[[], None]
     log_rate_limit: LogRateLimit
     now: Now
@@ -120,7 +117,13 @@
         while not self._stop.is_set():
             self._run_round()
             await asyncio.wait((stopping,), timeout=_POLL_INTERVAL_S)
-        await self._drain_sessions()
+        await SessionDrain(
+            parts.sessions,
+            parts.relayed_work_handler,
+            parts.rotation,
+            parts.limits,
+            parts.now,
+        ).run(self._stop_grace_s)
         logger.bind(sessions=self._parts.sessions.session_count).info('stopped')
 
     def _is_ready(self) -> bool:
@@ -162,25 +165,3 @@
                     self._parts.holding,
                 )
                 self._tasks.start(f'group {group.name}', monitor.run)
-
-    async def _drain_sessions(self) -> None:
-        sessions = self._parts.sessions
-        rotation = self._parts.rotation
-        now = self._parts.now
-        end_s = now() + self._stop_grace_s - _REPLY_DELIVERY_MARGIN_S
-        last_caller_s = now() + _LATE_CALLER_GRACE_S
-        rotation.update_readiness(is_ready=False)
-        self._parts.relayed_work_handler.is_stopping = True
-        while now() < end_s:
-            is_busy = (
-                sessions.session_count
-                or self._parts.relayed_work_handler.open_count
-            )
-            if is_busy or not rotation.is_out_of_rotation:
-                last_caller_s = now() + _LATE_CALLER_GRACE_S
-            if rotation.is_out_of_rotation:
-                sessions.close_when_idle()
-                sessions.close_idle()
-            if now() > last_caller_s:
-                return
-            await asyncio.sleep(_POLL_INTERVAL_S)
--- a/mimosapond/entry/session_registry.py
+++ b/mimosapond/entry/session_registry.py
@@ -19,6 +19,8 @@
     ----------
     redirected_groups
         Groups whose callers are better served by other hosts.
+    is_stopping
+        Whether each session is closed after its next reply in the idle state.
     """
 
     def __init__(self, services: SessionServices) -> None:
@@ -27,7 +29,14 @@
         self._close_callbacks: dict[Session, Callable[[], None]] = {}
         self._busy: set[Session] = set()
         self._closing: set[Session] = set()
+        self._connection_count = 0
         self.redirected_groups: frozenset[str] = frozenset()
+        self.is_stopping = False
+
+    @property
+    def connection_count(self) -> int:
+        """Number of callers' connections, with or without a session."""
+        return self._connection_count
 
     @property
     def session_count(self) -> int:
@@ -39,12 +48,29 @@
         configuration = self._services.configuration
         if not configuration.is_loaded:
             return failures.NO_CONFIGURATION
+        if not self._services.limits.accepts_statements:
+            return failures.HOST_STOPPING
         if configuration.route(database) is None:
             return failures.NO_SUCH_DATABASE
         return Session(database, self._services)
 
+    @contextlib.contextmanager
+    def connected(self) -> Iterator[None]:
+        """Count a caller's connection while it is open."""
+        self._connection_count += 1
+        try:
+            yield
+        finally:
+            self._connection_count -= 1
+
     def register(self, session: Session, close: Callable[[], None]) -> None:
-        """Track a session; ``close`` closes the connection of its caller."""
+        """Track a session.
+
+        Parameters
+        ----------
+        close
+            Closes the connection of the caller, unless a request has arrived.
+        """
         self._close_callbacks[session] = close
 
     def unregister(self, session: Session) -> None:
@@ -67,17 +93,31 @@
         if session.state is not SessionState.idle:
             return False
         return (
-            session in self._closing or session.group in self.redirected_groups
+            self.is_stopping
+            or session in self._closing
+            or session.group in self.redirected_groups
         )
 
     def close_when_idle(self) -> None:
         """Mark all open sessions to be closed as soon as they are idle.
 
-        Sessions that begin later are not closed, because the load balancer had
-        no better host for them.
+        Sessions that begin later are closed after a reply only, because the
+        load balancer had no better host for them, and their first request is
+        likely to be on its way.
         """
+        self.is_stopping = True
         self._closing.update(self._close_callbacks)
 
+    def interrupt_running(self) -> int:
+        """Interrupt all requests in flight, and return their number.
+
+        Each is answered with what is certain about its outcome.
+        """
+        running = tuple(self._busy)
+        for session in running:
+            session.interrupt()
+        return len(running)
+
     def redirect_groups(self, groups: frozenset[str]) -> None:
         """Mark the open sessions of some groups to be closed when idle.
 
--- a/mimosapond/peers/relayed_work_handler.py
+++ b/mimosapond/peers/relayed_work_handler.py
@@ -19,6 +19,7 @@
 from mimosapond.routing.read_router import ReadRouter
 from mimosapond.routing.work_outcome import WorkDone
 from mimosapond.routing.work import Work
+from mimosapond.sessions.serving_limits import ServingLimits
 from mimosapond.sessions.transaction import Transaction, TransactionRouting
 from mimosapond.statements.reply import Failure, Reply
 from mimosapond.statements.statement import Begin
@@ -45,6 +46,7 @@
     reads: ReadRouter
     routing: TransactionRouting
     now: Now
+    limits: ServingLimits
     holding: Holding = HoldsAll()
 
 
@@ -142,10 +144,13 @@
         Returns
         -------
         WorkDone
-            With a failure if the transaction is unknown, or if it is to begin
-            and its key is in use.
+            With a failure if the transaction is unknown, if it is to begin
+            and its key is in use, or if this host stops too soon.
         """
         self._hold(work.group)
+        if not self._services.limits.accepts_statements:
+            self.roll_back(key)
+            return WorkDone(failures.ROLLED_BACK)
         entry = self._begin(key, begin) if is_first else self._open.get(key)
         if entry is None:
             return WorkDone(failures.ROLLED_BACK)
@@ -160,6 +165,9 @@
 
     async def commit(self, key: str, work: Work) -> WorkDone:
         """Commit a transaction; one that is not open was rolled back."""
+        if not self._services.limits.accepts_commits:
+            self.roll_back(key)
+            return WorkDone(failures.ROLLED_BACK)
         entry = self._open.pop(key, None)
         if entry is None:
             return WorkDone(failures.ROLLED_BACK)
--- a/mimosapond/platform/caller_server.py
+++ b/mimosapond/platform/caller_server.py
@@ -58,7 +58,8 @@
         """Serve one connection until either side closes it."""
         connection = _CallerConnection(LineStream(stream), self._sessions)
         try:
-            await connection.serve()
+            with self._sessions.connected():
+                await connection.serve()
         except StreamClosedError:
             logger.bind(caller=address[0]).debug('caller_left')
         except Exception:  # noqa: BLE001 -- one caller must not affect others
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -58,6 +58,7 @@
 from mimosapond.routing.read_router import ReadRouter
 from mimosapond.routing.relay_port import NoRelays, RelayFinder
 from mimosapond.routing.write_router import WriteRouter
+from mimosapond.sessions.serving_limits import ServingLimits
 from mimosapond.sessions.session import SessionServices
 from mimosapond.sessions.transaction import TransactionRouting
 
@@ -121,6 +122,7 @@
             self._now,
             lambda: settings.has_token_check and self._directory.holds_any,
         )
+        self._limits = ServingLimits(self._now)
         self._sessions = SessionRegistry(self._build_session_services())
         self._relayed_work_handler = RelayedWorkHandler(
             self._build_relayed_work_services()
@@ -161,6 +163,7 @@
             directory=self._directory,
             reads=self._build_read_router(routing, self._relay_finder),
             routing=routing,
+            limits=self._limits,
         )
 
     def _build_relayed_work_services(self) -> RelayedWorkServices:
@@ -173,6 +176,7 @@
             reads=self._build_read_router(routing, NoRelays()),
             routing=routing,
             now=self._now,
+            limits=self._limits,
             holding=self._holders,
         )
 
@@ -242,6 +246,7 @@
                 self._directory, self._now, self._holders
             ),
             rotation=RotationTracker(self._now),
+            limits=self._limits,
             accept_callers=accept_callers,
             log_rate_limit=self._log_rate_limit,
             now=self._now,
--- a/mimosapond/routing/failures.py
+++ b/mimosapond/routing/failures.py
@@ -62,6 +62,10 @@
     FailureKind.not_run,
     'this host has no configuration yet; connect again to reach another',
 )
+HOST_STOPPING: Final = Failure(
+    FailureKind.not_run,
+    'this host is stopping and nothing was run; connect again to reach another',
+)
 NO_SUCH_DATABASE: Final = Failure(
     FailureKind.no_such_database,
     'no route exists for this database; check its name',
--- a/mimosapond/sessions/session.py
+++ b/mimosapond/sessions/session.py
@@ -32,6 +32,7 @@
     Statement,
     MalformedStatement,
 )
+from mimosapond.sessions.serving_limits import ServingLimits
 from mimosapond.sessions.transaction import Transaction, TransactionRouting
 from mimosapond.routing.work import (
     ExecutableStatement,
@@ -47,12 +48,19 @@
 @final
 @attrs.frozen
 class SessionServices:
-    """The parts of a host that all its sessions share."""
+    """The parts of a host that all its sessions share.
+
+    Parameters
+    ----------
+    limits
+        Says until when statements are begun and answered.
+    """
 
     configuration: ActiveConfiguration
     directory: GroupDirectory
     reads: ReadRouter
     routing: TransactionRouting
+    limits: ServingLimits
 
 
 @final
@@ -75,6 +83,9 @@
         self._floor: SessionFloor | None = None
         self._route: Route | None = None
         self._idle_limit_exceeded = False
+        # Task that runs a statement, and whether ``interrupt`` cancelled it.
+        self._running_task: asyncio.Task[object] | None = None
+        self._is_interrupted = False
         self.state = SessionState.idle
 
     @property
@@ -89,7 +100,7 @@
         Afterwards, ``state`` is the state of the session after the statement.
         """
         self._stop_idle_timer()
-        reply = await self._execute(request_id, statement)
+        reply = await self._execute_interruptibly(request_id, statement)
         if isinstance(reply, Failure) and reply.kind in {
             FailureKind.unknown,
             FailureKind.not_run,
@@ -104,11 +115,72 @@
             self._start_idle_timer()
         return reply
 
+    def interrupt(self) -> None:
+        """Answer a running statement now, with what is certain about it."""
+        if self._running_task is not None:
+            self._is_interrupted = True
+            self._running_task.cancel()
+
     def close(self) -> None:
         """Roll back an open transaction after the caller has disconnected."""
         self._stop_idle_timer()
         self._end_transaction()
 
+    async def _execute_interruptibly(
+        self, request_id: str, statement: Statement
+    ) -> Reply:
+        if not self._may_begin(statement):
+            return self._refuse_at_stop(statement)
+        task = self._running_task = asyncio.current_task()
+        try:
+            return await self._execute(request_id, statement)
+        except asyncio.CancelledError:
+            if task is None or not self._is_interrupted:
+                raise
+            self._is_interrupted = False
+            task.uncancel()
+            return self._reply_to_interrupted(statement)
+        finally:
+            self._running_task = None
+
+    def _reply_to_interrupted(self, statement: Statement) -> Reply:
+        if isinstance(statement, Commit):
+            self._end_transaction()
+            return failures.WRITE_UNANSWERED
+        if self._transaction is not None:
+            self._fail_transaction()
+            return failures.ROLLED_BACK
+        if self._is_read(statement):
+            return failures.READ_UNANSWERED
+        return failures.WRITE_UNANSWERED
+
+    def _is_read(self, statement: Statement) -> bool:
+        match statement:
+            case DirectStatement(is_write=is_write):
+                return not is_write
+            case Execute(name=name):
+                shape = self._definitions.prepared_shapes.get(name)
+                return shape is not None and not shape.is_write
+            case _:
+                return False
+
+    def _may_begin(self, statement: Statement) -> bool:
+        # In the failed state, statements end at this host.
+        return (
+            self.state is SessionState.failed
+            or self._services.limits.may_begin(statement)
+        )
+
+    def _refuse_at_stop(self, statement: Statement) -> Failure:
+        """Refuse a statement that would not end before the host does."""
+        if self._transaction is None:
+            return failures.HOST_STOPPING
+        if isinstance(statement, Commit):
+            self._end_transaction()
+        else:
+            self._fail_transaction()
+        return failures.ROLLED_BACK
+
     async def _execute(self, request_id: str, statement: Statement) -> Reply:
         match statement:
             case Begin():
@@ -212,7 +284,9 @@
             route=route,
             group=self._services.directory.get_or_create(route.group),
             arrived_s=arrived_s,
-            deadline_s=arrived_s + route.statement_timeout_ms / _MS_PER_S,
+            deadline_s=self._services.limits.cap(
+                arrived_s + route.statement_timeout_ms / _MS_PER_S
+            ),
             floor=self._floor,
         )
 
