Close no connection on which a request has arrived, and judge unanswered requests

Users saw a request around SIGTERM that a member ran and whose connection was closed. The live test counted such requests and judged none.

Cause of a second way to the same record: a session counted as busy only once its task had the request, so that one which the process had read, or which waited in the socket, was closed as idle and then run at a member. Ruled out: replies lost in the write buffer, as they are awaited.

Change: a connection is closed as idle only if nothing has arrived on it and its last reply is 0.1 s old; sessions that end after a reply too.

Which way the users met is not known.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -9,6 +9,48 @@
     Then it finds no broken rule
     And its callers wrote and faults affected hosts
 
+  # Guards against requests that a host has read and that end without an answer
+  # while hosts stop, reload and get configurations, and against new work at
+  # members that have drained for too long.
+  Scenario: a seeded live test of planned work finds no broken rule
+    When a live test of planned work runs for 30 s with 6 hosts, 2 groups and 40 callers
+    Then it finds no broken rule
+    And its callers wrote and faults affected hosts
+
+  # Guards against a live test that counts requests without an answer but judges
+  # none: it passed while each stop under load cut some off.
+  Scenario Outline: a request without an answer is judged
+    Given planned work that is <work>, after <before>
+    And a request that is sent <sent_s> s later and ends without an answer after <open_ms> ms
+    When a member has <received> it
+    Then the violated rules are <rules>
+
+    Examples:
+      | work            | before       | sent_s | open_ms | received     | rules      |
+      | a SIGTERM       | calm         | 2      | 5       | received     | UNANSWERED |
+      | a SIGTERM       | calm         | 2      | 300     | not received | UNANSWERED |
+      | a SIGTERM       | calm         | 2      | 5       | not received | -          |
+      | a SIGTERM       | calm         | 6.5    | 5       | received     | UNANSWERED |
+      | a SIGTERM       | calm         | 8      | 5       | received     | -          |
+      | a SIGTERM       | a disruption | 2      | 5       | received     | -          |
+      | a SIGTERM       | a disruption | 5      | 5       | received     | UNANSWERED |
+      | a SIGHUP        | calm         | 2      | 5       | received     | UNANSWERED |
+      | a SIGHUP        | calm         | 4      | 5       | received     | -          |
+      | a configuration | calm         | 3      | 5       | received     | UNANSWERED |
+      | a configuration | calm         | 5      | 5       | received     | -          |
+
+  # Guards against a balancer that never sends callers to a stopping host, as the
+  # platform's does if fewer than half of the hosts of a data centre are ready.
+  Scenario Outline: callers are sent to the hosts of their data centre
+    Given the hosts 0 to 5 in the data centres a, b and c, of which <lost> are not ready
+    Then callers of data centre a are sent to <used>
+
+    Examples:
+      | lost       | used       |
+      | none       | 0, 3       |
+      | 0          | 3          |
+      | 0, 3       | 1, 2, 4, 5 |
+
   # Guards against a live test that passes because callers miss wrong answers.
   Scenario Outline: a wrong answer is detected
     Given a host whose answers are <manner>
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -3,23 +3,28 @@
 import asyncio
 import json
 import pathlib
+import random
 import tempfile
+import time
 from typing import Any, Final
 
 from behave import given, then, when
 from tornado.httpclient import AsyncHTTPClient
 
 from features.soak_fakes import FaultyHost
+from soak.balancer import Balancer
 from soak.caller_connection import CallerConnection
 from soak.caller_session import CallerSession, now_s
+from soak.disruption_log import DisruptionLog
 from soak.fault_schedule import build_schedule
 from soak.history import History, Write
-from soak.layout import HostLayout
+from soak.layout import HostLayout, Layout
 from soak.log_scan import find_errors
 from soak.plan import SoakPlan
 from soak.route_kind import RouteKind
 from soak.shared_state import SharedState
 from soak.soak_run import SoakRun
+from soak.unanswered_check import UnansweredCheck, UnansweredRequest
 from soak.violation import ViolationLog
 from standins.platform_services.promotion_service import PromotionService
 
@@ -44,6 +49,82 @@
     context.result = asyncio.run(SoakRun(plan, folder).run())
 
 
+@when(
+    'a live test of planned work runs for {duration_s:d} s with {hosts:d} '
+    'hosts, {groups:d} groups and {callers:d} callers',
+)
+def run_planned_test(
+    context: Any, duration_s: int, hosts: int, groups: int, callers: int
+) -> None:
+    """Run the test with planned work only; its logs remain."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{_SEED}-'))
+    plan = SoakPlan(
+        _SEED, duration_s, hosts, groups, callers, is_planned_only=True
+    )
+    context.folder = folder
+    context.result = asyncio.run(SoakRun(plan, folder).run())
+
+
+@given('planned work that is {work}, after {before}')
+def note_planned_work(context: Any, work: str, before: str) -> None:
+    """Record the work, and a disruption that has just ended."""
+    context.log = DisruptionLog()
+    if before == 'a disruption':
+        with context.log.disruption():
+            time.sleep(_PAUSE_S)
+    context.worked_s = now_s()
+    match work:
+        case 'a SIGTERM':
+            context.log.note_stop(_HOST.name)
+        case 'a SIGHUP':
+            context.log.note_reload(_HOST.name)
+        case _:
+            context.log.note_change()
+
+
+@given(
+    'a request that is sent {sent_s:g} s later and ends without an answer '
+    'after {open_ms:d} ms',
+)
+def note_unanswered(context: Any, sent_s: float, open_ms: int) -> None:
+    """Build the request that is judged."""
+    start_s = context.worked_s + sent_s
+    end_s = start_s + open_ms / _MS_PER_S
+    context.request = UnansweredRequest(
+        's1.t0.1', 'READ x', _HOST.name, start_s, end_s
+    )
+
+
+@when('a member has {received} it')
+def judge_unanswered(context: Any, received: str) -> None:
+    """Judge the request."""
+    context.violations = ViolationLog()
+    ids = {'s1.t0.1'} if received == 'received' else set()
+    check = UnansweredCheck(context.log, context.violations)
+    check.check([context.request], ids)
+
+
+@given(
+    'the hosts 0 to {last:d} in the data centres a, b and c, of which {lost} '
+    'are not ready',
+)
+def build_balancer(context: Any, last: int, lost: str) -> None:
+    """Build a balancer that has probed the hosts."""
+    layout = Layout.choose(SoakPlan(_SEED, hosts=last + 1))
+    context.balancer = Balancer(layout)
+    for number in [] if lost == 'none' else lost.split(', '):
+        for _ in range(2):
+            context.balancer.note_miss(layout.hosts[int(number)])
+
+
+@then('callers of data centre a are sent to {used}')
+def check_choices(context: Any, used: str) -> None:
+    """Compare the hosts that many callers are sent to."""
+    rng = random.Random(_SEED)
+    chosen = {context.balancer.of('a').choose(rng).name for _ in range(100)}
+    assert chosen == {f'host-{each}' for each in used.split(', ')}, chosen
+
+
 @then('it finds no broken rule')
 def check_none(context: Any) -> None:
     """Require no violation; a failure shows violations, seed and log folder."""
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -1,6 +1,7 @@
 """Steps of stopping.feature."""
 
 import asyncio
+import time
 from typing import Any, Final
 
 from behave import given, then, when
@@ -13,13 +14,16 @@
     send_all,
 )
 from mimosapond.boot_clock import boot_time_s
-from soak.caller_connection import Answer
+from soak.caller_connection import Answer, CallerConnection
 
 _MS_PER_S: Final = 1000
 _CALLER_COUNT: Final = 8
 _PAUSE_S: Final = 0.02
 _SETTLE_S: Final = 0.1
 _GRACE_S: Final = 2
+_ARRIVAL_S: Final = 0.005
+_BUSY_CALLER_COUNT: Final = 40
+_BUSY_S: Final = 0.5
 _IN_TRANSACTION: Final = ' in a transaction'
 _WORKLOADS: Final = (
     ('READ x',),
@@ -185,3 +189,77 @@
     writer.close()
     await host.end()
     return line
+
+
+@when(
+    'a request arrives up to {turn_count:d} turns of the event loop before '
+    'idle sessions are closed',
+)
+def close_around_arrival(context: Any, turn_count: int) -> None:
+    """Close idle sessions after each possible number of turns."""
+    context.answers = [
+        asyncio.run(_close_after(context.world, turns))
+        for turns in range(turn_count + 1)
+    ]
+
+
+async def _close_after(world: Any, turns: int) -> Answer:
+    host = await StoppingHost.start(world)
+    connection = await host.connect()
+    assert connection is not None
+    await asyncio.sleep(_SETTLE_S)
+    asking = asyncio.create_task(send_all(connection, ['WRITE x 1']))
+    # The task has sent the request when this turn ends.
+    await asyncio.sleep(0)
+    # Data that is sent on the loopback interface has arrived after this time.
+    time.sleep(_ARRIVAL_S)
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    host.registry.close_when_idle()
+    host.registry.close_idle()
+    answers = await asking
+    connection.close()
+    await host.end()
+    return answers[-1]
+
+
+@when('callers send requests without a pause while the host stops')
+def send_without_pause(context: Any) -> None:
+    """Let callers use their session until the host closes it."""
+    context.answers = asyncio.run(_send_without_pause(context.world))
+
+
+async def _send_without_pause(world: Any) -> list[Answer]:
+    host = await StoppingHost.start(world)
+    connections = [await host.connect() for _ in range(_BUSY_CALLER_COUNT)]
+    sending = [
+        asyncio.create_task(_send_for(connection, _BUSY_S))
+        for connection in connections
+        if connection is not None
+    ]
+    await asyncio.sleep(_SETTLE_S)
+    stopping = asyncio.create_task(host.stop(_GRACE_S))
+    found = await asyncio.gather(*sending)
+    await stopping
+    await host.end()
+    return [answer for answers in found for answer in answers]
+
+
+async def _send_for(
+    connection: CallerConnection, limit_s: float
+) -> list[Answer]:
+    """Send requests without a pause, then wait until the host closes."""
+    answers: list[Answer] = []
+    end_s = boot_time_s() + limit_s
+    while boot_time_s() < end_s and connection.is_open:
+        answers.extend(await send_all(connection, ['READ x']))
+    while connection.is_open:
+        await asyncio.sleep(_PAUSE_S)
+    return answers
+
+
+@then('each of these requests was answered')
+def check_each_answered(context: Any) -> None:
+    """Check that none of the requests ended without an answer."""
+    words = [name_answer(answer) for answer in context.answers]
+    assert words and all(words), words
--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -55,3 +55,17 @@
     Given a host whose members need 1 ms for a statement
     When the host has 700 ms left for answers
     Then a new session is refused with RETRY
+
+  # Guards against a connection that is closed as idle although a request has
+  # arrived on it: the member ran the request, and its answer had nowhere to go.
+  Scenario: a request that arrives while idle sessions are closed is answered
+    Given a host whose members need 1 ms for a statement
+    When a request arrives up to 12 turns of the event loop before idle sessions are closed
+    Then each of these requests was answered
+
+  # Guards against a caller who sends the next request as soon as it gets a reply,
+  # at the moment at which the host closes its session after that reply.
+  Scenario: requests that follow a reply at once are answered
+    Given a host whose members need 1 ms for a statement
+    When callers send requests without a pause while the host stops
+    Then each of these requests was answered
--- a/mimosapond/entry/session_registry.py
+++ b/mimosapond/entry/session_registry.py
@@ -2,7 +2,7 @@
 
 import contextlib
 from collections.abc import Callable, Iterator
-from typing import final
+from typing import Final, final
 
 from loguru import logger
 
@@ -10,6 +10,10 @@
 from mimosapond.sessions.session import Session, SessionServices
 from mimosapond.statements.reply import Failure, SessionState
 
+# A caller that sends one request after another has sent the next one by then. A
+# close at an earlier moment would cross with it.
+_MIN_IDLE_S: Final = 0.1
+
 
 @final
 class SessionRegistry:
@@ -28,6 +32,8 @@
         self._services = services
         self._close_callbacks: dict[Session, Callable[[], None]] = {}
         self._busy: set[Session] = set()
+        # Time of the last reply.
+        self._idle_since_s: dict[Session, float] = {}
         self._closing: set[Session] = set()
         self._connection_count = 0
         self.redirected_groups: frozenset[str] = frozenset()
@@ -78,6 +84,7 @@
         self._close_callbacks.pop(session, None)
         self._busy.discard(session)
         self._closing.discard(session)
+        self._idle_since_s.pop(session, None)
 
     @contextlib.contextmanager
     def serving(self, session: Session) -> Iterator[None]:
@@ -87,9 +94,10 @@
             yield
         finally:
             self._busy.discard(session)
+            self._idle_since_s[session] = self._services.routing.now()
 
     def should_close(self, session: Session) -> bool:
-        """Return whether to close a session after the reply was sent."""
+        """Return whether to close a session now that its reply was sent."""
         if session.state is not SessionState.idle:
             return False
         return (
@@ -98,6 +106,10 @@
             or session.group in self.redirected_groups
         )
 
+    def close_soon(self, session: Session) -> None:
+        """Mark a session to be closed unless it is used at once."""
+        self._closing.add(session)
+
     def close_when_idle(self) -> None:
         """Mark all open sessions to be closed as soon as they are idle.
 
@@ -140,6 +152,9 @@
 
     def close_idle(self) -> None:
         """Close marked sessions without a transaction or request in flight."""
+        idle_until_s = self._services.routing.now() - _MIN_IDLE_S
         for session in tuple(self._closing):
-            if session not in self._busy and self.should_close(session):
+            since_s = self._idle_since_s.get(session, 0)
+            is_idle = session not in self._busy and since_s <= idle_until_s
+            if is_idle and self.should_close(session):
                 self._close_callbacks[session]()
--- a/mimosapond/platform/caller_server.py
+++ b/mimosapond/platform/caller_server.py
@@ -79,11 +79,9 @@
     async def serve(self) -> None:
         try:
             session = await self._open_session()
-            self._session = session
-            self._sessions.register(session, self._lines.close)
             while await self._serve_request(session):
                 if self._sessions.should_close(session):
-                    return
+                    self._sessions.close_soon(session)
         except _ProtocolError as error:
             await self._lines.write(_encode_error(error.failure))
         except LineTooLongError:
@@ -105,7 +103,10 @@
         session = self._sessions.open(database)
         if isinstance(session, Failure):
             raise _ProtocolError(session)
-        await self._lines.write(_encode_ready(session.state))
+        self._session = session
+        self._sessions.register(session, self._lines.close_unless_received)
+        with self._sessions.serving(session):
+            await self._lines.write(_encode_ready(session.state))
         return session
 
     async def _serve_request(self, session: Session) -> bool:
--- a/mimosapond/platform/line_stream.py
+++ b/mimosapond/platform/line_stream.py
@@ -1,6 +1,7 @@
 """Reads and writes the lines of the platform's wire protocol over TCP."""
 
 import asyncio
+import socket
 from typing import Final, final
 
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
@@ -27,6 +28,7 @@
     def __init__(self, stream: IOStream) -> None:
         """Use an open stream, and disable Nagle's algorithm on it."""
         self._stream = stream
+        self._next_line: asyncio.Future[bytes] | None = None
         stream.set_nodelay(True)  # noqa: FBT003 -- tornado's own signature
 
     @property
@@ -44,7 +46,8 @@
             Pass it to ``finish_read``.
         """
         pending = self._stream.read_until(LINE_END, max_bytes=_BUFFER_BYTES)
-        return asyncio.ensure_future(pending)
+        self._next_line = asyncio.ensure_future(pending)
+        return self._next_line
 
     async def read(self) -> str:
         """Return the next line without its line terminator.
@@ -84,6 +87,26 @@
         """Close the connection."""
         self._stream.close()
 
+    def close_unless_received(self) -> None:
+        """Close the connection, unless the other side has sent something.
+
+        A line may have been read whose reader has not run yet, or may wait in
+        the socket. Its sender would get no answer if the connection were
+        closed now.
+        """
+        is_line_read = self._next_line is not None and self._next_line.done()
+        if not (is_line_read or self._has_unread_bytes()):
+            self._stream.close()
+
+    def _has_unread_bytes(self) -> bool:
+        if self._stream.closed():
+            return False
+        try:
+            return bool(self._stream.socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            # Nothing has arrived, or the connection is broken.
+            return False
+
 
 def _decode(line: bytes) -> str:
     try:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,8 @@
     groups: int = 3,
     callers: int = 60,
     folder: str = '',
+    *,
+    planned: bool = False,
 ) -> None:
     """Run a live test; the exit code is 1 if it finds a violation.
 
@@ -31,8 +33,11 @@
         Determines the fault schedule and the requests of the callers.
     folder
         Folder for settings and logs; by default a new temporary one.
+    planned
+        Whether to do planned work only: stops, reloads, configurations and
+        drained members. Each request without an answer is judged then.
     """
-    plan = SoakPlan(seed, duration_s, hosts, groups, callers)
+    plan = SoakPlan(seed, duration_s, hosts, groups, callers, planned)
     path = pathlib.Path(folder or tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     path.mkdir(parents=True, exist_ok=True)
     logger.remove()
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -5,7 +5,7 @@
 import random
 from typing import Final, final
 
-from soak.balancer import Balancer
+from soak.balancer import FixedHost, PlaceBalancer
 from soak.caller_connection import CallerConnection, ErrorAnswer, Success
 from soak.caller_session import CallerSession, now_s
 from soak.caller_transaction import NOT_APPLIED_CODES, CallerTransaction
@@ -34,7 +34,7 @@
         self,
         group: GroupLayout,
         layout: Layout,
-        balancer: Balancer,
+        balancer: FixedHost | PlaceBalancer,
         shared: SharedState,
     ) -> None:
         """Create a caller of the databases of ``group``."""
--- a/soak/caller_connection.py
+++ b/soak/caller_connection.py
@@ -46,9 +46,16 @@
 @final
 @attrs.frozen
 class NoAnswer:
-    """The answer is missing or malformed, so the outcome is unknown."""
+    """The answer is missing or malformed, so the outcome is unknown.
+
+    Attributes
+    ----------
+    is_cut
+        Whether the host closed the connection while the request was in flight.
+    """
 
     reason: str
+    is_cut: bool = False
 
 
 Answer: TypeAlias = Success | ErrorAnswer | NoAnswer
@@ -139,8 +146,10 @@
             rows.append(line.removeprefix(_ROW))
             line = await self._lines.get()
         if line is None:
-            return NoAnswer('the host closed the connection')
-        ready = await self._lines.get() or ''
+            return NoAnswer('the host closed the connection', is_cut=True)
+        ready = await self._lines.get()
+        if ready is None:
+            return NoAnswer('the answer is incomplete', is_cut=True)
         if not ready.startswith(_READY):
             return NoAnswer(f'expected the end of the answer, got: {ready}')
         return _decode_answer(tuple(rows), line, ready.split(' ')[1])
--- a/soak/caller_session.py
+++ b/soak/caller_session.py
@@ -11,6 +11,7 @@
 from soak.operator import MAX_AGE_MS
 from soak.route_kind import RouteKind
 from soak.shared_state import SharedState
+from soak.unanswered_check import UnansweredRequest
 
 _MS_PER_S: Final = 1000
 # Longer than the timeout of any route.
@@ -164,8 +165,15 @@
         timeout_s = _ANSWER_TIMEOUT_S
         if self.random.random() < _SHORT_TIMEOUT_RATIO:
             timeout_s = self.random.uniform(0, _MAX_SHORT_TIMEOUT_S)
+        sent_s = now_s()
         answer = await self.connection.ask(request_id, text, timeout_s)
         self.shared.count(text, answer)
+        if isinstance(answer, NoAnswer) and answer.is_cut:
+            self.shared.unanswered.append(
+                UnansweredRequest(
+                    request_id, text, self._host.name, sent_s, now_s()
+                )
+            )
         if isinstance(answer, Success):
             problem = find_answer_problem(
                 request_id, text, self._shapes, answer
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -12,6 +12,7 @@
 
 from soak.host_template import render_settings
 from soak.layout import LOOPBACK, GroupLayout, HostLayout, Layout
+from soak.unanswered_check import STOP_GRACE_S
 from soak.violation import ViolationLog
 from standins.child_process import ChildProcess
 from standins.processes import Processes
@@ -19,7 +20,6 @@
 # The platform runs processes with fixed memory addresses and hashes, so objects
 # of two hosts often have the same ``id()``.
 _ENVIRONMENT: Final = MappingProxyType({'PYTHONHASHSEED': '0'})
-_STOP_TIMEOUT_S: Final = 8.0
 # With these statement costs members often use all slots and refuse some work.
 _READ_MS: Final = 8
 _WRITE_MS: Final = 6
@@ -68,7 +68,7 @@
         self._stopped_by_test.add(host.name)
         child = self.child(host)
         if is_graceful:
-            await child.stop(_STOP_TIMEOUT_S)
+            await child.stop(STOP_GRACE_S)
         else:
             await child.kill()
 
--- a/soak/fault_driver.py
+++ b/soak/fault_driver.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from soak.deployment import SoakDeployment
+from soak.disruption_log import DisruptionLog
 from soak.fault import Fault, FaultKind
 from soak.http_json import get_json, post_json
 from soak.layout import LOOPBACK, HostLayout, link_name
@@ -18,6 +19,18 @@
 _Handler: TypeAlias = Callable[[Fault], Awaitable[None]]
 
 _SILENT: Final = 'silent'
+_DRAIN: Final = 'drain'
+_PLANNED_KINDS: Final = frozenset(
+    (FaultKind.restart, FaultKind.reload, FaultKind.configure)
+)
+_STAND_IN_KINDS: Final = frozenset(
+    (
+        FaultKind.store,
+        FaultKind.promotion,
+        FaultKind.lose_registrations,
+        FaultKind.member,
+    )
+)
 _DROP: Final = 'drop_targets'
 # Time without contact to the other end after which a connection is dropped.
 _DROP_AFTER_S: Final = 3.0
@@ -33,8 +46,20 @@
 class FaultDriver:
     """Injects each fault in a task of its own, so that faults can overlap."""
 
-    def __init__(self, deployment: SoakDeployment, operator: Operator) -> None:
-        """Create a driver for the processes of ``deployment``."""
+    def __init__(
+        self,
+        deployment: SoakDeployment,
+        operator: Operator,
+        disruptions: DisruptionLog,
+    ) -> None:
+        """Create a driver for the processes of ``deployment``.
+
+        Parameters
+        ----------
+        disruptions
+            Receives what is planned work and what is a disruption.
+        """
+        self._disruptions = disruptions
         self._deployment = deployment
         self._operator = operator
         self._layout = deployment.layout
@@ -68,7 +93,14 @@
                 tasks.create_task(self._apply(fault))
 
     async def _apply(self, fault: Fault) -> None:
-        await self._handlers[fault.kind](fault)
+        if fault.kind in _PLANNED_KINDS or fault.manner == _DRAIN:
+            await self._handlers[fault.kind](fault)
+            return
+        with self._disruptions.disruption():
+            await self._handlers[fault.kind](fault)
+            # Requests to stand-ins return before the fault has ended.
+            if fault.kind in _STAND_IN_KINDS:
+                await asyncio.sleep(fault.for_s)
 
     def _hosts(self, fault: Fault) -> list[HostLayout]:
         """Return the target hosts of a fault that are running."""
@@ -77,6 +109,7 @@
 
     async def _restart(self, fault: Fault) -> None:
         for host in self._hosts(fault):
+            self._disruptions.note_stop(host.name)
             await self._stop_and_start(host, fault.for_s, is_graceful=True)
 
     async def _kill(self, fault: Fault) -> None:
@@ -103,9 +136,11 @@
 
     async def _reload(self, fault: Fault) -> None:
         for host in self._hosts(fault):
+            self._disruptions.note_reload(host.name)
             self._deployment.child(host).send_signal(signal.SIGHUP)
 
     async def _configure(self, _fault: Fault) -> None:
+        self._disruptions.note_change()
         await self._operator.write_next()
 
     async def _inject_store_fault(self, fault: Fault) -> None:
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -12,7 +12,7 @@
 import attrs
 
 from soak.fault import Fault, FaultKind
-from soak.layout import MEMBER_COUNT
+from soak.layout import DATA_CENTRE_COUNT, MEMBER_COUNT
 from soak.plan import SoakPlan
 
 _FAULT_FREE_START_S: Final = 2.0
@@ -87,7 +87,10 @@
     faults: list[Fault] = []
     at_s = _FAULT_FREE_START_S
     end_s = plan.duration_s - _FAULT_FREE_END_S
-    kinds, weights = tuple(_SERIES_WEIGHTS), tuple(_SERIES_WEIGHTS.values())
+    series_weights = (
+        _PLANNED_WEIGHTS if plan.is_planned_only else _SERIES_WEIGHTS
+    )
+    kinds, weights = tuple(series_weights), tuple(series_weights.values())
     while at_s < end_s:
         series = rng.choices(kinds, weights)[0]
         faults.extend(series(_SeriesStart(plan, rng, at_s)))
@@ -181,6 +184,24 @@
         yield Fault(at_s, FaultKind.restart, start.duration_s(1), (host,))
 
 
+def _stop_data_centre(start: _SeriesStart) -> _Series:
+    """Stop all hosts of a data centre, or all but one, at the same time."""
+    place = start.rng.randrange(DATA_CENTRE_COUNT)
+    hosts = range(place, start.plan.hosts, DATA_CENTRE_COUNT)
+    kept_count = start.rng.randint(0, 1)
+    for host in hosts[kept_count:]:
+        yield Fault(start.at_s, FaultKind.restart, start.duration_s(1), (host,))
+
+
+def _stop_and_change(start: _SeriesStart) -> _Series:
+    """Reload hosts and change the configuration while others stop."""
+    yield from _restarts(start)
+    for number in range(_BURST_COUNT):
+        at_s = start.at_s + number * _RESTART_INTERVAL_S
+        yield Fault(at_s, FaultKind.configure)
+        yield Fault(at_s, FaultKind.reload, hosts=start.hosts(2))
+
+
 def _kill(start: _SeriesStart) -> _Series:
     yield Fault(start.at_s, FaultKind.kill, start.duration_s(1), start.hosts(2))
 
@@ -248,6 +269,7 @@
             _member: 5,
             _freeze: 4,
             _restarts: 2,
+            _stop_data_centre: 1,
             _kill: 2,
             _store: 2,
             _configure: 1,
@@ -260,3 +282,15 @@
         },
     )
 )
+_PLANNED_WEIGHTS: Final[Mapping[Callable[[_SeriesStart], _Series], float]] = (
+    MappingProxyType(
+        {
+            _restarts: 3,
+            _stop_data_centre: 3,
+            _stop_and_change: 2,
+            _reload: 2,
+            _configure: 2,
+            _drain: 1,
+        },
+    )
+)
--- a/soak/http_json.py
+++ b/soak/http_json.py
@@ -7,9 +7,12 @@
 from tornado.httpclient import AsyncHTTPClient
 
 
-async def post_json(url: str, body: Mapping[str, Any]) -> None:
-    """Post a JSON body and ignore the body of the answer."""
-    await AsyncHTTPClient().fetch(url, method='POST', body=json.dumps(body))
+async def post_json(url: str, body: Mapping[str, Any]) -> Any:
+    """Post a JSON body and return the decoded body of the answer."""
+    found = await AsyncHTTPClient().fetch(
+        url, method='POST', body=json.dumps(body)
+    )
+    return json.loads(found.body or 'null')
 
 
 async def get_json(url: str) -> Any:
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -17,6 +17,7 @@
 MEMBER_COUNT: Final = 3
 LOOPBACK: Final = '127.0.0.1'
 _DATA_CENTRES: Final = 'abc'
+DATA_CENTRE_COUNT: Final = len(_DATA_CENTRES)
 _FIXED_PORT_COUNT: Final = 6
 
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -16,6 +16,9 @@
         Determines the fault schedule and the requests of the callers.
     hosts, groups, callers
         Number of each.
+    is_planned_only
+        Whether all faults are planned work: stops, reloads, configurations
+        and drained members. Every request without an answer is judged then.
     """
 
     seed: int
@@ -23,3 +26,4 @@
     hosts: int = 8
     groups: int = 3
     callers: int = 60
+    is_planned_only: bool = False
--- a/soak/shared_state.py
+++ b/soak/shared_state.py
@@ -6,6 +6,7 @@
 
 from soak.caller_connection import Answer, ErrorAnswer, NoAnswer, Success
 from soak.history import History
+from soak.unanswered_check import UnansweredRequest
 from soak.violation import ViolationLog
 
 _RECENT_COUNT: Final = 30
@@ -20,6 +21,7 @@
         self.seed: Final = seed
         self.violations: Final = violations
         self.history: Final = History()
+        self.unanswered: Final[list[UnansweredRequest]] = []
         self.counts: Final[collections.Counter[str]] = collections.Counter()
         self._items: collections.deque[str] = collections.deque(
             maxlen=_RECENT_COUNT
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -8,17 +8,19 @@
 
 import attrs
 
-from soak.balancer import Balancer
+from soak.balancer import Balancer, FixedHost
 from soak.caller import Caller
 from soak.deployment import SoakDeployment
+from soak.disruption_log import DisruptionLog
 from soak.fault_driver import FaultDriver
 from soak.fault_schedule import build_schedule
-from soak.http_json import get_json
+from soak.http_json import get_json, post_json
 from soak.layout import LOOPBACK, GroupLayout, Layout
 from soak.log_scan import find_errors
 from soak.operator import Operator
 from soak.plan import SoakPlan
 from soak.shared_state import SharedState
+from soak.unanswered_check import UnansweredCheck
 from soak.violation import Violation, ViolationLog
 
 # Time for hosts to load the first configuration and to find the primaries.
@@ -26,6 +28,8 @@
 # Time for the store to apply delayed calls and for members to recover before
 # the final checks.
 _SETTLE_S: Final = 3.0
+# One caller in so many stays with one host, and uses it until it is gone.
+_STEADY_CALLER_INTERVAL: Final = 3
 _MAX_DETAIL_CHARS: Final = 300
 
 
@@ -49,6 +53,10 @@
         self._layout = self._deployment.layout
         self._operator = Operator(self._layout, plan.seed)
         self._violations = ViolationLog()
+        self._disruptions = DisruptionLog()
+        self._unanswered_check = UnansweredCheck(
+            self._disruptions, self._violations
+        )
         self._shared_states = {
             group.name: SharedState(plan.seed, self._violations)
             for group in self._layout.groups
@@ -77,7 +85,9 @@
     async def _run_callers(self) -> None:
         """Run the callers until the faults have ended."""
         balancer = Balancer(self._layout)
-        driver = FaultDriver(self._deployment, self._operator)
+        driver = FaultDriver(
+            self._deployment, self._operator, self._disruptions
+        )
         tasks = [
             asyncio.create_task(work())
             for work in (balancer.run, *self._callers(balancer))
@@ -96,17 +106,23 @@
                 raise RuntimeError('a caller stopped unexpectedly') from error
 
     def _callers(self, balancer: Balancer) -> list[Callable[[], Any]]:
-        groups = self._layout.groups
         return [
-            Caller(
-                groups[number % len(groups)],
-                self._layout,
-                balancer,
-                self._shared_states[groups[number % len(groups)].name],
-            ).run
+            self._caller(number, balancer).run
             for number in range(self._plan.callers)
         ]
 
+    def _caller(self, number: int, balancer: Balancer) -> Caller:
+        groups, hosts = self._layout.groups, self._layout.hosts
+        group = groups[number % len(groups)]
+        host = hosts[number % len(hosts)]
+        is_steady = number % _STEADY_CALLER_INTERVAL == 0
+        return Caller(
+            group,
+            self._layout,
+            FixedHost(host) if is_steady else balancer.of(host.data_centre),
+            self._shared_states[group.name],
+        )
+
     async def _check_group(self, group: GroupLayout) -> None:
         url = f'http://{LOOPBACK}:{group.control_port}/report'
         report = await get_json(url)
@@ -121,8 +137,32 @@
             commit_counts, self._violations
         )
         counts = self._shared_states[group.name].counts
+        await self._check_unanswered(group)
+        self._check_late(report['late_receipts'])
         counts['member promotions'] += report['counts'].get('promotions', 0)
 
+    async def _check_unanswered(self, group: GroupLayout) -> None:
+        shared = self._shared_states[group.name]
+        ids = [request.request_id for request in shared.unanswered]
+        found = await post_json(
+            f'http://{LOOPBACK}:{group.control_port}/receipts',
+            {'request_ids': ids},
+        )
+        received = {receipt['request_id'] for receipt in found['receipts']}
+        shared.counts['unanswered'] += len(ids)
+        shared.counts['unanswered and judged'] += self._unanswered_check.check(
+            shared.unanswered, received
+        )
+
+    def _check_late(self, receipts: list[dict[str, Any]]) -> None:
+        """Report new work at members that have drained for too long.
+
+        With disruptions, hosts may not have known of the drain.
+        """
+        for receipt in receipts if self._plan.is_planned_only else ():
+            detail = f'{receipt["member_id"]} for {receipt["draining_ms"]} ms'
+            self._violations.add('DRAIN', '', [receipt['request_id']], detail)
+
     async def _check_promotions(self) -> None:
         report = await get_json(f'{self._layout.promotion_url}/report')
         for found in report['violations']:
--- a/standins/database_group/control_handlers.py
+++ b/standins/database_group/control_handlers.py
@@ -49,6 +49,15 @@
             self.write({'problem': 'unknown kind or member'})
 
 
+class ReceiptsHandler(_GroupHandler):
+    """``POST /receipts``: the members that requests have reached."""
+
+    def post(self) -> None:
+        """Respond with the receipts of the listed ``request_ids``."""
+        request_ids = json.loads(self.request.body)['request_ids']
+        self.write({'receipts': self.group.receipts.find(request_ids)})
+
+
 class ReportHandler(_GroupHandler):
     """``GET /report``: violations, counts, commits and members."""
 
--- a/standins/database_group/daemon.py
+++ b/standins/database_group/daemon.py
@@ -17,6 +17,7 @@
 from standins.database_group.control_handlers import (
     FaultHandler,
     PromoteHandler,
+    ReceiptsHandler,
     ReportHandler,
 )
 from standins.database_group.database_group import DatabaseGroup
@@ -32,6 +33,7 @@
                 ('/promote', PromoteHandler, shared),
                 ('/fault', FaultHandler, shared),
                 ('/report', ReportHandler, shared),
+                ('/receipts', ReceiptsHandler, shared),
             ]
         )
     )
--- a/standins/database_group/database_group.py
+++ b/standins/database_group/database_group.py
@@ -13,6 +13,7 @@
 from standins.database_group.member_log import position_text
 from standins.database_group.promotion import Promotion
 from standins.database_group.registrar import Registrar
+from standins.database_group.receipt_log import ReceiptLog
 from standins.database_group.replication import Replication
 from standins.database_group.rule_checks import RuleChecks
 from standins.database_group.stuck_transaction_monitor import (
@@ -36,8 +37,9 @@
             Idle time after which an open transaction is recorded as stuck.
         """
         self.checks: Final = RuleChecks()
+        self.receipts: Final = ReceiptLog(settings.drain_ms)
         members = tuple(
-            GroupMember(place, settings, self.checks)
+            GroupMember(place, settings, self.checks, self.receipts)
             for place in settings.members
         )
         members[0].is_primary = True
@@ -87,6 +89,9 @@
     def report(self) -> dict[str, Any]:
         """Return violations, counts, committed writes and member statuses.
 
+        Late receipts are not violations by themselves, as hosts that are cut
+        off from the store cannot know of a drain.
+
         The writes are those of the member with the newest log.
         """
         log = max(
@@ -98,6 +103,7 @@
                 attrs.asdict(each) for each in self.checks.report(log.entries)
             ],
             'counts': dict(self.checks.counts),
+            'late_receipts': self.receipts.late(),
             'commits': [
                 {
                     'request_id': write.request_id,
--- a/standins/database_group/fault_injector.py
+++ b/standins/database_group/fault_injector.py
@@ -117,6 +117,7 @@
             )
             self._member.endpoint = endpoint
             self._member.is_draining = False
+            self._member.drain_accepted_s = None
             await self._restart_member()
 
     async def _wait_until_running(self) -> None:
--- a/standins/database_group/group_member.py
+++ b/standins/database_group/group_member.py
@@ -10,6 +10,7 @@
 from standins.database_group.log_entry import LogEntry
 from standins.database_group.member_faults import MemberFaults
 from standins.database_group.member_log import MemberLog, position_text
+from standins.database_group.receipt_log import ReceiptLog
 from standins.database_group.rule_checks import RuleChecks
 from standins.database_group.work_slots import WorkSlots
 
@@ -31,8 +32,10 @@
         endpoint: MemberEndpoint,
         settings: GroupSettings,
         checks: RuleChecks,
+        receipts: ReceiptLog,
     ) -> None:
         """Start as a replica with an empty log."""
+        self.receipts: Final = receipts
         self.endpoint = endpoint
         self.settings: Final = settings
         self.checks: Final = checks
@@ -48,6 +51,8 @@
         self.is_primary = False
         self.is_running = True
         self.is_draining = False
+        # Time at which the store accepted that the member drains.
+        self.drain_accepted_s: float | None = None
         self.paused_term = 0
         self.started_ms = int(time.time() * MS_PER_S)
         self.random: Final = random.Random(
@@ -65,6 +70,13 @@
         """Whether other members and callers can reach it."""
         return self.is_running and not self.faults.has('dark')
 
+    @property
+    def draining_ms(self) -> float:
+        """Time since the store accepted that it drains; 0 if it does not."""
+        if self.drain_accepted_s is None:
+            return 0
+        return (time.monotonic() - self.drain_accepted_s) * MS_PER_S
+
     @property
     def receives_commits(self) -> bool:
         """Whether it receives the commits of a primary."""
--- a/standins/database_group/group_settings.py
+++ b/standins/database_group/group_settings.py
@@ -38,6 +38,9 @@
         Time from the call that promotes a member until it is primary.
     heartbeat_ms
         Mean interval at which a member renews its registration.
+    drain_ms
+        Time after which new work must not reach a member that reports that it
+        drains.
     """
 
     group: str
@@ -53,3 +56,4 @@
     promote_ms: float = 300
     seed: int = 0
     heartbeat_ms: float = 400
+    drain_ms: float = 7000
--- a/standins/database_group/member_session.py
+++ b/standins/database_group/member_session.py
@@ -11,6 +11,7 @@
 from standins.database_group.group_member import GroupMember
 from standins.database_group.log_entry import KeptWrite
 from standins.database_group.member_log import position_text
+from standins.database_group.receipt_log import Receipt
 from standins.database_group.request_identity import RequestIdentity
 from standins.database_group.rule_checks import OWNER_KEY, StatementContext
 from standins.database_group.session_definitions import SessionDefinitions
@@ -155,6 +156,7 @@
         if isinstance(request, Refusal):
             return request
         term = self._member.log.term
+        self._record_receipt(request_id)
         if not self._may_run(request, term):
             return self._not_primary()
         if self._member.slots.is_queue_full:
@@ -182,6 +184,7 @@
         if transaction.has_failed:
             self.roll_back()
             return Refusal('ABORTED', 'the transaction had failed')
+        self._record_receipt(request_id)
         if self._member.slots.is_queue_full:
             return _QUEUE_FULL
         mean_ms = self._member.settings.write_ms
@@ -228,6 +231,15 @@
             *(f'{item}-{number}' for number in range(filler_count)),
         )
 
+    def _record_receipt(self, request_id: str) -> None:
+        transaction = self.transaction
+        self._member.receipts.add(
+            Receipt(
+                request_id, self._member.member_id, self._member.draining_ms
+            ),
+            is_new_work=transaction is None or transaction.identity is None,
+        )
+
     def _check(self, request_id: str, text: str) -> None:
         transaction = self.transaction
         statement_context = StatementContext(
--- a/standins/database_group/registrar.py
+++ b/standins/database_group/registrar.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import time
 from typing import Any, Final, final
 
 from loguru import logger
@@ -11,6 +12,7 @@
 from standins.database_group.group_member import GroupMember
 
 _TABLE: Final = 'servers'
+_DRAINING: Final = 'draining'
 _CALL_TIMEOUT_S: Final = 1.0
 # Missed heartbeats after which the registration of a member is removed.
 _EXPIRY_HEARTBEAT_COUNT: Final = 3
@@ -90,10 +92,14 @@
             body=json.dumps(row),
             request_timeout=_CALL_TIMEOUT_S,
         )
+        is_draining = self._entry.get('state') == _DRAINING
         try:
             await self._client.fetch(request)
         except Exception as error:  # noqa: BLE001 -- the next heartbeat retries
             logger.bind(problem=repr(error)).warning('registration_failed')
+            return
+        if is_draining and self._member.drain_accepted_s is None:
+            self._member.drain_accepted_s = time.monotonic()
 
     def _has_changed(self) -> bool:
         return self._member.is_reachable and self._entry != self._current()
@@ -106,7 +112,7 @@
             'zone': member.endpoint.data_centre,
             'version': 'v1',
             'slots': member.settings.slots,
-            'state': 'draining' if member.is_draining else 'ready',
+            'state': _DRAINING if member.is_draining else 'ready',
             'cold_left_ms': 0,
             'born': member.started_ms,
             'db_role': 'primary' if member.is_primary else 'replica',
