Send no new work to a primary whose drain this host did not see begin

Cause: the time since which a member leaves was noted only if the member was known before, so that its limit was never reached; and a host that holds no group yet reads the registrations every 5 s.

Change: a drain whose begin was not seen counts as over its limit; the work goes to a host that knows the time, or is refused as not run. The interval of the reads ends early when a group is held. A member that starts again under its old id is no longer taken for a leaving one.

--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -429,13 +429,39 @@
         self.names = names
         self.is_silent = False
         self.delay_s: float = 0
+        self.read_count = 0
         self._build = build
 
     async def read(
         self, limit_s: float
     ) -> Registrations | RegistrationsUnavailable:
         """Return the registered members, or time out if a delay is longer."""
+        self.read_count += 1
         await asyncio.sleep(min(self.delay_s, limit_s))
         if self.is_silent or self.delay_s > limit_s:
             return RegistrationsUnavailable('no answer')
         return Registrations(tuple(self._build(name) for name in self.names))
+
+
+@final
+class SwitchedHolding:
+    """Holds all groups or none; see ``Holding``."""
+
+    def __init__(self) -> None:
+        """Start without groups."""
+        self.is_held = False
+
+    def holds(self, group: str) -> bool:
+        """Return what the test set."""
+        return self.is_held
+
+    def holder_count(self, group: str) -> int | None:
+        """Return None: all hosts may hold the group."""
+
+    def is_reachable(self, group: str) -> bool:
+        """Return what the test set."""
+        return self.is_held
+
+    def record_request(self, group: str) -> bool:
+        """Ignore a request."""
+        return False
--- a/features/sessions.feature
+++ b/features/sessions.feature
@@ -175,6 +175,28 @@
       | 200        | write        | not_run |
       | 200        | begin, write | not_run |
 
+  Scenario Outline: a host that starts during a drain sends it no new work
+    # Guards against new work for a member whose drain this host did not see
+    # begin (review/4): it may be over its limit, and was never counted.
+    Given a session on a group whose primary is p
+    And p was <state> when this host first read the registrations
+    When the caller sends <statements>
+    Then the last reply is <reply>
+
+    Examples:
+      | state            | statements   | reply   |
+      | leaving          | write        | not_run |
+      | leaving          | begin, write | not_run |
+      | in use           | write        | success |
+      | leaving, restarted under its id since | write | success |
+
+  Scenario: a host that comes to hold a group reads the registrations soon
+    # Guards against a leaving member that a host notices 5 s late, because it
+    # held no group yet when it first read the registrations.
+    Given a host that holds no group and has read the registrations
+    When it comes to hold a group
+    Then it reads the registrations again within 2 s
+
   Scenario: callers are refused at once when a change of primary is overdue
     # Callers that wait until their timeout cannot use another host meanwhile.
     Given a session on a group whose primary is p
--- a/features/steps/sessions_steps.py
+++ b/features/steps/sessions_steps.py
@@ -11,15 +11,19 @@
 from features.group_builders import (
     GroupWorld,
     build_configuration,
+    build_record,
     build_route,
     build_world,
 )
+from features.group_fakes import FakeDialer, SwitchedHolding
 from mimosapond.boot_clock import boot_time_s
 from mimosapond.configuration.active_configuration import ActiveConfiguration
 from mimosapond.configuration.route import Freshness
 from mimosapond.entry.session_registry import SessionRegistry
+from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member_answer import RejectionKind
+from mimosapond.groups.registration_poller import RegistrationPoller
 from mimosapond.sessions.session import Session
 from mimosapond.statements.reply import Failure
 from mimosapond.statements.statement import (
@@ -264,6 +268,61 @@
     member.leaving_since_s = boot_time_s() - leaving_ms / _MS_PER_S
 
 
+@given('p was {state} when this host first read the registrations')
+def read_registrations_late(context: Any, state: str) -> None:
+    """Read the registrations as a host that has just started."""
+    directory = context.world.directory
+    for member in context.world.group.members.values():
+        member.pool.close()
+    context.world.group.members.clear()
+    records = [build_record(name, is_leaving=False) for name in ('a', 'b')]
+    leaving = build_record('p', is_leaving=state.startswith('leaving'))
+    directory.apply_registrations([*records, leaving])
+    if state.endswith('since'):
+        directory.apply_registrations([*records, build_record('p')])
+    context.loop.run_until_complete(
+        context.world.probe.ask(
+            context.world.group, context.world.group.members['p']
+        )
+    )
+
+
+@given('a host that holds no group and has read the registrations')
+def rest_host(context: Any) -> None:
+    """Build a poller for a directory without groups."""
+    world = build_world()
+    context.source = world.registrations
+    context.holding = SwitchedHolding()
+    context.directory = GroupDirectory(
+        FakeDialer(world.fakes), boot_time_s, context.holding
+    )
+    context.directory.apply_limits(build_configuration(build_route()))
+    context.directory.apply_registrations([build_record('p')])
+
+
+@when('it comes to hold a group')
+def hold_group(context: Any) -> None:
+    """Count the reads while the host begins to hold its group."""
+    context.read_count = asyncio.run(_poll_while_holding(context))
+
+
+async def _poll_while_holding(context: Any) -> int:
+    poller = RegistrationPoller(context.source, context.directory)
+    polling = asyncio.create_task(poller.run())
+    await asyncio.sleep(_SHORT_WAIT_S)
+    before_count = context.source.read_count
+    context.holding.is_held = True
+    await asyncio.sleep(2)
+    polling.cancel()
+    return int(context.source.read_count - before_count)
+
+
+@then('it reads the registrations again within {limit_s:d} s')
+def check_reads(context: Any, limit_s: int) -> None:
+    """Check that there was a read within the time of the step before."""
+    assert context.read_count >= 1, (context.read_count, limit_s)
+
+
 @given('the last confirmation of a primary is {age_s:d} s old')
 def set_confirmation_age(context: Any, age_s: int) -> None:
     """Set the time at which a primary was last confirmed."""
--- a/mimosapond/groups/group_directory.py
+++ b/mimosapond/groups/group_directory.py
@@ -155,9 +155,11 @@
             member = None
         if member is None:
             group.members[record.member_id] = self._create(record)
-            logger.bind(group=record.group, member=record.member_id).info(
-                'member_found'
-            )
+            logger.bind(
+                group=record.group,
+                member=record.member_id,
+                is_leaving=record.is_leaving,
+            ).info('member_found')
             return
         if record.is_leaving and not member.record.is_leaving:
             logger.bind(group=record.group, member=record.member_id).info(
@@ -165,6 +167,10 @@
             )
             group.primary_check_needed.set()
             member.leaving_since_s = self._now()
+        if not record.is_leaving:
+            # It may have started again under its id.
+            member.leaving_since_s = None
+            member.is_drain_start_known = True
         member.record = record
         member.unlisted_since_s = None
 
@@ -172,7 +178,13 @@
         load = MemberLoad(self._now)
         pool = ConnectionPool(record, self._dialer, load, self._now)
         pool.limit_count = self._pool_limit_count(record.group)
-        return Member(record, pool, load)
+        return Member(
+            record,
+            pool,
+            load,
+            leaving_since_s=self._now() if record.is_leaving else None,
+            is_drain_start_known=not record.is_leaving,
+        )
 
     def _pool_limit_count(self, group: str) -> int:
         """Return how many connections this host may open to each member."""
--- a/mimosapond/groups/member.py
+++ b/mimosapond/groups/member.py
@@ -22,6 +22,9 @@
     leaving_since_s
         Time at which this host learned that the member is leaving; None if it
         is not leaving.
+    is_drain_start_known
+        Whether it was seen to begin to leave. If it was leaving when this host
+        first read its registration, it may have been for any time.
     """
 
     record: MemberRecord
@@ -29,6 +32,7 @@
     load: MemberLoad
     unlisted_since_s: float | None = None
     leaving_since_s: float | None = None
+    is_drain_start_known: bool = True
 
     @property
     def member_id(self) -> str:
@@ -41,6 +45,13 @@
             return 0
         return now_s - self.leaving_since_s
 
+    def may_have_left_for(self, limit_s: float, now_s: float) -> bool:
+        """Return whether it may have been leaving for longer than a limit."""
+        if self.leaving_since_s is None:
+            return False
+        is_over = self.leaving_duration_s(now_s) > limit_s
+        return is_over or not self.is_drain_start_known
+
     @property
     def accepts_new_work(self) -> bool:
         """Whether new work may be sent: it is registered and not leaving."""
--- a/mimosapond/groups/registration_poller.py
+++ b/mimosapond/groups/registration_poller.py
@@ -14,6 +14,8 @@
 _POLL_INTERVAL_S: Final = 1.5
 # Interval while this host holds no group, and so sends members no work.
 _RESTING_POLL_INTERVAL_S: Final = 5.0
+# Interval at which it is checked whether this host holds a group now.
+_INTERVAL_CHECK_S: Final = 0.25
 _READ_TIMEOUT_S: Final = 1.0
 _MIN_BACK_OFF_S: Final = 0.2
 _MAX_BACK_OFF_S: Final = 0.8
@@ -37,11 +39,7 @@
         while True:
             if await self.refresh(_READ_TIMEOUT_S):
                 back_off_s = _MIN_BACK_OFF_S
-                await asyncio.sleep(
-                    _POLL_INTERVAL_S
-                    if self._directory.holds_any
-                    else _RESTING_POLL_INTERVAL_S
-                )
+                await self._wait_for_next_poll()
                 continue
             await asyncio.sleep(back_off_s)
             back_off_s = min(back_off_s * 2, _MAX_BACK_OFF_S)
@@ -64,3 +62,18 @@
         self._dependency.report_status(is_connected=True)
         self._directory.apply_registrations(result.records)
         return True
+
+    async def _wait_for_next_poll(self) -> None:
+        """Wait for the interval, which ends early if a group is held now.
+
+        A host that has just started holds no group at its first poll.
+        """
+        waited_s: float = 0
+        while waited_s < self._interval_s():
+            await asyncio.sleep(_INTERVAL_CHECK_S)
+            waited_s += _INTERVAL_CHECK_S
+
+    def _interval_s(self) -> float:
+        if self._directory.holds_any:
+            return _POLL_INTERVAL_S
+        return _RESTING_POLL_INTERVAL_S
--- a/mimosapond/routing/primary_path.py
+++ b/mimosapond/routing/primary_path.py
@@ -101,8 +101,8 @@
         primary = work.group.primary
         if primary is None:
             return await self._await_primary(work, remaining_s)
-        if primary.leaving_duration_s(self._now()) > self._leaving_limit_s:
-            return failures.NO_PRIMARY
+        if primary.may_have_left_for(self._leaving_limit_s, self._now()):
+            return await self._avoid_leaving(work, primary)
         wait_s = remaining_s
         if not primary.pool.open_count:
             wait_s = min(remaining_s, _NO_CONNECTION_WAIT_S)
@@ -116,6 +116,13 @@
             return None
         return await self._find_relay(work)
 
+    async def _avoid_leaving(self, work: Work, primary: Member) -> Path:
+        """Return a path to a host that knows since when a primary leaves."""
+        relay = None
+        if not primary.is_drain_start_known:
+            relay = await self._find_relay(work)
+        return relay or failures.NO_PRIMARY
+
     async def _await_primary(
         self, work: Work, remaining_s: float
     ) -> Path | None:
