Acknowledge a commit once a replica that every promotion pauses has it

Cause: a member acknowledges a commit once any replica has received it. That may be one that leaves with its log, or one that the promoting host does not know. Conditions on the promoting side cannot close this, as nothing outside a data centre that is cut off tells a primary alone from one with a new replica.

Change: a host passes a success on only after a witness, a replica that has been registered for 7 s and does not leave, reported the position. A host promotes only if the one silent member is the primary, and without the registry only while its last read is at most 4 s old. Every change of primary thus pauses each witness and promotes at least its position.

--- a/features/group_builders.py
+++ b/features/group_builders.py
@@ -1,5 +1,7 @@
 """Builders of groups, routes and sessions for tests."""
 
+import functools
+from collections.abc import Mapping
 from typing import Final, final
 
 import attrs
@@ -24,6 +26,7 @@
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.member_record import MemberRecord
 from mimosapond.groups.registration_poller import RegistrationPoller
+from mimosapond.routing.commit_witnesses import CommitWitnesses
 from mimosapond.routing.lead_proof import ReplicaProof
 from mimosapond.routing.member_selector import MemberSelector
 from mimosapond.routing.primary_path import PrimaryPathFinder
@@ -134,7 +137,9 @@
     directory = GroupDirectory(FakeDialer(fakes), boot_time_s)
     configuration = build_configuration(route or build_route(), idle_ms=idle_ms)
     directory.apply_limits(configuration)
-    directory.apply_registrations([build_record(name) for name in fakes])
+    directory.apply_registrations(
+        [build_record(name, reports_primary=name == 'p') for name in fakes]
+    )
     directory.is_current = True
     directory.registrations_complete_from_s = 0
     active = ActiveConfiguration()
@@ -142,7 +147,9 @@
     probe = PrimaryProbe(boot_time_s, relays)
     claims = FakeClaims()
     promotions = FakePromotions(fakes)
-    registrations = FakeRegistrations(list(fakes), build_record)
+    registrations = FakeRegistrations(
+        list(fakes), functools.partial(_build_own_record, fakes)
+    )
     return GroupWorld(
         fakes=fakes,
         directory=directory,
@@ -158,6 +165,16 @@
     )
 
 
+def _build_own_record(
+    fakes: Mapping[str, FakeMember], name: str
+) -> MemberRecord:
+    """Build the registration of a member that reports its own role."""
+    fake = fakes.get(name)
+    return build_record(
+        name, reports_primary=fake is not None and fake.is_primary
+    )
+
+
 def _build_failover(
     claims: ClaimPort,
     promotions: FakePromotions,
@@ -187,13 +204,14 @@
     positions = ReadPositionFinder(probe, boot_time_s)
     selector = MemberSelector(DATA_CENTRE, boot_time_s)
     paths = PrimaryPathFinder(relays, boot_time_s, LEAVING_LIMIT_S)
-    writes = WriteRouter(paths, boot_time_s)
+    witnesses = CommitWitnesses(boot_time_s)
+    writes = WriteRouter(paths, witnesses, boot_time_s)
     return SessionServices(
         configuration=active,
         directory=directory,
         reads=ReadRouter(positions, selector, relays, boot_time_s),
         routing=TransactionRouting(
-            positions, selector, paths, writes, boot_time_s
+            positions, selector, paths, writes, boot_time_s, witnesses
         ),
         limits=ServingLimits(boot_time_s),
     )
--- a/features/relay_builders.py
+++ b/features/relay_builders.py
@@ -122,8 +122,9 @@
             routing.positions,
             routing.member_selector,
             paths,
-            WriteRouter(paths, boot_time_s),
+            WriteRouter(paths, routing.witnesses, boot_time_s),
             boot_time_s,
+            routing.witnesses,
         ),
         now=boot_time_s,
         limits=world.services.limits,
@@ -167,7 +168,7 @@
     routing = attrs.evolve(
         services.routing,
         paths=paths,
-        writes=WriteRouter(paths, boot_time_s),
+        writes=WriteRouter(paths, services.routing.witnesses, boot_time_s),
         holders=holders,
     )
     reads = ReadRouter(
--- a/mimosapond/configuration/configuration.py
+++ b/mimosapond/configuration/configuration.py
@@ -17,10 +17,13 @@
     ----------
     connection_count
         Connections that one member accepts in total from all hosts.
+    sync_replica_count
+        Replicas that have to receive a commit before it is acknowledged.
     """
 
     group: str
     connection_count: int
+    sync_replica_count: int = 0
 
 
 @final
--- a/mimosapond/failover/failover_coordinator.py
+++ b/mimosapond/failover/failover_coordinator.py
@@ -92,7 +92,7 @@
         # reaches too few members does not hold the claim while other hosts
         # could use it. The answers also give the terms that the term of a
         # pause has to exceed.
-        statuses = await self._fetch_statuses(group)
+        statuses = await self._pauser.fetch(group)
         if not statuses.includes_all_replicas(None):
             _log_unsafe(group, statuses)
             return False
@@ -115,7 +115,7 @@
             If replicas were paused, whether the claim for resuming them was
             granted. Otherwise whether a promoted replica is seen to lead.
         """
-        statuses = await self._fetch_statuses(group)
+        statuses = await self._pauser.fetch(group)
         if statuses.primary is None or statuses.primary.member is not primary:
             return False
         if statuses.has_paused_member:
@@ -280,15 +280,6 @@
         await self._turns.release(group.name)
         return None
 
-    async def _fetch_statuses(self, group: Group) -> GroupStatuses:
-        """Ask all members for their status, also those that have left."""
-        await self._membership.refresh_incomplete(group)
-        return GroupStatuses(
-            self._membership.expected(group),
-            await fetch_all_statuses(group.members.values()),
-            self._membership.knowledge(group),
-        )
-
     async def _fetch_member_statuses(
         self, group: Group, members: tuple[Member, ...]
     ) -> GroupStatuses:
@@ -296,6 +287,7 @@
             members,
             await fetch_all_statuses(members),
             self._membership.knowledge(group),
+            group,
         )
 
     async def _choose_successor(
--- a/mimosapond/failover/group_membership.py
+++ b/mimosapond/failover/group_membership.py
@@ -19,6 +19,10 @@
 # Time limit for reading the registrations. A change proceeds without them if
 # the registry takes longer.
 _REFRESH_TIMEOUT_S: Final = 0.3
+# Age of registrations up to which they are used while the registry does not
+# answer. A replica that registered since is not a witness yet when the change
+# of primary ends (``routing/commit_witnesses``).
+_MAX_KNOWLEDGE_AGE_S: Final = 4.0
 # Size of a complete group: a primary and two replicas, of which one may fail
 # together with the primary.
 _MEMBER_COUNT: Final = 3
@@ -84,11 +88,10 @@
             is_complete or self._is_vacancy_certain(group)
         ):
             return MembershipKnowledge.current
-        return (
-            MembershipKnowledge.earlier
-            if is_complete
-            else MembershipKnowledge.partial
-        )
+        age_s = self._now() - self._directory.read_s
+        if is_complete and age_s <= _MAX_KNOWLEDGE_AGE_S:
+            return MembershipKnowledge.earlier
+        return MembershipKnowledge.partial
 
     def is_fully_known(self, group: Group) -> bool:
         """Return whether this host knows every member of a group."""
--- a/mimosapond/failover/group_pauser.py
+++ b/mimosapond/failover/group_pauser.py
@@ -1,11 +1,16 @@
-"""Pausing of all replicas of a group, including newly registered ones."""
+"""Control requests to all members of a group, also newly registered ones."""
 
 import asyncio
-from collections.abc import Collection
+import functools
+from collections.abc import Awaitable, Callable, Collection, Iterable
 from typing import final
 
 from mimosapond.failover.group_membership import GroupMembership
-from mimosapond.failover.control_requests import pause_all
+from mimosapond.failover.control_requests import (
+    MemberReport,
+    fetch_all_statuses,
+    pause_all,
+)
 from mimosapond.failover.group_statuses import GroupStatuses
 from mimosapond.groups.group import Group
 from mimosapond.groups.member import Member
@@ -13,7 +18,7 @@
 
 @final
 class GroupPauser:
-    """Stops the members of a group from receiving from the primary."""
+    """Asks the members of a group, or stops them from receiving."""
 
     def __init__(self, membership: GroupMembership) -> None:
         """Create a pauser for the groups of a membership."""
@@ -22,9 +27,7 @@
     async def pause(
         self, group: Group, term: int, excluded: Collection[Member] = ()
     ) -> GroupStatuses:
-        """Pause the members and read the registrations at the same time.
-
-        Members that the registrations add are paused afterwards.
+        """Pause the members and return their reports.
 
         Parameters
         ----------
@@ -38,16 +41,35 @@
         GroupStatuses
             The expected members without the excluded ones, and all reports.
         """
+        return await self._ask_all(
+            group, functools.partial(pause_all, term=term), excluded
+        )
+
+    async def fetch(self, group: Group) -> GroupStatuses:
+        """Return the statuses of all members, also of those that have left."""
+        return await self._ask_all(group, fetch_all_statuses, ())
+
+    async def _ask_all(
+        self,
+        group: Group,
+        ask: Callable[[Iterable[Member]], Awaitable[dict[str, MemberReport]]],
+        excluded: Collection[Member],
+    ) -> GroupStatuses:
+        """Ask the members and read the registrations at the same time.
+
+        Members that the registrations add are asked afterwards.
+        """
         asked = _without(group.members.values(), excluded)
         answers, _ = await asyncio.gather(
-            pause_all(asked, term), self._membership.refresh()
+            ask(asked), self._membership.refresh()
         )
         unasked = _without(group.members.values(), (*asked, *excluded))
-        answers.update(await pause_all(unasked, term))
+        answers.update(await ask(unasked))
         return GroupStatuses(
             _without(self._membership.expected(group), excluded),
             answers,
             self._membership.knowledge(group),
+            group,
         )
 
 
--- a/mimosapond/failover/group_statuses.py
+++ b/mimosapond/failover/group_statuses.py
@@ -18,6 +18,7 @@
         expected: tuple[Member, ...],
         reports: Mapping[str, MemberReport],
         knowledge: MembershipKnowledge,
+        group: Group,
     ) -> None:
         """Combine the expected members with the reports.
 
@@ -29,7 +30,11 @@
             Reports by member id.
         knowledge
             How well this host knew the members when they were asked.
+        group
+            The group, which has the last known primary.
         """
+        self._group = group
+        self._expected_ids = {member.member_id for member in expected}
         self._reports = dict(reports)
         self._knowledge = knowledge
         self.silent_members = [
@@ -76,20 +81,20 @@
     def includes_all_replicas(self, deposed: Member | None) -> bool:
         """Return whether every replica of the group answered.
 
-        If one member is silent and no other member is the primary, then the
-        silent member is the primary, unless the primary was deposed before.
+        One member may be silent if it is the primary. A silent replica may
+        hold commits that no other replica has, also after the primary has left.
 
         Parameters
         ----------
         deposed
             The former primary, if it was told to step down before.
         """
-        allowed_silent_count = 1 if deposed is None else 0
-        if (
-            self.primary is not None
-            or len(self.silent_members) > allowed_silent_count
-        ):
+        if self.primary is not None or len(self.silent_members) > 1:
             return False
+        if self.silent_members:
+            silent = self.silent_members[0]
+            if deposed is not None or not self._may_lead(silent):
+                return False
         match self._knowledge:
             case MembershipKnowledge.current:
                 return True
@@ -128,6 +133,17 @@
         ]
         return max(candidates, key=_promotion_rank, default=None)
 
+    def _may_lead(self, silent: Member) -> bool:
+        """Return whether a silent member can be the primary.
+
+        It cannot if the last known primary has left the group and no other
+        one was seen since.
+        """
+        last_id = self._group.last_primary_id
+        if last_id in self._group.members.keys() - self._expected_ids:
+            return False
+        return silent.member_id == last_id or silent.record.reports_primary
+
 
 def newest_term(group: Group) -> int:
     """Return the highest term of a primary or a pause that was reported.
--- a/mimosapond/groups/group.py
+++ b/mimosapond/groups/group.py
@@ -28,6 +28,8 @@
     def __init__(self, name: str, created_s: float) -> None:
         """Create a group without members."""
         self.name = name
+        # Whether members acknowledge commits only once a replica has them.
+        self.needs_replica = False
         self.members: dict[str, Member] = {}
         self.observations = LeaderObservations()
         self.primary_confirmed_s = created_s
@@ -41,6 +43,11 @@
         """Whether this host has ever learned of a primary of the group."""
         return bool(self._last_primary_id)
 
+    @property
+    def last_primary_id(self) -> str:
+        """Id of the member that was last seen to lead; empty without one."""
+        return self._last_primary_id
+
     @property
     def is_majority_unreachable(self) -> bool:
         """Whether more than half of the registered members are unreachable."""
--- a/mimosapond/groups/group_directory.py
+++ b/mimosapond/groups/group_directory.py
@@ -1,5 +1,6 @@
 """All database groups that this host knows, updated from registrations."""
 
+import math
 from collections.abc import Iterable
 from typing import Final, final
 
@@ -58,6 +59,8 @@
         self._created_s = now()
         self._connection_counts: dict[str, int] = {}
         self._records: tuple[MemberRecord, ...] = ()
+        self._is_first_read = True
+        self._listed_since_s: dict[str, float] = {}
         self.groups: dict[str, Group] = {}
         # Whether the last read of the registry succeeded.
         self.is_current = False
@@ -65,6 +68,8 @@
             self._created_s + _REREGISTRATION_GRACE_S
         )
         self._unlist_from_s: float = 0
+        # Time of the last successful read of the registry.
+        self.read_s = -math.inf
 
     @property
     def are_registrations_complete(self) -> bool:
@@ -95,6 +100,9 @@
             limits.group: limits.connection_count
             for limits in configuration.groups.values()
         }
+        for limits in configuration.groups.values():
+            group = self.get_or_create(limits.group)
+            group.needs_replica = limits.sync_replica_count > 0
         for record in self._records:
             self._apply(record)
         self.update_pool_limits()
@@ -122,10 +130,12 @@
         """Adopt the members that are registered now."""
         self._records = tuple(records)
         registered = {record.member_id for record in self._records}
+        self._record_listing(registered)
         for record in self._records:
             self._apply(record)
         self.update_pool_limits()
         self.is_current = True
+        self.read_s = self._now()
         if self._now() < self._unlist_from_s:
             return
         for group in tuple(self.groups.values()):
@@ -174,6 +184,15 @@
         member.record = record
         member.unlisted_since_s = None
 
+    def _record_listing(self, registered: set[str]) -> None:
+        """Note since when each member is registered, as far as known."""
+        since_s = -math.inf if self._is_first_read else self._now()
+        self._is_first_read = False
+        self._listed_since_s = {
+            member_id: self._listed_since_s.get(member_id, since_s)
+            for member_id in registered
+        }
+
     def _create(self, record: MemberRecord) -> Member:
         load = MemberLoad(self._now)
         pool = ConnectionPool(record, self._dialer, load, self._now)
@@ -183,6 +202,9 @@
             pool,
             load,
             leaving_since_s=self._now() if record.is_leaving else None,
+            listed_since_s=self._listed_since_s.get(
+                record.member_id, -math.inf
+            ),
             is_drain_start_known=not record.is_leaving,
         )
 
--- a/mimosapond/groups/member.py
+++ b/mimosapond/groups/member.py
@@ -1,5 +1,6 @@
 """A member of a database group, as seen by this host."""
 
+import math
 from typing import final
 
 import attrs
@@ -22,6 +23,9 @@
     leaving_since_s
         Time at which this host learned that the member is leaving; None if it
         is not leaving.
+    listed_since_s
+        Time at which its registration was found; -inf if it was among the
+        first that this host read.
     is_drain_start_known
         Whether it was seen to begin to leave. If it was leaving when this host
         first read its registration, it may have been for any time.
@@ -32,6 +36,7 @@
     load: MemberLoad
     unlisted_since_s: float | None = None
     leaving_since_s: float | None = None
+    listed_since_s: float = -math.inf
     is_drain_start_known: bool = True
 
     @property
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -45,6 +45,7 @@
 from mimosapond.platform.store_claims import StoreClaims
 from mimosapond.platform.store_peers import StorePeers
 from mimosapond.platform.store_registrations import StoreRegistrations
+from mimosapond.routing.commit_witnesses import CommitWitnesses
 from mimosapond.routing.holder_port import HolderFinder, RunsHere
 from mimosapond.routing.lead_proof import (
     AnswerProof,
@@ -122,6 +123,7 @@
             self._now,
             lambda: settings.has_token_check and self._directory.holds_any,
         )
+        self._witnesses = CommitWitnesses(self._now)
         self._limits = ServingLimits(self._now)
         self._sessions = SessionRegistry(self._build_session_services())
         self._relayed_work_handler = RelayedWorkHandler(
@@ -206,8 +208,9 @@
                 self._settings.data_centre, self._now
             ),
             paths=paths,
-            writes=WriteRouter(paths, self._now),
+            writes=WriteRouter(paths, self._witnesses, self._now),
             now=self._now,
+            witnesses=self._witnesses,
             holders=holders,
             proof=self._lead_proof,
         )
--- a/mimosapond/platform/configuration_codec.py
+++ b/mimosapond/platform/configuration_codec.py
@@ -35,7 +35,11 @@
             entry['host']: _decode_route(entry) for entry in body['routes']
         },
         groups={
-            entry['name']: GroupLimits(entry['name'], int(entry['max_conns']))
+            entry['name']: GroupLimits(
+                entry['name'],
+                int(entry['max_conns']),
+                int(entry.get('sync_replicas', 0)),
+            )
             for entry in body['services']
         },
         transaction_idle_timeout_ms=float(body['limits']['tx_idle_ms']),
--- a/mimosapond/routing/lead_proof.py
+++ b/mimosapond/routing/lead_proof.py
@@ -5,15 +5,12 @@
 there: callers that are cut off together with it would read old data.
 """
 
-from typing import Final, Protocol, final
+from typing import Protocol, final
 
-from mimosapond.groups.connection_pool import NoConnection
 from mimosapond.groups.group import Group
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_status import MemberStatus
-
-# Ahead of every statement in the queue for a connection.
-_PROOF_PRIORITY: Final = -1
+from mimosapond.routing.member_status_request import fetch_member_status
 
 
 class LeadProof(Protocol):
@@ -68,7 +65,7 @@
         if term is None:
             return False
         for member in _replicas(group, primary):
-            status = await _fetch_status(member, limit_s)
+            status = await fetch_member_status(member, limit_s)
             if status is None:
                 continue
             if status.is_primary and status.term > term:
@@ -86,7 +83,7 @@
         known = self._terms.get(group.name)
         if known is not None and known[0] is primary:
             return known[1]
-        status = await _fetch_status(primary, limit_s)
+        status = await fetch_member_status(primary, limit_s)
         if status is None or not status.is_primary:
             return None
         self._terms[group.name] = (primary, status.term)
@@ -109,17 +106,3 @@
 def _follows(status: MemberStatus, term: int) -> bool:
     is_receiving = not status.is_primary and status.paused_term == 0
     return is_receiving and status.term == term
-
-
-async def _fetch_status(member: Member, limit_s: float) -> MemberStatus | None:
-    connection = await member.pool.borrow(_PROOF_PRIORITY, limit_s)
-    if isinstance(connection, NoConnection):
-        return None
-    try:
-        answer = await connection.link.status(limit_s)
-    finally:
-        connection.release()
-    if not isinstance(answer, MemberStatus):
-        return None
-    member.load.record_contact(answer.received)
-    return answer
--- a/mimosapond/routing/write_router.py
+++ b/mimosapond/routing/write_router.py
@@ -18,6 +18,7 @@
 )
 from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.routing import failures
+from mimosapond.routing.commit_witnesses import CommitWitnesses
 from mimosapond.routing.primary_path import (
     LocalPath,
     PrimaryPathFinder,
@@ -42,17 +43,25 @@
 class WriteRouter:
     """Retries a write only if it is certain that it did not run."""
 
-    def __init__(self, paths: PrimaryPathFinder, now: Now) -> None:
+    def __init__(
+        self,
+        paths: PrimaryPathFinder,
+        witnesses: CommitWitnesses,
+        now: Now,
+    ) -> None:
         """Create a router.
 
         Parameters
         ----------
         paths
             Finds a path to the primary.
+        witnesses
+            Confirm the commits that the primary acknowledges.
         now
             Clock of the deadlines.
         """
         self._paths = paths
+        self._witnesses = witnesses
         self._now = now
 
     async def run(self, work: Work) -> WriteOutcome:
@@ -92,7 +101,22 @@
             return None
         finally:
             connection.release()
-        return self._member_outcome(work, member, sent_s, answer)
+        outcome = self._member_outcome(work, member, sent_s, answer)
+        match outcome:
+            case (reply, LogPosition() as position):
+                return await self._confirm(work, member, reply, position)
+            case _:
+                return outcome
+
+    async def _confirm(
+        self, work: Work, member: Member, reply: Reply, position: LogPosition
+    ) -> WriteOutcome:
+        if await self._witnesses.confirm(
+            work.group, member, position, work.deadline_s
+        ):
+            return reply, position
+        log_unwitnessed(work, member, position)
+        return failures.WRITE_UNANSWERED, None
 
     def _relay_outcome(
         self, work: Work, outcome: WorkOutcome
@@ -130,3 +154,10 @@
                     reason=answer.reason,
                 ).warning('write_unanswered')
                 return failures.WRITE_UNANSWERED, None
+
+
+def log_unwitnessed(work: Work, member: Member, position: LogPosition) -> None:
+    """Log that a commit may not survive the loss of the primary."""
+    logger.bind(
+        request=work.request_id, member=member.member_id, at=str(position)
+    ).warning('commit_not_witnessed')
--- a/mimosapond/sessions/pinned_transaction.py
+++ b/mimosapond/sessions/pinned_transaction.py
@@ -18,6 +18,7 @@
 from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.boot_clock import Now
 from mimosapond.routing import failures
+from mimosapond.routing.commit_witnesses import CommitWitnesses
 from mimosapond.routing.statement_runner import (
     RestoreFailed,
     log_answer,
@@ -29,7 +30,7 @@
     WorkOutcome,
     WorkUnanswered,
 )
-from mimosapond.routing.write_router import BUSY_BACKOFF_S
+from mimosapond.routing.write_router import BUSY_BACKOFF_S, log_unwitnessed
 from mimosapond.statements.reply import SessionState, Success
 from mimosapond.statements.statement import Commit
 
@@ -48,6 +49,7 @@
         member: Member,
         connection: ConnectionLease,
         now: Now,
+        witnesses: CommitWitnesses,
         *,
         proves_primary: bool,
     ) -> None:
@@ -55,6 +57,8 @@
 
         Parameters
         ----------
+        witnesses
+            Confirm a commit that the member acknowledges.
         proves_primary
             Whether a statement that succeeds proves that the member is the
             primary. This is so for every transaction that is not read-only.
@@ -62,6 +66,7 @@
         self._member = member
         self._connection = connection
         self._now = now
+        self._witnesses = witnesses
         self._proves_primary = proves_primary
         self._has_written = False
         self._is_running = False
@@ -89,7 +94,15 @@
         """
         with self._running():
             answer = await self._commit(work)
-        return self._commit_outcome(answer)
+        outcome = self._commit_outcome(answer)
+        if not isinstance(outcome, WorkDone) or outcome.position is None:
+            return outcome
+        if await self._witnesses.confirm(
+            work.group, self._member, outcome.position, work.deadline_s
+        ):
+            return outcome
+        log_unwitnessed(work, self._member, outcome.position)
+        return WorkUnanswered('no witness has the commit', was_sent=True)
 
     def abandon(self) -> None:
         """Start a rollback in the background, and return at once.
--- a/mimosapond/sessions/transaction.py
+++ b/mimosapond/sessions/transaction.py
@@ -18,6 +18,7 @@
 )
 from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.routing import failures
+from mimosapond.routing.commit_witnesses import CommitWitnesses
 from mimosapond.routing.holder_port import HolderFinder, RunsHere
 from mimosapond.routing.lead_proof import AnswerProof, LeadProof
 from mimosapond.routing.member_selector import MemberSelector
@@ -46,6 +47,8 @@
 
     Parameters
     ----------
+    witnesses
+        Confirm the commits that a primary acknowledges.
     now
         Clock that deadlines and waits are measured with.
     holders
@@ -59,6 +62,7 @@
     paths: PrimaryPathFinder
     writes: WriteRouter
     now: Now
+    witnesses: CommitWitnesses
     holders: HolderFinder = RunsHere()
     proof: LeadProof = AnswerProof()
 
@@ -253,6 +257,7 @@
             member,
             connection,
             self._routing.now,
+            self._routing.witnesses,
             proves_primary=(
                 self._routing.proof.is_answer_enough
                 and not self._begin.is_read_only
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -59,7 +59,11 @@
             'version': self._version,
             'routes': routes + extra,
             'services': [
-                {'name': name, 'max_conns': _MAX_CONNECTION_COUNT}
+                {
+                    'name': name,
+                    'max_conns': _MAX_CONNECTION_COUNT,
+                    'sync_replicas': 1,
+                }
                 for name in names
             ],
             'limits': {'tx_idle_ms': _TRANSACTION_IDLE_MS},
