Ask witnesses only in doubt, and keep what a promoted witness alone has

Change: a host that is in contact, which means registrations of the last 2.5 s, an answer of a witness within 0.1 s and no member that is new, leaves or is unlisted, does not ask. A promoted member must have what the last primary was first seen to begin with.

--- a/features/commit_witnesses.feature
+++ b/features/commit_witnesses.feature
@@ -25,6 +25,25 @@
       | behind             | behind  | begin, read, commit  | success |
       | late by 50 ms      | behind  | write                | success |
 
+  # Guards against a request to a replica for each commit, and against trust in
+  # replicas that were cut off meanwhile.
+  Scenario Outline: witnesses are asked unless the host is in contact with them
+    Given a session on a group whose primary is p
+    And its members acknowledge a commit once a replica has it
+    And the commits of p reach replica a, which is <a>, and replica b, which is up to date
+    And the replicas answered <contact_ms> ms ago and the registry <registry_s> s ago
+    When the caller sends write
+    Then the last reply is success
+    And the replicas were <asked>
+
+    Examples:
+      | a                  | contact_ms | registry_s | asked     |
+      | up to date         | 20         | 1          | not asked |
+      | up to date         | 300        | 1          | asked     |
+      | up to date         | 20         | 4          | asked     |
+      | leaving            | 20         | 1          | asked     |
+      | registered 1 s ago | 20         | 1          | asked     |
+
   # Guards against writes that fail where members acknowledge without a replica.
   Scenario: a group without synchronous replicas needs no witness
     Given a session on a group whose primary is p
@@ -61,3 +80,21 @@
       | is still registered        | b      | none     |
       | has left, and c has joined | p,c    | none     |
       | has left, and c has joined | p      | c        |
+
+  # Guards against the loss of commits that only the primary has: it was their
+  # witness before it was promoted, while the other replicas lagged behind.
+  Scenario Outline: a replica that lacks what the primary began with is not promoted
+    Given a group whose primary is p
+    And p was first seen to lead at <start> and has commits of term <term>
+    And member a has received up to <received>
+    And member b has received up to <received>
+    And the members p are silent
+    When a host replaces the lost primary
+    Then the promotion calls name <promoted>
+
+    Examples:
+      | start | term | received | promoted |
+      | 1.12  | 2    | 1.10     | none     |
+      | 1.12  | 2    | 1.12     | b        |
+      | 2.20  | 2    | 1.15     | none     |
+      | 1.12  | 2    | 2.13     | b        |
--- a/features/failover_explorer.feature
+++ b/features/failover_explorer.feature
@@ -3,7 +3,8 @@
   host, also while it changes the primary.
 
   # Guards against lost commits (LOST) by a promotion in an order of events that no
-  # other scenario has. Without the wait for successors, some of these orders lose a
-  # commit.
+  # other scenario has: members that receive before they are registered, that leave
+  # as the only ones with a commit or receive nothing, a store that is silent, and a
+  # host that starts again meanwhile.
   Scenario: no explored order of events loses an acknowledged commit
-    Then no commit is lost in the orders of events 0 to 19
+    Then no commit is lost in the orders of events 0 to 999
--- a/features/failover_explorer.py
+++ b/features/failover_explorer.py
@@ -2,10 +2,12 @@
 
 The real decision code runs against a group in memory. Events also happen while
 a change is under way: at each control request of the host, members commit, come,
-go and return. A promoted member must have every acknowledged commit.
+go and return. A promoted member must have every acknowledged commit. Other hosts
+acknowledge a commit to its caller once a witness has received it, that is, a
+replica that they have known for a while and that does not leave.
 """
 
-import asyncio
+import math
 import random
 from collections.abc import Callable
 from typing import Final, final
@@ -27,6 +29,7 @@
     FakePromotions,
     FakeRegistrations,
 )
+from features.virtual_loop import run_virtually
 from mimosapond.failover.departure_detector import DepartureDetector
 from mimosapond.failover.failover_coordinator import FailoverCoordinator
 from mimosapond.failover.group_membership import GroupMembership
@@ -35,6 +38,7 @@
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member_record import MemberRecord
 from mimosapond.groups.registration_poller import RegistrationPoller
+from mimosapond.routing.commit_witnesses import WITNESS_AGE_S
 from mimosapond.routing.primary_probe import PrimaryProbe
 from mimosapond.routing.relay_port import NoRelays
 
@@ -48,6 +52,7 @@
 # Longest time between two reads of the registrations.
 _POLL_INTERVAL_S: Final = 1.5
 _START_S: Final = 1000.0
+_HOST_RESTART_RATIO: Final = 0.05
 _CLOCK_STEP_S: Final = 0.005
 
 
@@ -61,6 +66,23 @@
     is_registered: bool = True
     leaving_since_s: float | None = None
     changed_s: float = _START_S
+    # Time since which the other hosts know its registration.
+    listed_since_s: float = -math.inf
+    is_deaf: bool = False
+
+    def receives(self) -> bool:
+        """Return whether it receives the commits of a primary."""
+        return self.is_running and not self.is_deaf and not self.is_paused
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether a change of primary paused it."""
+        return self.fake.paused_term > 0
+
+    def is_witness(self, now_s: float) -> bool:
+        """Return whether the other hosts trust it to keep a commit."""
+        is_known = now_s - self.listed_since_s >= WITNESS_AGE_S
+        return self.is_registered and self.leaving_since_s is None and is_known
 
 
 @final
@@ -96,23 +118,8 @@
         )
         self._promotions = FakePromotions(self._fakes)
         self._promotions.on_call = self._check_promotion
-        self._directory = GroupDirectory(
-            FakeDialer(self._fakes, self._maybe_act), self._now
-        )
-        self._directory.apply_limits(build_configuration(build_route()))
-        self._poller = RegistrationPoller(self._registrations, self._directory)
-        probe = PrimaryProbe(self._now, NoRelays())
-        self._failover = FailoverCoordinator(
-            FakeHostClaims(FakeClaimStore(), 'host-1'),
-            Promoter(self._promotions, probe, self._now),
-            GroupMembership(
-                DepartureDetector(self._directory, DRAIN_S, self._now),
-                self._directory,
-                self._poller,
-                self._now,
-            ),
-            self._now,
-        )
+        self._claims = FakeClaimStore()
+        self._start_host()
 
     async def run(self) -> None:
         """Play the events, with attempts of the host in between."""
@@ -123,12 +130,35 @@
         await self._poll()
         self._now_s += DRAIN_S
         for _ in range(_EVENT_COUNT):
+            if self._random.random() < _HOST_RESTART_RATIO:
+                self._start_host()
+                self._note('the host starts again')
             self._act()
             is_due = self._now_s - self._polled_s > _POLL_INTERVAL_S
             if is_due or self._random.randrange(2):
                 await self._poll()
             await self._attempt()
 
+    def _start_host(self) -> None:
+        """Start the host, or start it again without what it knew."""
+        self._directory = GroupDirectory(
+            FakeDialer(self._fakes, self._maybe_act), self._now
+        )
+        self._directory.apply_limits(build_configuration(build_route()))
+        self._poller = RegistrationPoller(self._registrations, self._directory)
+        self._probe = PrimaryProbe(self._now, NoRelays())
+        self._failover = FailoverCoordinator(
+            FakeHostClaims(self._claims, 'host-1'),
+            Promoter(self._promotions, self._probe, self._now),
+            GroupMembership(
+                DepartureDetector(self._directory, DRAIN_S, self._now),
+                self._directory,
+                self._poller,
+                self._now,
+            ),
+            self._now,
+        )
+
     def _now(self) -> float:
         """Return the time, which also passes with each look at the clock."""
         self._now_s += _CLOCK_STEP_S
@@ -136,13 +166,14 @@
 
     def _build_record(self, name: str) -> MemberRecord:
         leaving_since_s = self._instances[name].leaving_since_s
-        return build_record(name, is_leaving=leaving_since_s is not None)
+        return build_record(
+            name,
+            is_leaving=leaving_since_s is not None,
+            reports_primary=self._instances[name].fake.is_primary,
+        )
 
     async def _poll(self) -> None:
         self._polled_s = self._now_s
-        self._registrations.names = [
-            name for name, each in self._instances.items() if each.is_registered
-        ]
         await self._poller.refresh(0.1)
 
     async def _attempt(self) -> None:
@@ -157,6 +188,9 @@
             ),
             None,
         )
+        if primary is not None:
+            # A host knows a primary because it was seen to lead.
+            await self._probe.ask(group, primary)
         if primary is None:
             await self._failover.replace_lost_primary(group)
         elif primary.record.is_leaving:
@@ -177,6 +211,9 @@
             (self._restart, 1),
             (self._leave, 2),
             (self._toggle_cut, 2),
+            (self._join, 1),
+            (self._toggle_deafness, 1),
+            (self._toggle_store, 1),
         )
         actions, weights = zip(*choices, strict=True)
         self._random.choices(actions, weights)[0]()
@@ -197,15 +234,18 @@
         receivers = [
             each
             for each in self._running()
-            if each is not primary and each.fake.paused_term == 0
+            if each is not primary and each.receives()
         ]
         if not receivers:
             return
         count = self._random.choice((1, 1, len(receivers)))
-        for each in self._random.sample(receivers, count):
-            each.fake.position = position
-        self._acknowledged_number = position.number
-        self._note(f'commit {position.number}')
+        chosen = self._random.sample(receivers, count)
+        for receiver in chosen:
+            receiver.fake.position = position
+        names = [each.fake.member_id for each in chosen]
+        self._note(f'commit {position.number} at {names}')
+        if any(each.is_witness(self._now_s) for each in chosen):
+            self._acknowledged_number = position.number
 
     def _pass_time(self) -> None:
         """Advance the clock; replicas catch up, registrations come and go."""
@@ -215,6 +255,8 @@
         self._catch_up()
         for name, each in tuple(self._instances.items()):
             if self._now_s - each.changed_s > _REGISTRATION_S:
+                if each.is_running and not each.is_registered:
+                    each.listed_since_s = self._now_s
                 each.is_registered = each.is_running
             leaving_s = each.leaving_since_s
             is_over = (
@@ -230,7 +272,7 @@
         if primary is None:
             return
         for each in self._running():
-            if each.fake.paused_term == 0:
+            if each.receives():
                 each.fake.position = primary.fake.position
 
     def _replace(self, name: str, each: _Instance) -> None:
@@ -243,7 +285,10 @@
         successor = FakeMember(f'{name}x', position=each.fake.position)
         self._fakes[successor.member_id] = successor
         self._instances[successor.member_id] = _Instance(
-            successor, is_registered=False, changed_s=self._now_s
+            successor,
+            is_registered=False,
+            changed_s=self._now_s,
+            listed_since_s=self._now_s,
         )
         self._note(f'{name} is replaced by {name}x')
 
@@ -286,6 +331,37 @@
         each.leaving_since_s = self._now_s
         self._note(f'{each.fake.member_id} leaves')
 
+    def _join(self) -> None:
+        """Start a further member, which receives before it is registered."""
+        if len(self._running()) > 3:
+            return
+        name = f'n{len(self._instances)}'
+        primary = next(
+            (each for each in self._running() if each.fake.is_primary), None
+        )
+        if primary is None:
+            return
+        self._fakes[name] = FakeMember(name, position=primary.fake.position)
+        self._instances[name] = _Instance(
+            self._fakes[name],
+            is_registered=False,
+            changed_s=self._now_s,
+            listed_since_s=self._now_s,
+        )
+        self._note(f'{name} joins')
+
+    def _toggle_deafness(self) -> None:
+        """Let a replica receive nothing for a while, or end that."""
+        each = self._random.choice(self._running())
+        each.is_deaf = not each.is_deaf
+        self._note(f'{each.fake.member_id} receives: {not each.is_deaf}')
+
+    def _toggle_store(self) -> None:
+        """Keep the registrations from the host, or end that."""
+        is_silent = not self._registrations.is_silent
+        self._registrations.is_silent = is_silent
+        self._note(f'store silent: {is_silent}')
+
     def _toggle_cut(self) -> None:
         """Cut a running member off from the host, or end that."""
         each = self._random.choice(self._running())
@@ -310,6 +386,9 @@
         self._acknowledged_number = chosen.position.number
 
     def _note(self, event: str) -> None:
+        self._registrations.names = [
+            name for name, each in self._instances.items() if each.is_registered
+        ]
         self.events.append(f'{self._now_s - _START_S:.1f} {event}')
 
 
@@ -318,6 +397,6 @@
     found: list[str] = []
     for seed in range(first_seed, first_seed + count):
         explorer = FailoverExplorer(seed)
-        asyncio.run(explorer.run())
+        run_virtually(explorer.run())
         found.extend(f'seed {seed}: {each}' for each in explorer.violations)
     return found
--- a/features/steps/commit_witnesses_steps.py
+++ b/features/steps/commit_witnesses_steps.py
@@ -4,7 +4,7 @@
 from typing import Any, Final
 
 import attrs
-from behave import given
+from behave import given, then
 
 from features.group_fakes import FakeMember
 from mimosapond.boot_clock import boot_time_s
@@ -81,3 +81,34 @@
     world.fakes['p'].is_silent = True
     members['p'].leaving_since_s = boot_time_s() - _LEAVING_AGE_S
     members['p'].unlisted_since_s = boot_time_s()
+
+
+@given('p was first seen to lead at {start} and has commits of term {term:d}')
+def lead_from(context: Any, start: str, term: int) -> None:
+    """Record where p began to lead."""
+    term_text, _, number = start.partition('.')
+    position = LogPosition(int(term_text), int(number))
+    member = context.world.group.members['p']
+    context.world.group.confirm_primary(member, boot_time_s(), position)
+    member.load.term = term
+
+
+@given(
+    'the replicas answered {contact_ms:d} ms ago and the registry '
+    '{registry_s:d} s ago',
+)
+def set_contacts(context: Any, contact_ms: int, registry_s: int) -> None:
+    """Set the ages of the last answers."""
+    world = context.world
+    world.directory.read_s = boot_time_s() - registry_s
+    for name in ('a', 'b'):
+        load = world.group.members[name].load
+        load.last_contact_s = boot_time_s() - contact_ms / _MS_PER_S
+
+
+@then('the replicas were {asked}')
+def check_asked(context: Any, asked: str) -> None:
+    """Count the control requests to the replicas."""
+    fakes = context.world.fakes
+    count = sum(fakes[name].control_request_count for name in ('a', 'b'))
+    assert (count > 0) == (asked == 'asked'), count
--- a/mimosapond/entry/session_drain.py
+++ b/mimosapond/entry/session_drain.py
@@ -83,9 +83,10 @@
         return self.sessions.connection_count == 0
 
     def _close_sessions(self) -> None:
-        if self.rotation.is_out_of_rotation and not self.sessions.is_stopping:
-            self.sessions.close_when_idle()
-        if not self.limits.accepts_statements:
+        if (
+            self.rotation.is_out_of_rotation
+            or not self.limits.accepts_statements
+        ):
             self.sessions.close_when_idle()
         self.sessions.close_idle()
 
--- a/mimosapond/entry/session_registry.py
+++ b/mimosapond/entry/session_registry.py
@@ -113,9 +113,8 @@
     def close_when_idle(self) -> None:
         """Mark all open sessions to be closed as soon as they are idle.
 
-        Sessions that begin later are closed after a reply only, because the
-        load balancer had no better host for them, and their first request is
-        likely to be on its way.
+        Sessions that begin later are closed after a reply, unless they are
+        marked by another call while they are idle.
         """
         self.is_stopping = True
         self._closing.update(self._close_callbacks)
--- a/mimosapond/failover/failover_coordinator.py
+++ b/mimosapond/failover/failover_coordinator.py
@@ -178,7 +178,11 @@
     ) -> bool:
         paused = await self._pauser.pause(group, claim.token)
         candidate = paused.most_advanced(excluded)
-        if candidate is None or not paused.includes_all_replicas(excluded):
+        if (
+            candidate is None
+            or not paused.includes_all_replicas(excluded)
+            or not paused.has_lead_start(candidate)
+        ):
             _log_unsafe(group, paused)
             await self._abort(group, claim, paused)
             return False
@@ -358,6 +362,9 @@
         candidate = statuses.most_advanced(primary.member)
         if candidate is None or statuses.silent_members:
             return False
+        if not statuses.has_lead_start(candidate):
+            _log_unsafe(group, statuses)
+            return False
         return candidate.status.received < primary.status.received
 
 
--- a/mimosapond/failover/group_statuses.py
+++ b/mimosapond/failover/group_statuses.py
@@ -78,6 +78,21 @@
                 return report
         return None
 
+    def has_lead_start(self, candidate: MemberReport) -> bool:
+        """Return whether a member has what the last known primary began with.
+
+        A primary that was the only witness of a commit before it was promoted
+        may have it alone, if its replicas lagged behind then. Once it is gone
+        for good, there is nothing to wait for.
+        """
+        start = self._group.lead_start
+        former = self._group.members.get(self._group.last_primary_id)
+        if start is None or former is None or former is candidate.member:
+            return True
+        received = candidate.status.received
+        is_in_term = received.term >= max(former.load.term, start.term + 1)
+        return received >= start or is_in_term
+
     def includes_all_replicas(self, deposed: Member | None) -> bool:
         """Return whether every replica of the group answered.
 
--- a/mimosapond/routing/commit_witnesses.py
+++ b/mimosapond/routing/commit_witnesses.py
@@ -5,6 +5,9 @@
 hosts elsewhere do not know, so that they do not pause it when they replace the
 primary. A commit is therefore acknowledged to its caller only after a replica
 that every change of primary has to pause was seen to have it: a witness.
+
+While this host is in contact with the registry and a witness, and no member is
+new or leaves, the witnesses receive every commit, and they are not asked.
 """
 
 import asyncio
@@ -13,6 +16,7 @@
 
 from mimosapond.boot_clock import Now
 from mimosapond.groups.group import Group
+from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_status import MemberStatus
@@ -22,6 +26,11 @@
 # that promotes may have read the registrations up to 4 s before, and its change
 # of primary takes up to 3 s.
 WITNESS_AGE_S: Final = 7.0
+# Age of the last answer of a witness, and of the registrations, up to which no
+# part of the group can have been cut off for long. The registrations are read
+# every 1.5 s.
+_CONTACT_AGE_S: Final = 0.1
+_REGISTRATION_AGE_S: Final = 2.5
 # Time after which a second witness is asked as well.
 _HEDGE_DELAY_S: Final = 0.02
 _STATUS_TIMEOUT_S: Final = 0.3
@@ -35,8 +44,17 @@
 class CommitWitnesses:
     """Asks the witnesses of a group for the positions they received."""
 
-    def __init__(self, now: Now) -> None:
-        """Start without confirmed positions; ``now`` is the clock of times."""
+    def __init__(self, directory: GroupDirectory, now: Now) -> None:
+        """Start without confirmed positions.
+
+        Parameters
+        ----------
+        directory
+            Knows when the registrations were last read.
+        now
+            Clock of the deadlines.
+        """
+        self._directory = directory
         self._now = now
         self._confirmed: dict[str, LogPosition] = {}
 
@@ -65,6 +83,8 @@
         """
         if not group.needs_replica or self._is_confirmed(group, position):
             return True
+        if self._is_calm(group, primary):
+            return True
         delay_s = _RETRY_DELAY_S
         while self._now() < deadline_s:
             witnesses = self._witnesses(group, primary)
@@ -74,6 +94,22 @@
             delay_s = min(delay_s * 2, _MAX_RETRY_DELAY_S)
         return False
 
+    def _is_calm(self, group: Group, primary: Member) -> bool:
+        """Return whether only witnesses can have received a commit."""
+        if self._now() - self._directory.read_s > _REGISTRATION_AGE_S:
+            return False
+        witnesses = self._witnesses(group, primary)
+        others = [
+            member
+            for member in group.members.values()
+            if member is not primary and member not in witnesses
+        ]
+        is_stable = not others and primary.accepts_new_work
+        return is_stable and any(
+            member.load.had_contact_within(_CONTACT_AGE_S)
+            for member in witnesses
+        )
+
     def _witnesses(self, group: Group, primary: Member) -> list[Member]:
         """Return the witnesses, those that answer soonest first."""
         established_s = self._now() - WITNESS_AGE_S
