Log the proof of each promotion

A loss could not be told from a log alone: the line of a promotion had the position of the promoted member only.

Change: promotion_proof gives the positions of all paused members, who was silent, where the last primary began to lead and how well the members are known. docs/OPERATIONS.md says how to read it.

--- a/mimosapond/failover/failover_coordinator.py
+++ b/mimosapond/failover/failover_coordinator.py
@@ -167,6 +167,7 @@
             paused.add(MemberReport(leaving, status))
             await self._abort(group, claim, paused)
             return False
+        _log_proof(group, caught_up, paused)
         leads = await self._promote(group, caught_up, claim, paused)
         if leads:
             # A former primary may go on to accept requests until it is told.
@@ -186,6 +187,7 @@
             _log_unsafe(group, paused)
             await self._abort(group, claim, paused)
             return False
+        _log_proof(group, candidate, paused)
         group.observations.add(self._now(), candidate.status.received)
         return await self._promote(group, candidate, claim, paused)
 
@@ -368,6 +370,21 @@
         return candidate.status.received < primary.status.received
 
 
+def _log_proof(
+    group: Group, candidate: MemberReport, paused: GroupStatuses
+) -> None:
+    """Log why a promotion loses no commit that was acknowledged to a caller."""
+    logger.bind(
+        group=group.name,
+        member=candidate.member.member_id,
+        at=str(candidate.status.received),
+        paused=paused.positions,
+        silent=[member.member_id for member in paused.silent_members],
+        lead_start=str(group.lead_start or ''),
+        knowledge=paused.knowledge.value,
+    ).info('promotion_proof')
+
+
 def _log_unsafe(group: Group, answers: GroupStatuses) -> None:
     primary = answers.primary
     logger.bind(
--- a/mimosapond/failover/group_statuses.py
+++ b/mimosapond/failover/group_statuses.py
@@ -36,7 +36,7 @@
         self._group = group
         self._expected_ids = {member.member_id for member in expected}
         self._reports = dict(reports)
-        self._knowledge = knowledge
+        self.knowledge = knowledge
         self.silent_members = [
             member for member in expected if member.member_id not in reports
         ]
@@ -46,6 +46,14 @@
         """Members that answered."""
         return [report.member for report in self._reports.values()]
 
+    @property
+    def positions(self) -> dict[str, str]:
+        """Position that each member reported, by member id."""
+        return {
+            member_id: str(report.status.received)
+            for member_id, report in self._reports.items()
+        }
+
     @property
     def replicas(self) -> list[Member]:
         """Members that answered, without the primary of the newest term."""
@@ -110,7 +118,7 @@
             silent = self.silent_members[0]
             if deposed is not None or not self._may_lead(silent):
                 return False
-        match self._knowledge:
+        match self.knowledge:
             case MembershipKnowledge.current:
                 return True
             case MembershipKnowledge.earlier:
@@ -123,7 +131,7 @@
     @property
     def is_complete(self) -> bool:
         """Whether all members answered and this host knows every member."""
-        is_known = self._knowledge is not MembershipKnowledge.partial
+        is_known = self.knowledge is not MembershipKnowledge.partial
         return is_known and not self.silent_members
 
     @property
