Carry the workspace of a caller to the connection pool, and describe the parts

Cause: on the platform path, nothing below the configuration knows workspaces, and five parts (keys, connections, quotas, admission, bounded memory) need the same fields to be built side by side. Change: Work, borrow and dial take the workspace, the configuration has a type for it and AUTHFAIL is encoded; nothing sets these fields yet, so deployments are served as before.

--- a/mimosapond/configuration/configuration.py
+++ b/mimosapond/configuration/configuration.py
@@ -6,6 +6,7 @@
 import attrs
 
 from mimosapond.configuration.route import Route
+from mimosapond.configuration.workspace import Workspace
 
 
 @final
@@ -35,9 +36,13 @@
     ----------
     transaction_idle_timeout_ms
         Longest time that a transaction may be idle between statements.
+    workspaces
+        Workspaces by name; None in a deployment without workspaces, where
+        callers need no key.
     """
 
     version: int
     routes: Mapping[str, Route]
     groups: Mapping[str, GroupLimits]
     transaction_idle_timeout_ms: float
+    workspaces: Mapping[str, Workspace] | None = None
--- a/mimosapond/configuration/route.py
+++ b/mimosapond/configuration/route.py
@@ -29,6 +29,8 @@
         From the arrival of a statement to its deadline.
     priority
         0 is the most urgent.
+    is_anonymous
+        Whether callers need no key, in a deployment with workspaces.
     """
 
     database: str
@@ -37,3 +39,4 @@
     max_age_ms: float
     statement_timeout_ms: float
     priority: int
+    is_anonymous: bool = False
--- a/mimosapond/groups/connection_pool.py
+++ b/mimosapond/groups/connection_pool.py
@@ -99,6 +99,7 @@
         priority: int,
         wait_s: float,
         values: Mapping[str, str] | None = None,
+        workspace: str = '',
     ) -> ConnectionLease | NoConnection:
         """Borrow a connection, waiting up to ``wait_s``.
 
@@ -109,6 +110,9 @@
         values
             Session values that the borrower needs. An idle connection that
             already has exactly these is preferred.
+        workspace
+            Workspace whose statements the connection must have been opened
+            for; empty in a deployment without workspaces.
 
         Returns
         -------
--- a/mimosapond/groups/member_port.py
+++ b/mimosapond/groups/member_port.py
@@ -104,10 +104,17 @@
     """Opens connections to members."""
 
     async def dial(
-        self, record: MemberRecord
+        self, record: MemberRecord, workspace: str = ''
     ) -> MemberConnection | Rejected | LinkLost:
         """Open a connection to exactly this incarnation of the member.
 
+        Parameters
+        ----------
+        workspace
+            Name of the workspace whose statements the connection carries;
+            empty in a deployment without workspaces and for requests of the
+            product itself.
+
         Returns
         -------
         MemberConnection | Rejected | LinkLost
--- a/mimosapond/platform/member_dialer.py
+++ b/mimosapond/platform/member_dialer.py
@@ -18,6 +18,7 @@
 )
 from mimosapond.statements.reply import SessionState
 
+# Name under which connections without a workspace are opened.
 _CALLER_NAME: Final = 'mimosapond'
 
 
@@ -45,7 +46,7 @@
         self._connection_numbers = itertools.count(1)
 
     async def dial(
-        self, record: MemberRecord
+        self, record: MemberRecord, workspace: str = ''
     ) -> WireMemberConnection | Rejected | LinkLost:
         """Open a connection to the member process that ``record`` describes.
 
@@ -61,7 +62,9 @@
         lines = LineStream(stream)
         try:
             async with asyncio.timeout(self._start_timeout_s):
-                return await self._start_session(lines, record)
+                return await self._start_session(
+                    lines, record, workspace or _CALLER_NAME
+                )
         except TimeoutError:
             lines.close()
             return LinkLost('start: the member did not answer in time')
@@ -70,11 +73,9 @@
             return LinkLost(f'start: {error!r}')
 
     async def _start_session(
-        self, lines: LineStream, record: MemberRecord
+        self, lines: LineStream, record: MemberRecord, caller: str
     ) -> WireMemberConnection | Rejected:
-        await lines.write(
-            f'START {record.group} {_CALLER_NAME} {record.member_id}'
-        )
+        await lines.write(f'START {record.group} {caller} {record.member_id}')
         word, _, rest = (await lines.read()).partition(' ')
         if word == 'READY':
             name = f'{record.member_id}#{next(self._connection_numbers)}'
--- a/mimosapond/platform/wire_names.py
+++ b/mimosapond/platform/wire_names.py
@@ -35,6 +35,7 @@
         FailureKind.unknown: 'INDOUBT',
         FailureKind.timed_out: 'TIMEOUT',
         FailureKind.failed: 'FAILED',
+        FailureKind.unauthenticated: 'AUTHFAIL',
         FailureKind.no_such_database: 'NOSUCHDB',
         FailureKind.no_such_statement: 'NOSUCHSTMT',
         FailureKind.too_large: 'TOOBIG',
--- a/mimosapond/routing/primary_path.py
+++ b/mimosapond/routing/primary_path.py
@@ -107,7 +107,7 @@
         if not primary.pool.open_count:
             wait_s = min(remaining_s, _NO_CONNECTION_WAIT_S)
         connection = await primary.pool.borrow(
-            work.route.priority, wait_s, work.values
+            work.route.priority, wait_s, work.values, work.workspace
         )
         if isinstance(connection, ConnectionLease):
             return LocalPath(primary, connection)
--- a/mimosapond/routing/read_router.py
+++ b/mimosapond/routing/read_router.py
@@ -265,6 +265,7 @@
             work.route.priority,
             min(_BORROW_TIMEOUT_S, work.deadline_s - self._now()),
             work.values,
+            work.workspace,
         )
         if isinstance(connection, NoConnection):
             return connection
--- a/mimosapond/routing/work.py
+++ b/mimosapond/routing/work.py
@@ -65,6 +65,14 @@
         Times on the host's boot clock.
     floor
         Minimum log position for reads; None if the session has not committed.
+    workspace
+        Name of the workspace that the caller belongs to; empty in a deployment
+        without workspaces.
+    key_digest
+        Digest of the key that identified the caller; empty without one.
+    configuration_version
+        Version of the configuration that the route and the workspace were
+        looked up in.
     """
 
     request_id: str
@@ -75,3 +83,6 @@
     arrived_s: float
     deadline_s: float
     floor: SessionFloor | None
+    workspace: str = ''
+    key_digest: str = ''
+    configuration_version: int = -1
--- a/mimosapond/sessions/transaction.py
+++ b/mimosapond/sessions/transaction.py
@@ -240,7 +240,10 @@
         self, work: Work, member: Member, position: LogPosition
     ) -> OpenTransaction | None:
         connection = await member.pool.borrow(
-            work.route.priority, _BORROW_TIMEOUT_S, work.values
+            work.route.priority,
+            _BORROW_TIMEOUT_S,
+            work.values,
+            work.workspace,
         )
         if isinstance(connection, NoConnection):
             return None
--- a/mimosapond/statements/reply.py
+++ b/mimosapond/statements/reply.py
@@ -24,6 +24,7 @@
     unknown = 'unknown'
     timed_out = 'timed_out'
     failed = 'failed'
+    unauthenticated = 'unauthenticated'
     no_such_database = 'no_such_database'
     no_such_statement = 'no_such_statement'
     too_large = 'too_large'
