Read the registrations once in a data centre and hand them on

The tasks of a host are passed as a table, since the list of its parts had grown. Ruled out: longer polls (leaving members are noticed later).

--- a/features/relay_builders.py
+++ b/features/relay_builders.py
@@ -15,6 +15,14 @@
 from features.group_fakes import FakeMember
 from features.peer_fakes import FakePeer
 from mimosapond.boot_clock import boot_time_s
+from mimosapond.configuration.active_configuration import ActiveConfiguration
+from mimosapond.configuration.configuration_follower import (
+    ConfigurationFollower,
+)
+from mimosapond.configuration.configuration_source import (
+    SourceAnswer,
+    SourceUnavailable,
+)
 from mimosapond.configuration.route import Route
 from mimosapond.groups.group import Group
 from mimosapond.peers.holder_relay import HolderRelay
@@ -30,6 +38,7 @@
 from mimosapond.peers.peer_server import PeerServer
 from mimosapond.peers.peer_relay import PeerRelay
 from mimosapond.peers.peer_relay_finder import PeerRelayFinder
+from mimosapond.peers.state_publisher import StatePublisher
 from mimosapond.peers.transaction_keys import TransactionKeys
 from mimosapond.routing import failures
 from mimosapond.routing.primary_path import PrimaryPathFinder
@@ -84,12 +93,35 @@
     handler: RelayedWorkHandler, world: GroupWorld
 ) -> tuple[PeerServer, str]:
     """Start the listener of a host; return its server and ``ip:port``."""
-    server = PeerServer(handler, world.directory, boot_time_s)
+    publisher = StatePublisher(
+        world.directory, build_configuration_follower(), boot_time_s
+    )
+    server = PeerServer(handler, world.directory, publisher, boot_time_s)
     sockets = bind_sockets(0, _LOOPBACK)
     server.add_sockets(sockets)
     return server, f'{_LOOPBACK}:{sockets[0].getsockname()[1]}'
 
 
+@final
+class _SilentSource:
+    """Source of configurations that never answers."""
+
+    async def read(self) -> SourceAnswer:
+        """Return that there is no answer."""
+        return SourceUnavailable('test')
+
+    async def follow(self, _cursor: int, _wait_s: float) -> SourceAnswer:
+        """Return that there is no answer."""
+        return SourceUnavailable('test')
+
+
+def build_configuration_follower() -> ConfigurationFollower:
+    """Build a follower of a source that never answers."""
+    return ConfigurationFollower(
+        _SilentSource(), ActiveConfiguration(), lambda _: None, apply_s=3
+    )
+
+
 def build_finder(
     host: str, address: str
 ) -> tuple[PeerDirectory, PeerRelayFinder]:
--- a/mimosapond/configuration/configuration_follower.py
+++ b/mimosapond/configuration/configuration_follower.py
@@ -1,9 +1,11 @@
 """Keeps the configuration in force at the newest version."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Final, final
 
+from mimosapond.boot_clock import Now, boot_time_s
 from mimosapond.configuration.active_configuration import ActiveConfiguration
 from mimosapond.configuration.configuration import Configuration
 from mimosapond.configuration.configuration_source import (
@@ -19,6 +21,7 @@
 _FEED_TIMEOUT_RATIO: Final = 0.5
 _MIN_RETRY_DELAY_S: Final = 0.15
 _MAX_RETRY_DELAY_S: Final = 0.6
+_COVER_CHECK_INTERVAL_S: Final = 0.25
 
 
 @final
@@ -34,6 +37,7 @@
         active: ActiveConfiguration,
         on_change: Callable[[Configuration], None],
         apply_s: float,
+        now: Now = boot_time_s,
     ) -> None:
         """Create a follower that has not read anything yet.
 
@@ -43,7 +47,16 @@
             Called with each configuration that has come into force.
         apply_s
             Time within which a new configuration must be in force.
+        now
+            Clock of the times of answers.
         """
+        self._now = now
+        self._apply_s = apply_s
+        # Time at which the last answered request was sent.
+        self.answered_s = -math.inf
+        # Whether another host hands on new configurations that it heard of
+        # within the given time.
+        self.is_covered: Callable[[float], bool] = _never
         self._feed_timeout_s = apply_s * _FEED_TIMEOUT_RATIO
         self._source = source
         self._active = active
@@ -55,9 +68,14 @@
     async def run(self) -> None:
         """Follow the source until the task is cancelled."""
         while True:
-            await self._poll()
+            if self._active.is_loaded and self.is_covered(self._apply_s):
+                self._cursor = None
+                await asyncio.sleep(_COVER_CHECK_INTERVAL_S)
+            else:
+                await self._poll()
 
     async def _poll(self) -> None:
+        asked_s = self._now()
         if self._cursor is None:
             answer = await self._source.read()
         else:
@@ -69,11 +87,13 @@
                 self._dependency.report_status(is_connected=True)
                 self._retry_delay_s = _MIN_RETRY_DELAY_S
                 self._cursor = cursor
+                self.answered_s = asked_s
                 if configuration is not None:
                     self._apply(configuration)
             case SourceGap():
                 self._cursor = None
             case SourceUnavailable(reason=reason):
+                self.answered_s = -math.inf
                 self._dependency.report_status(
                     is_connected=False, reason=reason
                 )
@@ -86,3 +106,8 @@
     def _apply(self, configuration: Configuration) -> None:
         if self._active.activate(configuration):
             self._on_change(configuration)
+
+
+def _never(_max_age_s: float) -> bool:
+    """Return False: this host follows the source itself."""
+    return False
--- a/mimosapond/entry/platform_host.py
+++ b/mimosapond/entry/platform_host.py
@@ -1,30 +1,24 @@
 """The process of one host on the platform: start, operation and stop."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Final, final
+from collections.abc import Callable, Coroutine, Mapping
+from typing import Any, Final, final
 
 import attrs
 from loguru import logger
 
 from mimosapond.boot_clock import Now
 from mimosapond.configuration.active_configuration import ActiveConfiguration
-from mimosapond.configuration.configuration_follower import (
-    ConfigurationFollower,
-)
 from mimosapond.entry.reachability import Reachability
 from mimosapond.entry.rotation_tracker import RotationTracker
 from mimosapond.entry.session_drain import SessionDrain
 from mimosapond.entry.session_registry import SessionRegistry
 from mimosapond.failover.failover_coordinator import FailoverCoordinator
 from mimosapond.failover.primary_monitor import PrimaryMonitor
-from mimosapond.failover.reserved_token_claims import ReservedTokenClaims
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.holding import Holding
-from mimosapond.groups.registration_poller import RegistrationPoller
 from mimosapond.log_rate_limit import LogRateLimit
 from mimosapond.peers.relayed_work_handler import RelayedWorkHandler
-from mimosapond.peers.peer_discovery import PeerDiscovery
 from mimosapond.routing.primary_probe import PrimaryProbe
 from mimosapond.routing.relay_port import RelayFinder
 from mimosapond.sessions.serving_limits import ServingLimits
@@ -46,26 +40,25 @@
     ----------
     accept_callers
         Starts to accept connections of callers.
+    tasks
+        Tasks that run from the start until the process ends, by name.
     now
         Clock that waits and deadlines are measured with.
     """
 
     active_configuration: ActiveConfiguration
     directory: GroupDirectory
-    configuration_follower: ConfigurationFollower
-    registration_poller: RegistrationPoller
-    peer_discovery: PeerDiscovery
     sessions: SessionRegistry
     relayed_work_handler: RelayedWorkHandler
     primary_probe: PrimaryProbe
     holding: Holding
     relay_finder: RelayFinder
-    reserved_token_claims: ReservedTokenClaims
     failover_coordinator: FailoverCoordinator
     reachability: Reachability
     rotation: RotationTracker
     limits: ServingLimits
     accept_callers: Callable[[], None]
+    tasks: Mapping[str, Callable[[], Coroutine[Any, Any, None]]]
     log_rate_limit: LogRateLimit
     now: Now
 
@@ -105,10 +98,8 @@
     async def run(self) -> None:
         """Serve until a stop is requested, then drain the sessions."""
         parts = self._parts
-        self._tasks.start('configuration', parts.configuration_follower.run)
-        self._tasks.start('registrations', parts.registration_poller.run)
-        self._tasks.start('duties', parts.reserved_token_claims.run)
-        self._tasks.start('peers', parts.peer_discovery.run)
+        for name, run in parts.tasks.items():
+            self._tasks.start(name, run)
         await self._parts.active_configuration.wait_until_loaded(
             _CONFIGURATION_WAIT_S
         )
--- a/mimosapond/groups/group_directory.py
+++ b/mimosapond/groups/group_directory.py
@@ -1,7 +1,7 @@
 """All database groups that this host knows, updated from registrations."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final, final
 
 from loguru import logger
@@ -68,8 +68,11 @@
             self._created_s + _REREGISTRATION_GRACE_S
         )
         self._unlist_from_s: float = 0
-        # Time of the last successful read of the registry.
+        # Time at which the last successful read of the registry began, and the
+        # number of such reads.
         self.read_s = -math.inf
+        self.read_count = 0
+        self.on_read: Callable[[], None] = _do_nothing
 
     @property
     def are_registrations_complete(self) -> bool:
@@ -80,6 +83,14 @@
         """
         return self._now() >= self.registrations_complete_from_s
 
+    def now(self) -> float:
+        """Return the time on the clock of this directory."""
+        return self._now()
+
+    def is_read_within(self, age_s: float) -> bool:
+        """Return whether the last read began at most ``age_s`` ago."""
+        return self._now() - self.read_s < age_s
+
     @property
     def holds_any(self) -> bool:
         """Whether this host holds any group."""
@@ -126,8 +137,36 @@
         self._unlist_from_s = self._now() + _REREGISTRATION_GRACE_S
         self.registrations_complete_from_s = self._unlist_from_s
 
-    def apply_registrations(self, records: Iterable[MemberRecord]) -> None:
-        """Adopt the members that are registered now."""
+    def defer_unlisting(self, wait_s: float) -> None:
+        """Treat no member as unregistered for some time.
+
+        Another host saw an outage of the registry that this host did not.
+        """
+        self._unlist_from_s = max(self._unlist_from_s, self._now() + wait_s)
+        self.registrations_complete_from_s = max(
+            self.registrations_complete_from_s, self._unlist_from_s
+        )
+
+    @property
+    def records(self) -> tuple[MemberRecord, ...]:
+        """The registrations that were read last."""
+        return self._records
+
+    @property
+    def unlisting_wait_s(self) -> float:
+        """Time for which a missing registration is not taken as final."""
+        return max(self._unlist_from_s - self._now(), 0)
+
+    def apply_registrations(
+        self, records: Iterable[MemberRecord], read_s: float | None = None
+    ) -> None:
+        """Adopt the members that are registered now.
+
+        Parameters
+        ----------
+        read_s
+            Time at which the read began; by default the present time.
+        """
         self._records = tuple(records)
         registered = {record.member_id for record in self._records}
         self._record_listing(registered)
@@ -135,7 +174,9 @@
             self._apply(record)
         self.update_pool_limits()
         self.is_current = True
-        self.read_s = self._now()
+        self.read_s = self._now() if read_s is None else read_s
+        self.read_count += 1
+        self.on_read()
         if self._now() < self._unlist_from_s:
             return
         for group in tuple(self.groups.values()):
@@ -245,3 +286,7 @@
     """Return whether a member was started again at another address."""
     known = member.record
     return (known.ip, known.port) != (record.ip, record.port)
+
+
+def _do_nothing() -> None:
+    """Stand in for a listener of new registrations."""
--- a/mimosapond/peers/peer_client.py
+++ b/mimosapond/peers/peer_client.py
@@ -16,6 +16,8 @@
 from mimosapond.peers.peer_directory import PeerDirectory
 from mimosapond.peers.peer_link import LinkFailure
 from mimosapond.peers.peer_links import PeerLinks
+from mimosapond.peers.shared_state import SharedState
+from mimosapond.peers.shared_state_codec import decode_state
 from mimosapond.peers.work_codec import (
     decode_outcome,
     decode_position,
@@ -29,6 +31,8 @@
 _ROLLBACK_TIMEOUT_S: Final = 1.0
 # A peer answers work at its deadline at the latest; the answer travels.
 _ANSWER_MARGIN_S: Final = 0.1
+# A peer answers a request for the state after 1.7 s at the latest.
+_STATE_TIMEOUT_S: Final = 1.9
 _BODY_ERRORS: Final = (KeyError, TypeError, ValueError)
 # Statuses of answers which say that nothing ran.
 _NOT_RUN_STATUSES: Final = frozenset(
@@ -76,6 +80,9 @@
         self._directory = directory
         self._now = now
         self._links = PeerLinks(now)
+        # A connection with a request in flight counts as silent after a short
+        # time, so requests that wait for news have connections of their own.
+        self._waiting_links = PeerLinks(now)
 
     async def ask_primary(
         self, peer: Peer, group: str, max_age_s: float, limit_s: float
@@ -150,6 +157,40 @@
             peer, peer_paths.ROLLBACKS, {'key': key}, _ROLLBACK_TIMEOUT_S
         )
 
+    async def follow_state(
+        self, peer: Peer, known: SharedState | None
+    ) -> SharedState | None:
+        """Wait for what a peer reads next in the platform's store.
+
+        Parameters
+        ----------
+        known
+            The last answer of the peer; None if there is none.
+
+        Returns
+        -------
+        SharedState | None
+            None if the peer gives no answer.
+        """
+        asked_s = self._now()
+        response = await self._call(
+            peer,
+            peer_paths.STATE,
+            {
+                'read_number': -1 if known is None else known.read_number,
+                'records_digest': '' if known is None else known.records_digest,
+            },
+            _STATE_TIMEOUT_S,
+            self._waiting_links,
+        )
+        if isinstance(response, WorkUnanswered):
+            return None
+        try:
+            return decode_state(response, asked_s)
+        except _BODY_ERRORS as error:
+            self._unanswered(peer, peer_paths.STATE, repr(error), was_sent=True)
+            return None
+
     async def _send_work(
         self, peer: Peer, path: str, fields: Mapping[str, Any], work: Work
     ) -> WorkOutcome:
@@ -173,10 +214,15 @@
             return self._unanswered(peer, path, repr(error), was_sent=True)
 
     async def _call(
-        self, peer: Peer, path: str, body: Mapping[str, Any], limit_s: float
+        self,
+        peer: Peer,
+        path: str,
+        body: Mapping[str, Any],
+        limit_s: float,
+        links: PeerLinks | None = None,
     ) -> Mapping[str, Any] | WorkUnanswered:
         content = json.dumps(body).encode()
-        answer = await self._links.call(peer, path, content, limit_s)
+        answer = await (links or self._links).call(peer, path, content, limit_s)
         if isinstance(answer, LinkFailure):
             # A peer that probes a silent primary answers the question for it
             # late, and is not at fault.
--- a/mimosapond/peers/peer_server.py
+++ b/mimosapond/peers/peer_server.py
@@ -22,6 +22,8 @@
     read_frame,
 )
 from mimosapond.peers.relayed_work_handler import RelayedWorkHandler
+from mimosapond.peers.shared_state_codec import encode_state
+from mimosapond.peers.state_publisher import StatePublisher
 from mimosapond.peers.work_codec import (
     decode_work,
     encode_outcome,
@@ -60,7 +62,11 @@
     """
 
     def __init__(
-        self, handler: RelayedWorkHandler, directory: GroupDirectory, now: Now
+        self,
+        handler: RelayedWorkHandler,
+        directory: GroupDirectory,
+        publisher: StatePublisher,
+        now: Now,
     ) -> None:
         """Create a server, not yet bound.
 
@@ -70,10 +76,13 @@
             Runs the relayed work.
         directory
             Has the groups that work refers to.
+        publisher
+            Hands on what this host read in the platform's store.
         now
             Clock of the deadlines of work.
         """
         super().__init__()
+        self._publisher = publisher
         self._handler = handler
         self._directory = directory
         self._now = now
@@ -132,6 +141,9 @@
                 return functools.partial(
                     self._find_primary, group, float(max_age_ms) / _MS_PER_S
                 )
+            case peer_paths.STATE:
+                known = int(body['read_number']), str(body['records_digest'])
+                return functools.partial(self._wait_for_state, *known)
             case peer_paths.ROLLBACKS:
                 return functools.partial(self._roll_back, str(body['key']))
             case _:
@@ -167,6 +179,15 @@
             'age_ms': report.age_s * _MS_PER_S,
         }
 
+    async def _wait_for_state(
+        self, read_number: int, records_digest: str
+    ) -> _Body:
+        arrived_s = self._now()
+        state = await self._publisher.wait_for_state(
+            read_number, records_digest
+        )
+        return encode_state(state, arrived_s)
+
     async def _roll_back(self, key: str) -> _Body:
         self._handler.roll_back(key)
         return {}
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -36,6 +36,9 @@
 from mimosapond.peers.peer_discovery import PeerDiscovery
 from mimosapond.peers.peer_server import PeerServer
 from mimosapond.peers.peer_relay_finder import PeerRelayFinder
+from mimosapond.peers.state_follower import StateFollower
+from mimosapond.peers.state_publisher import StatePublisher
+from mimosapond.peers.state_sharing import StateSharing
 from mimosapond.peers.transaction_keys import TransactionKeys
 from mimosapond.platform.caller_server import CallerServer
 from mimosapond.platform.member_dialer import WireMemberDialer
@@ -101,10 +104,28 @@
             self._now,
             self._holders,
         )
+        peer_client = PeerClient(self._peers, self._now)
+        self._configuration_follower = ConfigurationFollower(
+            StoreConfiguration(self._store),
+            self._active_configuration,
+            self._directory.apply_limits,
+            settings.configuration_apply_ms / _MS_PER_S,
+        )
+        self._state_publisher = StatePublisher(
+            self._directory, self._configuration_follower, self._now
+        )
+        self._state_follower = StateFollower(
+            self._own_peer,
+            self._peers,
+            peer_client,
+            self._directory,
+            self._now,
+        )
         self._registrations = RegistrationPoller(
-            StoreRegistrations(self._store), self._directory
+            StoreRegistrations(self._store),
+            self._directory,
+            StateSharing(self._state_follower, self._state_publisher),
         )
-        peer_client = PeerClient(self._peers, self._now)
         keys = TransactionKeys(settings.host)
         self._relay_finder = PeerRelayFinder(
             self._holders.other_holders, peer_client, keys, self._now
@@ -152,7 +173,10 @@
         )
         peer_ip, peer_port = _split_address(self._settings.peer_address)
         PeerServer(
-            self._relayed_work_handler, self._directory, self._now
+            self._relayed_work_handler,
+            self._directory,
+            self._state_publisher,
+            self._now,
         ).listen(peer_port, peer_ip)
         return host
 
@@ -224,26 +248,11 @@
         return HostParts(
             active_configuration=self._active_configuration,
             directory=self._directory,
-            configuration_follower=ConfigurationFollower(
-                StoreConfiguration(self._store),
-                self._active_configuration,
-                self._directory.apply_limits,
-                self._settings.configuration_apply_ms / _MS_PER_S,
-            ),
-            registration_poller=self._registrations,
-            peer_discovery=PeerDiscovery(
-                self._own_peer,
-                StorePeers(self._store),
-                self._peers,
-                self._directory.request_checks,
-                is_first_start=self._settings.starts_system,
-            ),
             sessions=self._sessions,
             relayed_work_handler=self._relayed_work_handler,
             primary_probe=self._primary_probe,
             holding=self._holders,
             relay_finder=self._relay_finder,
-            reserved_token_claims=self._claims,
             failover_coordinator=self._build_failover_coordinator(),
             reachability=Reachability(
                 self._directory, self._now, self._holders
@@ -251,10 +260,26 @@
             rotation=RotationTracker(self._now),
             limits=self._limits,
             accept_callers=accept_callers,
+            tasks={
+                'configuration': self._configuration_follower.run,
+                'registrations': self._registrations.run,
+                'duties': self._claims.run,
+                'peers': self._build_peer_discovery().run,
+                'shared state': self._state_follower.run,
+            },
             log_rate_limit=self._log_rate_limit,
             now=self._now,
         )
 
+    def _build_peer_discovery(self) -> PeerDiscovery:
+        return PeerDiscovery(
+            self._own_peer,
+            StorePeers(self._store),
+            self._peers,
+            self._directory.request_checks,
+            is_first_start=self._settings.starts_system,
+        )
+
     def _build_failover_coordinator(self) -> FailoverCoordinator:
         host = self._settings.host
         return FailoverCoordinator(
