--- a/mimosapond/peers/shared_state_codec.py
+++ b/mimosapond/peers/shared_state_codec.py
@@ -6,7 +6,6 @@
 from typing import Any, Final
 
 import attrs
-import cattrs
 
 from mimosapond.groups.member_record import MemberRecord
 from mimosapond.peers.shared_state import SharedState
@@ -14,7 +13,6 @@
 _MS_PER_S: Final = 1000
 _DIGEST_BYTES: Final = 16
 _NEVER_MS: Final = -1e9
-_CONVERTER: Final = cattrs.Converter()
 
 
 def encode_records(records: Sequence[MemberRecord]) -> list[dict[str, Any]]:
@@ -74,15 +72,27 @@
             asked_s + _to_s(body['configuration_answered_ms'])
         ),
         records_digest=str(body['records_digest']),
-        records=None if records is None else _structure_records(records),
+        records=None if records is None else _decode_records(records),
     )
 
 
-def _structure_records(content: Any) -> tuple[MemberRecord, ...]:
-    try:
-        return _CONVERTER.structure(content, tuple[MemberRecord, ...])
-    except cattrs.BaseValidationError as error:
-        raise ValueError('a registration is not readable') from error
+def _decode_records(entries: Any) -> tuple[MemberRecord, ...]:
+    return tuple(_decode_record(entry) for entry in entries)
+
+
+def _decode_record(entry: Mapping[str, Any]) -> MemberRecord:
+    """Return a record whose fields have the types of the class."""
+    fields = {
+        field.name: entry[field.name]
+        for field in attrs.fields(MemberRecord)
+        if field.default is attrs.NOTHING or field.name in entry
+    }
+    for field in attrs.fields(MemberRecord):
+        content = fields.get(field.name, field.default)
+        expected: Any = field.type
+        if not isinstance(content, expected):
+            raise TypeError(field.name)
+    return MemberRecord(**fields)
 
 
 def _to_ms(time_s: float) -> float:
