Serve callers by the workspace of their key, and refuse revoked keys

Cause: the configuration may name workspaces with keys, but a host ignored them: any caller was served on any route, and nothing told the statements of one workspace from those of another. Change: the workspaces and anonymous routes of a configuration are decoded with bounds; an invalid entry makes the version unreadable, and its problem names a place and never content, as that may be a key. START, each single statement and each BEGIN look the key up in the version in force; Work carries workspace, digest and version. An open transaction of a revoked key may finish, or is rolled back at once with the new setting strict_revoke; one of which nothing has run yet counts as new. Sessions of revoked keys are closed in the regular round, once they are idle. The statements that a host answers by itself moved to a module of their own. Ruled out: keeping the workspace that was found at START, because a revoked key would be served until its session ends; a timer for revoke_ms, because the rollback needs no delay (the setting bounds the time for a new version to take effect instead). Without workspaces in the configuration, nothing changes for callers.

--- /dev/null
+++ b/features/workspaces.feature
@@ -0,0 +1,150 @@
+Feature: Workspaces and keys
+  A caller's key names its workspace. Nothing runs for a key that the
+  configuration in force does not hold, and keys are kept as digests only.
+
+  Scenario Outline: decoding the workspaces of a stored configuration
+    # Guards against a version that is half understood: a quota or a key that was
+    # left out unnoticed refuses callers or admits others.
+    When the stored workspaces <tenants> are decoded
+    Then the decoded workspaces are <verdict>
+
+    Examples:
+      | tenants                                                                                    | verdict |
+      | absent                                                                                     | none    |
+      | []                                                                                         | 0       |
+      | [{"name":"a","api_keys":["k1","k2"],"priority":1,"rate_per_s":175,"burst":1.5}]            | 1       |
+      | [{"name":"a","api_keys":[],"priority":0,"rate_per_s":0,"burst":0}]                         | 1       |
+      | null                                                                                       | refused |
+      | {}                                                                                         | refused |
+      | [7]                                                                                        | refused |
+      | [{"name":"a b","api_keys":["secretkey"],"priority":1,"rate_per_s":1,"burst":1}]            | refused |
+      | [{"name":"","api_keys":["secretkey"],"priority":1,"rate_per_s":1,"burst":1}]               | refused |
+      | [{"name":"a","api_keys":"secretkey","priority":1,"rate_per_s":1,"burst":1}]                | refused |
+      | [{"name":"a","api_keys":["secretkey "],"priority":1,"rate_per_s":1,"burst":1}]             | refused |
+      | [{"name":"a","api_keys":["secretkey\ud800"],"priority":1,"rate_per_s":1,"burst":1}]        | refused |
+      | [{"name":"a","api_keys":["secretkey",""],"priority":1,"rate_per_s":1,"burst":1}]           | refused |
+      | [{"name":"a","api_keys":["secretkey"],"priority":1.5,"rate_per_s":1,"burst":1}]            | refused |
+      | [{"name":"a","api_keys":["secretkey"],"priority":1,"rate_per_s":-1,"burst":1}]             | refused |
+      | [{"name":"a","api_keys":["secretkey"],"priority":1,"rate_per_s":true,"burst":1}]           | refused |
+      | [{"name":"a","api_keys":["secretkey"],"priority":1,"rate_per_s":1e99,"burst":1}]           | refused |
+      | [{"name":"a","api_keys":["secretkey"],"priority":1,"rate_per_s":1}]                        | refused |
+      | [{"name":"a","api_keys":[],"priority":1,"rate_per_s":1,"burst":1},{"name":"a","api_keys":[],"priority":1,"rate_per_s":1,"burst":1}] | refused |
+      | [{"name":"a","api_keys":["secretkey"],"priority":1,"rate_per_s":1,"burst":1},{"name":"b","api_keys":["secretkey"],"priority":1,"rate_per_s":1,"burst":1}] | refused |
+
+  Scenario Outline: a route is anonymous only if the configuration says so
+    When a stored route with anonymous <content> is decoded
+    Then the decoded route is <verdict>
+
+    Examples:
+      | content | verdict       |
+      | absent  | not anonymous |
+      | false   | not anonymous |
+      | true    | anonymous     |
+      | "false" | refused       |
+      | 1       | refused       |
+
+  Scenario Outline: the start of a session
+    # Guards against callers without a valid key, and against a host that refuses
+    # callers where no key is required.
+    Given a host whose configuration <state>
+    When a caller with a key exchanges <lines>
+    Then the caller with a key receives <answer>
+
+    Examples:
+      | state                              | lines             | answer                       |
+      | has key k1                         | START book k1/    | READY I -/                   |
+      | has key k1                         | START book k2/    | ERROR AUTHFAIL               |
+      | has key k1                         | START book/       | ERROR AUTHFAIL               |
+      | has key k1                         | START nobody k2/  | ERROR NOSUCHDB               |
+      | has key k1 and an anonymous route  | START book k2/    | READY I -/                   |
+      | has key k1 and an anonymous route  | START book/       | READY I -/                   |
+      | has no workspaces                  | START book k2/    | READY I -/                   |
+      | has no workspaces                  | START book/       | READY I -/                   |
+
+  Scenario Outline: what the work of a caller names
+    Given a host whose configuration <state>
+    And its reads are recorded
+    When a caller with a key exchanges START book k1/QUERY 1 READ 7/
+    Then the recorded work names workspace <workspace> and version 2
+
+    Examples:
+      | state                             | workspace |
+      | has key k1                        | forge     |
+      | has key k1 and an anonymous route | nobody    |
+      | has no workspaces                 | nobody    |
+
+  Scenario Outline: a key is revoked while its session is open
+    # Guards against statements of a key that was revoked. A transaction that has
+    # begun at a member may finish; one of which nothing has run is a new one.
+    Given a session whose key k1 is in force
+    When the caller sends <before>
+    And a new version has key k2
+    And the caller sends <statements>
+    Then the last reply is <reply>
+    And the session is <state>
+
+    Examples:
+      | before       | statements    | reply           | state          |
+      | read         | read          | unauthenticated | idle           |
+      | write        | write         | unauthenticated | idle           |
+      | read         | begin         | unauthenticated | idle           |
+      | prepare      | execute       | unauthenticated | idle           |
+      | read         | set           | unauthenticated | idle           |
+      | begin, write | read          | success         | in_transaction |
+      | begin, write | write, commit | success         | idle           |
+      | begin, write | commit, read  | unauthenticated | idle           |
+      | begin        | write         | unauthenticated | failed         |
+      | begin        | commit        | rolled_back     | idle           |
+
+  Scenario: a key that stays in force is served on
+    Given a session whose key k1 is in force
+    When a new version has key k1
+    And the caller sends read
+    Then the last reply is success
+
+  Scenario Outline: strict revocation ends an open transaction
+    Given a session whose key k1 is in force, with strict revocation
+    When the caller sends begin, write
+    And a new version has key k2
+    And the regular round of the host runs <rounds> times
+    And the caller sends <statements>
+    Then the last reply is <reply>
+    And the session is <state>
+    And the transaction was rolled back at the primary
+
+    Examples:
+      | rounds | statements  | reply           | state  |
+      | 0      | write       | unauthenticated | failed |
+      | 0      | commit      | rolled_back     | idle   |
+      | 1      | write       | unauthenticated | failed |
+      | 1      | commit      | rolled_back     | idle   |
+      | 1      | write, read | malformed       | failed |
+
+  Scenario: strict revocation needs no further statement of the caller
+    Given a session whose key k1 is in force, with strict revocation
+    When the caller sends begin, write
+    And a new version has key k2
+    And the regular round of the host runs 1 times
+    Then the transaction was rolled back at the primary
+
+  Scenario Outline: idle sessions of a revoked key are closed
+    Given a session whose key k1 is in force
+    And a second session with key k2
+    When the caller sends <before>
+    And a new version has key k2
+    And the regular round of the host runs 3 times
+    Then the closed sessions are <closed>
+
+    Examples:
+      | before               | closed |
+      | read                 | first  |
+      | begin, write         | none   |
+      | begin, write, commit | first  |
+
+  Scenario: a key appears in no log line and in no state
+    Given a host whose configuration has key topsecret
+    And its reads are recorded
+    When a caller with a key exchanges START book topsecret/QUERY 1 READ 7/
+    And a new version has key othersecret
+    And a caller with a key exchanges START book topsecret/
+    Then no log line, session or work contains secret
--- a/mimosapond/configuration/active_configuration.py
+++ b/mimosapond/configuration/active_configuration.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import contextlib
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Final, final
 
 from loguru import logger
 
 from mimosapond.configuration.configuration import Configuration
 from mimosapond.configuration.route import Route
+from mimosapond.configuration.workspace import Workspace
 
 _DEFAULT_TRANSACTION_IDLE_TIMEOUT_MS: Final = 3000.0
 
@@ -19,6 +22,7 @@
     def __init__(self) -> None:
         """Start without a configuration."""
         self._current: Configuration | None = None
+        self._by_digest: Mapping[str, Workspace] = MappingProxyType({})
         self._loaded = asyncio.Event()
 
     async def wait_until_loaded(self, limit_s: float) -> None:
@@ -27,6 +31,11 @@
             async with asyncio.timeout(limit_s):
                 await self._loaded.wait()
 
+    @property
+    def current(self) -> Configuration | None:
+        """The configuration in force; None if there is none."""
+        return self._current
+
     @property
     def is_loaded(self) -> bool:
         """Whether a version is in force."""
@@ -50,6 +59,17 @@
             return None
         return self._current.routes.get(database)
 
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether callers need a key on routes that are not anonymous."""
+        return (
+            self._current is not None and self._current.workspaces is not None
+        )
+
+    def workspace_of(self, key_digest: str) -> Workspace | None:
+        """Return the workspace that holds a key; None if there is none."""
+        return self._by_digest.get(key_digest)
+
     def activate(self, configuration: Configuration) -> bool:
         """Put a configuration in force if it is newer; return whether it is."""
         if configuration.version <= self.version:
@@ -60,5 +80,14 @@
             routes=len(configuration.routes),
         ).info('configuration_in_force')
         self._current = configuration
+        self._by_digest = MappingProxyType(_index_digests(configuration))
         self._loaded.set()
         return True
+
+
+def _index_digests(configuration: Configuration) -> dict[str, Workspace]:
+    return {
+        digest: workspace
+        for workspace in (configuration.workspaces or {}).values()
+        for digest in workspace.key_digests
+    }
--- a/mimosapond/entry/host_settings.py
+++ b/mimosapond/entry/host_settings.py
@@ -60,6 +60,8 @@
         'processor_speed_ratio': NumberRule(0.001, MAX_PROCESSOR_RATIO),
         'is_first_start': ChoiceRule(_FLAGS),
         'checks_tokens': ChoiceRule(_FLAGS),
+        'strict_revoke': ChoiceRule(_FLAGS),
+        'revoke_ms': NumberRule(1, DAY_MS),
         'log_level': ChoiceRule(LOG_LEVELS),
     },
 )
@@ -92,6 +94,11 @@
     checks_tokens
         ``true`` if the promotion service refuses a fencing token that is lower
         than one it has seen, and a former primary refuses requests at once.
+    strict_revoke
+        ``true`` if an open transaction is rolled back when the key of its
+        caller is revoked, instead of being allowed to finish.
+    revoke_ms
+        Time within which such a transaction must be rolled back.
     """
 
     host: str
@@ -108,6 +115,8 @@
     processor_speed_ratio: float = 1
     is_first_start: str = _FALSE
     checks_tokens: str = _TRUE
+    strict_revoke: str = _FALSE
+    revoke_ms: float = 5000
     log_level: str = 'INFO'
 
     @property
@@ -125,6 +134,18 @@
         """Whether a promotion with a lower token than earlier is refused."""
         return self.checks_tokens == _TRUE
 
+    @property
+    def is_revocation_strict(self) -> bool:
+        """Whether a revoked key ends its open transactions."""
+        return self.strict_revoke == _TRUE
+
+    @property
+    def configuration_limit_ms(self) -> float:
+        """Time within which a configuration must have taken full effect."""
+        if self.is_revocation_strict:
+            return min(self.configuration_apply_ms, self.revoke_ms)
+        return self.configuration_apply_ms
+
 
 LoadedHostSettings: TypeAlias = HostSettings | InvalidFile
 
--- a/mimosapond/entry/platform_host.py
+++ b/mimosapond/entry/platform_host.py
@@ -151,6 +151,7 @@
         parts.sessions.redirect_groups(
             unreachable if parts.rotation.is_out_of_rotation else frozenset()
         )
+        parts.sessions.close_revoked()
         parts.sessions.close_idle()
 
     def _monitor_groups(self) -> None:
--- a/mimosapond/entry/session_registry.py
+++ b/mimosapond/entry/session_registry.py
@@ -6,6 +6,8 @@
 
 from loguru import logger
 
+from mimosapond.configuration.key_digest import digest_key
+from mimosapond.routing.caller_access import find_access
 from mimosapond.routing import failures
 from mimosapond.sessions.session import Session, SessionServices
 from mimosapond.statements.reply import Failure, SessionState
@@ -36,6 +38,7 @@
         self._idle_since_s: dict[Session, float] = {}
         self._closing: set[Session] = set()
         self._connection_count = 0
+        self._checked_version = services.configuration.version
         self.redirected_groups: frozenset[str] = frozenset()
         self.is_stopping = False
 
@@ -49,16 +52,24 @@
         """Number of open sessions."""
         return len(self._close_callbacks)
 
-    def open(self, database: str) -> Session | Failure:
-        """Return a new session, or the reason why it cannot be opened."""
+    def open(self, database: str, key: str = '') -> Session | Failure:
+        """Return a new session, or the reason why it cannot be opened.
+
+        Parameters
+        ----------
+        key
+            The caller's key; only its digest is kept.
+        """
         configuration = self._services.configuration
         if not configuration.is_loaded:
             return failures.NO_CONFIGURATION
         if not self._services.limits.accepts_statements:
             return failures.HOST_STOPPING
-        if configuration.route(database) is None:
-            return failures.NO_SUCH_DATABASE
-        return Session(database, self._services)
+        key_digest = digest_key(key)
+        access = find_access(configuration, database, key_digest)
+        if isinstance(access, Failure):
+            return access
+        return Session(database, self._services, key_digest)
 
     @contextlib.contextmanager
     def connected(self) -> Iterator[None]:
@@ -98,9 +109,11 @@
 
     def should_close(self, session: Session) -> bool:
         """Return whether to close a session now that its reply was sent."""
-        if session.state is not SessionState.idle:
+        if session.state is SessionState.in_transaction:
             return False
-        return (
+        if session.is_revoked:
+            return True
+        return session.state is SessionState.idle and (
             self.is_stopping
             or session in self._closing
             or session.group in self.redirected_groups
@@ -149,6 +162,30 @@
             )
         self.redirected_groups = groups
 
+    def close_revoked(self) -> None:
+        """Mark the sessions of keys that the newest configuration lacks.
+
+        Their open transactions are rolled back if revocation is strict, except
+        while a statement is under way; the session ends these itself.
+        """
+        version = self._services.configuration.version
+        if version != self._checked_version:
+            self._checked_version = version
+            revoked = {
+                session
+                for session in self._close_callbacks
+                if session.is_revoked
+            }
+            self._closing |= revoked
+            if revoked:
+                logger.bind(version=version, sessions=len(revoked)).info(
+                    'callers_revoked'
+                )
+        if self._services.is_revocation_strict:
+            for session in self._closing - self._busy:
+                if session.is_revoked:
+                    session.roll_back_revoked()
+
     def close_idle(self) -> None:
         """Close marked sessions without a transaction or request in flight."""
         idle_until_s = self._services.routing.now() - _MIN_IDLE_S
--- a/mimosapond/platform/caller_server.py
+++ b/mimosapond/platform/caller_server.py
@@ -97,10 +97,11 @@
 
     async def _open_session(self) -> Session:
         word, _, rest = (await self._lines.read()).partition(' ')
-        database = rest.partition(' ')[0]
+        database, _, credentials = rest.partition(' ')
+        key = credentials.partition(' ')[0]
         if word != 'START' or not database:
             raise _ProtocolError(_MALFORMED_MESSAGE)
-        session = self._sessions.open(database)
+        session = self._sessions.open(database, key)
         if isinstance(session, Failure):
             raise _ProtocolError(session)
         self._session = session
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -166,6 +166,7 @@
             reads=self._build_read_router(routing, self._relay_finder),
             routing=routing,
             limits=self._limits,
+            is_revocation_strict=self._settings.is_revocation_strict,
         )
 
     def _build_relayed_work_services(self) -> RelayedWorkServices:
@@ -228,7 +229,7 @@
                 StoreConfiguration(self._store),
                 self._active_configuration,
                 self._directory.apply_limits,
-                self._settings.configuration_apply_ms / _MS_PER_S,
+                self._settings.configuration_limit_ms / _MS_PER_S,
             ),
             registration_poller=self._registrations,
             peer_discovery=PeerDiscovery(
--- a/mimosapond/platform/configuration_codec.py
+++ b/mimosapond/platform/configuration_codec.py
@@ -7,6 +7,7 @@
 from mimosapond.configuration.configuration import Configuration, GroupLimits
 from mimosapond.configuration.route import Freshness, Route
 from mimosapond.json_decoding import UndecodableJson, decode_json_object
+from mimosapond.platform.workspace_codec import decode_workspaces
 
 _FRESHNESS: Final = MappingProxyType(
     {
@@ -43,6 +44,9 @@
             for entry in body['services']
         },
         transaction_idle_timeout_ms=float(body['limits']['tx_idle_ms']),
+        workspaces=(
+            decode_workspaces(body['tenants']) if 'tenants' in body else None
+        ),
     )
 
 
@@ -54,4 +58,12 @@
         max_age_ms=float(entry.get('max_staleness_ms', 0)),
         statement_timeout_ms=float(entry['timeout_ms']),
         priority=int(entry.get('priority', 0)),
+        is_anonymous=_decode_flag(entry.get('anonymous', False)),
     )
+
+
+def _decode_flag(content: object) -> bool:
+    # A text such as "false" must not open a route to callers without a key.
+    if isinstance(content, bool):
+        return content
+    raise ValueError('anonymous is neither true nor false')
--- a/mimosapond/routing/failures.py
+++ b/mimosapond/routing/failures.py
@@ -70,6 +70,16 @@
     FailureKind.no_such_database,
     'no route exists for this database; check its name',
 )
+UNKNOWN_KEY: Final = Failure(
+    FailureKind.unauthenticated,
+    'the key identifies no workspace and nothing was run; connect with a key '
+    'of the workspace',
+)
+REVOKED_IN_TRANSACTION: Final = Failure(
+    FailureKind.unauthenticated,
+    'the key was revoked and the transaction was rolled back; repeat it with '
+    'another key of the workspace',
+)
 
 
 def from_rejection(answer: Rejected) -> Failure:
--- a/mimosapond/sessions/session.py
+++ b/mimosapond/sessions/session.py
@@ -7,9 +7,14 @@
 from loguru import logger
 
 from mimosapond.configuration.active_configuration import ActiveConfiguration
-from mimosapond.configuration.route import Route
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.log_position import LogPosition
+from mimosapond.routing.caller_access import (
+    AccessAnswer,
+    CallerAccess,
+    find_access,
+    is_revoked,
+)
 from mimosapond.routing.read_router import ReadRouter
 from mimosapond.routing import failures
 from mimosapond.routing.session_definitions import SessionDefinitions
@@ -25,12 +30,12 @@
     Commit,
     DirectStatement,
     Execute,
-    Deallocate,
-    Prepare,
     Rollback,
-    SetValue,
     Statement,
-    MalformedStatement,
+)
+from mimosapond.sessions.definition_statements import (
+    apply_definition,
+    is_read,
 )
 from mimosapond.sessions.serving_limits import ServingLimits
 from mimosapond.sessions.transaction import Transaction, TransactionRouting
@@ -54,6 +59,9 @@
     ----------
     limits
         Says until when statements are begun and answered.
+    is_revocation_strict
+        Whether an open transaction is rolled back when the key of its caller is
+        revoked.
     """
 
     configuration: ActiveConfiguration
@@ -61,28 +69,35 @@
     reads: ReadRouter
     routing: TransactionRouting
     limits: ServingLimits
+    is_revocation_strict: bool = False
 
 
 @final
 class Session:
     """Runs the statements of one caller, one at a time."""
 
-    def __init__(self, database: str, services: SessionServices) -> None:
+    def __init__(
+        self, database: str, services: SessionServices, key_digest: str = ''
+    ) -> None:
         """Create a session that is not in a transaction.
 
         Parameters
         ----------
         database
             Name of the database, which determines the route.
+        key_digest
+            Digest of the caller's key; empty without a key.
         """
         self._database = database
+        self._key_digest = key_digest
         self._services = services
         self._definitions = SessionDefinitions()
         self._transaction: Transaction | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
         self._floor: SessionFloor | None = None
-        self._route: Route | None = None
-        self._idle_limit_exceeded = False
+        self._access: CallerAccess | None = None
+        # Why this host rolled back a transaction, until the caller is told.
+        self._unreported_end: Failure | None = None
         # Task that runs a statement, and whether ``interrupt`` cancelled it.
         self._running_task: asyncio.Task[object] | None = None
         self._is_interrupted = False
@@ -94,6 +109,13 @@
         route = self._services.configuration.route(self._database)
         return '' if route is None else route.group
 
+    @property
+    def is_revoked(self) -> bool:
+        """Whether the configuration in force does not know the key."""
+        return is_revoked(
+            self._services.configuration, self._database, self._key_digest
+        )
+
     async def execute(self, request_id: str, statement: Statement) -> Reply:
         """Run one statement and return its reply.
 
@@ -121,6 +143,13 @@
             self._is_interrupted = True
             self._running_task.cancel()
 
+    def roll_back_revoked(self) -> None:
+        """Roll back an open transaction because the key was revoked."""
+        if self.state is SessionState.in_transaction:
+            self._stop_idle_timer()
+            self._fail_transaction()
+            self._unreported_end = failures.REVOKED_IN_TRANSACTION
+
     def close(self) -> None:
         """Roll back an open transaction after the caller has disconnected."""
         self._stop_idle_timer()
@@ -150,20 +179,10 @@
         if self._transaction is not None:
             self._fail_transaction()
             return failures.ROLLED_BACK
-        if self._is_read(statement):
+        if is_read(self._definitions, statement):
             return failures.READ_UNANSWERED
         return failures.WRITE_UNANSWERED
 
-    def _is_read(self, statement: Statement) -> bool:
-        match statement:
-            case DirectStatement(is_write=is_write):
-                return not is_write
-            case Execute(name=name):
-                shape = self._definitions.prepared_shapes.get(name)
-                return shape is not None and not shape.is_write
-            case _:
-                return False
-
     def _may_begin(self, statement: Statement) -> bool:
         # In the failed state, statements end at this host.
         return (
@@ -200,36 +219,27 @@
                 call = PreparedCall(shape, arguments)
                 return await self._run_statement(request_id, call)
             case _:
-                return self._update_definitions(statement)
+                return self._define(statement)
 
     def _reject_in_failed_state(self) -> Failure:
-        if self._idle_limit_exceeded:
-            self._idle_limit_exceeded = False
-            return failures.IDLE_TIMEOUT
-        return failures.TRANSACTION_FAILED
+        reason = self._unreported_end or failures.TRANSACTION_FAILED
+        self._unreported_end = None
+        return reason
 
-    def _update_definitions(self, statement: Statement) -> Reply:
-        match statement:
-            case SetValue(name=name, value=value):
-                self._definitions.values[name] = value
-            case Prepare(name=name, shape=shape):
-                self._definitions.prepared_shapes[name] = shape
-            case Deallocate(name=name):
-                if self._definitions.prepared_shapes.pop(name, None) is None:
-                    return failures.NO_SUCH_STATEMENT
-            case MalformedStatement(problem=problem):
-                return Failure(FailureKind.malformed, problem)
-        return Success()
+    def _define(self, statement: Statement) -> Reply:
+        if self._transaction is None and self.is_revoked:
+            return failures.UNKNOWN_KEY
+        return apply_definition(self._definitions, statement)
 
     def _begin(self, begin: Begin) -> Reply:
         if self.state is not SessionState.idle:
             return failures.IN_TRANSACTION
-        route = self._services.configuration.route(self._database)
-        if route is None:
-            return failures.NO_SUCH_DATABASE
-        # The transaction keeps this route; a changed route takes effect with
-        # the next transaction.
-        self._route = route
+        access = self._find_access()
+        if isinstance(access, Failure):
+            return access
+        # The transaction keeps this route and workspace; changed ones take
+        # effect with the next transaction.
+        self._access = access
         self._transaction = Transaction(begin, self._services.routing)
         self.state = SessionState.in_transaction
         return Success()
@@ -238,9 +248,12 @@
         if self.state is SessionState.failed:
             self._end_transaction()
             return failures.ROLLED_BACK
-        if self._transaction is None or self._route is None:
+        if self._transaction is None or self._access is None:
             return failures.NOT_IN_TRANSACTION
-        work = self._work(request_id, _NO_STATEMENT, self._route)
+        if self._is_ended_by_revocation(self._transaction):
+            self._end_transaction()
+            return failures.ROLLED_BACK
+        work = self._work(request_id, _NO_STATEMENT, self._access)
         reply, position = await self._transaction.commit(work)
         if position is not None:
             self._raise_floor(position)
@@ -256,16 +269,19 @@
     async def _run_statement(
         self, request_id: str, statement: ExecutableStatement
     ) -> Reply:
-        if self._transaction is not None and self._route is not None:
-            work = self._work(request_id, statement, self._route)
+        if self._transaction is not None and self._access is not None:
+            if self._is_ended_by_revocation(self._transaction):
+                self._fail_transaction()
+                return failures.REVOKED_IN_TRANSACTION
+            work = self._work(request_id, statement, self._access)
             reply = await self._transaction.run(work)
             if isinstance(reply, Failure):
                 self._fail_transaction()
             return reply
-        route = self._services.configuration.route(self._database)
-        if route is None:
-            return failures.NO_SUCH_DATABASE
-        work = self._work(request_id, statement, route)
+        access = self._find_access()
+        if isinstance(access, Failure):
+            return access
+        work = self._work(request_id, statement, access)
         if not statement.is_write:
             return await self._services.reads.run(work)
         reply, position = await self._services.routing.writes.run(work)
@@ -273,9 +289,24 @@
             self._raise_floor(position)
         return reply
 
+    def _find_access(self) -> AccessAnswer:
+        return find_access(
+            self._services.configuration, self._database, self._key_digest
+        )
+
+    def _is_ended_by_revocation(self, transaction: Transaction) -> bool:
+        # A transaction of which nothing has run yet counts as a new one.
+        return self.is_revoked and (
+            self._services.is_revocation_strict or not transaction.is_open
+        )
+
     def _work(
-        self, request_id: str, statement: ExecutableStatement, route: Route
+        self,
+        request_id: str,
+        statement: ExecutableStatement,
+        access: CallerAccess,
     ) -> Work:
+        route = access.route
         arrived_s = self._services.routing.now()
         return Work(
             request_id=request_id,
@@ -288,6 +319,9 @@
                 arrived_s + route.statement_timeout_ms / _MS_PER_S
             ),
             floor=self._floor,
+            workspace=access.workspace,
+            key_digest=self._key_digest,
+            configuration_version=access.configuration_version,
         )
 
     def _raise_floor(self, position: LogPosition) -> None:
@@ -303,8 +337,8 @@
         if self._transaction is not None:
             self._transaction.abandon()
         self._transaction = None
-        self._route = None
-        self._idle_limit_exceeded = False
+        self._access = None
+        self._unreported_end = None
         self.state = SessionState.idle
 
     def _start_idle_timer(self) -> None:
@@ -321,4 +355,4 @@
     def _on_idle_timeout(self) -> None:
         if self.state is SessionState.in_transaction:
             self._fail_transaction()
-            self._idle_limit_exceeded = True
+            self._unreported_end = failures.IDLE_TIMEOUT
--- a/mimosapond/sessions/transaction.py
+++ b/mimosapond/sessions/transaction.py
@@ -85,6 +85,11 @@
         self._has_written = False
         self._is_over = False
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the transaction was opened at a member or another host."""
+        return self._opened is not None
+
     async def run(self, work: Work) -> Reply:
         """Run one statement and return its reply.
 
