Check the key and the route of work again at the host that carries it out

Cause: hosts learn of a new version at different times, and a host passed work on without saying by which version it had admitted the caller; the other host could not refuse what it knew to be revoked. Change: workspace, digest and version travel with work. A host with a newer version looks up database and key again for single statements and for the first statement of a transaction: it refuses an unknown key or database, uses the newer route, and answers "not run" if the route leads to another group now. Statements and commits of an open transaction are let through, unless revocation is strict. Frames without the fields decode with defaults, and is_anonymous is sent only where it is set, because earlier hosts refuse a route with a field that they do not know. A stopping host closes sessions of revoked keys as well. Ruled out: running the work at the group of the newer route, because work is passed on only once, and its session floor is a position in the log of the former group.

--- a/features/relay_builders.py
+++ b/features/relay_builders.py
@@ -70,9 +70,14 @@
     server: PeerServer
 
 
-def build_pair(route: Route) -> RelayingPair:
+def build_pair(
+    route: Route, *, is_revocation_strict: bool = False
+) -> RelayingPair:
     """Build two hosts in the running loop; the relay listens."""
     relay = build_world(route)
+    relay.services = attrs.evolve(
+        relay.services, is_revocation_strict=is_revocation_strict
+    )
     handler = RelayedWorkHandler(build_relayed_work_services(relay))
     server, address = serve_handler(handler, relay)
     directory, finder = build_finder('near', address)
@@ -128,6 +133,7 @@
         ),
         now=boot_time_s,
         limits=world.services.limits,
+        is_revocation_strict=world.services.is_revocation_strict,
     )
 
 
--- a/features/steps/relaying_steps.py
+++ b/features/steps/relaying_steps.py
@@ -273,12 +273,16 @@
         arrived_s=now_s - age_s,
         deadline_s=now_s + 1,
         floor=SessionFloor(position, now_s - age_s),
+        workspace='forge',
+        key_digest='a1',
+        configuration_version=7,
     )
     received_s = now_s + age_s
     actual = decode_work(encode_work(work, now_s), world.directory, received_s)
     assert actual.statement == statement
     assert actual.values == values
     assert (actual.request_id, actual.route) == (work.request_id, work.route)
+    assert _admission_of(actual) == _admission_of(work)
     assert actual.group is world.group
     assert actual.floor is not None and actual.floor.position == position
     # On a clock that is ahead by the age, no decoded time is earlier than the
@@ -288,6 +292,10 @@
     assert actual.floor.acknowledged_s + tolerance_s >= now_s
 
 
+def _admission_of(work: Work) -> tuple[str, str, int]:
+    return work.workspace, work.key_digest, work.configuration_version
+
+
 @then('any work is unchanged after it is encoded and decoded')
 def check_any_work(context: Any) -> None:
     """Check generated examples of work."""
--- a/features/workspace_builders.py
+++ b/features/workspace_builders.py
@@ -15,14 +15,17 @@
     build_configuration,
     build_route,
 )
+from mimosapond.boot_clock import boot_time_s
 from mimosapond.configuration.configuration import Configuration
 from mimosapond.configuration.key_digest import digest_key
 from mimosapond.configuration.workspace import Workspace
 from mimosapond.entry.session_registry import SessionRegistry
 from mimosapond.platform.caller_server import CallerServer
+from mimosapond.groups.group import Group
 from mimosapond.routing.work import Work
 from mimosapond.sessions.session import Session
 from mimosapond.statements.reply import Reply, Success
+from mimosapond.statements.statement import DirectStatement
 
 WORKSPACE: Final = 'forge'
 _LOOPBACK: Final = '127.0.0.1'
@@ -66,6 +69,24 @@
     return Session(DATABASE, world.services, digest_key(key))
 
 
+def build_work(group: Group, key: str, version: int) -> Work:
+    """Build a read of a caller with a key, by a version of its route."""
+    now_s = boot_time_s()
+    return Work(
+        request_id='r1',
+        statement=DirectStatement('read x', is_write=False),
+        values={},
+        route=build_route(),
+        group=group,
+        arrived_s=now_s,
+        deadline_s=now_s + 1,
+        floor=None,
+        workspace=WORKSPACE,
+        key_digest=digest_key(key),
+        configuration_version=version,
+    )
+
+
 @final
 class RecordingReads:
     """Records the work of reads and answers them; see ``ReadRouter``."""
--- a/features/workspaces.feature
+++ b/features/workspaces.feature
@@ -148,3 +148,45 @@
     And a new version has key othersecret
     And a caller with a key exchanges START book topsecret/
     Then no log line, session or work contains secret
+
+  Scenario Outline: a host with a newer configuration checks relayed work again
+    # Guards against a host that does not hear of a new version and has the work
+    # of a revoked key run at a host that has heard of it.
+    Given two hosts with key k1, of which the second reaches the primary
+    When the caller sends <before>
+    And the second host has a newer version with <change>
+    And the caller sends <statements>
+    Then the last reply is <reply>
+
+    Examples:
+      | before       | change        | statements   | reply            |
+      | set          | key k1        | write        | success          |
+      | set          | key k1        | begin, write | success          |
+      | set          | key k2        | write        | unauthenticated  |
+      | set          | key k2        | read         | success          |
+      | set          | key k2        | begin, write | unauthenticated  |
+      | set          | no route      | write        | no_such_database |
+      | set          | another group | write        | not_run          |
+      | begin, write | key k2        | write        | success          |
+      | begin, write | key k2        | commit       | success          |
+
+  Scenario Outline: a host with strict revocation ends relayed transactions
+    Given two hosts with key k1, of which the second reaches the primary strictly
+    When the caller sends begin, write
+    And the second host has a newer version with key k2
+    And the caller sends <statements>
+    Then the last reply is <reply>
+    And the second host has rolled the transaction back
+
+    Examples:
+      | statements | reply           |
+      | write      | unauthenticated |
+      | commit     | rolled_back     |
+
+  Scenario: work uses the newer route of two hosts
+    Given a route that changed its priority from 1 to 5
+    Then work of the older version has priority 5 at a host with the newer one
+    And work of the newer version has priority 1 at a host with the older one
+
+  Scenario: work of an earlier version of the product is decoded
+    Then work without the fields of workspaces has none, and is anonymous if said
--- a/mimosapond/entry/session_drain.py
+++ b/mimosapond/entry/session_drain.py
@@ -88,6 +88,7 @@
             or not self.limits.accepts_statements
         ):
             self.sessions.close_when_idle()
+        self.sessions.close_revoked()
         self.sessions.close_idle()
 
     def _interrupt(self) -> None:
--- a/mimosapond/peers/relayed_work_handler.py
+++ b/mimosapond/peers/relayed_work_handler.py
@@ -14,6 +14,11 @@
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.holding import Holding, HoldsAll
 from mimosapond.peers.peer_client import PrimaryReport
+from mimosapond.peers.work_renewal import (
+    RenewedWork,
+    is_work_revoked,
+    renew_work,
+)
 from mimosapond.routing import failures
 from mimosapond.routing.primary_probe import PrimaryProbe, ProbeResult
 from mimosapond.routing.read_router import ReadRouter
@@ -48,6 +53,7 @@
     now: Now
     limits: ServingLimits
     holding: Holding = HoldsAll()
+    is_revocation_strict: bool = False
 
 
 @final
@@ -115,16 +121,22 @@
 
     async def read(self, work: Work) -> WorkDone:
         """Run a single read."""
+        renewed = renew_work(work, self._services.configuration)
+        if isinstance(renewed, Failure):
+            return WorkDone(renewed)
         self._hold(work.group)
         with self._count_running():
-            reply = await self._services.reads.run(work)
+            reply = await self._services.reads.run(renewed)
         return WorkDone(reply)
 
     async def write(self, work: Work) -> WorkDone:
         """Run a single write."""
+        renewed = renew_work(work, self._services.configuration)
+        if isinstance(renewed, Failure):
+            return WorkDone(renewed)
         self._hold(work.group)
         with self._count_running():
-            reply, position = await self._services.routing.writes.run(work)
+            reply, position = await self._services.routing.writes.run(renewed)
         return WorkDone(reply, position)
 
     async def run_in_transaction(
@@ -145,8 +157,13 @@
         -------
         WorkDone
             With a failure if the transaction is unknown, if it is to begin
-            and its key is in use, or if this host stops too soon.
+            and its key is in use or its caller is not admitted, or if this host
+            stops too soon.
         """
+        renewed = self._admit_to_transaction(work, is_first=is_first)
+        if isinstance(renewed, Failure):
+            self.roll_back(key)
+            return WorkDone(renewed)
         self._hold(work.group)
         if not self._services.limits.accepts_statements:
             self.roll_back(key)
@@ -156,7 +173,7 @@
             return WorkDone(failures.ROLLED_BACK)
         self._stop_idle_timer(entry)
         with self._count_running():
-            reply = await self._run_statement(entry, work)
+            reply = await self._run_statement(entry, renewed)
         if isinstance(reply, Failure):
             self.roll_back(key)
         else:
@@ -165,7 +182,9 @@
 
     async def commit(self, key: str, work: Work) -> WorkDone:
         """Commit a transaction; one that is not open was rolled back."""
-        if not self._services.limits.accepts_commits:
+        if self._is_ended_by_revocation(work) or (
+            not self._services.limits.accepts_commits
+        ):
             self.roll_back(key)
             return WorkDone(failures.ROLLED_BACK)
         entry = self._open.pop(key, None)
@@ -191,6 +210,20 @@
         logger.bind(key=key).info('relayed_transaction_expired')
         self.roll_back(key)
 
+    def _admit_to_transaction(
+        self, work: Work, *, is_first: bool
+    ) -> RenewedWork:
+        if is_first:
+            return renew_work(work, self._services.configuration)
+        if self._is_ended_by_revocation(work):
+            return failures.REVOKED_IN_TRANSACTION
+        return work
+
+    def _is_ended_by_revocation(self, work: Work) -> bool:
+        return self._services.is_revocation_strict and is_work_revoked(
+            work, self._services.configuration
+        )
+
     def _hold(self, group: Group) -> None:
         """Hold a group that another host passes work on for."""
         services = self._services
--- a/mimosapond/peers/work_codec.py
+++ b/mimosapond/peers/work_codec.py
@@ -30,16 +30,12 @@
         'request_id': work.request_id,
         'access': _encode_statement(work.statement),
         'values': dict(work.values),
-        'route': {
-            'database': work.route.database,
-            'group': work.route.group,
-            'freshness': work.route.freshness.value,
-            'max_age_ms': work.route.max_age_ms,
-            'statement_timeout_ms': work.route.statement_timeout_ms,
-            'priority': work.route.priority,
-        },
+        'route': _encode_route(work.route),
         'remaining_ms': (work.deadline_s - now_s) * _MS_PER_S,
         'floor': _encode_floor(work.floor, now_s),
+        'workspace': work.workspace,
+        'key_digest': work.key_digest,
+        'configuration_version': work.configuration_version,
     }
 
 
@@ -75,6 +71,10 @@
         arrived_s=now_s,
         deadline_s=now_s + body['remaining_ms'] / _MS_PER_S,
         floor=_decode_floor(body['floor'], now_s),
+        # Hosts of an earlier version of the product do not send these.
+        workspace=str(body.get('workspace', '')),
+        key_digest=str(body.get('key_digest', '')),
+        configuration_version=int(body.get('configuration_version', -1)),
     )
 
 
@@ -126,6 +126,21 @@
     return LogPosition(int(term), int(number))
 
 
+def _encode_route(route: Route) -> dict[str, Any]:
+    fields = {
+        'database': route.database,
+        'group': route.group,
+        'freshness': route.freshness.value,
+        'max_age_ms': route.max_age_ms,
+        'statement_timeout_ms': route.statement_timeout_ms,
+        'priority': route.priority,
+    }
+    # Hosts of an earlier version of the product refuse routes with this field.
+    if route.is_anonymous:
+        fields['is_anonymous'] = True
+    return fields
+
+
 def _encode_statement(statement: ExecutableStatement) -> dict[str, Any]:
     match statement:
         case PreparedCall(shape=shape, arguments=arguments):
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -181,6 +181,7 @@
             now=self._now,
             limits=self._limits,
             holding=self._holders,
+            is_revocation_strict=self._settings.is_revocation_strict,
         )
 
     def _build_read_router(
--- a/mimosapond/routing/failures.py
+++ b/mimosapond/routing/failures.py
@@ -70,6 +70,10 @@
     FailureKind.no_such_database,
     'no route exists for this database; check its name',
 )
+ROUTE_CHANGED: Final = Failure(
+    FailureKind.not_run,
+    f'the route of the database has changed; retry after {RETRY_AFTER_MS} ms',
+)
 UNKNOWN_KEY: Final = Failure(
     FailureKind.unauthenticated,
     'the key identifies no workspace and nothing was run; connect with a key '
