--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -109,7 +109,7 @@
             StoreConfiguration(self._store),
             self._active_configuration,
             self._directory.apply_limits,
-            settings.configuration_apply_ms / _MS_PER_S,
+            settings.configuration_limit_ms / _MS_PER_S,
         )
         self._state_publisher = StatePublisher(
             self._directory, self._configuration_follower, self._now
@@ -190,6 +190,7 @@
             reads=self._build_read_router(routing, self._relay_finder),
             routing=routing,
             limits=self._limits,
+            is_revocation_strict=self._settings.is_revocation_strict,
         )
 
     def _build_relayed_work_services(self) -> RelayedWorkServices:
@@ -204,6 +205,7 @@
             now=self._now,
             limits=self._limits,
             holding=self._holders,
+            is_revocation_strict=self._settings.is_revocation_strict,
         )
 
     def _build_read_router(
