Keep each connection to a member for the workspace that it was opened for

Cause: a pool gave any idle connection to any borrower, so a statement could have run on a connection that another workspace had opened. Each waiter also backed off on its own after a refused START, and opened a connection of its own, which together kept a full member busy.

Change: connections belong to a workspace; borrow() gives a caller only those of its own, and opens one in the place of the least recently used idle connection at the limit. Requests of the product (workspace None, the default) may use any. The pool is split into the waiters, the idle connections with the places under the limit, the pace of dials and the dials themselves. A connection beyond the limit, which a probe may open, is closed on its release unless a borrower waits for it.

Ruled out: workspace '' as the sign of a request of the product, since callers of an anonymous route have none either and would get connections of workspaces.

--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -271,7 +271,7 @@
         self._on_request = on_request
 
     async def dial(
-        self, record: MemberRecord
+        self, record: MemberRecord, workspace: str = ''
     ) -> FakeConnection | Rejected | LinkLost:
         """Open a connection.
 
--- a/features/steps/foreign_entries_steps.py
+++ b/features/steps/foreign_entries_steps.py
@@ -214,7 +214,7 @@
     def __init__(self) -> None:
         self._has_failed = False
 
-    async def dial(self, record: Any) -> FakeConnection:
+    async def dial(self, record: Any, workspace: str) -> FakeConnection:
         """Open a connection, except at the first call."""
         if not self._has_failed:
             self._has_failed = True
@@ -257,7 +257,7 @@
     def __init__(self) -> None:
         self.addresses: list[str] = []
 
-    async def dial(self, record: Any) -> FakeConnection:
+    async def dial(self, record: Any, workspace: str) -> FakeConnection:
         """Record the address and open a connection."""
         self.addresses.append(f'{record.ip}:{record.port}')
         return FakeConnection(FakeMember(record.member_id))
--- a/mimosapond/groups/connection_pool.py
+++ b/mimosapond/groups/connection_pool.py
@@ -1,33 +1,36 @@
 """Pool of the connections of one host to one member.
 
-Waiting borrowers are served by priority, then in order of arrival.
+Each connection belongs to the workspace that it was opened for, and carries
+the statements of no other. Waiting borrowers are served by priority, then in
+order of arrival.
 """
 
 import asyncio
-import heapq
-import itertools
-import random
+import functools
 from collections.abc import Mapping
-from typing import Final, final
+from typing import Final, TypeAlias, final
 
 import attrs
-from loguru import logger
 
 from mimosapond.boot_clock import Now
+from mimosapond.groups.connection_dialing import (
+    ConnectionDialing,
+    DialEnd,
+    DialFailed,
+    DialRefused,
+)
 from mimosapond.groups.connection_lease import ConnectionLease
-from mimosapond.groups.member_answer import LinkLost, Rejected, RejectionKind
+from mimosapond.groups.connection_waiters import ConnectionWaiters, Waiter
+from mimosapond.groups.dial_pace import DialPace
+from mimosapond.groups.idle_connections import (
+    MIN_REPLACED_AGE_S,
+    IdleConnections,
+    PlaceClaim,
+)
 from mimosapond.groups.member_load import MemberLoad
-from mimosapond.groups.member_port import MemberConnection, MemberDialer
+from mimosapond.groups.member_port import MemberDialer
 from mimosapond.groups.member_record import MemberRecord
 from mimosapond.groups.pooled_connection import PooledConnection
-from mimosapond.statements.reply import SessionState
-
-# Back-off before the next attempt when the member has reached its connection
-# limit. It is jittered, because other hosts compete for the same connections.
-_CONNECTION_LIMIT_BACK_OFF_S: Final = 0.06
-# Connections that may be opened beyond the limit while a probe waits, so that
-# probes do not wait for connections whose requests are stuck.
-_PROBE_RESERVE_COUNT: Final = 1
 
 
 @final
@@ -47,14 +50,8 @@
     is_reachable: bool
 
 
-@final
-@attrs.define(order=True)
-class _Waiter:
-    priority: int
-    arrival_number: int
-    future: asyncio.Future[ConnectionLease | NoConnection] = attrs.field(
-        order=False,
-    )
+_Waiter: TypeAlias = Waiter[ConnectionLease | NoConnection]
+_CLOSED: Final = NoConnection('the pool is closed', is_reachable=False)
 
 
 @final
@@ -77,17 +74,32 @@
         now: Now,
     ) -> None:
         """Create an empty pool; connections are opened on demand."""
-        self._record = record
-        self._dialer = dialer
         self._load = load
         self._now = now
-        self._idle: list[PooledConnection] = []
-        self._waiters: list[_Waiter] = []
-        self._arrival_numbers = itertools.count()
-        self._dial_tasks: set[asyncio.Task[None]] = set()
+        self._idle = IdleConnections(now)
+        self._waiters: ConnectionWaiters[ConnectionLease | NoConnection] = (
+            ConnectionWaiters()
+        )
+        self._pace = DialPace(now)
+        self._dialing = ConnectionDialing(
+            record, dialer, load, self._pace, self._end_dial
+        )
+        self._retry_timer: asyncio.TimerHandle | None = None
         self._is_closed = False
-        self.open_count = 0
-        self.limit_count = 1
+
+    @property
+    def open_count(self) -> int:
+        """Number of connections that are open or being opened."""
+        return self._idle.open_count
+
+    @property
+    def limit_count(self) -> int:
+        """Number of connections that the pool may have open."""
+        return self._idle.limit_count
+
+    @limit_count.setter
+    def limit_count(self, count: int) -> None:
+        self._idle.limit_count = count
 
     @property
     def idle_count(self) -> int:
@@ -99,7 +111,7 @@
         priority: int,
         wait_s: float,
         values: Mapping[str, str] | None = None,
-        workspace: str = '',
+        workspace: str | None = None,
     ) -> ConnectionLease | NoConnection:
         """Borrow a connection, waiting up to ``wait_s``.
 
@@ -111,8 +123,9 @@
             Session values that the borrower needs. An idle connection that
             already has exactly these is preferred.
         workspace
-            Workspace whose statements the connection must have been opened
-            for; empty in a deployment without workspaces.
+            Workspace that the connection must have been opened for; empty for
+            statements of callers without one. None for requests of the product
+            itself, which may use a connection of any workspace.
 
         Returns
         -------
@@ -120,18 +133,12 @@
             ``NoConnection`` after the timeout, if the member cannot be
             reached, or if the pool is closed.
         """
-        if not self._waiters or priority < self._waiters[0].priority:
-            connection = self._pop_idle(values or {})
-            if connection is not None:
-                return self._lease(connection)
+        connection = self._idle.take(workspace, values or {})
+        if connection is not None:
+            return self._lease(connection, workspace)
         if self._is_closed:
-            return NoConnection('the pool is closed', is_reachable=False)
-        waiter = _Waiter(
-            priority,
-            next(self._arrival_numbers),
-            asyncio.get_running_loop().create_future(),
-        )
-        heapq.heappush(self._waiters, waiter)
+            return _CLOSED
+        waiter = self._waiters.add(priority, workspace, self._now())
         self._open_for_waiters()
         try:
             await asyncio.wait((waiter.future,), timeout=wait_s)
@@ -149,86 +156,99 @@
             Number of open connections that are kept however long they idle.
         idle_s
             Idle time after which a connection beyond that number is closed.
+            Connections beyond the limit are closed at once.
         """
-        idle_before_s = self._now() - idle_s
-        for connection in tuple(self._idle):
-            if not connection.link.is_open:
-                self._close_idle_connection(connection)
-            elif (
-                self.open_count > keep_count
-                and connection.idle_since_s < idle_before_s
-            ):
-                self._close_idle_connection(connection)
+        self._idle.trim(keep_count, self._now() - idle_s)
 
     def close(self) -> None:
         """Close idle connections now, and borrowed ones on their release."""
         self._is_closed = True
-        for connection in tuple(self._idle):
-            self._close_idle_connection(connection)
-        self._refuse_waiters(
-            NoConnection('the pool is closed', is_reachable=False),
-        )
+        if self._retry_timer is not None:
+            self._retry_timer.cancel()
+        self._idle.close_all()
+        self._waiters.serve_all(_CLOSED)
 
     def close_idle(self) -> None:
         """Close all idle connections, as they may have become unresponsive."""
-        for connection in tuple(self._idle):
-            self._close_idle_connection(connection)
+        self._idle.close_all()
 
-    def _lease(self, connection: PooledConnection) -> ConnectionLease:
-        return ConnectionLease(connection, self._take_back)
+    def _lease(
+        self, connection: PooledConnection, workspace: str | None
+    ) -> ConnectionLease:
+        """Lend a connection.
 
-    def _take_back(self, connection: PooledConnection) -> None:
-        """Pass a released connection to the next waiter, or keep it as idle.
+        A request of the product does not make a connection of a workspace
+        more likely to be used again by the workspace, so it keeps its age.
+        """
+        keeps_age = workspace is None and bool(connection.workspace)
+        return ConnectionLease(
+            connection,
+            functools.partial(self._take_back, keeps_age=keeps_age),
+        )
+
+    def _take_back(
+        self, connection: PooledConnection, *, keeps_age: bool = False
+    ) -> None:
+        """Pass a released connection to a waiter, or keep it as idle.
 
         A connection that is closed frees its place under the limit. A
         connection in any state other than idle is closed, upon which the member
         rolls back its transaction.
         """
-        if self._is_closed or self._has_unfinished_work(connection):
+        waiter = self._waiters.first(connection.workspace)
+        may_keep = self._idle.may_keep(is_awaited=waiter is not None)
+        is_unusable = self._is_closed or not may_keep
+        if is_unusable or connection.has_unfinished_work():
             connection.link.close()
         if not connection.link.is_open:
-            self.open_count -= 1
+            self._idle.release_place()
             self._open_for_waiters()
             return
-        connection.idle_since_s = self._now()
-        waiter = self._pop_waiter()
+        if not keeps_age:
+            connection.idle_since_s = self._now()
         if waiter is None:
-            self._idle.append(connection)
+            self._idle.add(connection)
+            self._open_for_waiters()
         else:
-            waiter.future.set_result(self._lease(connection))
-
-    def _has_unfinished_work(self, connection: PooledConnection) -> bool:
-        """Return whether an open connection is not idle, and log it if so."""
-        link = connection.link
-        if not link.is_open or link.state is SessionState.idle:
-            return False
-        state = '' if link.state is None else link.state.value
-        logger.bind(connection=link.name, state=state).warning(
-            'connection_unsettled'
-        )
-        return True
-
-    def _close_idle_connection(self, connection: PooledConnection) -> None:
-        self._idle.remove(connection)
-        connection.link.close()
-        self.open_count -= 1
-
-    def _pop_idle(self, values: Mapping[str, str]) -> PooledConnection | None:
-        for connection in tuple(self._idle):
-            if not connection.link.is_open:
-                self._close_idle_connection(connection)
-        if not self._idle:
-            return None
-        for connection in reversed(self._idle):
-            if connection.session_values == values:
-                self._idle.remove(connection)
-                return connection
-        return self._idle.pop()
+            self._pass_on(connection, waiter)
+
+    def _pass_on(self, connection: PooledConnection, waiter: _Waiter) -> None:
+        """Give a connection to a waiter, or its place to one that is due."""
+        other = self._next_without_dial()
+        if other is not None and other.goes_before(
+            waiter, connection.workspace, self._now()
+        ):
+            connection.link.close()
+            self._idle.release_place()
+            self._open_for_waiters()
+            return
+        lease = self._lease(connection, waiter.workspace)
+        self._waiters.serve(waiter, lease)
+
+    def _next_without_dial(self) -> _Waiter | None:
+        """Return the waiter that the next connection is opened for.
+
+        Returns
+        -------
+        Waiter | None
+            None if none waits for one, or if none may be opened now.
+        """
+        waiters = self._waiters.without_dial(self._pace.dialing_counts)
+        waiter = next(waiters, None)
+        if waiter is None or self._pace.may_start(is_probe=waiter.is_probe):
+            return waiter
+        # Without a back-off, the end of a dial leads here again.
+        self._retry_after(self._pace.back_off_left_s)
+        return None
 
     def _end_wait(
-        self, waiter: _Waiter, *, return_result: bool = False
+        self,
+        waiter: _Waiter,
+        *,
+        return_result: bool = False,
     ) -> ConnectionLease | NoConnection:
         if not waiter.future.done():
+            self._waiters.discard(waiter)
             waiter.future.cancel()
             return NoConnection(
                 'no connection became free in time',
@@ -239,70 +259,40 @@
             outcome.release()
         return outcome
 
-    def _pop_waiter(self) -> _Waiter | None:
-        while self._waiters:
-            waiter = heapq.heappop(self._waiters)
-            if not waiter.future.done():
-                return waiter
-        return None
-
-    def _waiting_count(self) -> int:
-        return sum(not waiter.future.done() for waiter in self._waiters)
-
-    def _probe_reserve_count(self) -> int:
-        is_probe_waiting = any(
-            waiter.priority < 0 and not waiter.future.done()
-            for waiter in self._waiters
-        )
-        return _PROBE_RESERVE_COUNT if is_probe_waiting else 0
-
-    def _refuse_waiters(self, failure: NoConnection) -> None:
-        waiter = self._pop_waiter()
+    def _open_for_waiters(self) -> None:
+        """Open connections for waiters, as far as places and pace allow."""
+        waiter = self._next_without_dial()
         while waiter is not None:
-            waiter.future.set_result(failure)
-            waiter = self._pop_waiter()
+            claim = self._idle.claim_place(
+                waiter.arrived_s, is_probe=waiter.is_probe
+            )
+            if claim is PlaceClaim.soon:
+                self._retry_after(MIN_REPLACED_AGE_S)
+            if claim is not PlaceClaim.free:
+                return
+            self._dialing.start(
+                waiter.dialed_workspace, self._idle.settle_left_s
+            )
+            waiter = self._next_without_dial()
 
-    def _open_for_waiters(self) -> None:
-        missing_count = self._waiting_count() - len(self._dial_tasks)
-        allowed_count = (
-            self.limit_count + self._probe_reserve_count() - self.open_count
-        )
-        for _ in range(min(missing_count, allowed_count)):
-            self.open_count += 1
-            task = asyncio.create_task(self._dial())
-            self._dial_tasks.add(task)
-            task.add_done_callback(self._dial_tasks.discard)
-
-    async def _dial_safely(self) -> MemberConnection | Rejected | LinkLost:
-        """Dial; an unexpected error must not keep its place under the limit."""
-        try:
-            return await self._dialer.dial(self._record)
-        except Exception as error:  # noqa: BLE001 -- waiters need an answer
-            logger.bind(member=self._record.member_id).exception('dial_failed')
-            return LinkLost(repr(error), was_sent=False)
-
-    async def _dial(self) -> None:
-        outcome = await self._dial_safely()
-        match outcome:
-            case Rejected(kind=RejectionKind.wrong_member):
-                self.open_count -= 1
-                self._refuse_waiters(
-                    NoConnection(outcome.text, is_reachable=False),
-                )
-            case Rejected():
-                self._load.record_contact(None)
-                await asyncio.sleep(
-                    _CONNECTION_LIMIT_BACK_OFF_S * (1 + random.random())
-                )
-                self.open_count -= 1
-                asyncio.get_running_loop().call_soon(self._open_for_waiters)
-            case LinkLost(reason=reason):
-                self.open_count -= 1
-                self._load.is_unreachable = True
-                logger.bind(member=self._record.member_id, reason=reason).debug(
-                    'member_connection_failed'
+    def _retry_after(self, delay_s: float) -> None:
+        """Open connections for waiters after a delay, unless it is 0."""
+        if not delay_s or self._is_closed:
+            return
+        if self._retry_timer is not None:
+            self._retry_timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._retry_timer = loop.call_later(delay_s, self._open_for_waiters)
+
+    def _end_dial(self, end: DialEnd) -> None:
+        match end:
+            case PooledConnection():
+                self._take_back(end)
+            case DialRefused():
+                self._idle.open_count -= 1
+            case DialFailed(reason=reason):
+                self._idle.open_count -= 1
+                self._waiters.serve_all(
+                    NoConnection(reason, is_reachable=False)
                 )
-                self._refuse_waiters(NoConnection(reason, is_reachable=False))
-            case _:
-                self._load.record_contact(None)
-                self._take_back(PooledConnection(outcome, self._load))
+        self._open_for_waiters()
--- a/mimosapond/groups/pooled_connection.py
+++ b/mimosapond/groups/pooled_connection.py
@@ -4,10 +4,12 @@
 from typing import final
 
 import attrs
+from loguru import logger
 
 from mimosapond.groups.member_answer import MemberAnswer
 from mimosapond.groups.member_load import MemberLoad
 from mimosapond.groups.member_port import MemberConnection
+from mimosapond.statements.reply import SessionState
 from mimosapond.statements.statement import Shape
 
 
@@ -23,7 +25,10 @@
     prepared_names
         Names of the statements that are prepared on this connection.
     idle_since_s
-        Time of its last return to the pool.
+        Time of its last return to the pool by a borrower of its workspace.
+    workspace
+        Workspace that it was opened for, whose statements alone it may carry;
+        empty without one.
     """
 
     link: MemberConnection
@@ -31,6 +36,7 @@
     session_values: dict[str, str] = attrs.field(factory=dict)
     prepared_names: dict[Shape, str] = attrs.field(factory=dict)
     idle_since_s: float = 0
+    workspace: str = ''
 
     async def ask(
         self, call: Awaitable[MemberAnswer], *, is_write: bool = False
@@ -43,3 +49,14 @@
             self.load.finish(request)
         self.load.record(request, answer)
         return answer
+
+    def has_unfinished_work(self) -> bool:
+        """Return whether it is open but not idle, and log it if so."""
+        link = self.link
+        if not link.is_open or link.state is SessionState.idle:
+            return False
+        state = '' if link.state is None else link.state.value
+        logger.bind(connection=link.name, state=state).warning(
+            'connection_unsettled'
+        )
+        return True
