Hand newer versions of the configuration from host to host

Cause: a host learned of a new version from the store only. One that the store refused, or whose long poll lost its answer, served revoked keys until it reached the store again, and the poll had to be short for that reason. Change: each answer between hosts names the version of its host; a host that sees a newer one requests the configuration there (path /v1/configuration, all fields, digests in place of keys) and puts it in force like one of the store. While the store is silent, a host asks one of eight others each second. The first version after a start comes from the store only. The long poll now waits for 1.5 times the time to apply a version, instead of 0.5 times. Ruled out: versions in the announcements (read every 15 s, and through the store); a choice among all hosts, which would in time connect each with each other.

--- a/features/peer_fakes.py
+++ b/features/peer_fakes.py
@@ -15,7 +15,7 @@
 
 @final
 class FakePeer(TCPServer):
-    """Returns the body of each request as its answer.
+    """Returns the body of each request, or ``answer``, as its answer.
 
     The first request of all is answered last, or the first connection is never
     answered.
@@ -28,6 +28,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._request_count = 0
         self.connection_count = 0
+        self.answer: bytes | None = None
 
     def open_port(self) -> str:
         """Listen on a free port and return ``ip:port``."""
@@ -60,5 +61,6 @@
         self._request_count += 1
         if self._request_count == 1:
             await asyncio.sleep(_FIRST_ANSWER_DELAY_S)
-        answer = PeerFrame(frame.number, '200', frame.body)
+        body = frame.body if self.answer is None else self.answer
+        answer = PeerFrame(frame.number, '200', body)
         await stream.write(encode_frame(answer))
--- a/features/relay_builders.py
+++ b/features/relay_builders.py
@@ -89,7 +89,9 @@
     handler: RelayedWorkHandler, world: GroupWorld
 ) -> tuple[PeerServer, str]:
     """Start the listener of a host; return its server and ``ip:port``."""
-    server = PeerServer(handler, world.directory, boot_time_s)
+    server = PeerServer(
+        handler, world.directory, boot_time_s, world.services.configuration
+    )
     sockets = bind_sockets(0, _LOOPBACK)
     server.add_sockets(sockets)
     return server, f'{_LOOPBACK}:{sockets[0].getsockname()[1]}'
--- /dev/null
+++ b/features/steps/handed_configurations_steps.py
@@ -0,0 +1,274 @@
+"""Steps of workspaces.feature for configurations that hosts hand on."""
+
+import asyncio
+import json
+from typing import Any, Final, final
+
+import attrs
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from features.group_builders import DATA_CENTRE, GROUP, build_world
+from features.peer_fakes import FakePeer
+from features.relay_builders import build_relayed_work_services, serve_handler
+from features.workspace_builders import build_workspace_configuration
+from mimosapond.boot_clock import boot_time_s
+from mimosapond.configuration.active_configuration import ActiveConfiguration
+from mimosapond.configuration.configuration import Configuration, GroupLimits
+from mimosapond.configuration.configuration_follower import (
+    ConfigurationFollower,
+)
+from mimosapond.configuration.configuration_source import (
+    SourceAnswer,
+    SourceState,
+    SourceUnavailable,
+)
+from mimosapond.configuration.route import Freshness, Route
+from mimosapond.configuration.source_contact import SourceContact
+from mimosapond.configuration.workspace import Workspace
+from mimosapond.peers.configuration_requester import ConfigurationRequester
+from mimosapond.peers.configuration_transfer import (
+    decode_configuration,
+    encode_configuration,
+)
+from mimosapond.peers.peer import Peer
+from mimosapond.peers.peer_client import PeerClient
+from mimosapond.peers.peer_directory import PeerDirectory
+from mimosapond.peers.peer_versions import PeerVersions
+from mimosapond.peers.relayed_work_handler import RelayedWorkHandler
+
+_MS_PER_S: Final = 1000
+_APPLY_S: Final = 10.0
+_LIMIT_S: Final = 0.5
+_POLL_S: Final = 0.01
+
+
+@given('a host with version {own} whose source {answers}')
+def describe_host(context: Any, own: str, answers: str) -> None:
+    """Set the version of the first host and the contact to its source."""
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(_close, context.loop)
+    context.active = ActiveConfiguration()
+    if own != 'no':
+        context.active.activate(_build_version(int(own)))
+    context.now_s = 0
+    context.contact = SourceContact(lambda: context.now_s)
+    context.contact.record_answer()
+    match answers:
+        case 'does not answer':
+            context.contact.record_failure()
+        case 'answered a long time ago':
+            context.now_s = _APPLY_S
+
+
+def _close(loop: asyncio.AbstractEventLoop) -> None:
+    loop.run_until_complete(_cancel_all())
+    loop.close()
+
+
+async def _cancel_all() -> None:
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
+
+
+def _build_version(version: int) -> Configuration:
+    return build_workspace_configuration(version, ['k1'])
+
+
+@given('another host with version {other:d}')
+def describe_other(context: Any, other: int) -> None:
+    """Let the other host hand over its configuration."""
+    context.open_other = lambda: _serve_version(other)
+
+
+async def _serve_version(version: int) -> str:
+    world = build_world()
+    services = world.services
+    active = ActiveConfiguration()
+    active.activate(_build_version(version))
+    world.services = attrs.evolve(services, configuration=active)
+    handler = RelayedWorkHandler(build_relayed_work_services(world))
+    return serve_handler(handler, world)[1]
+
+
+@given('another host that hands over {body} as its configuration')
+def describe_faulty(context: Any, body: str) -> None:
+    """Let the other host answer with this body."""
+    context.open_other = lambda: _serve_body(body)
+
+
+async def _serve_body(body: str) -> str:
+    fake = FakePeer(is_first_connection_silent=False)
+    fake.answer = json.dumps({'configuration': json.loads(body)}).encode()
+    return fake.open_port()
+
+
+@when('the first host {asks} and {wait_ms:d} ms pass for it')
+def run_requester(context: Any, asks: str, wait_ms: int) -> None:
+    """Run the requests of the first host; it may ask for a primary, too."""
+    context.changes = []
+    context.loop.run_until_complete(
+        _run_requester(context, asks == 'asks for the primary', wait_ms)
+    )
+
+
+async def _run_requester(context: Any, asks: bool, wait_ms: int) -> None:
+    peer = Peer('far', await context.open_other(), DATA_CENTRE)
+    directory = PeerDirectory(Peer('near', '', DATA_CENTRE), boot_time_s)
+    directory.update([peer])
+    versions = PeerVersions(context.active)
+    client = PeerClient(directory, boot_time_s, versions)
+    context.task = asyncio.create_task(
+        ConfigurationRequester(
+            context.active,
+            context.changes.append,
+            context.contact,
+            versions,
+            client,
+            directory,
+            _APPLY_S,
+        ).run()
+    )
+    if asks:
+        await client.ask_primary(peer, GROUP, 1, _LIMIT_S)
+    await asyncio.sleep(wait_ms / _MS_PER_S)
+
+
+@when('the store gives it version {version:d} and {wait_ms:d} ms pass for it')
+def load_first(context: Any, version: int, wait_ms: int) -> None:
+    """Put the first version in force, as the follower does."""
+    assert not context.active.is_loaded
+    context.active.activate(_build_version(version))
+    context.loop.run_until_complete(asyncio.sleep(wait_ms / _MS_PER_S))
+
+
+@then('the first host has version {found}')
+def check_version(context: Any, found: str) -> None:
+    """Check the version in force, and that each change was announced."""
+    assert not context.task.done()
+    expected = -1 if found == 'no' else int(found)
+    assert context.active.version == expected, context.active.version
+    if context.changes:
+        announced = [each.version for each in context.changes]
+        assert announced == [expected], announced
+
+
+_WORDS: Final = st.text(min_size=1, max_size=9)
+_AMOUNTS: Final = st.floats(min_value=0, max_value=1e9)
+_ROUTES: Final = st.builds(
+    Route,
+    _WORDS,
+    _WORDS,
+    st.sampled_from(Freshness),
+    _AMOUNTS,
+    _AMOUNTS,
+    st.integers(0, 9),
+    st.booleans(),
+)
+_WORKSPACES: Final = st.builds(
+    Workspace,
+    _WORDS,
+    st.frozensets(_WORDS),
+    st.integers(0, 9),
+    _AMOUNTS,
+    _AMOUNTS,
+)
+_LIMITS: Final = st.builds(GroupLimits, _WORDS, st.integers(0, 99))
+
+
+@settings(derandomize=True, deadline=None)
+@for_all(
+    st.builds(
+        Configuration,
+        st.integers(0),
+        st.dictionaries(_WORDS, _ROUTES),
+        st.dictionaries(_WORDS, _LIMITS),
+        _AMOUNTS,
+        st.none() | st.dictionaries(_WORDS, _WORKSPACES),
+    )
+)
+def _check_round_trip(configuration: Configuration) -> None:
+    content = json.dumps(encode_configuration(configuration))
+    assert decode_configuration(json.loads(content)) == configuration
+
+
+@then('any configuration is unchanged after it was handed to another host')
+def check_any_configuration(context: Any) -> None:
+    """Check generated examples, and that a key is not in the body."""
+    _check_round_trip()
+    configuration = build_workspace_configuration(1, ['secretkey'])
+    assert 'secretkey' not in json.dumps(encode_configuration(configuration))
+
+
+@final
+class _PollSource:
+    """Records the waits of polls; see ``ConfigurationSource``."""
+
+    def __init__(self) -> None:
+        self.waits_s: list[float] = []
+        self.is_answering = True
+
+    async def read(self) -> SourceAnswer:
+        """Return a state without a configuration, or fail."""
+        return await self._answer()
+
+    async def follow(self, cursor: int, wait_s: float) -> SourceAnswer:
+        """Record the wait, and return without a change or fail."""
+        self.waits_s.append(wait_s)
+        return await self._answer()
+
+    async def _answer(self) -> SourceAnswer:
+        await asyncio.sleep(_POLL_S)
+        if self.is_answering:
+            return SourceState(None, 1)
+        return SourceUnavailable('silent')
+
+
+@given('a source that answers each poll')
+def build_source(context: Any) -> None:
+    """Build a source without a configuration."""
+    context.source = _PollSource()
+
+
+@when('the follower of a host with an apply time of {apply_ms:d} ms polls')
+def run_follower(context: Any, apply_ms: int) -> None:
+    """Run the follower for several polls."""
+    context.contact = SourceContact(boot_time_s)
+    context.follower = ConfigurationFollower(
+        context.source,
+        ActiveConfiguration(),
+        lambda _: None,
+        apply_ms / _MS_PER_S,
+        context.contact,
+    )
+    asyncio.run(_poll(context.follower))
+
+
+@when('the source answers no poll')
+def fail_source(context: Any) -> None:
+    """Run the follower against a source that fails."""
+    context.source.is_answering = False
+    asyncio.run(_poll(context.follower))
+
+
+async def _poll(follower: ConfigurationFollower) -> None:
+    task = asyncio.create_task(follower.run())
+    await asyncio.sleep(_POLL_S * 10)
+    task.cancel()
+
+
+@then('its polls wait for {wait_ms:d} ms, and the source counts as in contact')
+def check_waits(context: Any, wait_ms: int) -> None:
+    """Check the wait of each poll, and the contact."""
+    assert set(context.source.waits_s) == {wait_ms / _MS_PER_S}
+    assert not context.contact.is_silent(_LIMIT_S)
+
+
+@then('the source counts as silent')
+def check_silent(context: Any) -> None:
+    """Check the contact after a failed poll."""
+    assert context.contact.is_silent(_LIMIT_S)
--- a/features/workspaces.feature
+++ b/features/workspaces.feature
@@ -190,3 +190,55 @@
 
   Scenario: work of an earlier version of the product is decoded
     Then work without the fields of workspaces has none, and is anonymous if said
+
+  Scenario Outline: a host learns of a newer version from another host
+    # Guards against a host without contact to the store that goes on to serve a
+    # revoked key, and against one that takes its first version from a host that
+    # may be cut off from the store.
+    Given a host with version <own> whose source <answers>
+    And another host with version <other>
+    When the first host <asks> and <wait_ms> ms pass for it
+    Then the first host has version <found>
+
+    Examples:
+      | own | answers                  | other | asks                       | wait_ms | found |
+      | 2   | answers                  | 3     | asks for the primary       | 300     | 3     |
+      | 2   | answers                  | 1     | asks for the primary       | 300     | 2     |
+      | 2   | answers                  | 3     | sends nothing              | 1300    | 2     |
+      | 2   | does not answer          | 3     | sends nothing              | 1300    | 3     |
+      | 2   | answered a long time ago | 3     | sends nothing              | 1300    | 3     |
+      | 3   | does not answer          | 2     | sends nothing              | 1300    | 3     |
+      | no  | does not answer          | 3     | asks for the primary       | 1300    | no    |
+
+  Scenario: a host that lost its first version with a restart waits for the store
+    Given a host with version no whose source does not answer
+    And another host with version 3
+    When the first host asks for the primary and 100 ms pass for it
+    And the store gives it version 2 and 1300 ms pass for it
+    Then the first host has version 3
+
+  Scenario: a configuration arrives unchanged and without keys
+    Then any configuration is unchanged after it was handed to another host
+
+  Scenario Outline: a body that is no configuration is not activated
+    Given a host with version 2 whose source does not answer
+    And another host that hands over <body> as its configuration
+    When the first host sends nothing and 1300 ms pass for it
+    Then the first host has version 2
+
+    Examples:
+      | body                                   |
+      | {}                                     |
+      | []                                     |
+      | 7                                      |
+      | {"version": 9}                         |
+      | {"version": 9, "routes": [], "groups": {}, "transaction_idle_timeout_ms": 1} |
+
+  Scenario: a poll of the store outlasts the time to apply a configuration
+    # The wait is longer than the time to apply, so that hosts call the store
+    # rarely; a lost answer is bridged by the other hosts.
+    Given a source that answers each poll
+    When the follower of a host with an apply time of 2000 ms polls
+    Then its polls wait for 3000 ms, and the source counts as in contact
+    When the source answers no poll
+    Then the source counts as silent
--- a/mimosapond/configuration/configuration_follower.py
+++ b/mimosapond/configuration/configuration_follower.py
@@ -12,11 +12,13 @@
     SourceState,
     SourceUnavailable,
 )
+from mimosapond.configuration.source_contact import SourceContact
 from mimosapond.dependency_monitor import DependencyMonitor
 
-# Share of the time in which a new configuration must be in force, after which a
-# feed that does not answer is noticed. The rest is for reading the whole state.
-_FEED_TIMEOUT_RATIO: Final = 0.5
+# Wait of one poll, as a multiple of the time in which a new configuration must be
+# in force. A lost answer is noticed only after it; until then, the new version
+# comes from another host (``peers/configuration_requester.py``).
+_FEED_TIMEOUT_RATIO: Final = 1.5
 _MIN_RETRY_DELAY_S: Final = 0.15
 _MAX_RETRY_DELAY_S: Final = 0.6
 
@@ -34,6 +36,7 @@
         active: ActiveConfiguration,
         on_change: Callable[[Configuration], None],
         apply_s: float,
+        contact: SourceContact,
     ) -> None:
         """Create a follower that has not read anything yet.
 
@@ -43,7 +46,10 @@
             Called with each configuration that has come into force.
         apply_s
             Time within which a new configuration must be in force.
+        contact
+            Is told whether the source answers.
         """
+        self._contact = contact
         self._feed_timeout_s = apply_s * _FEED_TIMEOUT_RATIO
         self._source = source
         self._active = active
@@ -66,6 +72,7 @@
             )
         match answer:
             case SourceState(configuration=configuration, cursor=cursor):
+                self._contact.record_answer()
                 self._dependency.report_status(is_connected=True)
                 self._retry_delay_s = _MIN_RETRY_DELAY_S
                 self._cursor = cursor
@@ -74,6 +81,7 @@
             case SourceGap():
                 self._cursor = None
             case SourceUnavailable(reason=reason):
+                self._contact.record_failure()
                 self._dependency.report_status(
                     is_connected=False, reason=reason
                 )
--- a/mimosapond/entry/platform_host.py
+++ b/mimosapond/entry/platform_host.py
@@ -1,8 +1,8 @@
 """The process of one host on the platform: start, operation and stop."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Final, final
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, final
 
 import attrs
 from loguru import logger
@@ -46,6 +46,8 @@
     ----------
     accept_callers
         Starts to accept connections of callers.
+    request_configurations
+        Requests newer configurations from other hosts until it is cancelled.
     now
         Clock that waits and deadlines are measured with.
     """
@@ -66,6 +68,7 @@
     rotation: RotationTracker
     limits: ServingLimits
     accept_callers: Callable[[], None]
+    request_configurations: Callable[[], Coroutine[Any, Any, None]]
     log_rate_limit: LogRateLimit
     now: Now
 
@@ -106,6 +109,7 @@
         """Serve until a stop is requested, then drain the sessions."""
         parts = self._parts
         self._tasks.start('configuration', parts.configuration_follower.run)
+        self._tasks.start('versions', parts.request_configurations)
         self._tasks.start('registrations', parts.registration_poller.run)
         self._tasks.start('duties', parts.reserved_token_claims.run)
         self._tasks.start('peers', parts.peer_discovery.run)
--- a/mimosapond/peers/peer_client.py
+++ b/mimosapond/peers/peer_client.py
@@ -9,13 +9,16 @@
 from loguru import logger
 
 from mimosapond.boot_clock import Now
+from mimosapond.configuration.configuration import Configuration
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.json_decoding import UndecodableJson, decode_json_object
 from mimosapond.peers import peer_paths
+from mimosapond.peers.configuration_transfer import decode_configuration
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_directory import PeerDirectory
 from mimosapond.peers.peer_link import LinkFailure
 from mimosapond.peers.peer_links import PeerLinks
+from mimosapond.peers.peer_versions import VERSION_FIELD, PeerVersions
 from mimosapond.peers.work_codec import (
     decode_outcome,
     decode_position,
@@ -29,7 +32,7 @@
 _ROLLBACK_TIMEOUT_S: Final = 1.0
 # A peer answers work at its deadline at the latest; the answer travels.
 _ANSWER_MARGIN_S: Final = 0.1
-_BODY_ERRORS: Final = (KeyError, TypeError, ValueError)
+_BODY_ERRORS: Final = (AttributeError, KeyError, TypeError, ValueError)
 # Statuses of answers which say that nothing ran.
 _NOT_RUN_STATUSES: Final = frozenset(
     str(status.value)
@@ -63,7 +66,12 @@
 class PeerClient:
     """Sends requests to peers over connections that stay open."""
 
-    def __init__(self, directory: PeerDirectory, now: Now) -> None:
+    def __init__(
+        self,
+        directory: PeerDirectory,
+        now: Now,
+        versions: PeerVersions | None = None,
+    ) -> None:
         """Create a client.
 
         Parameters
@@ -72,7 +80,10 @@
             Records which peers answer.
         now
             Clock of the deadlines of work.
+        versions
+            Is told which version of the configuration each answer names.
         """
+        self._versions = versions
         self._directory = directory
         self._now = now
         self._links = PeerLinks(now)
@@ -110,6 +121,33 @@
             )
             return None
 
+    async def ask_configuration(
+        self, peer: Peer, newer_than: int, limit_s: float
+    ) -> Configuration | None:
+        """Ask a peer for its configuration.
+
+        Returns
+        -------
+        Configuration | None
+            None if the peer has no version newer than ``newer_than`` or gives
+            no usable answer.
+        """
+        response = await self._call(
+            peer, peer_paths.CONFIGURATION, {'newer_than': newer_than}, limit_s
+        )
+        if isinstance(response, WorkUnanswered):
+            return None
+        body = response.get('configuration')
+        if body is None:
+            return None
+        try:
+            return decode_configuration(body)
+        except _BODY_ERRORS as error:
+            self._unanswered(
+                peer, peer_paths.CONFIGURATION, repr(error), was_sent=True
+            )
+            return None
+
     async def read(self, peer: Peer, work: Work) -> WorkOutcome:
         """Have a peer run a single read."""
         return await self._send_work(peer, peer_paths.READS, {}, work)
@@ -195,6 +233,8 @@
         if isinstance(decoded, UndecodableJson):
             return self._unanswered(peer, path, decoded.problem, was_sent=True)
         self._directory.record_answer(peer)
+        if self._versions is not None:
+            self._versions.record(peer, decoded.get(VERSION_FIELD))
         return decoded
 
     def _unanswered(
--- a/mimosapond/peers/peer_directory.py
+++ b/mimosapond/peers/peer_directory.py
@@ -44,6 +44,11 @@
             self.revision += 1
         self.is_loaded = True
 
+    @property
+    def own_host(self) -> str:
+        """Name of this host."""
+        return self._own.host
+
     @property
     def peers(self) -> Collection[Peer]:
         """The announced hosts."""
--- a/mimosapond/peers/peer_server.py
+++ b/mimosapond/peers/peer_server.py
@@ -12,15 +12,18 @@
 from tornado.tcpserver import TCPServer
 
 from mimosapond.boot_clock import Now
+from mimosapond.configuration.active_configuration import ActiveConfiguration
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.json_decoding import UndecodableJson, decode_json_object
 from mimosapond.peers import peer_paths
+from mimosapond.peers.configuration_transfer import encode_configuration
 from mimosapond.peers.peer_frame import (
     FrameUnreadableError,
     PeerFrame,
     encode_frame,
     read_frame,
 )
+from mimosapond.peers.peer_versions import VERSION_FIELD
 from mimosapond.peers.relayed_work_handler import RelayedWorkHandler
 from mimosapond.peers.work_codec import (
     decode_work,
@@ -60,7 +63,11 @@
     """
 
     def __init__(
-        self, handler: RelayedWorkHandler, directory: GroupDirectory, now: Now
+        self,
+        handler: RelayedWorkHandler,
+        directory: GroupDirectory,
+        now: Now,
+        configuration: ActiveConfiguration,
     ) -> None:
         """Create a server, not yet bound.
 
@@ -72,11 +79,14 @@
             Has the groups that work refers to.
         now
             Clock of the deadlines of work.
+        configuration
+            Is handed to other hosts; each answer names its version.
         """
         super().__init__()
         self._handler = handler
         self._directory = directory
         self._now = now
+        self._configuration = configuration
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def handle_stream(
@@ -107,7 +117,9 @@
         # From here on the work may run, so the status must not be one that
         # tells the client that it did not.
         try:
-            _send(stream, request, HTTPStatus.OK, await call())
+            body = dict(await call())
+            body[VERSION_FIELD] = self._configuration.version
+            _send(stream, request, HTTPStatus.OK, body)
         except Exception:  # noqa: BLE001 -- one request must not stop others
             logger.bind(path=request.word).exception('peer_request_failed')
             _send(stream, request, HTTPStatus.INTERNAL_SERVER_ERROR, {})
@@ -134,6 +146,10 @@
                 )
             case peer_paths.ROLLBACKS:
                 return functools.partial(self._roll_back, str(body['key']))
+            case peer_paths.CONFIGURATION:
+                return functools.partial(
+                    self._hand_configuration, int(body['newer_than'])
+                )
             case _:
                 return self._decode_work(path, body)
 
@@ -167,6 +183,12 @@
             'age_ms': report.age_s * _MS_PER_S,
         }
 
+    async def _hand_configuration(self, newer_than: int) -> _Body:
+        current = self._configuration.current
+        if current is None or current.version <= newer_than:
+            return {'configuration': None}
+        return {'configuration': encode_configuration(current)}
+
     async def _roll_back(self, key: str) -> _Body:
         self._handler.roll_back(key)
         return {}
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -10,6 +10,7 @@
 from mimosapond.configuration.configuration_follower import (
     ConfigurationFollower,
 )
+from mimosapond.configuration.source_contact import SourceContact
 from mimosapond.entry.session_registry import SessionRegistry
 from mimosapond.entry.host_settings import HostSettings
 from mimosapond.entry.platform_host import HostParts, PlatformHost
@@ -24,6 +25,7 @@
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.registration_poller import RegistrationPoller
 from mimosapond.log_rate_limit import LogRateLimit
+from mimosapond.peers.configuration_requester import ConfigurationRequester
 from mimosapond.peers.holder_directory import HolderDirectory
 from mimosapond.peers.holder_relay import HolderRelayFinder
 from mimosapond.peers.peer import Peer
@@ -36,6 +38,7 @@
 from mimosapond.peers.peer_discovery import PeerDiscovery
 from mimosapond.peers.peer_server import PeerServer
 from mimosapond.peers.peer_relay_finder import PeerRelayFinder
+from mimosapond.peers.peer_versions import PeerVersions
 from mimosapond.peers.transaction_keys import TransactionKeys
 from mimosapond.platform.caller_server import CallerServer
 from mimosapond.platform.member_dialer import WireMemberDialer
@@ -104,7 +107,10 @@
         self._registrations = RegistrationPoller(
             StoreRegistrations(self._store), self._directory
         )
-        peer_client = PeerClient(self._peers, self._now)
+        self._source_contact = SourceContact(self._now)
+        self._peer_versions = PeerVersions(self._active_configuration)
+        peer_client = PeerClient(self._peers, self._now, self._peer_versions)
+        self._peer_client = peer_client
         keys = TransactionKeys(settings.host)
         self._relay_finder = PeerRelayFinder(
             self._holders.other_holders, peer_client, keys, self._now
@@ -152,7 +158,10 @@
         )
         peer_ip, peer_port = _split_address(self._settings.peer_address)
         PeerServer(
-            self._relayed_work_handler, self._directory, self._now
+            self._relayed_work_handler,
+            self._directory,
+            self._now,
+            self._active_configuration,
         ).listen(peer_port, peer_ip)
         return host
 
@@ -231,6 +240,7 @@
                 self._active_configuration,
                 self._directory.apply_limits,
                 self._settings.configuration_limit_ms / _MS_PER_S,
+                self._source_contact,
             ),
             registration_poller=self._registrations,
             peer_discovery=PeerDiscovery(
@@ -253,10 +263,22 @@
             rotation=RotationTracker(self._now),
             limits=self._limits,
             accept_callers=accept_callers,
+            request_configurations=self._build_configuration_requester().run,
             log_rate_limit=self._log_rate_limit,
             now=self._now,
         )
 
+    def _build_configuration_requester(self) -> ConfigurationRequester:
+        return ConfigurationRequester(
+            self._active_configuration,
+            self._directory.apply_limits,
+            self._source_contact,
+            self._peer_versions,
+            self._peer_client,
+            self._peers,
+            self._settings.configuration_limit_ms / _MS_PER_S,
+        )
+
     def _build_failover_coordinator(self) -> FailoverCoordinator:
         host = self._settings.host
         return FailoverCoordinator(
