Merge the configurations that hosts hand on, and follow one reader for them as well

Cause: two parts solved the same matter: hosts that hand on a newer version, and one reader of the store a data centre. Change: hosts that follow a reader leave the source of configurations to it while it is in contact; the long poll of a reader lasts half of the time to apply a version again, since nobody else tells it of a lost answer.

--- a/features/relay_builders.py
+++ b/features/relay_builders.py
@@ -15,15 +15,8 @@
 from features.group_fakes import FakeMember
 from features.peer_fakes import FakePeer
 from mimosapond.boot_clock import boot_time_s
-from mimosapond.configuration.active_configuration import ActiveConfiguration
-from mimosapond.configuration.configuration_follower import (
-    ConfigurationFollower,
-)
-from mimosapond.configuration.configuration_source import (
-    SourceAnswer,
-    SourceUnavailable,
-)
 from mimosapond.configuration.route import Route
+from mimosapond.configuration.source_contact import SourceContact
 from mimosapond.groups.group import Group
 from mimosapond.peers.holder_relay import HolderRelay
 from mimosapond.peers.peer import Peer
@@ -99,34 +92,20 @@
 ) -> tuple[PeerServer, str]:
     """Start the listener of a host; return its server and ``ip:port``."""
     publisher = StatePublisher(
-        world.directory, build_configuration_follower(), boot_time_s
+        world.directory, SourceContact(boot_time_s), boot_time_s
+    )
+    server = PeerServer(
+        handler,
+        world.directory,
+        publisher,
+        boot_time_s,
+        world.services.configuration,
     )
-    server = PeerServer(handler, world.directory, publisher, boot_time_s)
     sockets = bind_sockets(0, _LOOPBACK)
     server.add_sockets(sockets)
     return server, f'{_LOOPBACK}:{sockets[0].getsockname()[1]}'
 
 
-@final
-class _SilentSource:
-    """Source of configurations that never answers."""
-
-    async def read(self) -> SourceAnswer:
-        """Return that there is no answer."""
-        return SourceUnavailable('test')
-
-    async def follow(self, _cursor: int, _wait_s: float) -> SourceAnswer:
-        """Return that there is no answer."""
-        return SourceUnavailable('test')
-
-
-def build_configuration_follower() -> ConfigurationFollower:
-    """Build a follower of a source that never answers."""
-    return ConfigurationFollower(
-        _SilentSource(), ActiveConfiguration(), lambda _: None, apply_s=3
-    )
-
-
 def build_finder(
     host: str, address: str
 ) -> tuple[PeerDirectory, PeerRelayFinder]:
--- a/features/shared_state.feature
+++ b/features/shared_state.feature
@@ -29,6 +29,19 @@
     And the reader reads the registrations of p just after an outage
     Then no member is unlisted at the host
 
+  Scenario: A host leaves the source of configurations to the reader
+    Given a reader of the store and a host that follows it
+    When the source of configurations answers the reader
+    And the reader reads the registrations of p and a
+    Then the host leaves the source of configurations to the reader
+
+  Scenario: A reader whose source stops answering does not cover it
+    Given a reader of the store and a host that follows it
+    When the source of configurations answers the reader
+    And the source of configurations does not answer the reader
+    And the reader reads the registrations of p and a
+    Then the host follows the source of configurations itself
+
   Scenario: A reader without an answer of the source does not cover it
     Given a reader of the store and a host that follows it
     When the reader reads the registrations of p and a
--- a/features/shared_state_builders.py
+++ b/features/shared_state_builders.py
@@ -13,14 +13,9 @@
     build_world,
 )
 from features.group_fakes import FakeDialer
-from features.relay_builders import (
-    build_configuration_follower,
-    build_relayed_work_services,
-)
+from features.relay_builders import build_relayed_work_services
 from mimosapond.boot_clock import boot_time_s
-from mimosapond.configuration.configuration_follower import (
-    ConfigurationFollower,
-)
+from mimosapond.configuration.source_contact import SourceContact
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.member_record import MemberRecord
 from mimosapond.peers.peer import Peer
@@ -49,7 +44,7 @@
 
     source: GroupDirectory
     own: GroupDirectory
-    configuration: ConfigurationFollower
+    contact: SourceContact
     publisher: StatePublisher
     follower: StateFollower
     server: PeerServer
@@ -70,8 +65,8 @@
 def build_sharing_pair() -> SharingPair:
     """Build two hosts in the running loop; the reader listens."""
     source, own = build_directory(), build_directory()
-    configuration = build_configuration_follower()
-    publisher = StatePublisher(source, configuration, boot_time_s)
+    contact = SourceContact(boot_time_s)
+    publisher = StatePublisher(source, contact, boot_time_s)
     server, address = _serve(publisher, source)
     near = Peer('near', '', DATA_CENTRE)
     peers = PeerDirectory(near, boot_time_s)
@@ -79,14 +74,21 @@
     follower = StateFollower(
         near, peers, PeerClient(peers, boot_time_s), own, boot_time_s
     )
-    return SharingPair(source, own, configuration, publisher, follower, server)
+    return SharingPair(source, own, contact, publisher, follower, server)
 
 
 def _serve(
     publisher: StatePublisher, directory: GroupDirectory
 ) -> tuple[PeerServer, str]:
-    handler = RelayedWorkHandler(build_relayed_work_services(build_world()))
-    server = PeerServer(handler, directory, publisher, boot_time_s)
+    world = build_world()
+    handler = RelayedWorkHandler(build_relayed_work_services(world))
+    server = PeerServer(
+        handler,
+        directory,
+        publisher,
+        boot_time_s,
+        world.services.configuration,
+    )
     sockets = bind_sockets(0, _LOOPBACK)
     server.add_sockets(sockets)
     return server, f'{_LOOPBACK}:{sockets[0].getsockname()[1]}'
--- a/features/steps/shared_state_steps.py
+++ b/features/steps/shared_state_steps.py
@@ -86,6 +86,30 @@
     )
 
 
+@when('the source of configurations answers the reader')
+def answer_reader(context: Any) -> None:
+    """Record an answer of the source at the reader."""
+    context.actions.append(_record_answer)
+
+
+def _record_answer(pair: SharingPair) -> None:
+    pair.contact.record_call()
+    pair.contact.record_answer()
+
+
+@when('the source of configurations does not answer the reader')
+def fail_reader(context: Any) -> None:
+    """Record a call of the reader without an answer."""
+    context.actions.append(lambda pair: pair.contact.record_failure())
+
+
+@then('the host leaves the source of configurations to the reader')
+def check_covered(context: Any) -> None:
+    """Check that the configuration is covered by the reader."""
+    pair = _run(context)
+    assert pair.follower.covers_configuration(_APPLY_S)
+
+
 @when('the reader stops answering')
 def stop_reader(context: Any) -> None:
     """Make the reader hold back its answers."""
--- a/features/steps/workspace_connections_steps.py
+++ b/features/steps/workspace_connections_steps.py
@@ -9,7 +9,11 @@
 from behave import given, then, when
 
 from features.virtual_loop import VirtualLoop
-from features.workspace_connection_builders import CountingMember, build_pool, use
+from features.workspace_connection_builders import (
+    CountingMember,
+    build_pool,
+    use,
+)
 from features.workspace_properties import (
     check_limit,
     check_owners,
--- a/features/workspace_properties.py
+++ b/features/workspace_properties.py
@@ -8,7 +8,11 @@
 from hypothesis import strategies as st
 
 from features.virtual_loop import run_virtually
-from features.workspace_connection_builders import CountingMember, build_pool, use
+from features.workspace_connection_builders import (
+    CountingMember,
+    build_pool,
+    use,
+)
 
 _Use = tuple[float, str | None, float, int]
 _TICK_S: Final = 0.004
--- a/mimosapond/configuration/configuration_follower.py
+++ b/mimosapond/configuration/configuration_follower.py
@@ -1,11 +1,9 @@
 """Keeps the configuration in force at the newest version."""
 
 import asyncio
-import math
 from collections.abc import Callable
 from typing import Final, final
 
-from mimosapond.boot_clock import Now, boot_time_s
 from mimosapond.configuration.active_configuration import ActiveConfiguration
 from mimosapond.configuration.configuration import Configuration
 from mimosapond.configuration.configuration_source import (
@@ -14,6 +12,7 @@
     SourceState,
     SourceUnavailable,
 )
+from mimosapond.configuration.source_contact import SourceContact
 from mimosapond.dependency_monitor import DependencyMonitor
 
 # Share of the time in which a new configuration must be in force, after which a
@@ -37,7 +36,7 @@
         active: ActiveConfiguration,
         on_change: Callable[[Configuration], None],
         apply_s: float,
-        now: Now = boot_time_s,
+        contact: SourceContact,
     ) -> None:
         """Create a follower that has not read anything yet.
 
@@ -47,16 +46,10 @@
             Called with each configuration that has come into force.
         apply_s
             Time within which a new configuration must be in force.
-        now
-            Clock of the times of answers.
+        contact
+            Is told whether the source answers.
         """
-        self._now = now
-        self._apply_s = apply_s
-        # Time at which the last answered request was sent.
-        self.answered_s = -math.inf
-        # Whether another host hands on new configurations that it heard of
-        # within the given time.
-        self.is_covered: Callable[[float], bool] = _never
+        self._contact = contact
         self._feed_timeout_s = apply_s * _FEED_TIMEOUT_RATIO
         self._source = source
         self._active = active
@@ -68,14 +61,14 @@
     async def run(self) -> None:
         """Follow the source until the task is cancelled."""
         while True:
-            if self._active.is_loaded and self.is_covered(self._apply_s):
+            if self._active.is_loaded and self._contact.is_covered():
                 self._cursor = None
                 await asyncio.sleep(_COVER_CHECK_INTERVAL_S)
             else:
                 await self._poll()
 
     async def _poll(self) -> None:
-        asked_s = self._now()
+        self._contact.record_call()
         if self._cursor is None:
             answer = await self._source.read()
         else:
@@ -84,16 +77,16 @@
             )
         match answer:
             case SourceState(configuration=configuration, cursor=cursor):
+                self._contact.record_answer()
                 self._dependency.report_status(is_connected=True)
                 self._retry_delay_s = _MIN_RETRY_DELAY_S
                 self._cursor = cursor
-                self.answered_s = asked_s
                 if configuration is not None:
                     self._apply(configuration)
             case SourceGap():
                 self._cursor = None
             case SourceUnavailable(reason=reason):
-                self.answered_s = -math.inf
+                self._contact.record_failure()
                 self._dependency.report_status(
                     is_connected=False, reason=reason
                 )
@@ -106,8 +99,3 @@
     def _apply(self, configuration: Configuration) -> None:
         if self._active.activate(configuration):
             self._on_change(configuration)
-
-
-def _never(_max_age_s: float) -> bool:
-    """Return False: this host follows the source itself."""
-    return False
--- /dev/null
+++ b/mimosapond/configuration/source_contact.py
@@ -0,0 +1,61 @@
+"""When the source of configurations was last in contact with this host."""
+
+import math
+from collections.abc import Callable
+from typing import final
+
+from mimosapond.boot_clock import Now
+
+
+@final
+class SourceContact:
+    """Records the answers of the source and the calls without one."""
+
+    def __init__(self, now: Now) -> None:
+        """Start without contact; ``now`` is the clock of all times."""
+        self._now = now
+        self._called_s = now()
+        self._answered_s = -math.inf
+        self._current_s = -math.inf
+        self._is_failing = False
+        # Whether another host hands on new versions in time, so that this host
+        # need not follow the source.
+        self.is_covered: Callable[[], bool] = _is_never_covered
+
+    @property
+    def current_s(self) -> float:
+        """Time up to which the version of this host is known to be current.
+
+        The answer of a long poll may be delayed, so this is the time of the
+        call. It is minus infinity while the source does not answer.
+        """
+        return -math.inf if self._is_failing else self._current_s
+
+    def record_call(self) -> None:
+        """Record that the source is called now."""
+        self._called_s = self._now()
+
+    def record_answer(self) -> None:
+        """Record that the source answered just now."""
+        self._answered_s = self._now()
+        self._current_s = self._called_s
+        self._is_failing = False
+
+    def record_failure(self) -> None:
+        """Record that a call got no usable answer."""
+        self._is_failing = True
+
+    def is_silent(self, limit_s: float) -> bool:
+        """Return whether the last call failed or the last answer is old.
+
+        A long poll whose answer is lost fails only at its timeout, so a source
+        that did not answer within ``limit_s`` may have had changes.
+        """
+        if self.is_covered():
+            return False
+        return self._is_failing or self._now() - self._answered_s > limit_s
+
+
+def _is_never_covered() -> bool:
+    """Return False: each host follows the source itself."""
+    return False
--- a/mimosapond/peers/state_publisher.py
+++ b/mimosapond/peers/state_publisher.py
@@ -4,9 +4,7 @@
 from typing import Final, final
 
 from mimosapond.boot_clock import Now
-from mimosapond.configuration.configuration_follower import (
-    ConfigurationFollower,
-)
+from mimosapond.configuration.source_contact import SourceContact
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.peers.shared_state import SharedState
 from mimosapond.peers.shared_state_codec import digest_records
@@ -26,12 +24,19 @@
     def __init__(
         self,
         directory: GroupDirectory,
-        configuration: ConfigurationFollower,
+        contact: SourceContact,
         now: Now,
     ) -> None:
-        """Create a publisher of the registrations of ``directory``."""
+        """Create a publisher of the registrations of ``directory``.
+
+        Parameters
+        ----------
+        contact
+            Says up to when the version of the configuration, which every
+            answer names, is known to be current.
+        """
         self._directory = directory
-        self._configuration = configuration
+        self._contact = contact
         self._now = now
         self._asked_s: float | None = None
         self._changed = asyncio.Event()
@@ -87,7 +92,7 @@
             read_number=directory.read_count,
             registrations_read_s=directory.read_s,
             unlisting_wait_s=directory.unlisting_wait_s,
-            configuration_answered_s=self._configuration.answered_s,
+            configuration_answered_s=self._contact.current_s,
             records_digest=digest,
             records=records,
         )
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -7,9 +7,11 @@
 
 from mimosapond.boot_clock import boot_time_s
 from mimosapond.configuration.active_configuration import ActiveConfiguration
+from mimosapond.configuration.configuration import Configuration
 from mimosapond.configuration.configuration_follower import (
     ConfigurationFollower,
 )
+from mimosapond.configuration.source_contact import SourceContact
 from mimosapond.entry.session_registry import SessionRegistry
 from mimosapond.entry.host_settings import HostSettings
 from mimosapond.entry.platform_host import HostParts, PlatformHost
@@ -24,6 +26,7 @@
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.registration_poller import RegistrationPoller
 from mimosapond.log_rate_limit import LogRateLimit
+from mimosapond.peers.configuration_requester import ConfigurationRequester
 from mimosapond.peers.holder_directory import HolderDirectory
 from mimosapond.peers.holder_relay import HolderRelayFinder
 from mimosapond.peers.peer import Peer
@@ -36,6 +39,7 @@
 from mimosapond.peers.peer_discovery import PeerDiscovery
 from mimosapond.peers.peer_server import PeerServer
 from mimosapond.peers.peer_relay_finder import PeerRelayFinder
+from mimosapond.peers.peer_versions import PeerVersions
 from mimosapond.peers.state_follower import StateFollower
 from mimosapond.peers.state_publisher import StatePublisher
 from mimosapond.peers.state_sharing import StateSharing
@@ -104,15 +108,12 @@
             self._now,
             self._holders,
         )
-        peer_client = PeerClient(self._peers, self._now)
-        self._configuration_follower = ConfigurationFollower(
-            StoreConfiguration(self._store),
-            self._active_configuration,
-            self._directory.apply_limits,
-            settings.configuration_limit_ms / _MS_PER_S,
-        )
+        self._source_contact = SourceContact(self._now)
+        self._peer_versions = PeerVersions(self._active_configuration)
+        peer_client = PeerClient(self._peers, self._now, self._peer_versions)
+        self._peer_client = peer_client
         self._state_publisher = StatePublisher(
-            self._directory, self._configuration_follower, self._now
+            self._directory, self._source_contact, self._now
         )
         self._state_follower = StateFollower(
             self._own_peer,
@@ -121,6 +122,10 @@
             self._directory,
             self._now,
         )
+        self._source_contact.is_covered = functools.partial(
+            self._state_follower.covers_configuration,
+            self._configuration_limit_s(),
+        )
         self._registrations = RegistrationPoller(
             StoreRegistrations(self._store),
             self._directory,
@@ -177,6 +182,7 @@
             self._directory,
             self._state_publisher,
             self._now,
+            self._active_configuration,
         ).listen(peer_port, peer_ip)
         return host
 
@@ -263,7 +269,8 @@
             limits=self._limits,
             accept_callers=accept_callers,
             tasks={
-                'configuration': self._configuration_follower.run,
+                'configuration': self._build_configuration_follower().run,
+                'versions': self._build_configuration_requester().run,
                 'registrations': self._registrations.run,
                 'duties': self._claims.run,
                 'peers': self._build_peer_discovery().run,
@@ -273,6 +280,23 @@
             now=self._now,
         )
 
+    def _configuration_limit_s(self) -> float:
+        return self._settings.configuration_limit_ms / _MS_PER_S
+
+    def _adopt_configuration(self, configuration: Configuration) -> None:
+        """Adopt the limits, and tell the hosts that follow this one."""
+        self._directory.apply_limits(configuration)
+        self._state_publisher.notify()
+
+    def _build_configuration_follower(self) -> ConfigurationFollower:
+        return ConfigurationFollower(
+            StoreConfiguration(self._store),
+            self._active_configuration,
+            self._adopt_configuration,
+            self._configuration_limit_s(),
+            self._source_contact,
+        )
+
     def _build_peer_discovery(self) -> PeerDiscovery:
         return PeerDiscovery(
             self._own_peer,
@@ -282,6 +306,17 @@
             is_first_start=self._settings.starts_system,
         )
 
+    def _build_configuration_requester(self) -> ConfigurationRequester:
+        return ConfigurationRequester(
+            self._active_configuration,
+            self._adopt_configuration,
+            self._source_contact,
+            self._peer_versions,
+            self._peer_client,
+            self._peers,
+            self._configuration_limit_s(),
+        )
+
     def _build_failover_coordinator(self) -> FailoverCoordinator:
         host = self._settings.host
         return FailoverCoordinator(
