Divide what the holders of a group leave, and keep a holder's idle connections

Cause: each host that held a group on request or in isolation took the share of a holder, so the shares of many such hosts added up to more than a member accepts; members reset the connections over their limit. All holders that restarted opened half of their share while the members still counted all connections of the former processes. A holder closed idle connections after 0.5 s and paid 12 ms of a slot for the next one.

Change: the hosts that follow the holders in the ranking (two for each holder) are stand-ins, which divide the fifth that holders leave. Work is passed on to holders and stand-ins only, and only stand-ins take over in isolation. A host that another one asks although it is neither, because their announcements differ, may open one connection. Holders keep idle connections for 30 s; all other hosts keep the former rule.

Replaced: the scenario "a host that reaches no holder takes over after some seconds" took any host that is no holder. It now takes a stand-in, since 67 hosts that all take over cannot stay under a limit of 60; new scenarios check which hosts hold a group if none reaches another, and the sum of their shares.

Ruled out: a share of one connection for each isolated host, which exceeds the limit with 73 hosts; more stand-ins for members with more connections, since the ranking would then depend on the configuration that a host has read.

--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -22,6 +22,7 @@
     PromotionRefused,
     PromotionUnknown,
 )
+from mimosapond.groups.connection_share import ConnectionShare
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member_answer import (
     Completed,
@@ -450,6 +451,7 @@
     def __init__(self) -> None:
         """Start without groups."""
         self.is_held = False
+        self.connection_share: ConnectionShare = None
 
     def holds(self, group: str) -> bool:
         """Return what the test set."""
@@ -458,6 +460,10 @@
     def holder_count(self, group: str) -> int | None:
         """Return None: all hosts may hold the group."""
 
+    def share(self, group: str) -> ConnectionShare:
+        """Return what the test set."""
+        return self.connection_share
+
     def is_reachable(self, group: str) -> bool:
         """Return what the test set."""
         return self.is_held
--- a/features/holders.feature
+++ b/features/holders.feature
@@ -47,13 +47,47 @@
   # reach no holder for a moment.
   Scenario: a host that reaches no holder takes over after some seconds
     Given a system of 72 hosts in 3 data centres
-    And a host that does not hold the group
+    And a host that follows the holders of the group
     When all hosts give no answer
     Then the host does not hold the group
     And the group is not reachable
     When 4 s pass while all hosts give no answer
     Then the host holds the group
 
+  # Guards against more connections than a member accepts, when many hosts reach
+  # no holder, each of which took the share of a holder.
+  Scenario Outline: hosts that reach no other stay under the limit together
+    Given a system of <hosts> hosts in 3 data centres
+    When no host reaches another for 4 s
+    Then 18 hosts hold the group, and 12 of them as stand-ins
+    And their shares of <connections> connections add up to <sum>
+
+    Examples:
+      | hosts | connections | sum |
+      | 73    | 60          | 60  |
+      | 140   | 86          | 84  |
+      | 73    | 16          | 16  |
+
+  # Guards against shares that add up to more than a member accepts in a system
+  # of another size, or while it counts the connections of former processes.
+  Scenario: the shares of any hosts stay under the limit of the members
+    Then the shares of holders and stand-ins of any system stay under the limit
+    And so do those of holders before and after a restart
+
+  # Guards against connections that are opened again and again at a holder, and
+  # against hosts of small systems that keep places which others need.
+  Scenario Outline: idle connections are kept by hosts that share them out
+    Given a group whose primary is p
+    And the host is one of <holders>
+    When 3 connections to p are used at once and p is monitored for 1.2 s
+    Then <count> connections to p are open
+
+    Examples:
+      | holders               | count |
+      | 6 holders             | 3     |
+      | 12 stand-ins          | 1     |
+      | all hosts, which hold | 1     |
+
   # Guards against a herd of hosts that know none of the others yet.
   Scenario: a host that knows no other host yet holds nothing
     Given a host that has not read the announcements
--- a/features/steps/holders_steps.py
+++ b/features/steps/holders_steps.py
@@ -23,6 +23,7 @@
 from features.relay_builders import build_held_pair, caller_statements
 from mimosapond.boot_clock import boot_time_s
 from mimosapond.failover.primary_monitor import PrimaryMonitor
+from mimosapond.groups.connection_share import StandInShare
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.peers.holder_directory import HolderDirectory
 from mimosapond.peers.holder_ranking import (
@@ -141,6 +142,16 @@
     ]
 
 
+@given('a host that follows the holders of the group')
+def choose_stand_in(context: Any) -> None:
+    """Take the view of the first host that holds the group if need be."""
+    context.view = next(
+        view
+        for view in (build_view(host, context.hosts) for host in context.hosts)
+        if isinstance(view.holders.share(_GROUP), StandInShare)
+    )
+
+
 @then('the first {count:d} candidates are holders of its own data centre')
 def check_near(context: Any, count: int) -> None:
     """Compare the candidates with the ranking."""
--- a/mimosapond/failover/primary_monitor.py
+++ b/mimosapond/failover/primary_monitor.py
@@ -10,6 +10,7 @@
 from mimosapond.boot_clock import Now
 from mimosapond.failover.member_fanout import gather_answers
 from mimosapond.failover.failover_coordinator import FailoverCoordinator
+from mimosapond.groups.connection_share import HolderShare
 from mimosapond.groups.group import Group
 from mimosapond.groups.holding import Holding, HoldsAll
 from mimosapond.groups.member import Member
@@ -47,6 +48,10 @@
 # connections, and members count the connections of a host that lost power for
 # some seconds more.
 _IDLE_CONNECTION_TIMEOUT_S: Final = 0.5
+# The same at one of a few hosts that hold a group, whose shares add up to less
+# than the members accept. A new connection costs the member more than an idle
+# one, and most workspaces send something within this time.
+_HELD_IDLE_TIMEOUT_S: Final = 30.0
 # Idle connections to each member that stay open.
 _KEPT_IDLE_COUNT: Final = 1
 _HOLDS_ALL: Final = HoldsAll()
@@ -261,5 +266,11 @@
         )
 
     def _close_idle_connections(self) -> None:
+        share = self._holding.share(self._group.name)
+        timeout_s = (
+            _HELD_IDLE_TIMEOUT_S
+            if isinstance(share, HolderShare)
+            else _IDLE_CONNECTION_TIMEOUT_S
+        )
         for member in self._group.members.values():
-            member.pool.trim(_KEPT_IDLE_COUNT, _IDLE_CONNECTION_TIMEOUT_S)
+            member.pool.trim(_KEPT_IDLE_COUNT, timeout_s)
--- a/mimosapond/groups/group_directory.py
+++ b/mimosapond/groups/group_directory.py
@@ -9,6 +9,7 @@
 from mimosapond.boot_clock import Now
 from mimosapond.configuration.configuration import Configuration
 from mimosapond.groups.connection_pool import ConnectionPool
+from mimosapond.groups.connection_share import connection_limit_count
 from mimosapond.groups.group import Group
 from mimosapond.groups.holding import Holding, HoldsAll
 from mimosapond.groups.member import Member
@@ -23,19 +24,6 @@
 # Grace period after an outage of the registry, within which every live member
 # registers again.
 _REREGISTRATION_GRACE_S: Final = 2.5
-# Share of a member's connections that one host may open. The rest is left to
-# other hosts, whose number of callers varies.
-_CONNECTION_SHARE_RATIO: Final = 0.2
-_MIN_CONNECTION_COUNT: Final = 2
-# After a power failure, members still count the connections of the previous
-# processes for some seconds. Each host that starts therefore opens only a small
-# share at first and leaves the remaining connections to other hosts.
-_STARTUP_S: Final = 3.5
-_STARTUP_SHARE_RATIO: Final = 0.0625
-# Share of a member's connections that the hosts which hold its group open
-# together. The rest is left to hosts that take over from them.
-_HELD_SHARE_RATIO: Final = 0.8
-_STARTUP_HELD_RATIO: Final = 0.5
 _HOLDS_ALL: Final = HoldsAll()
 
 
@@ -210,24 +198,11 @@
 
     def _pool_limit_count(self, group: str) -> int:
         """Return how many connections this host may open to each member."""
-        count = self._connection_counts.get(group, 1)
-        holder_count = self._holding.holder_count(group)
-        if holder_count is not None:
-            return self._holder_limit_count(group, count, holder_count)
-        if self._now() - self._created_s < _STARTUP_S:
-            return max(1, int(count * _STARTUP_SHARE_RATIO))
-        return max(_MIN_CONNECTION_COUNT, int(count * _CONNECTION_SHARE_RATIO))
-
-    def _holder_limit_count(
-        self, group: str, connection_count: int, holder_count: int
-    ) -> int:
-        """Return the limit if a few hosts hold the group."""
-        if not self._holding.holds(group):
-            return 1
-        ratio = _HELD_SHARE_RATIO / holder_count
-        if self._now() - self._created_s < _STARTUP_S:
-            ratio *= _STARTUP_HELD_RATIO
-        return max(1, int(connection_count * ratio))
+        return connection_limit_count(
+            self._holding.share(group),
+            self._connection_counts.get(group, 1),
+            self._now() - self._created_s,
+        )
 
     def _unlist(self, group: Group, member: Member) -> None:
         if member.unlisted_since_s is None:
--- a/mimosapond/groups/holding.py
+++ b/mimosapond/groups/holding.py
@@ -2,6 +2,8 @@
 
 from typing import Protocol, final
 
+from mimosapond.groups.connection_share import ConnectionShare
+
 
 class Holding(Protocol):
     """Tells which groups this host holds.
@@ -16,6 +18,9 @@
     def holder_count(self, group: str) -> int | None:
         """Return how many hosts hold a group; None if all hosts do."""
 
+    def share(self, group: str) -> ConnectionShare:
+        """Return this host's part in the connections to a group's members."""
+
     def is_reachable(self, group: str) -> bool:
         """Return whether this host holds a group or reaches one that does."""
 
@@ -40,6 +45,9 @@
     def holder_count(self, group: str) -> int | None:
         """Return None: all hosts hold the group."""
 
+    def share(self, group: str) -> None:
+        """Return None: all hosts have an equal part."""
+
     def is_reachable(self, group: str) -> bool:
         """Return True."""
         return True
--- a/mimosapond/peers/holder_directory.py
+++ b/mimosapond/peers/holder_directory.py
@@ -7,6 +7,12 @@
 import attrs
 
 from mimosapond.boot_clock import Now
+from mimosapond.groups.connection_share import (
+    ConnectionShare,
+    HolderShare,
+    RequestedShare,
+    StandInShare,
+)
 from mimosapond.peers.holder_ranking import (
     holders_per_data_centre,
     prefer_by_host,
@@ -20,6 +26,10 @@
 _MAX_SMALL_SYSTEM_COUNT: Final = 24
 # Hosts that work may be passed on to, in order of preference.
 _CANDIDATE_COUNT: Final = 4
+# Hosts that follow the holders of a data centre and hold the group if these are
+# lost, for each holder. Work is passed on to no others, so that the connections
+# of all of them stay under the limit of the members.
+_STAND_IN_RATIO: Final = 2
 # Time for which a host holds a group after other hosts asked it to, because
 # those before it in the ranking did not answer.
 _ASKED_RETENTION_S: Final = 10.0
@@ -36,16 +46,19 @@
     ----------
     holders
         Hosts that hold the group, in all data centres.
+    stand_ins
+        Hosts that follow the holders, in all data centres.
     near
-        Other hosts of the own data centre, in the order in which work is
-        passed on to them; the first hold the group.
+        Those of the own data centre except this host, in the order in which
+        work is passed on to them; the first hold the group.
     near_count
         How many hosts of a data centre hold the group.
     far
-        The same of other data centres: holders, and those that follow them.
+        The same of other data centres.
     """
 
     holders: tuple[Peer, ...]
+    stand_ins: tuple[Peer, ...]
     near: tuple[Peer, ...]
     near_count: int
     far: tuple[Peer, ...]
@@ -88,6 +101,21 @@
             return None
         return max(len(self._ranking(group).holders), 1)
 
+    def share(self, group: str) -> ConnectionShare:
+        """Return this host's part in the connections to a group's members."""
+        if self._is_small_system:
+            return None
+        ranking = self._ranking(group)
+        if self._own in ranking.holders:
+            return HolderShare(len(ranking.holders))
+        if self._own in ranking.stand_ins:
+            return StandInShare(
+                len(ranking.holders),
+                ranking.stand_ins.index(self._own),
+                len(ranking.stand_ins),
+            )
+        return RequestedShare()
+
     def is_reachable(self, group: str) -> bool:
         """Return whether this host holds a group or reaches one that does."""
         if self.holds(group):
@@ -146,12 +174,19 @@
         hosts = (*self._peers.peers, self._own)
         ranking = rank_by_data_centre(group, hosts)
         count = holders_per_data_centre(ranking)
+        reach_count = count * (_STAND_IN_RATIO + 1)
         holders = tuple(
             peer for ranked in ranking.values() for peer in ranked[:count]
         )
+        stand_ins = tuple(
+            ranked[place]
+            for place in range(count, reach_count)
+            for ranked in ranking.values()
+            if place < len(ranked)
+        )
         near = [
             peer
-            for peer in ranking.pop(self._own.data_centre)
+            for peer in ranking.pop(self._own.data_centre)[:reach_count]
             if peer.host != self._own.host
         ]
         first = prefer_by_host(self._own.host, near[:count])
@@ -164,10 +199,11 @@
                     for peer in ranked[start : start + count]
                 ),
             )
-            for start in (0, count)
+            for start in range(0, reach_count, count)
         ]
         return _Ranking(
             holders=holders,
+            stand_ins=stand_ins,
             near=(*first, *near[count:]),
             near_count=count,
             far=tuple(itertools.chain.from_iterable(far)),
@@ -183,6 +219,8 @@
         )
 
     def _is_isolated(self, group: str) -> bool:
+        if self._own not in self._ranking(group).stand_ins:
+            return False
         since_s = self._isolated_since_s.get(group)
         return since_s is not None and (
             self._now() - since_s > _ISOLATION_TIMEOUT_S
