Split the module of sessions into parts of one job each

Change: the services that sessions share, the identity of a caller, the idle timer of transactions and the log line of refusals have modules of their own; nothing changes in what they do.

--- a/features/group_builders.py
+++ b/features/group_builders.py
@@ -36,7 +36,8 @@
 from mimosapond.routing.relay_port import NoRelays, RelayFinder
 from mimosapond.routing.write_router import WriteRouter
 from mimosapond.sessions.serving_limits import ServingLimits
-from mimosapond.sessions.session import Session, SessionServices
+from mimosapond.sessions.session import Session
+from mimosapond.sessions.session_services import SessionServices
 from mimosapond.sessions.transaction import TransactionRouting
 
 GROUP = 'orders'
--- a/mimosapond/entry/session_registry.py
+++ b/mimosapond/entry/session_registry.py
@@ -9,7 +9,8 @@
 from mimosapond.configuration.key_digest import digest_key
 from mimosapond.routing.caller_access import find_access
 from mimosapond.routing import failures
-from mimosapond.sessions.session import Session, SessionServices
+from mimosapond.sessions.session import Session
+from mimosapond.sessions.session_services import SessionServices
 from mimosapond.statements.reply import Failure, SessionState
 
 # A caller that sends one request after another has sent the next one by then. A
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -63,7 +63,7 @@
 from mimosapond.routing.relay_port import NoRelays, RelayFinder
 from mimosapond.routing.write_router import WriteRouter
 from mimosapond.sessions.serving_limits import ServingLimits
-from mimosapond.sessions.session import SessionServices
+from mimosapond.sessions.session_services import SessionServices
 from mimosapond.sessions.transaction import TransactionRouting
 
 _READY_PATH: Final = '/api/ready'
--- a/mimosapond/sessions/session.py
+++ b/mimosapond/sessions/session.py
@@ -3,28 +3,11 @@
 import asyncio
 from typing import Final, final
 
-import attrs
-from loguru import logger
-
-from mimosapond.configuration.active_configuration import ActiveConfiguration
-from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.log_position import LogPosition
-from mimosapond.routing.caller_access import (
-    AccessAnswer,
-    CallerAccess,
-    find_access,
-    is_revoked,
-)
-from mimosapond.routing.read_router import ReadRouter
+from mimosapond.routing.caller_access import CallerAccess
 from mimosapond.routing import failures
 from mimosapond.routing.session_definitions import SessionDefinitions
-from mimosapond.statements.reply import (
-    Failure,
-    FailureKind,
-    Reply,
-    SessionState,
-    Success,
-)
+from mimosapond.statements.reply import Failure, Reply, SessionState, Success
 from mimosapond.statements.statement import (
     Begin,
     Commit,
@@ -33,12 +16,12 @@
     Rollback,
     Statement,
 )
-from mimosapond.sessions.definition_statements import (
-    apply_definition,
-    is_read,
-)
-from mimosapond.sessions.serving_limits import ServingLimits
-from mimosapond.sessions.transaction import Transaction, TransactionRouting
+from mimosapond.sessions.caller_identity import CallerIdentity
+from mimosapond.sessions.definition_statements import apply_definition, is_read
+from mimosapond.sessions.idle_timer import IdleTimer
+from mimosapond.sessions.refusal_log import log_refusal
+from mimosapond.sessions.session_services import SessionServices
+from mimosapond.sessions.transaction import Transaction
 from mimosapond.routing.work import (
     ExecutableStatement,
     PreparedCall,
@@ -50,28 +33,6 @@
 _NO_STATEMENT: Final = DirectStatement('', is_write=False)
 
 
-@final
-@attrs.frozen
-class SessionServices:
-    """The parts of a host that all its sessions share.
-
-    Parameters
-    ----------
-    limits
-        Says until when statements are begun and answered.
-    is_revocation_strict
-        Whether an open transaction is rolled back when the key of its caller is
-        revoked.
-    """
-
-    configuration: ActiveConfiguration
-    directory: GroupDirectory
-    reads: ReadRouter
-    routing: TransactionRouting
-    limits: ServingLimits
-    is_revocation_strict: bool = False
-
-
 @final
 class Session:
     """Runs the statements of one caller, one at a time."""
@@ -88,12 +49,13 @@
         key_digest
             Digest of the caller's key; empty without a key.
         """
-        self._database = database
-        self._key_digest = key_digest
+        self._caller = CallerIdentity(
+            database, key_digest, services.configuration
+        )
         self._services = services
         self._definitions = SessionDefinitions()
         self._transaction: Transaction | None = None
-        self._idle_timer: asyncio.TimerHandle | None = None
+        self._idle_timer = IdleTimer(self._on_idle_timeout)
         self._floor: SessionFloor | None = None
         self._access: CallerAccess | None = None
         # Why this host rolled back a transaction, until the caller is told.
@@ -106,35 +68,24 @@
     @property
     def group(self) -> str:
         """Name of the group that serves the database; empty without a route."""
-        route = self._services.configuration.route(self._database)
-        return '' if route is None else route.group
+        return self._caller.group
 
     @property
     def is_revoked(self) -> bool:
         """Whether the configuration in force does not know the key."""
-        return is_revoked(
-            self._services.configuration, self._database, self._key_digest
-        )
+        return self._caller.is_revoked
 
     async def execute(self, request_id: str, statement: Statement) -> Reply:
         """Run one statement and return its reply.
 
         Afterwards, ``state`` is the state of the session after the statement.
         """
-        self._stop_idle_timer()
+        self._idle_timer.stop()
         reply = await self._execute_interruptibly(request_id, statement)
-        if isinstance(reply, Failure) and reply.kind in {
-            FailureKind.unknown,
-            FailureKind.not_run,
-        }:
-            logger.bind(
-                request=request_id,
-                database=self._database,
-                kind=reply.kind.value,
-                text=reply.text,
-            ).info('request_refused')
+        log_refusal(request_id, self._caller.database, reply)
         if self.state is SessionState.in_transaction:
-            self._start_idle_timer()
+            limit_ms = self._services.configuration.transaction_idle_timeout_ms
+            self._idle_timer.start(limit_ms / _MS_PER_S)
         return reply
 
     def interrupt(self) -> None:
@@ -146,13 +97,13 @@
     def roll_back_revoked(self) -> None:
         """Roll back an open transaction because the key was revoked."""
         if self.state is SessionState.in_transaction:
-            self._stop_idle_timer()
+            self._idle_timer.stop()
             self._fail_transaction()
             self._unreported_end = failures.REVOKED_IN_TRANSACTION
 
     def close(self) -> None:
         """Roll back an open transaction after the caller has disconnected."""
-        self._stop_idle_timer()
+        self._idle_timer.stop()
         self._end_transaction()
 
     async def _execute_interruptibly(
@@ -234,7 +185,7 @@
     def _begin(self, begin: Begin) -> Reply:
         if self.state is not SessionState.idle:
             return failures.IN_TRANSACTION
-        access = self._find_access()
+        access = self._caller.find_access()
         if isinstance(access, Failure):
             return access
         # The transaction keeps this route and workspace; changed ones take
@@ -278,7 +229,7 @@
             if isinstance(reply, Failure):
                 self._fail_transaction()
             return reply
-        access = self._find_access()
+        access = self._caller.find_access()
         if isinstance(access, Failure):
             return access
         work = self._work(request_id, statement, access)
@@ -289,11 +240,6 @@
             self._raise_floor(position)
         return reply
 
-    def _find_access(self) -> AccessAnswer:
-        return find_access(
-            self._services.configuration, self._database, self._key_digest
-        )
-
     def _is_ended_by_revocation(self, transaction: Transaction) -> bool:
         # A transaction of which nothing has run yet counts as a new one.
         return self.is_revoked and (
@@ -320,7 +266,7 @@
             ),
             floor=self._floor,
             workspace=access.workspace,
-            key_digest=self._key_digest,
+            key_digest=self._caller.key_digest,
             configuration_version=access.configuration_version,
         )
 
@@ -341,17 +287,6 @@
         self._unreported_end = None
         self.state = SessionState.idle
 
-    def _start_idle_timer(self) -> None:
-        limit_ms = self._services.configuration.transaction_idle_timeout_ms
-        self._idle_timer = asyncio.get_running_loop().call_later(
-            limit_ms / _MS_PER_S, self._on_idle_timeout
-        )
-
-    def _stop_idle_timer(self) -> None:
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
-            self._idle_timer = None
-
     def _on_idle_timeout(self) -> None:
         if self.state is SessionState.in_transaction:
             self._fail_transaction()
