Keep hosts of an earlier version in use that do not know a request

Cause: while the store is silent, hosts ask others for their configuration. One of an earlier version answers that the path is unknown, which counted as a failure, so it was not chosen for work for up to 8 s, during an upgrade by each host in turn. Change: an unknown path still means that nothing ran, and no longer counts as a failure of the host. Ruled out: asking only hosts that have named a version, because a host without contact may have had no answer from any other yet.

--- a/features/peer_fakes.py
+++ b/features/peer_fakes.py
@@ -29,6 +29,7 @@
         self._request_count = 0
         self.connection_count = 0
         self.answer: bytes | None = None
+        self.status = '200'
 
     def open_port(self) -> str:
         """Listen on a free port and return ``ip:port``."""
@@ -62,5 +63,5 @@
         if self._request_count == 1:
             await asyncio.sleep(_FIRST_ANSWER_DELAY_S)
         body = frame.body if self.answer is None else self.answer
-        answer = PeerFrame(frame.number, '200', body)
+        answer = PeerFrame(frame.number, self.status, body)
         await stream.write(encode_frame(answer))
--- a/features/steps/handed_configurations_steps.py
+++ b/features/steps/handed_configurations_steps.py
@@ -101,8 +101,15 @@
     context.open_other = lambda: _serve_body(body)
 
 
-async def _serve_body(body: str) -> str:
+@given('another host that knows no requests for configurations')
+def describe_earlier(context: Any) -> None:
+    """Let the other host answer as one of an earlier version does."""
+    context.open_other = lambda: _serve_body('{}', '404')
+
+
+async def _serve_body(body: str, status: str = '200') -> str:
     fake = FakePeer(is_first_connection_silent=False)
+    fake.status = status
     fake.answer = json.dumps({'configuration': json.loads(body)}).encode()
     return fake.open_port()
 
@@ -120,6 +127,7 @@
     peer = Peer('far', await context.open_other(), DATA_CENTRE)
     directory = PeerDirectory(Peer('near', '', DATA_CENTRE), boot_time_s)
     directory.update([peer])
+    context.is_other_available = lambda: directory.is_available(peer)
     versions = PeerVersions(context.active)
     client = PeerClient(directory, boot_time_s, versions)
     context.task = asyncio.create_task(
@@ -157,6 +165,12 @@
         assert announced == [expected], announced
 
 
+@then('the other host may be asked for other work')
+def check_available(context: Any) -> None:
+    """Check that its answers do not count as failures."""
+    assert context.is_other_available()
+
+
 _WORDS: Final = st.text(min_size=1, max_size=9)
 _AMOUNTS: Final = st.floats(min_value=0, max_value=1e9)
 _ROUTES: Final = st.builds(
--- a/features/workspaces.feature
+++ b/features/workspaces.feature
@@ -234,6 +234,15 @@
       | {"version": 9}                         |
       | {"version": 9, "routes": [], "groups": {}, "transaction_idle_timeout_ms": 1} |
 
+  Scenario: a host of an earlier version goes on to get work
+    # Guards against hosts that avoid each other during an upgrade, because those
+    # of the earlier version do not know the path of configurations.
+    Given a host with version 2 whose source does not answer
+    And another host that knows no requests for configurations
+    When the first host sends nothing and 1300 ms pass for it
+    Then the first host has version 2
+    And the other host may be asked for other work
+
   Scenario: a poll of the store outlasts the time to apply a configuration
     # The wait is longer than the time to apply, so that hosts call the store
     # rarely; a lost answer is bridged by the other hosts.
--- a/mimosapond/peers/peer_client.py
+++ b/mimosapond/peers/peer_client.py
@@ -43,6 +43,7 @@
     )
 )
 _OK: Final = str(HTTPStatus.OK.value)
+_NOT_FOUND: Final = str(HTTPStatus.NOT_FOUND.value)
 
 
 @final
@@ -224,6 +225,10 @@
                     peer, path, answer.reason, was_sent=answer.was_sent
                 )
             return WorkUnanswered(answer.reason, was_sent=answer.was_sent)
+        if answer.word == _NOT_FOUND:
+            # A host of an earlier version of the product lacks the path, and is
+            # fit for other requests.
+            return WorkUnanswered('the path is unknown', was_sent=False)
         if answer.word != _OK:
             was_sent = answer.word not in _NOT_RUN_STATUSES
             return self._unanswered(
