Refuse a read-only transaction at once when its member is too busy

Cause: the first statement of a read-only transaction tried members until its deadline, although the member with the shortest queue had refused it because the deadline cannot be met. A response within a transaction was recorded after its permit was returned, so that the limit saw one statement less in flight.

Change: the refusal with its retry time is the reply. Responses are recorded before the permit is returned.

Ruled out: trying all members first, as for single reads; the selector has ranked the others as slower.

--- a/mimosapond/routing/failures.py
+++ b/mimosapond/routing/failures.py
@@ -2,7 +2,8 @@
 
 from typing import Final
 
-from mimosapond.groups.admission_request import NotAdmitted
+from mimosapond.groups.admission_request import NotAdmitted, RefusalCause
+from mimosapond.groups.connection_pool import NoConnection
 from mimosapond.groups.member_answer import Rejected, RejectionKind
 from mimosapond.statements.reply import Failure, FailureKind
 
@@ -82,6 +83,15 @@
     )
 
 
+def from_borrowing(outcome: NotAdmitted | NoConnection) -> Failure | None:
+    """Return the failure if a member is too busy; None if others may do."""
+    match outcome:
+        case NotAdmitted(cause=cause) if cause is not RefusalCause.unreachable:
+            return not_admitted(outcome)
+        case _:
+            return None
+
+
 def from_rejection(answer: Rejected) -> Failure:
     """Return the failure for a statement that the member ran and rejected."""
     kind = FailureKind.failed
--- a/mimosapond/sessions/pinned_transaction.py
+++ b/mimosapond/sessions/pinned_transaction.py
@@ -151,14 +151,18 @@
         limit_s = work.deadline_s - self._now()
         permit.start()
         try:
-            answer = await run_work(self._connection, work, None, limit_s)
-        except RestoreFailed as error:
-            answer = error.answer
+            answer = await self._ask_member(work, limit_s)
+            permit.record(answer)
         finally:
             permit.release()
-        permit.record(answer)
         return answer
 
+    async def _ask_member(self, work: Work, limit_s: float) -> MemberAnswer:
+        try:
+            return await run_work(self._connection, work, None, limit_s)
+        except RestoreFailed as error:
+            return error.answer
+
     async def _commit(self, work: Work) -> MemberAnswer:
         while True:
             limit_s = work.deadline_s - self._now()
--- a/mimosapond/sessions/transaction.py
+++ b/mimosapond/sessions/transaction.py
@@ -242,10 +242,11 @@
 
     async def _begin_read_only_at(
         self, work: Work, member: Member, position: LogPosition
-    ) -> OpenTransaction | None:
+    ) -> OpenTransaction | Failure | None:
         admitted = await borrow_admitted(member, work, _BORROW_TIMEOUT_S)
         if not isinstance(admitted, AdmittedConnection):
-            return None
+            # The selector knows the queues: others are expected to be worse.
+            return failures.from_borrowing(admitted)
         answer = await self._send_begin(work, admitted, position)
         if isinstance(answer, Completed):
             return self._pin(member, admitted.connection)
