--- a/mimosapond/routing/failures.py
+++ b/mimosapond/routing/failures.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+from mimosapond.groups.admission_request import NotAdmitted, RefusalCause
+from mimosapond.groups.connection_pool import NoConnection
 from mimosapond.groups.member_answer import Rejected, RejectionKind
 from mimosapond.statements.reply import Failure, FailureKind
 
@@ -86,6 +88,24 @@
 )
 
 
+def not_admitted(refusal: NotAdmitted) -> Failure:
+    """Return the failure for a statement that no member can run in time."""
+    return Failure(
+        FailureKind.not_run,
+        'the members are too busy to answer in time; '
+        f'retry after {refusal.retry_after_ms} ms',
+    )
+
+
+def from_borrowing(outcome: NotAdmitted | NoConnection) -> Failure | None:
+    """Return the failure if a member is too busy; None if others may do."""
+    match outcome:
+        case NotAdmitted(cause=cause) if cause is not RefusalCause.unreachable:
+            return not_admitted(outcome)
+        case _:
+            return None
+
+
 def from_rejection(answer: Rejected) -> Failure:
     """Return the failure for a statement that the member ran and rejected."""
     kind = FailureKind.failed
