Send the work of a workspace to the holders that have its connections

Cause: each host passed work on to a holder of its own choice, so the statements of one workspace reached all holders of a group and both replicas, and each of them opened connections for it. A host that had once been isolated held its groups for as long as it ran, since it no longer asked others: holds() was true, and nothing else ended the isolation.

Change: HolderFinder.find takes the workspace. Its work goes to a holder chosen by rendezvous hashing over all holders by (workspace, group), weighted by capacity; a large workspace spreads over ceil(share of quotas x holders x 1.5) of them, among which a host prefers itself, then its data centre, then an order of its own. The next ones follow if one is unavailable. A holder that is not the one passes the work on, once. Work without a workspace is treated as before. Reads prefer a member with an idle connection of the workspace by 24 ms, the cost of a connection and of the one that is closed for it, and otherwise a member by hash. An isolated host passes one request a second on to a host whose pause is over, and ends its isolation when that one answers. A transaction whose work was to be passed on, but then runs here, begins only after its position was found.

Ruled out: a preference of 12 ms for the member, the time of the new connection alone.

--- a/features/holders.feature
+++ b/features/holders.feature
@@ -190,3 +190,18 @@
       | statements  |
       | read        |
       | begin, read |
+
+  # Guards against a host that reached no holder for some seconds and then kept
+  # the connections of a stand-in for as long as it ran.
+  Scenario: a host that took over ends this when a holder answers again
+    Given a system of 72 hosts in 3 data centres
+    And a host that follows the holders of the group
+    When 4 s pass while all hosts give no answer
+    Then the host holds the group
+    When 9 s pass
+    Then the host holds the group
+    And it passes on one request a second to other hosts
+    When a host that it passes one on to answers
+    And 1 s pass
+    And it passes on a request
+    Then the host does not hold the group
--- a/features/relay_builders.py
+++ b/features/relay_builders.py
@@ -208,7 +208,7 @@
     client: PeerClient
     keys: TransactionKeys
 
-    def find(self, group: Group) -> HolderRelay | Failure:
+    def find(self, group: Group, workspace: str = '') -> HolderRelay | Failure:
         """Return the holders that are available."""
         relays = [
             PeerRelay(peer, self.client, self, self.keys)
--- a/features/workspace_connections.feature
+++ b/features/workspace_connections.feature
@@ -44,3 +44,56 @@
     Then at most 14 attempts were refused, one at a time after the first
     And the attempts after the first success are 1, 2 and then at most 4 at once
     And all borrowers got a connection
+
+  # Guards against work of a workspace that is spread over hosts and members
+  # without need: each of them then opens connections for it.
+  Scenario Outline: few statements open a connection if workspaces have holders
+    When 79 workspaces of uneven size send their load to 73 hosts, seed <seed>
+    Then at most 10 of a hundred statements open a connection
+    And without regard to workspaces at least 30 of a hundred do
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
+  # Guards against hosts that send the work of one workspace to different
+  # holders, and against a large workspace that has only one.
+  Scenario Outline: the holders of a workspace follow from its quota
+    Given a system of 73 hosts in 3 data centres
+    When all hosts choose a holder for a workspace with <share> of all quotas
+    Then they choose <count> holders
+
+    Examples:
+      | share | count |
+      | 0     | 1     |
+      | 0.11  | 1     |
+      | 0.12  | 2     |
+      | 0.3   | 3     |
+      | 1     | 6     |
+
+  Scenario: any host passes the work of any workspace on to holders
+    Then any host prefers holders of its data centre among those of a workspace
+
+  # Guards against a holder that keeps work for itself which another has the
+  # connections for, and against work that stays with a holder that is lost.
+  Scenario: a holder passes the work of a workspace on to the one that has it
+    Given a system of 73 hosts in 3 data centres
+    And a holder of the group that is not the one of workspace alpha
+    Then it passes on the work of alpha, and runs work without a workspace
+    When the holder of alpha gives no answer
+    Then it passes on the work of alpha to another holder, or runs it
+
+  Scenario: shares of quotas follow the configuration
+    Given a configuration with the quotas alpha 30, beta 10
+    Then the shares are alpha 0.75, beta 0.25, gamma 0
+    When a newer version has the quotas alpha 10, beta 10
+    Then the shares are alpha 0.5, beta 0.5, gamma 0
+
+  # Guards against reads of a workspace that change between equally good members.
+  Scenario: reads of a workspace prefer a member with a connection for it
+    Given a group of 3 members with an idle connection of alpha to m3
+    Then reads of alpha choose m3, even if it has been a little slower
+    And reads of beta choose one that is not
+    When m3 has refused a read
+    Then reads of alpha choose another member
--- a/mimosapond/configuration/active_configuration.py
+++ b/mimosapond/configuration/active_configuration.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import contextlib
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Final, final
 
 from loguru import logger
 
 from mimosapond.configuration.configuration import Configuration
 from mimosapond.configuration.route import Route
+from mimosapond.configuration.workspace import Workspace
 
 _DEFAULT_TRANSACTION_IDLE_TIMEOUT_MS: Final = 3000.0
+_NO_WORKSPACES: Final[Mapping[str, Workspace]] = MappingProxyType({})
 
 
 @final
@@ -44,6 +48,13 @@
             return _DEFAULT_TRANSACTION_IDLE_TIMEOUT_MS
         return self._current.transaction_idle_timeout_ms
 
+    @property
+    def workspaces(self) -> Mapping[str, Workspace]:
+        """Workspaces by name; none in a deployment without workspaces."""
+        if self._current is None or self._current.workspaces is None:
+            return _NO_WORKSPACES
+        return self._current.workspaces
+
     def route(self, database: str) -> Route | None:
         """Return the route of a database; None if it is not configured."""
         if self._current is None:
--- a/mimosapond/groups/connection_pool.py
+++ b/mimosapond/groups/connection_pool.py
@@ -106,6 +106,10 @@
         """Number of open connections that are not borrowed."""
         return len(self._idle)
 
+    def has_idle(self, workspace: str) -> bool:
+        """Return whether an idle connection belongs to a workspace."""
+        return self._idle.has(workspace)
+
     async def borrow(
         self,
         priority: int,
@@ -197,8 +201,8 @@
         """
         waiter = self._waiters.first(connection.workspace)
         may_keep = self._idle.may_keep(is_awaited=waiter is not None)
-        is_unusable = self._is_closed or not may_keep
-        if is_unusable or connection.has_unfinished_work():
+        is_kept = may_keep and not self._is_closed
+        if not is_kept or connection.has_unfinished_work():
             connection.link.close()
         if not connection.link.is_open:
             self._idle.release_place()
@@ -242,10 +246,7 @@
         return None
 
     def _end_wait(
-        self,
-        waiter: _Waiter,
-        *,
-        return_result: bool = False,
+        self, waiter: _Waiter, *, return_result: bool = False
     ) -> ConnectionLease | NoConnection:
         if not waiter.future.done():
             self._waiters.discard(waiter)
--- a/mimosapond/groups/idle_connections.py
+++ b/mimosapond/groups/idle_connections.py
@@ -111,6 +111,13 @@
         self._closed_s = self._now()
         self.open_count -= 1
 
+    def has(self, workspace: str) -> bool:
+        """Return whether a connection belongs to a workspace."""
+        return any(
+            connection.workspace == workspace
+            for connection in self._connections
+        )
+
     def add(self, connection: PooledConnection) -> None:
         """Add a connection at the place that its idle time gives it."""
         bisect.insort(
--- a/mimosapond/peers/holder_directory.py
+++ b/mimosapond/peers/holder_directory.py
@@ -18,8 +18,10 @@
     prefer_by_host,
     rank_by_data_centre,
 )
+from mimosapond.peers.isolation import Isolation
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_directory import PeerDirectory
+from mimosapond.peers.workspace_ranking import rank_for_workspace
 
 # Up to this number of hosts, each holds every group: the members accept
 # connections of all of them, and passing work on would only cost time.
@@ -33,8 +35,8 @@
 # Time for which a host holds a group after other hosts asked it to, because
 # those before it in the ranking did not answer.
 _ASKED_RETENTION_S: Final = 10.0
-# Time without any reachable holder after which a host holds a group itself.
-_ISOLATION_TIMEOUT_S: Final = 3.0
+# Orders of holders by workspace that are kept until hosts come or go.
+_MAX_ORDER_COUNT: Final = 4096
 
 
 @final
@@ -82,7 +84,8 @@
         self._revision = -1
         self._rankings: dict[str, _Ranking] = {}
         self._asked_s: dict[str, float] = {}
-        self._isolated_since_s: dict[str, float] = {}
+        self._isolation = Isolation(peers, now)
+        self._orders: dict[tuple[str, str, float], list[Peer]] = {}
 
     def holds(self, group: str) -> bool:
         """Return whether this host holds a group now."""
@@ -144,9 +147,60 @@
         )
         ordered = itertools.chain(near, self._available(ranking.far))
         found = list(itertools.islice(ordered, _CANDIDATE_COUNT))
-        self._record_candidates(group, found)
+        self._isolation.record(group, found)
         return found
 
+    def workspace_candidates(
+        self, group: str, workspace: str, quota_ratio: float
+    ) -> list[Peer] | None:
+        """Return the hosts to pass work of a workspace on to.
+
+        Parameters
+        ----------
+        quota_ratio
+            Quota of the workspace in relation to the sum of all quotas.
+
+        Returns
+        -------
+        list[Peer] | None
+            The preferred ones first; None if this host is to run the work.
+        """
+        if self._is_small_system:
+            return None if self.holds(group) else []
+        if self._is_isolated(group):
+            return self.trial_candidates(group) or None
+        ranking = self._ranking(group)
+        others = (
+            peer
+            for peer in (*ranking.near, *ranking.far)
+            if peer not in ranking.holders
+        )
+        ordered = itertools.chain(
+            self._order(group, workspace, quota_ratio), others
+        )
+        found = list(
+            itertools.islice(self._available(ordered), _CANDIDATE_COUNT)
+        )
+        self._isolation.record(group, found)
+        if found[:1] == [self._own] or (not found and self.holds(group)):
+            return None
+        return [peer for peer in found if peer != self._own]
+
+    def trial_candidates(self, group: str) -> list[Peer]:
+        """Return hosts to try while this one holds a group in isolation.
+
+        Returns
+        -------
+        list[Peer]
+            Empty if it holds the group for another reason, or if the last
+            trial was a moment ago.
+        """
+        if self._was_asked(group) or not self._is_isolated(group):
+            return []
+        if not self._isolation.start_trial(group):
+            return []
+        return self.candidates(group)
+
     def other_holders(self, group: str) -> list[Peer]:
         """Return other hosts that may reach the primary of a group."""
         if self._is_small_system or not self._peers.is_loaded:
@@ -166,6 +220,7 @@
         if self._revision != self._peers.revision:
             self._revision = self._peers.revision
             self._rankings.clear()
+            self._orders.clear()
         if group not in self._rankings:
             self._rankings[group] = self._rank(group)
         return self._rankings[group]
@@ -209,6 +264,20 @@
             far=tuple(itertools.chain.from_iterable(far)),
         )
 
+    def _order(
+        self, group: str, workspace: str, quota_ratio: float
+    ) -> list[Peer]:
+        """Return the holders in the order for a workspace."""
+        ranking = self._ranking(group)
+        key = (group, workspace, quota_ratio)
+        if key not in self._orders:
+            if len(self._orders) >= _MAX_ORDER_COUNT:
+                self._orders.clear()
+            self._orders[key] = rank_for_workspace(
+                group, workspace, ranking.holders, self._own, quota_ratio
+            )
+        return self._orders[key]
+
     def _available(self, peers: Iterable[Peer]) -> Iterator[Peer]:
         return filter(self._peers.is_available, peers)
 
@@ -221,13 +290,4 @@
     def _is_isolated(self, group: str) -> bool:
         if self._own not in self._ranking(group).stand_ins:
             return False
-        since_s = self._isolated_since_s.get(group)
-        return since_s is not None and (
-            self._now() - since_s > _ISOLATION_TIMEOUT_S
-        )
-
-    def _record_candidates(self, group: str, found: list[Peer]) -> None:
-        if found:
-            self._isolated_since_s.pop(group, None)
-        else:
-            self._isolated_since_s.setdefault(group, self._now())
+        return self._isolation.is_lasting(group)
--- a/mimosapond/peers/holder_ranking.py
+++ b/mimosapond/peers/holder_ranking.py
@@ -43,6 +43,11 @@
     return _sort_by_score(own_host, peers)
 
 
+def rank_by_key(key: str, peers: Iterable[Peer]) -> list[Peer]:
+    """Return peers in the order that their hashes with a key give them."""
+    return _sort_by_score(key, peers)
+
+
 def _sort_by_score(key: str, hosts: Iterable[Peer]) -> list[Peer]:
     return sorted(hosts, key=lambda host: _score(key, host), reverse=True)
 
--- a/mimosapond/peers/holder_relay.py
+++ b/mimosapond/peers/holder_relay.py
@@ -1,11 +1,13 @@
 """Passes work on to the hosts that hold a group."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final, final
 
 from mimosapond.boot_clock import Now
 from mimosapond.groups.group import Group
 from mimosapond.peers.holder_directory import HolderDirectory
+from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_client import PeerClient
 from mimosapond.peers.peer_relay import PeerRelay
 from mimosapond.peers.transaction_keys import TransactionKeys
@@ -31,7 +33,11 @@
 
 @final
 class HolderRelayFinder:
-    """Finds the holders of groups that this host does not hold itself."""
+    """Finds the holders that work is passed on to.
+
+    Work without a workspace is run here if this host holds the group. That of
+    a workspace goes to the holders which have connections for it.
+    """
 
     def __init__(
         self,
@@ -39,6 +45,7 @@
         client: PeerClient,
         keys: TransactionKeys,
         now: Now,
+        quota_ratio: Callable[[str], float],
     ) -> None:
         """Create a finder.
 
@@ -48,17 +55,22 @@
             Sends the requests to other hosts.
         keys
             Generates the keys of transactions.
+        quota_ratio
+            Tells the share of a workspace in the quotas of all.
         """
+        self._quota_ratio = quota_ratio
         self._holders = holders
         self._client = client
         self._keys = keys
         self._now = now
 
-    def find(self, group: Group) -> 'HolderRelay | Failure | None':
+    def find(
+        self, group: Group, workspace: str = ''
+    ) -> 'HolderRelay | Failure | None':
         """Return the holders of a group; see ``HolderFinder``."""
-        if self._holders.holds(group.name):
+        peers = self._find_peers(group.name, workspace)
+        if peers is None:
             return None
-        peers = self._holders.candidates(group.name)
         if not peers:
             return failures.NO_HOLDER
         relays = [
@@ -69,6 +81,16 @@
     def forget(self, group: str) -> None:
         """Do nothing: the peer directory records which peers fail."""
 
+    def _find_peers(self, group: str, workspace: str) -> list[Peer] | None:
+        """Return the hosts to pass work on to; None to run it here."""
+        if workspace:
+            return self._holders.workspace_candidates(
+                group, workspace, self._quota_ratio(workspace)
+            )
+        if self._holders.holds(group):
+            return self._holders.trial_candidates(group) or None
+        return self._holders.candidates(group)
+
 
 @final
 class HolderRelay:
--- a/mimosapond/peers/peer_directory.py
+++ b/mimosapond/peers/peer_directory.py
@@ -79,6 +79,10 @@
         self._pause_s.pop(peer.host, None)
         self._paused_until_s.pop(peer.host, None)
 
+    def has_failed(self, peer: Peer) -> bool:
+        """Return whether a peer has failed since its last answer."""
+        return peer.host in self._pause_s
+
     def is_available(self, peer: Peer) -> bool:
         """Return whether a peer may be chosen now."""
         return self._now() >= self._paused_until_s.get(peer.host, -math.inf)
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -10,6 +10,7 @@
 from mimosapond.configuration.configuration_follower import (
     ConfigurationFollower,
 )
+from mimosapond.configuration.quota_shares import QuotaShares
 from mimosapond.entry.session_registry import SessionRegistry
 from mimosapond.entry.host_settings import HostSettings
 from mimosapond.entry.platform_host import HostParts, PlatformHost
@@ -110,7 +111,11 @@
             self._holders.other_holders, peer_client, keys, self._now
         )
         self._holder_finder = HolderRelayFinder(
-            self._holders, peer_client, keys, self._now
+            self._holders,
+            peer_client,
+            keys,
+            self._now,
+            QuotaShares(self._active_configuration).ratio,
         )
         self._lead_proof: LeadProof = (
             AnswerProof() if settings.has_token_check else ReplicaProof()
--- a/mimosapond/routing/holder_port.py
+++ b/mimosapond/routing/holder_port.py
@@ -10,13 +10,18 @@
 class HolderFinder(Protocol):
     """Finds the hosts that work for a group is passed on to."""
 
-    def find(self, group: Group) -> Relay | Failure | None:
+    def find(self, group: Group, workspace: str = '') -> Relay | Failure | None:
         """Return the way to the hosts that hold a group.
 
+        Parameters
+        ----------
+        workspace
+            Workspace of the work; empty without one.
+
         Returns
         -------
         Relay | Failure | None
-            None if this host holds the group; a failure if no host that does
+            None if this host is to run the work; a failure if no host that does
             can be reached.
         """
 
@@ -25,5 +30,5 @@
 class RunsHere:
     """Runs all work at this host; used for work that was passed on."""
 
-    def find(self, group: Group) -> None:
+    def find(self, group: Group, workspace: str = '') -> None:
         """Return None."""
--- a/mimosapond/routing/member_selector.py
+++ b/mimosapond/routing/member_selector.py
@@ -1,5 +1,6 @@
 """Selects the member that is expected to answer a read soonest."""
 
+import hashlib
 from collections.abc import Collection
 from typing import Final, final
 
@@ -17,6 +18,14 @@
 # Cost of a member that recently refused or did not answer: it is chosen only
 # if the other members are worse.
 _AVOIDED_PENALTY_S: Final = 5.0
+# Time that a member spends on a new connection, and as much on the next one of
+# the workspace whose connection is closed for it.
+_NEW_CONNECTION_COST_S: Final = 0.024
+# Largest difference between members without a connection for a workspace. It
+# spreads the workspaces over equally good members.
+_SPREAD_COST_S: Final = 0.004
+_HASH_BYTES: Final = 2
+_HASH_RANGE: Final = 65536
 
 
 @final
@@ -39,6 +48,7 @@
         group: Group,
         position: LogPosition,
         excluded: Collection[Member],
+        workspace: str = '',
     ) -> Member | None:
         """Return the member with the lowest expected response time.
 
@@ -48,6 +58,9 @@
             Log position that the member must have applied before the read.
         excluded
             Members that must not be chosen.
+        workspace
+            Workspace of the read. A member to which this host has an idle
+            connection for it is preferred, or else one that its hash chooses.
 
         Returns
         -------
@@ -69,7 +82,10 @@
             return None
         return min(
             current or candidates,
-            key=lambda member: self._expected_s(group, member, position),
+            key=lambda member: (
+                self._expected_s(group, member, position)
+                + _connecting_s(member, workspace)
+            ),
         )
 
     def _expected_s(
@@ -86,3 +102,14 @@
         if load.avoid_until_s > self._now():
             expected_s += _AVOIDED_PENALTY_S
         return expected_s
+
+
+def _connecting_s(member: Member, workspace: str) -> float:
+    """Return the cost of a connection for a read of a workspace."""
+    if not workspace or member.pool.has_idle(workspace):
+        return 0
+    digest = hashlib.blake2b(
+        f'{workspace} {member.member_id}'.encode(), digest_size=_HASH_BYTES
+    ).digest()
+    ratio: float = int.from_bytes(digest, 'big') / _HASH_RANGE
+    return _NEW_CONNECTION_COST_S + ratio * _SPREAD_COST_S
--- a/mimosapond/routing/primary_path.py
+++ b/mimosapond/routing/primary_path.py
@@ -88,7 +88,7 @@
             remaining_s = work.deadline_s - self._now() - _SEND_MARGIN_S
             if remaining_s <= 0:
                 return failures.NO_CONNECTION
-            holder = self._holders.find(work.group)
+            holder = self._holders.find(work.group, work.workspace)
             if isinstance(holder, Failure):
                 return holder
             if holder is not None:
--- a/mimosapond/routing/read_router.py
+++ b/mimosapond/routing/read_router.py
@@ -83,7 +83,7 @@
 
     async def run(self, work: Work) -> Reply:
         """Return the reply to a read, or a failure at its deadline."""
-        holder = self._holders.find(work.group)
+        holder = self._holders.find(work.group, work.workspace)
         if isinstance(holder, Failure):
             return holder
         if holder is not None:
@@ -208,7 +208,10 @@
             the read.
         """
         member = self._selector.choose(
-            self._work.group, self._position, self._tried
+            self._work.group,
+            self._position,
+            self._tried,
+            self._work.workspace,
         )
         if member is None:
             return self._end_round()
--- a/mimosapond/sessions/transaction.py
+++ b/mimosapond/sessions/transaction.py
@@ -23,11 +23,7 @@
 from mimosapond.routing.lead_proof import AnswerProof, LeadProof
 from mimosapond.routing.member_selector import MemberSelector
 from mimosapond.routing.open_transaction import OpenTransaction
-from mimosapond.routing.primary_path import (
-    LocalPath,
-    PrimaryPathFinder,
-    RelayPath,
-)
+from mimosapond.routing.primary_path import PrimaryPathFinder, RelayPath
 from mimosapond.routing.read_position_finder import ReadPositionFinder
 from mimosapond.routing.statement_runner import RestoreFailed, restore_values
 from mimosapond.routing.work import Work
@@ -167,11 +163,10 @@
         return opened
 
     async def _open_read_write(self, work: Work) -> OpenTransaction | Failure:
-        wait_for = None
-        if not (self._routing.proof.is_answer_enough or self._is_remote(work)):
-            wait_for = await self._routing.positions.find(work)
-            if wait_for is None:
-                return failures.NO_FRESH_MEMBER
+        wait_for = await self._begin_position(work)
+        if isinstance(wait_for, Failure):
+            return wait_for
+        is_proved = self._routing.proof.is_answer_enough or wait_for is not None
         while True:
             path = await self._routing.paths.find(work)
             match path:
@@ -179,15 +174,30 @@
                     return path
                 case RelayPath(relay=relay):
                     return relay.open(self._begin)
-                case LocalPath(member=member, connection=connection):
-                    opened = await self._begin_at(
-                        work, member, connection, wait_for
-                    )
+            if not is_proved:
+                # The work was to be passed on when that was last checked.
+                path.connection.release()
+                return await self._open_read_write(work)
+            opened = await self._begin_at(
+                work, path.member, path.connection, wait_for
+            )
             if opened is not None:
                 return opened
 
-    def _is_remote(self, work: Work) -> bool:
-        return self._routing.holders.find(work.group) is not None
+    async def _begin_position(self, work: Work) -> LogPosition | Failure | None:
+        """Return the position that proves the primary of a transaction.
+
+        Returns
+        -------
+        LogPosition | Failure | None
+            None if none is needed, because an answer is enough or the work is
+            passed on.
+        """
+        holder = self._routing.holders.find(work.group, work.workspace)
+        if self._routing.proof.is_answer_enough or holder is not None:
+            return None
+        position = await self._routing.positions.find(work)
+        return position or failures.NO_FRESH_MEMBER
 
     async def _begin_at(
         self,
@@ -213,7 +223,7 @@
         return None
 
     async def _open_read_only(self, work: Work) -> OpenTransaction | Failure:
-        holder = self._routing.holders.find(work.group)
+        holder = self._routing.holders.find(work.group, work.workspace)
         if isinstance(holder, Failure):
             return holder
         if holder is not None:
@@ -224,7 +234,7 @@
         tried: list[Member] = []
         while self._routing.now() < work.deadline_s:
             member = self._routing.member_selector.choose(
-                work.group, position, tried
+                work.group, position, tried, work.workspace
             )
             if member is None:
                 tried.clear()
