Limit the operations of workspaces over all hosts

Cause: a workspace that sends seven times its usual load takes the members from the others; each host sees only a part of the operations, so that no host can count them alone. Change: the new package quotas has a token bucket for each workspace at its home host, chosen by rendezvous hashing, and small batches of tokens at the hosts that run operations. A host that is asked without having the bucket claims it from the hosts that may have it; these pass requests on afterwards, so that hosts that know different announcements use one bucket. Reads, writes and transactions that run at a host take a token before they wait for a connection, and give it back if no member was reached. New path between hosts: quota. New settings: quota_window_s, quota_overshoot_ratio, quota_slack_count. Without workspaces no token is taken and no message sent. Ruled out: fixed shares of each host (a small quota is less than one operation for each), and taking the token with a connection in hand (refused operations would take connections from others).

--- /dev/null
+++ b/features/quotas.feature
@@ -0,0 +1,37 @@
+Feature: Quotas across hosts
+  All hosts together run no more operations of a workspace than its quota
+  allows, and refuse none that it allows.
+
+  # Guards against operations that are refused below the quota, and against a
+  # round trip for each operation of a large workspace.
+  Scenario Outline: nothing is refused in calm below the quota
+    Given a quota of <rate> operations per second
+    When the demand is <demand> times the quota
+    Then no operation is refused
+    And the bound is kept
+
+    Examples:
+      | rate | demand |
+      | 5    | 0.6    |
+      | 20   | 0.6    |
+      | 175  | 0.6    |
+      | 175  | 0.9    |
+
+  # Guards against hosts that count on their own, so that the sum is too high.
+  Scenario: a workspace that sends seven times its quota is limited
+    Given a quota of 100 operations per second
+    When the demand is 7 times the quota
+    Then the bound is kept
+    And the quota is used
+    And the refusals say when to retry
+
+  # Guards against two hosts that grant the whole quota at the same time.
+  Scenario: the bound holds whatever happens to hosts and connections
+    Then the bound is kept in any history of hosts, cuts, losses and changes
+
+  # Guards against messages and refusals where there is nothing to count.
+  Scenario: work without a workspace takes no token
+    Given a quota of 5 operations per second
+    When an operation has no workspace
+    Then no operation is refused
+    And no message was sent
--- /dev/null
+++ b/features/steps/quotas_steps.py
@@ -0,0 +1,80 @@
+"""Steps of quotas.feature."""
+
+import re
+from typing import Any
+
+from behave import given, then, when
+
+from features.quota_builders import build_work
+from features.quota_model import QuotaModel, QuotaRun, run_model
+from features.quota_properties import check_histories
+from features.virtual_loop import run_virtually
+
+LASTS_S = 12.0
+
+
+@given('a quota of {rate:d} operations per second')
+def set_quota(context: Any, rate: int) -> None:
+    """Set rate and burst of the workspace."""
+    context.rate_per_s = rate
+
+
+@when('the demand is {ratio:g} times the quota')
+def run_demand(context: Any, ratio: float) -> None:
+    """Run a model without events."""
+    context.run = run_model(1, context.rate_per_s, ratio, [], LASTS_S)
+
+
+@when('an operation has no workspace')
+def run_without_workspace(context: Any) -> None:
+    """Run one operation without a workspace."""
+
+    async def run() -> QuotaRun:  # noqa: WPS430 -- needs the loop
+        model = QuotaModel(1, context.rate_per_s, 0)
+        return await model.run_one(build_work(0, workspace=''))
+
+    context.run = run_virtually(run())
+
+
+@then('no operation is refused')
+def check_no_refusal(context: Any) -> None:
+    """Check that there are no refusals, and that operations ran."""
+    assert context.run.run_s
+    assert not context.run.refused, context.run.refused[:3]
+
+
+@then('no message was sent')
+def check_no_message(context: Any) -> None:
+    """Check that hosts did not talk about quotas."""
+    assert not context.run.request_count, context.run.request_count
+
+
+@then('the bound is kept')
+def check_bound(context: Any) -> None:
+    """Check every window of the run."""
+    used_ratio = context.run.used_ratio()
+    assert used_ratio <= 1, used_ratio
+
+
+@then('the quota is used')
+def check_used(context: Any) -> None:
+    """Check that what the bucket refills is nearly all used."""
+    used_per_s = len([at_s for at_s in context.run.run_s if at_s > LASTS_S - 5])
+    assert used_per_s > 5 * context.rate_per_s * 0.85, used_per_s
+
+
+@then('the refusals say when to retry')
+def check_texts(context: Any) -> None:
+    """Check that the times to retry are given, and spread."""
+    pattern = re.compile(
+        'the quota of the workspace is used up; retry after ([0-9]+) ms'
+    )
+    found = [pattern.fullmatch(text) for text in context.run.refused]
+    assert all(found), context.run.refused[:3]
+    assert len({each.group(1) for each in found if each}) > 5
+
+
+@then('the bound is kept in any history of hosts, cuts, losses and changes')
+def check_property(context: Any) -> None:
+    """Check random histories."""
+    check_histories()
--- a/mimosapond/configuration/active_configuration.py
+++ b/mimosapond/configuration/active_configuration.py
@@ -8,6 +8,7 @@
 
 from mimosapond.configuration.configuration import Configuration
 from mimosapond.configuration.route import Route
+from mimosapond.configuration.workspace import Workspace
 
 _DEFAULT_TRANSACTION_IDLE_TIMEOUT_MS: Final = 3000.0
 
@@ -50,6 +51,12 @@
             return None
         return self._current.routes.get(database)
 
+    def workspace(self, name: str) -> Workspace | None:
+        """Return a workspace; None if the version in force has none such."""
+        if self._current is None or self._current.workspaces is None:
+            return None
+        return self._current.workspaces.get(name)
+
     def activate(self, configuration: Configuration) -> bool:
         """Put a configuration in force if it is newer; return whether it is."""
         if configuration.version <= self.version:
--- a/mimosapond/entry/host_settings.py
+++ b/mimosapond/entry/host_settings.py
@@ -34,6 +34,7 @@
 
 _TRUE: Final = 'true'
 _FALSE: Final = 'false'
+_MAX_SLACK_COUNT: Final = 1_000_000
 _FLAGS: Final = (_TRUE, _FALSE)
 _REQUIRED: Final = (
     'host',
@@ -60,6 +61,9 @@
         'processor_speed_ratio': NumberRule(0.001, MAX_PROCESSOR_RATIO),
         'is_first_start': ChoiceRule(_FLAGS),
         'checks_tokens': ChoiceRule(_FLAGS),
+        'quota_window_s': NumberRule(0.1, HOUR_S),
+        'quota_overshoot_ratio': NumberRule(0, 10),
+        'quota_slack_count': NumberRule(0, _MAX_SLACK_COUNT),
         'log_level': ChoiceRule(LOG_LEVELS),
     },
 )
@@ -92,6 +96,11 @@
     checks_tokens
         ``true`` if the promotion service refuses a fencing token that is lower
         than one it has seen, and a former primary refuses requests at once.
+    quota_window_s
+        Span of time in which the operations of a workspace are limited.
+    quota_overshoot_ratio, quota_slack_count
+        Tolerated excess over the quota of such a span: a part of the quota,
+        and a number of operations.
     """
 
     host: str
@@ -108,6 +117,9 @@
     processor_speed_ratio: float = 1
     is_first_start: str = _FALSE
     checks_tokens: str = _TRUE
+    quota_window_s: float = 5.0
+    quota_overshoot_ratio: float = 0.1
+    quota_slack_count: float = 20
     log_level: str = 'INFO'
 
     @property
--- a/mimosapond/entry/platform_host.py
+++ b/mimosapond/entry/platform_host.py
@@ -1,8 +1,8 @@
 """The process of one host on the platform: start, operation and stop."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Final, final
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, final
 
 import attrs
 from loguru import logger
@@ -44,6 +44,8 @@
 
     Parameters
     ----------
+    follow_quotas
+        Keeps the buckets of the workspaces of this host up to date.
     accept_callers
         Starts to accept connections of callers.
     now
@@ -55,6 +57,7 @@
     configuration_follower: ConfigurationFollower
     registration_poller: RegistrationPoller
     peer_discovery: PeerDiscovery
+    follow_quotas: Callable[[], Coroutine[Any, Any, None]]
     sessions: SessionRegistry
     relayed_work_handler: RelayedWorkHandler
     primary_probe: PrimaryProbe
@@ -109,6 +112,7 @@
         self._tasks.start('registrations', parts.registration_poller.run)
         self._tasks.start('duties', parts.reserved_token_claims.run)
         self._tasks.start('peers', parts.peer_discovery.run)
+        self._tasks.start('quotas', parts.follow_quotas)
         await self._parts.active_configuration.wait_until_loaded(
             _CONFIGURATION_WAIT_S
         )
--- a/mimosapond/peers/holder_ranking.py
+++ b/mimosapond/peers/holder_ranking.py
@@ -25,7 +25,7 @@
 ) -> dict[str, list[Peer]]:
     """Return the hosts of each data centre, the preferred ones first."""
     ranking: dict[str, list[Peer]] = defaultdict(list)
-    for host in _sort_by_score(group, hosts):
+    for host in sort_by_score(group, hosts):
         ranking[host.data_centre].append(host)
     return dict(ranking)
 
@@ -40,10 +40,11 @@
 
     The work of many hosts is thus spread over equally good peers.
     """
-    return _sort_by_score(own_host, peers)
+    return sort_by_score(own_host, peers)
 
 
-def _sort_by_score(key: str, hosts: Iterable[Peer]) -> list[Peer]:
+def sort_by_score(key: str, hosts: Iterable[Peer]) -> list[Peer]:
+    """Return hosts in the order of rendezvous hashing for a key."""
     return sorted(hosts, key=lambda host: _score(key, host), reverse=True)
 
 
--- a/mimosapond/peers/holder_relay.py
+++ b/mimosapond/peers/holder_relay.py
@@ -126,8 +126,9 @@
 def _is_final(outcome: WorkOutcome) -> bool:
     """Return whether no other holder should be asked."""
     match outcome:
-        case WorkDone(reply=Failure(kind=FailureKind.not_run)):
-            return False
+        case WorkDone(reply=Failure(kind=FailureKind.not_run) as failure):
+            # The quota is the same at all hosts.
+            return failures.is_over_quota(failure)
         case WorkDone():
             return True
         case WorkUnanswered():
--- a/mimosapond/peers/peer_client.py
+++ b/mimosapond/peers/peer_client.py
@@ -21,6 +21,8 @@
     decode_position,
     encode_work,
 )
+from mimosapond.quotas.quota_codec import decode_answer, encode_request
+from mimosapond.quotas.quota_messages import QuotaAnswer, QuotaRequest
 from mimosapond.routing.work_outcome import WorkUnanswered, WorkOutcome
 from mimosapond.routing.work import Work
 from mimosapond.statements.statement import Begin
@@ -39,6 +41,7 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     )
 )
+_PATIENT_PATHS: Final = frozenset((peer_paths.PRIMARY, peer_paths.QUOTA))
 _OK: Final = str(HTTPStatus.OK.value)
 
 
@@ -150,6 +153,21 @@
             peer, peer_paths.ROLLBACKS, {'key': key}, _ROLLBACK_TIMEOUT_S
         )
 
+    async def ask_quota(
+        self, peer: Peer, request: QuotaRequest, limit_s: float
+    ) -> QuotaAnswer | None:
+        """Send a peer a request about quotas; None without an answer."""
+        response = await self._call(
+            peer, peer_paths.QUOTA, encode_request(request), limit_s
+        )
+        if isinstance(response, WorkUnanswered):
+            return None
+        try:
+            return decode_answer(response)
+        except _BODY_ERRORS as error:
+            self._unanswered(peer, peer_paths.QUOTA, repr(error), was_sent=True)
+            return None
+
     async def _send_work(
         self, peer: Peer, path: str, fields: Mapping[str, Any], work: Work
     ) -> WorkOutcome:
@@ -179,8 +197,9 @@
         answer = await self._links.call(peer, path, content, limit_s)
         if isinstance(answer, LinkFailure):
             # A peer that probes a silent primary answers the question for it
-            # late, and is not at fault.
-            is_at_fault = answer.was_silent and path != peer_paths.PRIMARY
+            # late, and is not at fault. Requests about quotas have short
+            # limits, which a busy peer may miss.
+            is_at_fault = answer.was_silent and path not in _PATIENT_PATHS
             if is_at_fault or not answer.was_sent:
                 return self._unanswered(
                     peer, path, answer.reason, was_sent=answer.was_sent
--- a/mimosapond/peers/peer_server.py
+++ b/mimosapond/peers/peer_server.py
@@ -27,6 +27,10 @@
     encode_outcome,
     encode_position,
 )
+from mimosapond.quotas.home_finder import QuotaAnswerer
+from mimosapond.quotas.no_quota_service import NoQuotaService
+from mimosapond.quotas.quota_codec import decode_request, encode_answer
+from mimosapond.quotas.quota_messages import QuotaRequest
 from mimosapond.routing.work_outcome import WorkDone
 from mimosapond.routing.work import Work
 from mimosapond.statements.statement import Begin
@@ -35,6 +39,7 @@
 _Call: TypeAlias = Callable[[], Awaitable[_Body]]
 
 _MS_PER_S: Final = 1000
+_NO_QUOTA_SERVICE: Final = NoQuotaService()
 _WORK_PATHS: Final = frozenset(
     (
         peer_paths.READS,
@@ -60,7 +65,11 @@
     """
 
     def __init__(
-        self, handler: RelayedWorkHandler, directory: GroupDirectory, now: Now
+        self,
+        handler: RelayedWorkHandler,
+        directory: GroupDirectory,
+        now: Now,
+        quotas: QuotaAnswerer = _NO_QUOTA_SERVICE,
     ) -> None:
         """Create a server, not yet bound.
 
@@ -72,8 +81,11 @@
             Has the groups that work refers to.
         now
             Clock of the deadlines of work.
+        quotas
+            Answers requests about quotas.
         """
         super().__init__()
+        self._quotas = quotas
         self._handler = handler
         self._directory = directory
         self._now = now
@@ -134,6 +146,10 @@
                 )
             case peer_paths.ROLLBACKS:
                 return functools.partial(self._roll_back, str(body['key']))
+            case peer_paths.QUOTA:
+                return functools.partial(
+                    self._answer_quota, decode_request(body)
+                )
             case _:
                 return self._decode_work(path, body)
 
@@ -167,6 +183,9 @@
             'age_ms': report.age_s * _MS_PER_S,
         }
 
+    async def _answer_quota(self, request: QuotaRequest) -> _Body:
+        return encode_answer(await self._quotas.answer(request))
+
     async def _roll_back(self, key: str) -> _Body:
         self._handler.roll_back(key)
         return {}
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -40,6 +40,7 @@
 from mimosapond.platform.caller_server import CallerServer
 from mimosapond.platform.member_dialer import WireMemberDialer
 from mimosapond.platform.promotion_client import PromotionClient
+from mimosapond.platform.quota_composition import build_host_quotas
 from mimosapond.platform.store_client import StoreClient
 from mimosapond.platform.store_configuration import StoreConfiguration
 from mimosapond.platform.store_claims import StoreClaims
@@ -105,6 +106,14 @@
             StoreRegistrations(self._store), self._directory
         )
         peer_client = PeerClient(self._peers, self._now)
+        self._quotas = build_host_quotas(
+            settings,
+            self._active_configuration,
+            self._peers,
+            self._own_peer,
+            peer_client,
+            self._now,
+        )
         keys = TransactionKeys(settings.host)
         self._relay_finder = PeerRelayFinder(
             self._holders.other_holders, peer_client, keys, self._now
@@ -152,7 +161,10 @@
         )
         peer_ip, peer_port = _split_address(self._settings.peer_address)
         PeerServer(
-            self._relayed_work_handler, self._directory, self._now
+            self._relayed_work_handler,
+            self._directory,
+            self._now,
+            self._quotas.service,
         ).listen(peer_port, peer_ip)
         return host
 
@@ -191,6 +203,7 @@
             relays,
             self._now,
             routing.holders,
+            routing.writes.quotas,
         )
 
     def _build_routing(
@@ -208,7 +221,9 @@
                 self._settings.data_centre, self._now
             ),
             paths=paths,
-            writes=WriteRouter(paths, self._witnesses, self._now),
+            writes=WriteRouter(
+                paths, self._witnesses, self._now, self._quotas.gate
+            ),
             now=self._now,
             witnesses=self._witnesses,
             holders=holders,
@@ -238,6 +253,7 @@
                 self._directory.request_checks,
                 is_first_start=self._settings.starts_system,
             ),
+            follow_quotas=self._quotas.service.run,
             sessions=self._sessions,
             relayed_work_handler=self._relayed_work_handler,
             primary_probe=self._primary_probe,
--- /dev/null
+++ b/mimosapond/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of workspaces, counted over all hosts."""
--- a/mimosapond/routing/failures.py
+++ b/mimosapond/routing/failures.py
@@ -1,11 +1,13 @@
 """Failures that callers get, each with the action to take."""
 
+import math
 from typing import Final
 
 from mimosapond.groups.member_answer import Rejected, RejectionKind
 from mimosapond.statements.reply import Failure, FailureKind
 
 RETRY_AFTER_MS: Final = 100
+_OVER_QUOTA_TEXT: Final = 'the quota of the workspace is used up'
 
 NO_PRIMARY: Final = Failure(
     FailureKind.not_run,
@@ -26,6 +28,11 @@
     'the log position that the read requires is unknown; '
     f'retry after {RETRY_AFTER_MS} ms',
 )
+NO_QUOTA_HOME: Final = Failure(
+    FailureKind.not_run,
+    'no host that counts the operations of the workspace is reachable; '
+    f'retry after {RETRY_AFTER_MS} ms',
+)
 READ_UNANSWERED: Final = Failure(
     FailureKind.timed_out,
     'no member answered the read in time; repeat it',
@@ -72,6 +79,19 @@
 )
 
 
+def is_over_quota(failure: Failure) -> bool:
+    """Return whether an operation was refused because of the quota."""
+    return failure.text.startswith(_OVER_QUOTA_TEXT)
+
+
+def over_quota(retry_after_ms: float) -> Failure:
+    """Return the failure of an operation whose workspace used up its quota."""
+    return Failure(
+        FailureKind.not_run,
+        f'{_OVER_QUOTA_TEXT}; retry after {math.ceil(retry_after_ms)} ms',
+    )
+
+
 def from_rejection(answer: Rejected) -> Failure:
     """Return the failure for a statement that the member ran and rejected."""
     kind = FailureKind.failed
--- a/mimosapond/routing/primary_path.py
+++ b/mimosapond/routing/primary_path.py
@@ -74,6 +74,10 @@
         self._now = now
         self._leaving_limit_s = leaving_limit_s
 
+    def runs_here(self, work: Work) -> bool:
+        """Return whether work is not passed on to a holder of its group."""
+        return self._holders.find(work.group) is None
+
     async def find(self, work: Work) -> Path:
         """Return a path to the primary.
 
--- a/mimosapond/routing/read_router.py
+++ b/mimosapond/routing/read_router.py
@@ -16,6 +16,8 @@
     MemberAnswer,
     Rejected,
 )
+from mimosapond.quotas.quota_port import NoQuotas, Quota
+from mimosapond.quotas.read_tokens import NO_TOKEN, ReadTokens
 from mimosapond.routing.member_selector import MemberSelector
 from mimosapond.routing.read_position_finder import ReadPositionFinder
 from mimosapond.routing import failures
@@ -43,6 +45,7 @@
 _MIN_ROUND_BACK_OFF_S: Final = 0.02
 _MAX_ROUND_BACK_OFF_S: Final = 0.16
 _RUNS_HERE: Final = RunsHere()
+_NO_QUOTAS: Final = NoQuotas()
 
 
 @final
@@ -59,6 +62,7 @@
         relays: RelayFinder,
         now: Now,
         holders: HolderFinder = _RUNS_HERE,
+        quotas: Quota = _NO_QUOTAS,
     ) -> None:
         """Create a router.
 
@@ -72,8 +76,11 @@
             Finds a host to read through if this one has no connections.
         holders
             Finds the hosts that hold a group if this one does not.
+        quotas
+            Limits the reads that are sent to members.
         """
         self._holders = holders
+        self._quotas = quotas
         self._positions = positions
         self._relays = relays
         self._selector = selector
@@ -88,16 +95,27 @@
             return holder
         if holder is not None:
             return _reply_of(await holder.read(work))
+        refusal = await self._quotas.take(work)
+        if refusal is not None:
+            return refusal
         position = await self._positions.find(work)
         if position is None:
+            self._quotas.give_back(work)
             return failures.NO_FRESH_MEMBER
         attempts = _ReadAttempts(
-            work, position, self._selector, self._running_attempts, self._now
+            work,
+            position,
+            self._selector,
+            self._running_attempts,
+            self._now,
+            ReadTokens(self._quotas, work),
         )
         try:
             return await self._run_until_reply(work, attempts)
         finally:
             attempts.cancel_unsent()
+            if not attempts.was_sent:
+                self._quotas.give_back(work)
 
     async def _run_until_reply(
         self, work: Work, attempts: '_ReadAttempts'
@@ -144,7 +162,9 @@
         selector: MemberSelector,
         running_attempts: set[_Attempt],
         now: Now,
+        tokens: ReadTokens,
     ) -> None:
+        self._tokens = tokens
         self._work = work
         self._running_attempts = running_attempts
         self._position = position
@@ -154,7 +174,8 @@
         self._pending: dict[_Attempt, Member] = {}
         # Members whose current attempt has not sent the read yet.
         self._unsent: set[Member] = set()
-        self._was_sent = False
+        # Whether a member was sent the read.
+        self.was_sent = False
         self._round_back_off_s = _MIN_ROUND_BACK_OFF_S
 
     async def run(self) -> Reply | None:
@@ -192,9 +213,9 @@
             request=self._work.request_id,
             tried=[member.member_id for member in self._tried],
             at=str(self._position),
-            was_sent=self._was_sent,
+            was_sent=self.was_sent,
         ).warning('read_given_up')
-        if self._was_sent:
+        if self.was_sent:
             return failures.READ_UNANSWERED
         return failures.NO_CONNECTION
 
@@ -226,7 +247,7 @@
         # Members that refused are tried again in the next round. Members that
         # still run the read, or whose answer may be lost, are not.
         self._tried = list(self._pending.values())
-        if not self._was_sent:
+        if not self.was_sent:
             return None
         back_off_s = self._round_back_off_s
         self._round_back_off_s = min(back_off_s * 2, _MAX_ROUND_BACK_OFF_S)
@@ -260,6 +281,13 @@
                 return None
 
     async def _run_attempt(self, member: Member) -> MemberAnswer | NoConnection:
+        if not await self._tokens.take():
+            return NO_TOKEN
+        answer = await self._run_at(member)
+        self._tokens.keep_unused(answer)
+        return answer
+
+    async def _run_at(self, member: Member) -> MemberAnswer | NoConnection:
         work = self._work
         connection = await member.pool.borrow(
             work.route.priority,
@@ -272,7 +300,7 @@
         limit_s = max(work.deadline_s - self._now(), 0)
         try:
             self._unsent.discard(member)
-            self._was_sent = True
+            self.was_sent = True
             return await run_work(connection, work, self._position, limit_s)
         except RestoreFailed as error:
             return LinkLost(str(error))
--- a/mimosapond/routing/write_router.py
+++ b/mimosapond/routing/write_router.py
@@ -17,10 +17,12 @@
     RejectionKind,
 )
 from mimosapond.groups.connection_lease import ConnectionLease
+from mimosapond.quotas.quota_port import NoQuotas, Quota
 from mimosapond.routing import failures
 from mimosapond.routing.commit_witnesses import CommitWitnesses
 from mimosapond.routing.primary_path import (
     LocalPath,
+    Path,
     PrimaryPathFinder,
     RelayPath,
 )
@@ -35,6 +37,7 @@
 
 # Delay before a retry at a member whose queue is full.
 BUSY_BACKOFF_S: Final = 0.015
+_NO_QUOTAS: Final = NoQuotas()
 
 WriteOutcome: TypeAlias = tuple[Reply, LogPosition | None]
 
@@ -48,6 +51,7 @@
         paths: PrimaryPathFinder,
         witnesses: CommitWitnesses,
         now: Now,
+        quotas: Quota = _NO_QUOTAS,
     ) -> None:
         """Create a router.
 
@@ -59,7 +63,10 @@
             Confirm the commits that the primary acknowledges.
         now
             Clock of the deadlines.
+        quotas
+            Limits the writes that are sent to members.
         """
+        self.quotas = quotas
         self._paths = paths
         self._witnesses = witnesses
         self._now = now
@@ -73,14 +80,32 @@
             The position is None if the write failed or its outcome is
             unknown.
         """
+        is_counted = False
         while True:
-            outcome = await self._run_once(work)
+            path = await self._find_path(work, is_counted=is_counted)
+            is_counted = isinstance(path, LocalPath)
+            outcome = await self._run_on(path, work)
             if outcome is not None:
                 return outcome
             await asyncio.sleep(BUSY_BACKOFF_S)
 
-    async def _run_once(self, work: Work) -> WriteOutcome | None:
+    async def _find_path(self, work: Work, *, is_counted: bool) -> Path:
+        """Return a path, with a token if the write runs at this host."""
+        runs_here = self._paths.runs_here(work)
+        if runs_here and not is_counted:
+            refusal = await self.quotas.take(work)
+            if refusal is not None:
+                return refusal
         path = await self._paths.find(work)
+        if not isinstance(path, LocalPath):
+            self.quotas.give_back(work)
+        elif not (runs_here or is_counted):
+            # The group has just come to this host.
+            path.connection.release()
+            return failures.NO_CONNECTION
+        return path
+
+    async def _run_on(self, path: Path, work: Work) -> WriteOutcome | None:
         match path:
             case Failure():
                 return path, None
--- a/mimosapond/sessions/transaction.py
+++ b/mimosapond/sessions/transaction.py
@@ -84,6 +84,7 @@
         self._has_run = False
         self._has_written = False
         self._is_over = False
+        self._is_counted = False
 
     async def run(self, work: Work) -> Reply:
         """Run one statement and return its reply.
@@ -154,10 +155,20 @@
     async def _open(self, work: Work) -> OpenTransaction | Failure:
         if self._opened is not None:
             return self._opened
+        refusal = await self._count(work)
+        if refusal is not None:
+            return refusal
         if self._begin.is_read_only:
             opened = await self._open_read_only(work)
         else:
             opened = await self._open_read_write(work)
+        if not isinstance(opened, PinnedTransaction):
+            self._routing.writes.quotas.give_back(work)
+            self._is_counted = False
+        elif not self._is_counted:
+            # The group has just come to this host.
+            opened.abandon()
+            return failures.NO_CONNECTION
         if isinstance(opened, Failure):
             return opened
         if self._is_over:
@@ -166,6 +177,14 @@
         self._opened = opened
         return opened
 
+    async def _count(self, work: Work) -> Failure | None:
+        """Take a token of the quota if the transaction runs at this host."""
+        if self._is_counted or self._is_remote(work):
+            return None
+        refusal = await self._routing.writes.quotas.take(work)
+        self._is_counted = refusal is None
+        return refusal
+
     async def _open_read_write(self, work: Work) -> OpenTransaction | Failure:
         wait_for = None
         if not (self._routing.proof.is_answer_enough or self._is_remote(work)):
