Merge the quotas across hosts, and hand on each field of a registration

A scenario hands each field on. The tokens of a read are settled by the attempt that used them, also when it was cancelled while it waited for admission.

--- a/features/shared_state.feature
+++ b/features/shared_state.feature
@@ -29,6 +29,12 @@
     And the reader reads the registrations of p just after an outage
     Then no member is unlisted at the host
 
+  Scenario: Every field of a registration is handed on
+    # Without this, a number that JSON writes in another form makes each host
+    # read the store itself.
+    Then a registration with 5 slots and a warm-up of 0 ms is handed on whole
+    And a registration with 5 slots and a warm-up of 1200.5 ms is handed on whole
+
   Scenario: A host leaves the source of configurations to the reader
     Given a reader of the store and a host that follows it
     When the source of configurations answers the reader
--- a/features/steps/shared_state_steps.py
+++ b/features/steps/shared_state_steps.py
@@ -5,16 +5,18 @@
 from collections.abc import Iterator
 from typing import Any, Final
 
+import attrs
 from behave import given, then, when
 
-from features.group_builders import GROUP
+from features.group_builders import GROUP, build_record
 from features.shared_state_builders import (
     SharingPair,
     build_records,
     build_sharing_pair,
 )
 from mimosapond.boot_clock import boot_time_s
-from mimosapond.peers.shared_state_codec import decode_state
+from mimosapond.peers.shared_state import SharedState
+from mimosapond.peers.shared_state_codec import decode_state, encode_state
 
 _SETTLE_S: Final = 0.2
 # Longer than the wait of a request that is under way and that of the next one.
@@ -174,6 +176,21 @@
     assert not pair.follower.covers_configuration(_APPLY_S)
 
 
+@then(
+    'a registration with {slots:d} slots and a warm-up of {warm_up:g} ms is '
+    'handed on whole'
+)
+def check_whole(context: Any, slots: int, warm_up: float) -> None:
+    """Check that a registration is the same after it was handed on."""
+    left_ms = int(warm_up) if warm_up.is_integer() else warm_up
+    record = attrs.evolve(
+        build_record('p'), slot_count=slots, warm_up_left_ms=left_ms
+    )
+    state = SharedState(1, 0, 0, 0, 'digest', (record,))
+    body = json.loads(json.dumps(encode_state(state, 0)))
+    assert decode_state(body, 0) == state, body
+
+
 @then('the body {body} is no state')
 def check_unreadable(context: Any, body: str) -> None:
     """Check that decoding fails with an error that callers expect."""
--- a/features/steps/workspace_holders_steps.py
+++ b/features/steps/workspace_holders_steps.py
@@ -16,7 +16,7 @@
 )
 from features.holder_builders import build_peers, build_view
 from features.virtual_loop import VirtualLoop
-from features.workspace_builders import CountingMember, use
+from features.workspace_connection_builders import CountingMember, use
 from features.workspace_load import by_entry_host, by_workspace, run_load
 from mimosapond.configuration.active_configuration import ActiveConfiguration
 from mimosapond.configuration.quota_shares import QuotaShares
--- a/features/workspace_load.py
+++ b/features/workspace_load.py
@@ -14,7 +14,7 @@
 from features.group_builders import build_route
 from features.holder_builders import HostView, build_peers, build_view
 from features.virtual_loop import run_virtually
-from features.workspace_builders import CountingMember
+from features.workspace_connection_builders import CountingMember
 from mimosapond.configuration.configuration import GroupLimits
 from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.groups.group_directory import GroupDirectory
--- a/mimosapond/configuration/active_configuration.py
+++ b/mimosapond/configuration/active_configuration.py
@@ -78,6 +78,12 @@
         """Return the workspace that holds a key; None if there is none."""
         return self._by_digest.get(key_digest)
 
+    def workspace(self, name: str) -> Workspace | None:
+        """Return a workspace; None if the version in force has none such."""
+        if self._current is None or self._current.workspaces is None:
+            return None
+        return self._current.workspaces.get(name)
+
     def activate(self, configuration: Configuration) -> bool:
         """Put a configuration in force if it is newer; return whether it is."""
         if configuration.version <= self.version:
--- a/mimosapond/entry/host_settings.py
+++ b/mimosapond/entry/host_settings.py
@@ -34,6 +34,7 @@
 
 _TRUE: Final = 'true'
 _FALSE: Final = 'false'
+_MAX_SLACK_COUNT: Final = 1_000_000
 _FLAGS: Final = (_TRUE, _FALSE)
 _REQUIRED: Final = (
     'host',
@@ -62,6 +63,9 @@
         'checks_tokens': ChoiceRule(_FLAGS),
         'strict_revoke': ChoiceRule(_FLAGS),
         'revoke_ms': NumberRule(1, DAY_MS),
+        'quota_window_s': NumberRule(0.1, HOUR_S),
+        'quota_overshoot_ratio': NumberRule(0, 10),
+        'quota_slack_count': NumberRule(0, _MAX_SLACK_COUNT),
         'log_level': ChoiceRule(LOG_LEVELS),
     },
 )
@@ -99,6 +103,11 @@
         caller is revoked, instead of being allowed to finish.
     revoke_ms
         Time within which such a transaction must be rolled back.
+    quota_window_s
+        Span of time in which the operations of a workspace are limited.
+    quota_overshoot_ratio, quota_slack_count
+        Tolerated excess over the quota of such a span: a part of the quota,
+        and a number of operations.
     """
 
     host: str
@@ -117,6 +126,9 @@
     checks_tokens: str = _TRUE
     strict_revoke: str = _FALSE
     revoke_ms: float = 5000
+    quota_window_s: float = 5.0
+    quota_overshoot_ratio: float = 0.1
+    quota_slack_count: float = 20
     log_level: str = 'INFO'
 
     @property
--- a/mimosapond/peers/peer_server.py
+++ b/mimosapond/peers/peer_server.py
@@ -32,6 +32,10 @@
     encode_outcome,
     encode_position,
 )
+from mimosapond.quotas.home_finder import QuotaAnswerer
+from mimosapond.quotas.no_quota_service import NoQuotaService
+from mimosapond.quotas.quota_codec import decode_request, encode_answer
+from mimosapond.quotas.quota_messages import QuotaRequest
 from mimosapond.routing.work_outcome import WorkDone
 from mimosapond.routing.work import Work
 from mimosapond.statements.statement import Begin
@@ -40,6 +44,7 @@
 _Call: TypeAlias = Callable[[], Awaitable[_Body]]
 
 _MS_PER_S: Final = 1000
+_NO_QUOTA_SERVICE: Final = NoQuotaService()
 _WORK_PATHS: Final = frozenset(
     (
         peer_paths.READS,
@@ -71,6 +76,7 @@
         publisher: StatePublisher,
         now: Now,
         configuration: ActiveConfiguration,
+        quotas: QuotaAnswerer = _NO_QUOTA_SERVICE,
     ) -> None:
         """Create a server, not yet bound.
 
@@ -86,9 +92,12 @@
             Clock of the deadlines of work.
         configuration
             Is handed to other hosts; each answer names its version.
+        quotas
+            Answers requests about quotas.
         """
         super().__init__()
         self._publisher = publisher
+        self._quotas = quotas
         self._handler = handler
         self._directory = directory
         self._now = now
@@ -159,6 +168,10 @@
                 return functools.partial(
                     self._hand_configuration, int(body['newer_than'])
                 )
+            case peer_paths.QUOTA:
+                return functools.partial(
+                    self._answer_quota, decode_request(body)
+                )
             case _:
                 return self._decode_work(path, body)
 
@@ -207,6 +220,9 @@
             return {'configuration': None}
         return {'configuration': encode_configuration(current)}
 
+    async def _answer_quota(self, request: QuotaRequest) -> _Body:
+        return encode_answer(await self._quotas.answer(request))
+
     async def _roll_back(self, key: str) -> _Body:
         self._handler.roll_back(key)
         return {}
--- a/mimosapond/peers/shared_state_codec.py
+++ b/mimosapond/peers/shared_state_codec.py
@@ -89,12 +89,18 @@
     }
     for field in attrs.fields(MemberRecord):
         content = fields.get(field.name, field.default)
-        expected: Any = field.type
-        if not isinstance(content, expected):
+        if not _has_type(content, field.type):
             raise TypeError(field.name)
     return MemberRecord(**fields)
 
 
+def _has_type(content: Any, expected: Any) -> bool:
+    """Return whether content has a type; JSON writes 0.0 as 0."""
+    if isinstance(content, int) and not isinstance(content, bool):
+        return isinstance(content, expected) or isinstance(0.0, expected)
+    return isinstance(content, expected)
+
+
 def _to_ms(time_s: float) -> float:
     """Return milliseconds; minus infinity stands for never and has no JSON."""
     return max(time_s * _MS_PER_S, _NEVER_MS)
--- a/mimosapond/peers/workspace_ranking.py
+++ b/mimosapond/peers/workspace_ranking.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from mimosapond.peers.holder_ranking import prefer_by_host, rank_by_key
+from mimosapond.peers.holder_ranking import prefer_by_host, sort_by_score
 from mimosapond.peers.peer import Peer
 
 # Multiple of its share of the holders that a workspace is spread over, so that
@@ -41,7 +41,7 @@
     those of its data centre, and then others in an order of its own. The
     remaining holders follow in an order that all hosts agree on.
     """
-    ranked = rank_by_key(f'{workspace} {group}', holders)
+    ranked = sort_by_score(f'{workspace} {group}', holders)
     count = spread_count(quota_ratio, len(ranked))
     chosen = sorted(
         prefer_by_host(own.host, ranked[:count]),
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -48,6 +48,7 @@
 from mimosapond.platform.caller_server import CallerServer
 from mimosapond.platform.member_dialer import WireMemberDialer
 from mimosapond.platform.promotion_client import PromotionClient
+from mimosapond.platform.quota_composition import build_host_quotas
 from mimosapond.platform.store_client import StoreClient
 from mimosapond.platform.store_configuration import StoreConfiguration
 from mimosapond.platform.store_claims import StoreClaims
@@ -132,6 +133,14 @@
             self._directory,
             StateSharing(self._state_follower, self._state_publisher),
         )
+        self._quotas = build_host_quotas(
+            settings,
+            self._active_configuration,
+            self._peers,
+            self._own_peer,
+            peer_client,
+            self._now,
+        )
         keys = TransactionKeys(settings.host)
         self._relay_finder = PeerRelayFinder(
             self._holders.other_holders, peer_client, keys, self._now
@@ -188,6 +197,7 @@
             self._state_publisher,
             self._now,
             self._active_configuration,
+            self._quotas.service,
         ).listen(peer_port, peer_ip)
         return host
 
@@ -228,6 +238,7 @@
             relays,
             self._now,
             routing.holders,
+            routing.writes.quotas,
         )
 
     def _build_routing(
@@ -245,7 +256,9 @@
                 self._settings.data_centre, self._now
             ),
             paths=paths,
-            writes=WriteRouter(paths, self._witnesses, self._now),
+            writes=WriteRouter(
+                paths, self._witnesses, self._now, self._quotas.gate
+            ),
             now=self._now,
             witnesses=self._witnesses,
             holders=holders,
@@ -280,6 +293,7 @@
                 'duties': self._claims.run,
                 'peers': self._build_peer_discovery().run,
                 'shared state': self._state_follower.run,
+                'quotas': self._quotas.service.run,
             },
             log_rate_limit=self._log_rate_limit,
             now=self._now,
--- a/mimosapond/routing/read_attempts.py
+++ b/mimosapond/routing/read_attempts.py
@@ -16,6 +16,7 @@
     MemberAnswer,
     Rejected,
 )
+from mimosapond.quotas.read_tokens import NO_TOKEN, ReadTokens
 from mimosapond.routing import failures
 from mimosapond.routing.admitted_connection import (
     AdmittedConnection,
@@ -59,7 +60,9 @@
         selector: MemberSelector,
         running_attempts: set[Attempt],
         now: Now,
+        tokens: ReadTokens,
     ) -> None:
+        self._tokens = tokens
         self._work = work
         self._running_attempts = running_attempts
         self._position = position
@@ -218,6 +221,16 @@
         delay_s = self._hedge_delay_s()
         if delay_s > 0:
             await asyncio.sleep(delay_s)
+        if not await self._tokens.take():
+            return NO_TOKEN
+        outcome: _AttemptOutcome | None = None
+        try:
+            outcome = await self._run_at(member)
+        finally:
+            self._tokens.settle(outcome, was_sent=member not in self._unsent)
+        return outcome
+
+    async def _run_at(self, member: Member) -> _AttemptOutcome:
         remaining_s = self._work.deadline_s - self._now()
         admitted = await borrow_admitted(
             member, self._work, min(_BORROW_TIMEOUT_S, remaining_s)
--- a/mimosapond/routing/read_router.py
+++ b/mimosapond/routing/read_router.py
@@ -4,6 +4,8 @@
 from typing import Final, final
 
 from mimosapond.boot_clock import Now
+from mimosapond.quotas.quota_port import NoQuotas, Quota
+from mimosapond.quotas.read_tokens import ReadTokens
 from mimosapond.routing import failures
 from mimosapond.routing.holder_port import HolderFinder, RunsHere
 from mimosapond.routing.member_selector import MemberSelector
@@ -21,6 +23,7 @@
 # Delay before members are tried again after no relay was found.
 _RETRY_DELAY_S: Final = 0.02
 _RUNS_HERE: Final = RunsHere()
+_NO_QUOTAS: Final = NoQuotas()
 
 
 @final
@@ -37,6 +40,7 @@
         relays: RelayFinder,
         now: Now,
         holders: HolderFinder = _RUNS_HERE,
+        quotas: Quota = _NO_QUOTAS,
     ) -> None:
         """Create a router.
 
@@ -50,8 +54,11 @@
             Finds a host to read through if this one has no connections.
         holders
             Finds the hosts that hold a group if this one does not.
+        quotas
+            Limits the reads that are sent to members.
         """
         self._holders = holders
+        self._quotas = quotas
         self._positions = positions
         self._relays = relays
         self._selector = selector
@@ -66,16 +73,27 @@
             return holder
         if holder is not None:
             return _reply_of(await holder.read(work))
+        refusal = await self._quotas.take(work)
+        if refusal is not None:
+            return refusal
         position = await self._positions.find(work)
         if position is None:
+            self._quotas.give_back(work)
             return failures.NO_FRESH_MEMBER
+        tokens = ReadTokens(self._quotas, work)
         attempts = ReadAttempts(
-            work, position, self._selector, self._running_attempts, self._now
+            work,
+            position,
+            self._selector,
+            self._running_attempts,
+            self._now,
+            tokens,
         )
         try:
             return await self._run_until_reply(work, attempts)
         finally:
             attempts.cancel_unsent()
+            tokens.close()
 
     async def _run_until_reply(
         self, work: Work, attempts: ReadAttempts
