Bound the memory and the connections that callers can take

Cause: each connection buffered up to 2 MiB, a large line existed several times at once, and nothing counted bytes or connections over all of them. A caller that sent many requests ahead also kept all other tasks waiting.

Change: large messages, rows of members and frames between hosts wait for a share of the memory that the settings name before the rest of them is read. Connections are limited by the descriptors; START, a message that has begun and an unread answer have time limits. Bodies of the store are bounded.

Ruled out: shares that grow with a line, since two half-read lines can wait for each other; one budget for everything; a limit for each connection alone.

--- a/features/peer_fakes.py
+++ b/features/peer_fakes.py
@@ -7,6 +7,8 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
+from mimosapond.entry.host_resources import default_resources
+from mimosapond.entry.memory_lanes import MemoryAccount
 from mimosapond.peers.peer_frame import PeerFrame, encode_frame, read_frame
 
 _LOOPBACK: Final = '127.0.0.1'
@@ -43,10 +45,11 @@
         is_silent = (
             self._is_first_connection_silent and self.connection_count == 1
         )
+        account = MemoryAccount(default_resources().frames)
         try:
             while True:
-                frame = await read_frame(stream)
-                if not is_silent:
+                frame = await read_frame(stream, account)
+                if not is_silent and isinstance(frame, PeerFrame):
                     self._start_answer(stream, frame)
         except StreamClosedError:
             return
--- a/mimosapond/entry/host_settings.py
+++ b/mimosapond/entry/host_settings.py
@@ -35,6 +35,12 @@
 _TRUE: Final = 'true'
 _FALSE: Final = 'false'
 _FLAGS: Final = (_TRUE, _FALSE)
+# The program itself takes about 35 MB.
+_MIN_MEMORY_MB: Final = 50
+_MAX_MEMORY_MB: Final = 1_000_000
+# Of these, 200 are for files.
+_MIN_DESCRIPTOR_COUNT: Final = 256
+_MAX_DESCRIPTOR_COUNT: Final = 10_000_000
 _REQUIRED: Final = (
     'host',
     'data_centre',
@@ -60,6 +66,12 @@
         'processor_speed_ratio': NumberRule(0.001, MAX_PROCESSOR_RATIO),
         'is_first_start': ChoiceRule(_FLAGS),
         'checks_tokens': ChoiceRule(_FLAGS),
+        'memory_mb': NumberRule(_MIN_MEMORY_MB, _MAX_MEMORY_MB),
+        'max_fds': NumberRule(_MIN_DESCRIPTOR_COUNT, _MAX_DESCRIPTOR_COUNT),
+        'memory_wait_ms': NumberRule(1, DAY_MS),
+        'start_timeout_ms': NumberRule(1, DAY_MS),
+        'message_timeout_ms': NumberRule(1, DAY_MS),
+        'answer_timeout_ms': NumberRule(1, DAY_MS),
         'log_level': ChoiceRule(LOG_LEVELS),
     },
 )
@@ -92,6 +104,17 @@
     checks_tokens
         ``true`` if the promotion service refuses a fencing token that is lower
         than one it has seen, and a former primary refuses requests at once.
+    memory_mb, max_fds
+        Memory and descriptors of the host, by which messages and connections
+        are limited.
+    memory_wait_ms
+        Time after which a message is refused that has got no memory.
+    start_timeout_ms
+        Time in which a caller must send START.
+    message_timeout_ms
+        Time from the first part of a message until its end.
+    answer_timeout_ms
+        Time in which a caller must take an answer.
     """
 
     host: str
@@ -108,6 +131,12 @@
     processor_speed_ratio: float = 1
     is_first_start: str = _FALSE
     checks_tokens: str = _TRUE
+    memory_mb: float = 1024
+    max_fds: float = 65_536
+    memory_wait_ms: float = 5000
+    start_timeout_ms: float = 15_000
+    message_timeout_ms: float = 15_000
+    answer_timeout_ms: float = 15_000
     log_level: str = 'INFO'
 
     @property
--- a/mimosapond/peers/peer_client.py
+++ b/mimosapond/peers/peer_client.py
@@ -9,11 +9,13 @@
 from loguru import logger
 
 from mimosapond.boot_clock import Now
+from mimosapond.entry.memory_lanes import MemoryLanes
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.json_decoding import UndecodableJson, decode_json_object
 from mimosapond.peers import peer_paths
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_directory import PeerDirectory
+from mimosapond.peers.peer_frame import MAX_BODY_BYTES
 from mimosapond.peers.peer_link import LinkFailure
 from mimosapond.peers.peer_links import PeerLinks
 from mimosapond.peers.work_codec import (
@@ -63,7 +65,12 @@
 class PeerClient:
     """Sends requests to peers over connections that stay open."""
 
-    def __init__(self, directory: PeerDirectory, now: Now) -> None:
+    def __init__(
+        self,
+        directory: PeerDirectory,
+        now: Now,
+        lanes: MemoryLanes | None = None,
+    ) -> None:
         """Create a client.
 
         Parameters
@@ -72,10 +79,13 @@
             Records which peers answer.
         now
             Clock of the deadlines of work.
+        lanes
+            Memory for answers; by default, that of a host whose settings name
+            none.
         """
         self._directory = directory
         self._now = now
-        self._links = PeerLinks(now)
+        self._links = PeerLinks(now, lanes)
 
     async def ask_primary(
         self, peer: Peer, group: str, max_age_s: float, limit_s: float
@@ -176,6 +186,8 @@
         self, peer: Peer, path: str, body: Mapping[str, Any], limit_s: float
     ) -> Mapping[str, Any] | WorkUnanswered:
         content = json.dumps(body).encode()
+        if len(content) > MAX_BODY_BYTES:
+            return WorkUnanswered('the work is too large', was_sent=False)
         answer = await self._links.call(peer, path, content, limit_s)
         if isinstance(answer, LinkFailure):
             # A peer that probes a silent primary answers the question for it
--- a/mimosapond/peers/peer_frame.py
+++ b/mimosapond/peers/peer_frame.py
@@ -11,8 +11,14 @@
 import attrs
 from tornado.iostream import IOStream
 
+from mimosapond.entry.memory_lanes import MemoryAccount
+
 _MAX_HEADER_BYTES: Final = 200
-_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+# A message of a caller has up to 1 MiB, and JSON writes a control character as
+# six characters.
+MAX_BODY_BYTES: Final = 8 * 1024 * 1024
+# Bytes of a frame that are read at a time if none of them is kept.
+_SKIPPED_CHUNK_BYTES: Final = 64 * 1024
 _FIELD_COUNT: Final = 3
 # Digits of the largest number or length in a header.
 _MAX_DIGIT_COUNT: Final = 15
@@ -40,9 +46,25 @@
     body: bytes
 
 
-async def read_frame(stream: IOStream) -> PeerFrame:
+@final
+@attrs.frozen
+class SkippedFrame:
+    """A frame whose body was not kept, since there was no memory for it."""
+
+    number: int
+    word: str
+
+
+async def read_frame(
+    stream: IOStream, account: MemoryAccount
+) -> PeerFrame | SkippedFrame:
     """Return the next frame.
 
+    Parameters
+    ----------
+    account
+        Holds the memory of the frame afterwards.
+
     Raises
     ------
     FrameUnreadableError
@@ -55,8 +77,11 @@
     if len(fields) != _FIELD_COUNT:
         raise FrameUnreadableError('header')
     number, length = _decode_number(fields[0]), _decode_number(fields[2])
-    if length > _MAX_BODY_BYTES:
+    if length > MAX_BODY_BYTES:
         raise FrameUnreadableError('length')
+    if not await account.reserve_exactly(length):
+        await _skip(stream, length)
+        return SkippedFrame(number, fields[1])
     body = await stream.read_bytes(length) if length else b''
     return PeerFrame(number, fields[1], body)
 
@@ -67,6 +92,15 @@
     return header.encode() + frame.body
 
 
+async def _skip(stream: IOStream, length: int) -> None:
+    left_bytes = length
+    while left_bytes:
+        chunk = await stream.read_bytes(
+            min(left_bytes, _SKIPPED_CHUNK_BYTES), partial=True
+        )
+        left_bytes -= len(chunk)
+
+
 def _decode_number(text: str) -> int:
     if len(text) > _MAX_DIGIT_COUNT or not text.isdecimal():
         raise FrameUnreadableError('number')
--- a/mimosapond/peers/peer_link.py
+++ b/mimosapond/peers/peer_link.py
@@ -9,9 +9,11 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from mimosapond.boot_clock import Now
+from mimosapond.entry.memory_lanes import MemoryAccount, MemoryLanes
 from mimosapond.peers.peer_frame import (
     FrameUnreadableError,
     PeerFrame,
+    SkippedFrame,
     encode_frame,
     read_frame,
 )
@@ -53,11 +55,18 @@
 class PeerLink:
     """Sends requests to another host and assigns the answers to them."""
 
-    def __init__(self, stream: IOStream, now: Now) -> None:
-        """Use an open stream, and start to read answers."""
+    def __init__(self, stream: IOStream, now: Now, lanes: MemoryLanes) -> None:
+        """Use an open stream, and start to read answers.
+
+        Parameters
+        ----------
+        lanes
+            Memory for answers.
+        """
         stream.set_nodelay(True)  # noqa: FBT003 -- tornado's own signature
         self._stream = stream
         self._now = now
+        self._account = MemoryAccount(lanes)
         self._numbers = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
         self._received_s = now()
@@ -112,23 +121,34 @@
     async def _read(self) -> None:
         try:
             while True:
-                self._deliver(await read_frame(self._stream))
+                frame = await read_frame(self._stream, self._account)
+                self._deliver(frame)
+                self._account.release()
         except StreamClosedError as error:
             self._fail_all(repr(error))
         except FrameUnreadableError as error:
             logger.bind(problem=repr(error)).warning('peer_frame_unreadable')
             self._fail_all(repr(error))
         finally:
+            self._account.release()
             self._stream.close()
 
-    def _deliver(self, frame: PeerFrame) -> None:
+    def _deliver(self, frame: PeerFrame | SkippedFrame) -> None:
         self._received_s = self._now()
         pending = self._pending.get(frame.number)
         # The answer to a request that has timed out has no receiver.
         if pending is not None and not pending.future.done():
-            pending.future.set_result(frame)
+            pending.future.set_result(_answer(frame))
 
     def _fail_all(self, reason: str) -> None:
         for pending in self._pending.values():
             if not pending.future.done():
                 pending.future.set_result(LinkFailure(reason, was_sent=True))
+
+
+def _answer(frame: PeerFrame | SkippedFrame) -> LinkAnswer:
+    if isinstance(frame, PeerFrame):
+        return frame
+    return LinkFailure(
+        'no memory for the answer', was_sent=True, was_silent=False
+    )
--- a/mimosapond/peers/peer_links.py
+++ b/mimosapond/peers/peer_links.py
@@ -8,6 +8,8 @@
 
 from mimosapond.address_resolver import AddressResolver
 from mimosapond.boot_clock import Now
+from mimosapond.entry.host_resources import default_resources
+from mimosapond.entry.memory_lanes import MemoryLanes
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_link import LinkAnswer, LinkFailure, PeerLink
 
@@ -18,8 +20,16 @@
 class PeerLinks:
     """Opens connections on demand and replaces those that fell silent."""
 
-    def __init__(self, now: Now) -> None:
-        """Start without connections."""
+    def __init__(self, now: Now, lanes: MemoryLanes | None = None) -> None:
+        """Start without connections.
+
+        Parameters
+        ----------
+        lanes
+            Memory for answers; by default, that of a host whose settings name
+            none.
+        """
+        self._lanes = lanes or default_resources().answers
         self._now = now
         self._client = TCPClient(AddressResolver())
         self._links: dict[str, PeerLink] = {}
@@ -56,7 +66,7 @@
             )
         except (OSError, TimeoutError, StreamClosedError) as error:
             return LinkFailure(f'connect: {error!r}', was_sent=False)
-        link = PeerLink(stream, self._now)
+        link = PeerLink(stream, self._now, self._lanes)
         former = self._links.get(address)
         if former is not None and former.is_idle:
             former.close()
--- a/mimosapond/peers/peer_server.py
+++ b/mimosapond/peers/peer_server.py
@@ -8,16 +8,25 @@
 from typing import Any, Final, TypeAlias, final
 
 from loguru import logger
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import (
+    IOStream,
+    StreamBufferFullError,
+    StreamClosedError,
+)
 from tornado.tcpserver import TCPServer
 
 from mimosapond.boot_clock import Now
+from mimosapond.entry.host_resources import HostResources, default_resources
+from mimosapond.entry.memory_lanes import MemoryAccount
+from mimosapond.entry.refusal_log import RefusalCause
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.json_decoding import UndecodableJson, decode_json_object
 from mimosapond.peers import peer_paths
 from mimosapond.peers.peer_frame import (
+    MAX_BODY_BYTES,
     FrameUnreadableError,
     PeerFrame,
+    SkippedFrame,
     encode_frame,
     read_frame,
 )
@@ -35,6 +44,8 @@
 _Call: TypeAlias = Callable[[], Awaitable[_Body]]
 
 _MS_PER_S: Final = 1000
+# A host that reads no answers loses its connection beyond this size.
+_MAX_UNREAD_BYTES: Final = 2 * MAX_BODY_BYTES
 _WORK_PATHS: Final = frozenset(
     (
         peer_paths.READS,
@@ -60,7 +71,11 @@
     """
 
     def __init__(
-        self, handler: RelayedWorkHandler, directory: GroupDirectory, now: Now
+        self,
+        handler: RelayedWorkHandler,
+        directory: GroupDirectory,
+        now: Now,
+        resources: HostResources | None = None,
     ) -> None:
         """Create a server, not yet bound.
 
@@ -72,8 +87,12 @@
             Has the groups that work refers to.
         now
             Clock of the deadlines of work.
+        resources
+            Memory for work; by default, that of a host whose settings name
+            none.
         """
         super().__init__()
+        self._resources = resources or default_resources()
         self._handler = handler
         self._directory = directory
         self._now = now
@@ -84,9 +103,10 @@
     ) -> None:
         """Read the requests of one connection until it is closed."""
         stream.set_nodelay(True)  # noqa: FBT003 -- tornado's own signature
+        stream.max_write_buffer_size = _MAX_UNREAD_BYTES
         try:
             while True:
-                self._start_answer(stream, await read_frame(stream))
+                await self._serve_next(stream)
         except StreamClosedError:
             logger.bind(peer=address[0]).debug('peer_disconnected')
         except FrameUnreadableError as error:
@@ -94,10 +114,23 @@
         finally:
             stream.close()
 
-    def _start_answer(self, stream: IOStream, request: PeerFrame) -> None:
+    async def _serve_next(self, stream: IOStream) -> None:
+        """Read one request and start its answer, or refuse it."""
+        account = MemoryAccount(self._resources.frames)
+        try:
+            request = await read_frame(stream, account)
+        except BaseException:
+            account.release()
+            raise
+        if isinstance(request, SkippedFrame):
+            # The status tells the other host that nothing ran.
+            self._resources.refusals.record(RefusalCause.peer_memory)
+            _send(stream, request, HTTPStatus.SERVICE_UNAVAILABLE, {})
+            return
         task = asyncio.create_task(self._answer(stream, request))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda _: account.release())
 
     async def _answer(self, stream: IOStream, request: PeerFrame) -> None:
         call = self._find_call(request)
@@ -194,11 +227,20 @@
 
 
 def _send(
-    stream: IOStream, request: PeerFrame, status: HTTPStatus, body: _Body
+    stream: IOStream,
+    request: PeerFrame | SkippedFrame,
+    status: HTTPStatus,
+    body: _Body,
 ) -> None:
     content = json.dumps(body).encode()
+    if len(content) > MAX_BODY_BYTES:
+        # The other host would close the connection, and with it other work.
+        status, content = HTTPStatus.INTERNAL_SERVER_ERROR, b'{}'
     answer = PeerFrame(request.number, str(status.value), content)
     try:
         stream.write(encode_frame(answer))
     except StreamClosedError:
         logger.bind(path=request.word).info('peer_left')
+    except StreamBufferFullError:
+        logger.bind(path=request.word).warning('peer_reads_no_answers')
+        stream.close()
--- a/mimosapond/platform/caller_server.py
+++ b/mimosapond/platform/caller_server.py
@@ -7,12 +7,18 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
+from mimosapond.entry.host_resources import HostResources, default_resources
+from mimosapond.entry.memory_lanes import MemoryAccount
+from mimosapond.entry.refusal_log import RefusalCause
 from mimosapond.entry.session_registry import SessionRegistry
-from mimosapond.platform.line_stream import (
-    LineStream,
+from mimosapond.platform.line_errors import (
+    AnswerUnreadError,
+    LineStalledError,
+    LineStreamError,
     LineTooLongError,
-    LineUnreadableError,
+    MemoryRefusedError,
 )
+from mimosapond.platform.line_stream import CHUNK_BYTES, LineStream
 from mimosapond.platform.statement_codec import decode_statement
 from mimosapond.platform.wire_names import FAILURE_CODES, STATE_LETTERS
 from mimosapond.sessions.session import Session
@@ -33,6 +39,14 @@
 _MESSAGE_TOO_LARGE: Final = Failure(
     FailureKind.too_large, 'the message is longer than 1 MiB; split it'
 )
+_NO_MEMORY: Final = Failure(
+    FailureKind.not_run,
+    'the host has no memory for a large message; retry after 1000 ms',
+)
+_TOO_MANY_CONNECTIONS: Final = Failure(
+    FailureKind.not_run,
+    'the host has too many connections; retry after 1000 ms',
+)
 
 
 class _ProtocolError(Exception):
@@ -47,16 +61,28 @@
 class CallerServer(TCPServer):
     """Accepts connections of callers and serves each in its own task."""
 
-    def __init__(self, sessions: SessionRegistry) -> None:
-        """Create the server; the sessions are opened in ``sessions``."""
-        super().__init__()
+    def __init__(
+        self,
+        sessions: SessionRegistry,
+        resources: HostResources | None = None,
+    ) -> None:
+        """Create the server; the sessions are opened in ``sessions``.
+
+        Parameters
+        ----------
+        resources
+            Memory, connections and time limits; by default, those of a host
+            whose settings name none.
+        """
+        super().__init__(read_chunk_size=CHUNK_BYTES)
         self._sessions = sessions
+        self._resources = resources or default_resources()
 
     async def handle_stream(
         self, stream: IOStream, address: tuple[str, int]
     ) -> None:
         """Serve one connection until either side closes it."""
-        connection = _CallerConnection(LineStream(stream), self._sessions)
+        connection = _CallerConnection(stream, self._sessions, self._resources)
         try:
             with self._sessions.connected():
                 await connection.serve()
@@ -70,33 +96,50 @@
 
 @final
 class _CallerConnection:
-    def __init__(self, lines: LineStream, sessions: SessionRegistry) -> None:
-        self._lines = lines
+    def __init__(
+        self,
+        stream: IOStream,
+        sessions: SessionRegistry,
+        resources: HostResources,
+    ) -> None:
+        times = resources.times
+        self._lines = LineStream(
+            stream,
+            MemoryAccount(resources.requests),
+            MemoryAccount(resources.answers),
+            times.message_s,
+            times.answer_s,
+        )
         self._sessions = sessions
+        self._resources = resources
         self._session: Session | None = None
         self._task: asyncio.Task[Reply] | None = None
 
     async def serve(self) -> None:
+        if not self._resources.connections.admit(self._close_without_session):
+            self._resources.refusals.record(RefusalCause.connections)
+            self._lines.send(_encode_error(_TOO_MANY_CONNECTIONS))
+            return
         try:
             session = await self._open_session()
             while await self._serve_request(session):
                 if self._sessions.should_close(session):
                     self._sessions.close_soon(session)
         except _ProtocolError as error:
-            await self._lines.write(_encode_error(error.failure))
-        except LineTooLongError:
-            await self._lines.write(_encode_error(_MESSAGE_TOO_LARGE))
-        except LineUnreadableError:
-            await self._lines.write(_encode_error(_MALFORMED_MESSAGE))
+            self._lines.send(_encode_error(error.failure))
+        except LineStreamError as error:
+            self._refuse(error)
 
     def close(self) -> None:
+        self._resources.connections.leave(self._close_without_session)
+        self._lines.release_memory()
         self._lines.close()
         if self._session is not None:
             self._sessions.unregister(self._session)
             self._session.close()
 
     async def _open_session(self) -> Session:
-        word, _, rest = (await self._lines.read()).partition(' ')
+        word, _, rest = (await self._read_start()).partition(' ')
         database = rest.partition(' ')[0]
         if word != 'START' or not database:
             raise _ProtocolError(_MALFORMED_MESSAGE)
@@ -104,6 +147,7 @@
         if isinstance(session, Failure):
             raise _ProtocolError(session)
         self._session = session
+        self._resources.connections.start_session(self._close_without_session)
         self._sessions.register(session, self._lines.close_unless_received)
         with self._sessions.serving(session):
             await self._lines.write(_encode_ready(session.state))
@@ -118,9 +162,44 @@
             raise _ProtocolError(_MALFORMED_MESSAGE)
         with self._sessions.serving(session):
             reply = await session.execute(request_id, decode_statement(text))
-            await self._lines.write(*_encode_reply(reply, session.state))
+            await self._write_reply(reply, session.state)
         return True
 
+    async def _read_start(self) -> str:
+        try:
+            async with asyncio.timeout(self._resources.times.start_s):
+                return await self._lines.read()
+        except TimeoutError as error:
+            self._resources.refusals.record(RefusalCause.start_timeout)
+            raise StreamClosedError from error
+
+    async def _write_reply(self, reply: Reply, state: SessionState) -> None:
+        if isinstance(reply, Success) and reply.rows:
+            self._lines.charge_memory(sum(map(len, reply.rows)))
+        await self._lines.write(*_encode_reply(reply, state))
+        self._lines.release_memory()
+
+    def _close_without_session(self) -> None:
+        self._resources.refusals.record(RefusalCause.connections)
+        self._lines.close()
+
+    def _refuse(self, error: LineStreamError) -> None:
+        """Send the reason if it helps the caller; the connection is closed."""
+        refusals = self._resources.refusals
+        match error:
+            case LineTooLongError():
+                refusals.record(RefusalCause.too_large)
+                self._lines.send(_encode_error(_MESSAGE_TOO_LARGE))
+            case MemoryRefusedError():
+                refusals.record(RefusalCause.memory)
+                self._lines.send(_encode_error(_NO_MEMORY))
+            case LineStalledError():
+                refusals.record(RefusalCause.message_timeout)
+            case AnswerUnreadError():
+                refusals.record(RefusalCause.answer_timeout)
+            case _:
+                self._lines.send(_encode_error(_MALFORMED_MESSAGE))
+
 
 def _encode_reply(reply: Reply, state: SessionState) -> list[str]:
     match reply:
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -11,6 +11,7 @@
     ConfigurationFollower,
 )
 from mimosapond.entry.session_registry import SessionRegistry
+from mimosapond.entry.host_resources import HostResources
 from mimosapond.entry.host_settings import HostSettings
 from mimosapond.entry.platform_host import HostParts, PlatformHost
 from mimosapond.entry.reachability import Reachability
@@ -86,6 +87,7 @@
         self._settings = settings
         self._log_rate_limit = log_rate_limit
         self._now = boot_time_s
+        self._resources = HostResources.plan(settings, self._now)
         self._store = StoreClient(settings.store_address)
         self._active_configuration = ActiveConfiguration()
         self._own_peer = Peer(
@@ -97,14 +99,18 @@
         self._peers = PeerDirectory(self._own_peer, self._now)
         self._holders = HolderDirectory(self._peers, self._own_peer, self._now)
         self._directory = GroupDirectory(
-            WireMemberDialer(_CONNECT_TIMEOUT_S, _START_TIMEOUT_S),
+            WireMemberDialer(
+                _CONNECT_TIMEOUT_S, _START_TIMEOUT_S, self._resources.answers
+            ),
             self._now,
             self._holders,
         )
         self._registrations = RegistrationPoller(
             StoreRegistrations(self._store), self._directory
         )
-        peer_client = PeerClient(self._peers, self._now)
+        peer_client = PeerClient(
+            self._peers, self._now, self._resources.answers
+        )
         keys = TransactionKeys(settings.host)
         self._relay_finder = PeerRelayFinder(
             self._holders.other_holders, peer_client, keys, self._now
@@ -139,7 +145,7 @@
             Socket that already listens for callers. The host accepts
             connections on it once it is ready to serve them.
         """
-        callers = CallerServer(self._sessions)
+        callers = CallerServer(self._sessions, self._resources)
         host = PlatformHost(
             self._build_host_parts(
                 functools.partial(callers.add_socket, listener)
@@ -152,7 +158,10 @@
         )
         peer_ip, peer_port = _split_address(self._settings.peer_address)
         PeerServer(
-            self._relayed_work_handler, self._directory, self._now
+            self._relayed_work_handler,
+            self._directory,
+            self._now,
+            self._resources,
         ).listen(peer_port, peer_ip)
         return host
 
--- a/mimosapond/platform/member_connection.py
+++ b/mimosapond/platform/member_connection.py
@@ -15,11 +15,8 @@
     RejectionKind,
 )
 from mimosapond.groups.member_port import StatusAnswer
-from mimosapond.platform.line_stream import (
-    LineStream,
-    LineTooLongError,
-    LineUnreadableError,
-)
+from mimosapond.platform.line_errors import LineStreamError
+from mimosapond.platform.line_stream import LineStream
 from mimosapond.platform.position_codec import (
     decode_position,
     encode_position,
@@ -48,8 +45,7 @@
 # After one of these errors, the connection cannot be used any more.
 CONNECTION_ERRORS: Final = (
     StreamClosedError,
-    LineTooLongError,
-    LineUnreadableError,
+    LineStreamError,
     NoMessageError,
 )
 
@@ -198,6 +194,7 @@
             return self._disconnect(repr(error))
         finally:
             self._pending_request_id = ''
+            self._lines.release_memory()
             if self._state is None:
                 # The rest of this answer would be read as the answer to the
                 # next request.
--- a/mimosapond/platform/member_dialer.py
+++ b/mimosapond/platform/member_dialer.py
@@ -7,6 +7,8 @@
 from tornado.tcpclient import TCPClient
 
 from mimosapond.address_resolver import AddressResolver
+from mimosapond.entry.host_resources import default_resources
+from mimosapond.entry.memory_lanes import MemoryAccount, MemoryLanes
 from mimosapond.groups.member_answer import LinkLost, Rejected
 from mimosapond.groups.member_record import MemberRecord
 from mimosapond.platform.line_stream import LineStream
@@ -27,7 +29,10 @@
     """Opens connections to members; implements ``MemberDialer``."""
 
     def __init__(
-        self, connect_timeout_s: float, start_timeout_s: float
+        self,
+        connect_timeout_s: float,
+        start_timeout_s: float,
+        lanes: MemoryLanes | None = None,
     ) -> None:
         """Set the timeouts.
 
@@ -39,9 +44,13 @@
         start_timeout_s
             Limit from the TCP connect until the member is ready. It is
             longer, since the member may serve other connections first.
+        lanes
+            Memory for answers; by default, that of a host whose settings name
+            none.
         """
         self._connect_timeout_s = connect_timeout_s
         self._start_timeout_s = start_timeout_s
+        self._lanes = lanes or default_resources().answers
         self._client = TCPClient(AddressResolver())
         self._connection_numbers = itertools.count(1)
 
@@ -59,7 +68,9 @@
             )
         except (OSError, TimeoutError) as error:
             return LinkLost(f'connect: {error!r}')
-        lines = LineStream(stream)
+        lines = LineStream(
+            stream, MemoryAccount(self._lanes), MemoryAccount(self._lanes)
+        )
         try:
             async with asyncio.timeout(self._start_timeout_s):
                 return await self._start_session(
--- a/mimosapond/platform/store_client.py
+++ b/mimosapond/platform/store_client.py
@@ -19,6 +19,8 @@
 _PRECONDITION_FAILED: Final = 412
 _GONE: Final = 410
 _JSON: Final = 'application/json'
+# Far above what a table of this system holds. A longer answer is not kept.
+_MAX_BODY_BYTES: Final = 8 * 1024 * 1024
 _CALL_ERRORS: Final = (HTTPError, OSError, asyncio.TimeoutError)
 
 
@@ -97,7 +99,10 @@
         """Create a client of the store at ``address`` (``ip:port``)."""
         self._base_url = f'http://{address}/api'
         self._client = AsyncHTTPClient(
-            force_instance=True, max_clients=20, resolver=AddressResolver()
+            force_instance=True,
+            max_clients=20,
+            resolver=AddressResolver(),
+            max_body_size=_MAX_BODY_BYTES,
         )
 
     async def read_table(
@@ -209,6 +214,8 @@
             method=method,
             headers={'Content-Type': _JSON} if body else None,
             body=json.dumps(body) if body else None,
+            # The limit of a body is that of the received bytes.
+            decompress_response=False,
             connect_timeout=limit_s,
             request_timeout=limit_s,
         )
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -29,9 +29,18 @@
 class SoakDeployment:
     """Starts, signals and stops the processes of a live test."""
 
-    def __init__(self, layout: Layout, folder: pathlib.Path) -> None:
-        """Create a deployment that writes settings and logs to ``folder``."""
+    def __init__(
+        self, layout: Layout, folder: pathlib.Path, settings: str = ''
+    ) -> None:
+        """Create a deployment that writes settings and logs to ``folder``.
+
+        Parameters
+        ----------
+        settings
+            Lines that are added to the settings file of each host.
+        """
         self.layout: Final = layout
+        self._settings = settings
         self.folder: Final = folder
         self.processes: Final = Processes(folder)
         # Names of hosts that the test has stopped and not yet started again.
@@ -52,7 +61,8 @@
     async def start_host(self, host: HostLayout) -> None:
         """Start a host and wait until it answers HTTP requests."""
         path = self._write(
-            f'{host.name}.yaml', render_settings(self.layout, host)
+            f'{host.name}.yaml',
+            render_settings(self.layout, host) + self._settings,
         )
         await self.processes.start(
             host.name,
--- a/soak/host_template.py
+++ b/soak/host_template.py
@@ -38,7 +38,9 @@
     }
     template = _SECTION.sub(
         lambda found: (
-            found[3] if (found[1] == '#') == (fields[found[2]] == _TRUE) else ''
+            found[3]
+            if (found[1] == '#') == (fields.get(found[2]) == _TRUE)
+            else ''
         ),
         _TEMPLATE.read_text(encoding='utf-8'),
     )
