Merge the bounds of memory and connections, and split client and server of peers

Cause of the split: five parts had added requests between hosts to two modules. Change: PeerCaller sends requests and judges answers, PeerClient knows the questions; PeerCalls decodes requests, PeerServer reads frames and answers.

--- a/features/relay_builders.py
+++ b/features/relay_builders.py
@@ -29,6 +29,7 @@
 )
 from mimosapond.peers.peer_directory import PeerDirectory
 from mimosapond.peers.peer_server import PeerServer
+from mimosapond.peers.peer_services import PeerServices
 from mimosapond.peers.peer_relay import PeerRelay
 from mimosapond.peers.peer_relay_finder import PeerRelayFinder
 from mimosapond.peers.state_publisher import StatePublisher
@@ -95,11 +96,13 @@
         world.directory, SourceContact(boot_time_s), boot_time_s
     )
     server = PeerServer(
-        handler,
-        world.directory,
-        publisher,
-        boot_time_s,
-        world.services.configuration,
+        PeerServices(
+            handler,
+            world.directory,
+            publisher,
+            world.services.configuration,
+            boot_time_s,
+        ),
     )
     sockets = bind_sockets(0, _LOOPBACK)
     server.add_sockets(sockets)
--- a/features/shared_state_builders.py
+++ b/features/shared_state_builders.py
@@ -22,6 +22,7 @@
 from mimosapond.peers.peer_client import PeerClient
 from mimosapond.peers.peer_directory import PeerDirectory
 from mimosapond.peers.peer_server import PeerServer
+from mimosapond.peers.peer_services import PeerServices
 from mimosapond.peers.relayed_work_handler import RelayedWorkHandler
 from mimosapond.peers.state_follower import StateFollower
 from mimosapond.peers.state_publisher import StatePublisher
@@ -83,11 +84,13 @@
     world = build_world()
     handler = RelayedWorkHandler(build_relayed_work_services(world))
     server = PeerServer(
-        handler,
-        directory,
-        publisher,
-        boot_time_s,
-        world.services.configuration,
+        PeerServices(
+            handler,
+            directory,
+            publisher,
+            world.services.configuration,
+            boot_time_s,
+        ),
     )
     sockets = bind_sockets(0, _LOOPBACK)
     server.add_sockets(sockets)
--- a/mimosapond/entry/host_settings.py
+++ b/mimosapond/entry/host_settings.py
@@ -36,6 +36,12 @@
 _FALSE: Final = 'false'
 _MAX_SLACK_COUNT: Final = 1_000_000
 _FLAGS: Final = (_TRUE, _FALSE)
+# The program itself takes about 35 MB.
+_MIN_MEMORY_MB: Final = 50
+_MAX_MEMORY_MB: Final = 1_000_000
+# Of these, 200 are for files.
+_MIN_DESCRIPTOR_COUNT: Final = 256
+_MAX_DESCRIPTOR_COUNT: Final = 10_000_000
 _REQUIRED: Final = (
     'host',
     'data_centre',
@@ -66,6 +72,12 @@
         'quota_window_s': NumberRule(0.1, HOUR_S),
         'quota_overshoot_ratio': NumberRule(0, 10),
         'quota_slack_count': NumberRule(0, _MAX_SLACK_COUNT),
+        'memory_mb': NumberRule(_MIN_MEMORY_MB, _MAX_MEMORY_MB),
+        'max_fds': NumberRule(_MIN_DESCRIPTOR_COUNT, _MAX_DESCRIPTOR_COUNT),
+        'memory_wait_ms': NumberRule(1, DAY_MS),
+        'start_timeout_ms': NumberRule(1, DAY_MS),
+        'message_timeout_ms': NumberRule(1, DAY_MS),
+        'answer_timeout_ms': NumberRule(1, DAY_MS),
         'log_level': ChoiceRule(LOG_LEVELS),
     },
 )
@@ -108,6 +120,17 @@
     quota_overshoot_ratio, quota_slack_count
         Tolerated excess over the quota of such a span: a part of the quota,
         and a number of operations.
+    memory_mb, max_fds
+        Memory and descriptors of the host, by which messages and connections
+        are limited.
+    memory_wait_ms
+        Time after which a message is refused that has got no memory.
+    start_timeout_ms
+        Time in which a caller must send START.
+    message_timeout_ms
+        Time from the first part of a message until its end.
+    answer_timeout_ms
+        Time in which a caller must take an answer.
     """
 
     host: str
@@ -129,6 +152,12 @@
     quota_window_s: float = 5.0
     quota_overshoot_ratio: float = 0.1
     quota_slack_count: float = 20
+    memory_mb: float = 1024
+    max_fds: float = 65_536
+    memory_wait_ms: float = 5000
+    start_timeout_ms: float = 15_000
+    message_timeout_ms: float = 15_000
+    answer_timeout_ms: float = 15_000
     log_level: str = 'INFO'
 
     @property
--- a/mimosapond/peers/peer_client.py
+++ b/mimosapond/peers/peer_client.py
@@ -1,24 +1,20 @@
 """Client for requests to other hosts."""
 
-import json
-from collections.abc import Mapping
-from http import HTTPStatus
-from typing import Any, Final, final
+from collections.abc import Callable, Mapping
+from typing import Any, Final, TypeVar, final
 
-import attrs
 from loguru import logger
 
 from mimosapond.boot_clock import Now
 from mimosapond.configuration.configuration import Configuration
-from mimosapond.groups.log_position import LogPosition
-from mimosapond.json_decoding import UndecodableJson, decode_json_object
+from mimosapond.entry.memory_lanes import MemoryLanes
 from mimosapond.peers import peer_paths
 from mimosapond.peers.configuration_transfer import decode_configuration
 from mimosapond.peers.peer import Peer
+from mimosapond.peers.peer_caller import Body, PeerCaller
 from mimosapond.peers.peer_directory import PeerDirectory
-from mimosapond.peers.peer_link import LinkFailure
-from mimosapond.peers.peer_links import PeerLinks
-from mimosapond.peers.peer_versions import VERSION_FIELD, PeerVersions
+from mimosapond.peers.peer_versions import PeerVersions
+from mimosapond.peers.primary_report import PrimaryReport
 from mimosapond.peers.shared_state import SharedState
 from mimosapond.peers.shared_state_codec import decode_state
 from mimosapond.peers.work_codec import (
@@ -32,6 +28,8 @@
 from mimosapond.routing.work import Work
 from mimosapond.statements.statement import Begin
 
+_Answer = TypeVar('_Answer')
+
 _MS_PER_S: Final = 1000
 _ROLLBACK_TIMEOUT_S: Final = 1.0
 # A peer answers work at its deadline at the latest; the answer travels.
@@ -39,35 +37,6 @@
 # A peer answers a request for the state after 1.7 s at the latest.
 _STATE_TIMEOUT_S: Final = 1.9
 _BODY_ERRORS: Final = (AttributeError, KeyError, TypeError, ValueError)
-# Statuses of answers which say that nothing ran.
-_NOT_RUN_STATUSES: Final = frozenset(
-    str(status.value)
-    for status in (
-        HTTPStatus.BAD_REQUEST,
-        HTTPStatus.NOT_FOUND,
-        HTTPStatus.SERVICE_UNAVAILABLE,
-    )
-)
-_PATIENT_PATHS: Final = frozenset((peer_paths.PRIMARY, peer_paths.QUOTA))
-_OK: Final = str(HTTPStatus.OK.value)
-_NOT_FOUND: Final = str(HTTPStatus.NOT_FOUND.value)
-
-
-@final
-@attrs.frozen
-class PrimaryReport:
-    """A primary that a peer has confirmed, and its log position.
-
-    Parameters
-    ----------
-    age_s
-        Time since the peer sent the primary the request that returned the
-        position.
-    """
-
-    member_id: str
-    position: LogPosition
-    age_s: float
 
 
 @final
@@ -79,6 +48,7 @@
         directory: PeerDirectory,
         now: Now,
         versions: PeerVersions | None = None,
+        lanes: MemoryLanes | None = None,
     ) -> None:
         """Create a client.
 
@@ -90,14 +60,12 @@
             Clock of the deadlines of work.
         versions
             Is told which version of the configuration each answer names.
+        lanes
+            Memory for answers; by default, that of a host whose settings name
+            none.
         """
-        self._versions = versions
-        self._directory = directory
         self._now = now
-        self._links = PeerLinks(now)
-        # A connection with a request in flight counts as silent after a short
-        # time, so requests that wait for news have connections of their own.
-        self._waiting_links = PeerLinks(now)
+        self._caller = PeerCaller(directory, now, versions, lanes)
 
     async def ask_primary(
         self, peer: Peer, group: str, max_age_s: float, limit_s: float
@@ -116,21 +84,13 @@
         PrimaryReport | None
             None if the peer reaches no primary or gives no answer.
         """
-        response = await self._call(
+        return await self._ask(
             peer,
             peer_paths.PRIMARY,
             {'group': group, 'max_age_ms': max_age_s * _MS_PER_S},
             limit_s,
+            _decode_report,
         )
-        if isinstance(response, WorkUnanswered):
-            return None
-        try:
-            return _decode_report(response)
-        except _BODY_ERRORS as error:
-            self._unanswered(
-                peer, peer_paths.PRIMARY, repr(error), was_sent=True
-            )
-            return None
 
     async def ask_configuration(
         self, peer: Peer, newer_than: int, limit_s: float
@@ -143,21 +103,13 @@
             None if the peer has no version newer than ``newer_than`` or gives
             no usable answer.
         """
-        response = await self._call(
-            peer, peer_paths.CONFIGURATION, {'newer_than': newer_than}, limit_s
+        return await self._ask(
+            peer,
+            peer_paths.CONFIGURATION,
+            {'newer_than': newer_than},
+            limit_s,
+            _decode_configuration,
         )
-        if isinstance(response, WorkUnanswered):
-            return None
-        body = response.get('configuration')
-        if body is None:
-            return None
-        try:
-            return decode_configuration(body)
-        except _BODY_ERRORS as error:
-            self._unanswered(
-                peer, peer_paths.CONFIGURATION, repr(error), was_sent=True
-            )
-            return None
 
     async def read(self, peer: Peer, work: Work) -> WorkOutcome:
         """Have a peer run a single read."""
@@ -195,7 +147,7 @@
 
     async def roll_back(self, peer: Peer, key: str) -> None:
         """Have a peer roll back a transaction; a failure is ignored."""
-        await self._call(
+        await self._caller.call(
             peer, peer_paths.ROLLBACKS, {'key': key}, _ROLLBACK_TIMEOUT_S
         )
 
@@ -215,7 +167,7 @@
             None if the peer gives no answer.
         """
         asked_s = self._now()
-        response = await self._call(
+        return await self._ask(
             peer,
             peer_paths.STATE,
             {
@@ -223,29 +175,39 @@
                 'records_digest': '' if known is None else known.records_digest,
             },
             _STATE_TIMEOUT_S,
-            self._waiting_links,
+            lambda body: decode_state(body, asked_s),
         )
-        if isinstance(response, WorkUnanswered):
-            return None
-        try:
-            return decode_state(response, asked_s)
-        except _BODY_ERRORS as error:
-            self._unanswered(peer, peer_paths.STATE, repr(error), was_sent=True)
-            return None
 
     async def ask_quota(
         self, peer: Peer, request: QuotaRequest, limit_s: float
     ) -> QuotaAnswer | None:
         """Send a peer a request about quotas; None without an answer."""
-        response = await self._call(
-            peer, peer_paths.QUOTA, encode_request(request), limit_s
+        return await self._ask(
+            peer,
+            peer_paths.QUOTA,
+            encode_request(request),
+            limit_s,
+            decode_answer,
         )
+
+    async def _ask(
+        self,
+        peer: Peer,
+        path: str,
+        body: Body,
+        limit_s: float,
+        decode: Callable[[Body], _Answer | None],
+    ) -> _Answer | None:
+        """Return the decoded answer to a question; None without one."""
+        response = await self._caller.call(peer, path, body, limit_s)
         if isinstance(response, WorkUnanswered):
             return None
         try:
-            return decode_answer(response)
+            return decode(response)
         except _BODY_ERRORS as error:
-            self._unanswered(peer, peer_paths.QUOTA, repr(error), was_sent=True)
+            self._caller.record_unanswered(
+                peer, path, repr(error), was_sent=True
+            )
             return None
 
     async def _send_work(
@@ -262,59 +224,17 @@
         left_s = work.deadline_s - now_s
         if left_s <= 0:
             return WorkUnanswered('the deadline has passed', was_sent=False)
-        response = await self._call(peer, path, body, left_s + _ANSWER_MARGIN_S)
+        response = await self._caller.call(
+            peer, path, body, left_s + _ANSWER_MARGIN_S
+        )
         if isinstance(response, WorkUnanswered):
             return response
         try:
             return decode_outcome(response)
         except _BODY_ERRORS as error:
-            return self._unanswered(peer, path, repr(error), was_sent=True)
-
-    async def _call(
-        self,
-        peer: Peer,
-        path: str,
-        body: Mapping[str, Any],
-        limit_s: float,
-        links: PeerLinks | None = None,
-    ) -> Mapping[str, Any] | WorkUnanswered:
-        content = json.dumps(body).encode()
-        answer = await (links or self._links).call(peer, path, content, limit_s)
-        if isinstance(answer, LinkFailure):
-            # A peer that probes a silent primary answers the question for it
-            # late, and is not at fault. Requests about quotas have short
-            # limits, which a busy peer may miss.
-            is_at_fault = answer.was_silent and path not in _PATIENT_PATHS
-            if is_at_fault or not answer.was_sent:
-                return self._unanswered(
-                    peer, path, answer.reason, was_sent=answer.was_sent
-                )
-            return WorkUnanswered(answer.reason, was_sent=answer.was_sent)
-        if answer.word == _NOT_FOUND:
-            # A host of an earlier version of the product lacks the path, and is
-            # fit for other requests.
-            return WorkUnanswered('the path is unknown', was_sent=False)
-        if answer.word != _OK:
-            was_sent = answer.word not in _NOT_RUN_STATUSES
-            return self._unanswered(
-                peer, path, f'status {answer.word}', was_sent=was_sent
+            return self._caller.record_unanswered(
+                peer, path, repr(error), was_sent=True
             )
-        decoded = decode_json_object(answer.body)
-        if isinstance(decoded, UndecodableJson):
-            return self._unanswered(peer, path, decoded.problem, was_sent=True)
-        self._directory.record_answer(peer)
-        if self._versions is not None:
-            self._versions.record(peer, decoded.get(VERSION_FIELD))
-        return decoded
-
-    def _unanswered(
-        self, peer: Peer, path: str, reason: str, *, was_sent: bool
-    ) -> WorkUnanswered:
-        if self._directory.record_failure(peer):
-            logger.bind(
-                peer=peer.host, path=path, reason=reason, was_sent=was_sent
-            ).info('peer_unanswered')
-        return WorkUnanswered(reason, was_sent=was_sent)
 
 
 def _decode_report(body: Mapping[str, Any]) -> PrimaryReport | None:
@@ -323,3 +243,10 @@
         return None
     age_s = float(body['age_ms']) / _MS_PER_S
     return PrimaryReport(str(body['member_id']), position, age_s)
+
+
+def _decode_configuration(body: Mapping[str, Any]) -> Configuration | None:
+    configuration = body.get('configuration')
+    return (
+        None if configuration is None else decode_configuration(configuration)
+    )
--- a/mimosapond/peers/peer_relay_finder.py
+++ b/mimosapond/peers/peer_relay_finder.py
@@ -10,7 +10,8 @@
 from mimosapond.boot_clock import Now
 from mimosapond.groups.group import Group
 from mimosapond.peers.peer import Peer
-from mimosapond.peers.peer_client import PeerClient, PrimaryReport
+from mimosapond.peers.peer_client import PeerClient
+from mimosapond.peers.primary_report import PrimaryReport
 from mimosapond.peers.peer_relay import PeerRelay
 from mimosapond.peers.transaction_keys import TransactionKeys
 from mimosapond.routing.relay_port import Relay
--- a/mimosapond/peers/relayed_work_handler.py
+++ b/mimosapond/peers/relayed_work_handler.py
@@ -13,7 +13,7 @@
 from mimosapond.groups.group import Group
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.holding import Holding, HoldsAll
-from mimosapond.peers.peer_client import PrimaryReport
+from mimosapond.peers.primary_report import PrimaryReport
 from mimosapond.peers.work_renewal import (
     RenewedWork,
     is_work_revoked,
--- a/mimosapond/peers/shared_state_codec.py
+++ b/mimosapond/peers/shared_state_codec.py
@@ -97,7 +97,9 @@
 def _has_type(content: Any, expected: Any) -> bool:
     """Return whether content has a type; JSON writes 0.0 as 0."""
     if isinstance(content, int) and not isinstance(content, bool):
-        return isinstance(content, expected) or isinstance(0.0, expected)
+        return isinstance(content, expected) or isinstance(
+            float(content), expected
+        )
     return isinstance(content, expected)
 
 
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -14,6 +14,7 @@
 from mimosapond.configuration.quota_shares import QuotaShares
 from mimosapond.configuration.source_contact import SourceContact
 from mimosapond.entry.session_registry import SessionRegistry
+from mimosapond.entry.host_resources import HostResources
 from mimosapond.entry.host_settings import HostSettings
 from mimosapond.entry.platform_host import HostParts, PlatformHost
 from mimosapond.entry.reachability import Reachability
@@ -39,6 +40,7 @@
 from mimosapond.peers.peer_directory import PeerDirectory
 from mimosapond.peers.peer_discovery import PeerDiscovery
 from mimosapond.peers.peer_server import PeerServer
+from mimosapond.peers.peer_services import PeerServices
 from mimosapond.peers.peer_relay_finder import PeerRelayFinder
 from mimosapond.peers.peer_versions import PeerVersions
 from mimosapond.peers.state_follower import StateFollower
@@ -95,6 +97,7 @@
         self._settings = settings
         self._log_rate_limit = log_rate_limit
         self._now = boot_time_s
+        self._resources = HostResources.plan(settings, self._now)
         self._store = StoreClient(settings.store_address)
         self._active_configuration = ActiveConfiguration()
         self._own_peer = Peer(
@@ -106,13 +109,20 @@
         self._peers = PeerDirectory(self._own_peer, self._now)
         self._holders = HolderDirectory(self._peers, self._own_peer, self._now)
         self._directory = GroupDirectory(
-            WireMemberDialer(_CONNECT_TIMEOUT_S, _START_TIMEOUT_S),
+            WireMemberDialer(
+                _CONNECT_TIMEOUT_S, _START_TIMEOUT_S, self._resources.answers
+            ),
             self._now,
             self._holders,
         )
         self._source_contact = SourceContact(self._now)
         self._peer_versions = PeerVersions(self._active_configuration)
-        peer_client = PeerClient(self._peers, self._now, self._peer_versions)
+        peer_client = PeerClient(
+            self._peers,
+            self._now,
+            self._peer_versions,
+            self._resources.answers,
+        )
         self._peer_client = peer_client
         self._state_publisher = StatePublisher(
             self._directory, self._source_contact, self._now
@@ -179,7 +189,7 @@
             Socket that already listens for callers. The host accepts
             connections on it once it is ready to serve them.
         """
-        callers = CallerServer(self._sessions)
+        callers = CallerServer(self._sessions, self._resources)
         host = PlatformHost(
             self._build_host_parts(
                 functools.partial(callers.add_socket, listener)
@@ -192,12 +202,15 @@
         )
         peer_ip, peer_port = _split_address(self._settings.peer_address)
         PeerServer(
-            self._relayed_work_handler,
-            self._directory,
-            self._state_publisher,
-            self._now,
-            self._active_configuration,
-            self._quotas.service,
+            PeerServices(
+                self._relayed_work_handler,
+                self._directory,
+                self._state_publisher,
+                self._active_configuration,
+                self._now,
+                self._quotas.service,
+            ),
+            self._resources,
         ).listen(peer_port, peer_ip)
         return host
 
