Test that admission sends nothing twice and lets transactions end

Cause: the scenarios of admission covered the queue and the limit, but not the routers that use them.

Change: a read that waits at all members runs once; a read or write that cannot be served in time is refused within 0.2 s as not run, with a retry time, and runs nowhere; COMMIT passes a full limit and a transaction holds no permit between its statements.

Ruled out: a model of connections for these; the fake members of the other features do.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -95,3 +95,32 @@
       | true  | "1"   | None  | None    |
       | 0     | -1    | None  | None    |
       | 2.5   | 1e99  | None  | None    |
+
+  Scenario: a read that waits at all members runs once
+    Guards against a read that runs at each member whose queue it waited in.
+    Given a group whose members are used up by others
+    When a caller reads, and all members become free 0.35 s later
+    Then the reply of the busy group is a success
+    And the members of the busy group ran 1 of the statements
+
+  Scenario Outline: a statement that can not be served in time is refused
+    Guards against callers that wait for their timeout, and against a statement
+    that is refused as not run and runs nevertheless.
+    Given a group whose members are used up by others, with long queues
+    When the busy group gets a <statement>
+    Then the reply of the busy group within 0.2 s is a refusal that says when to retry
+    And the members of the busy group ran 0 of the statements
+
+    Examples:
+      | statement |
+      | read      |
+      | write     |
+
+  Scenario: the end of a transaction does not wait for admission
+    Guards against an open transaction that keeps its place or its connection
+    because new work fills the limit.
+    Given a caller with an open transaction that has written
+    And the members are used up by others now
+    When the transaction on the busy group is committed
+    Then the reply of the busy group within 0.2 s is a success
+    And no permit but those of the others is out
--- a/features/admission_properties.py
+++ b/features/admission_properties.py
@@ -1,4 +1,4 @@
-"""Property test of admission with Hypothesis, and its builder."""
+"""Property test of admission with Hypothesis, and builders of admissions."""
 
 import asyncio
 from typing import Final, final
@@ -8,16 +8,19 @@
 from hypothesis import strategies as st
 
 from features.virtual_loop import run_virtually
+from mimosapond.boot_clock import boot_time_s
 from mimosapond.groups.admission_permit import Permit
 from mimosapond.groups.admission_request import AdmissionRequest
-from mimosapond.groups.concurrency_limit import ConcurrencyLimit
-from mimosapond.groups.member_admission import MemberAdmission
+from mimosapond.groups.concurrency_limit import ConcurrencyLimit, Response
+from mimosapond.groups.member_admission import Admission, MemberAdmission
 from mimosapond.groups.member_answer import LinkLost
 from mimosapond.groups.member_load import MemberLoad
 from mimosapond.groups.statement_class import StatementClass
 
 _MAX_COUNT: Final = 4
 _MS_PER_S: Final = 1000
+# Longer than any test.
+_LONG_S: Final = 1000.0
 
 
 @final
@@ -101,3 +104,32 @@
         permit.record(LinkLost('lost'))
     finally:
         permit.release()
+
+
+async def take_all_permits(admission: MemberAdmission) -> list[Permit]:
+    """Take permits for statements in flight until none is left."""
+    permits = []
+    deadline_s = boot_time_s() + _LONG_S
+    request = AdmissionRequest(StatementClass(0), '', deadline_s)
+    while admission.admits_now:
+        permit = await admission.admit(request)
+        assert isinstance(permit, Permit)
+        permit.start()
+        permits.append(permit)
+    return permits
+
+
+async def fill_queue(
+    admission: MemberAdmission, count: int, latency_s: float
+) -> list[asyncio.Task[Admission]]:
+    """Let statements of a known latency wait; returns the waiting tasks."""
+    statement_class = StatementClass(0)
+    admission.limit.record(
+        Response.succeeded, statement_class, latency_s, 0, boot_time_s()
+    )
+    request = AdmissionRequest(statement_class, '', boot_time_s() + _LONG_S)
+    tasks = [
+        asyncio.create_task(admission.admit(request)) for _ in range(count)
+    ]
+    await asyncio.sleep(0)
+    return tasks
