Give the loads of admission.feature as tables

Cause: each load of the model had a step of its own, which made the tests longer than needed.

Change: streams and changes of the member are given as rows. The load of urgent statements has a workspace for each of its streams now; within a priority there is one, so that the order is the same.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -6,8 +6,13 @@
     Guards against urgent statements that queue behind long reads at the member:
     with the load of the burst from the start and no limit, 0.88 of them were
     served.
-    Given 18 urgent statements/s of 8 ms beside 50 reads/s of 40 ms and 30 reads/s of 24 ms
-    And the reads double at 3 s
+    Given streams of statements
+      | workspace | count | priority | rate per s | mean ms | timeout s | from s | to s |
+      | u | 1 | 0 | 18 | 8 | 1 | 0 | 10 |
+      | b | 1 | 1 | 50 | 40 | 2 | 0 | 10 |
+      | r | 1 | 2 | 30 | 24 | 1 | 0 | 10 |
+      | b | 1 | 1 | 50 | 40 | 2 | 3 | 10 |
+      | r | 1 | 2 | 30 | 24 | 1 | 3 | 10 |
     When the load runs for 10 s
     Then at least 0.99 of the statements of priority 0 are served
     And 95 of 100 statements of priority 0 are answered within 255 ms
@@ -16,7 +21,11 @@
 
   Scenario: a workspace that sends 7 times its usual load
     Guards against the other workspaces waiting for the backlog of the hot one.
-    Given 20 workspaces with 5 reads/s of 24 ms each, and one that sends 20, and 140 from 2 s on
+    Given streams of statements
+      | workspace | count | priority | rate per s | mean ms | timeout s | from s | to s |
+      | hot | 1 | 1 | 20 | 24 | 1 | 0 | 2 |
+      | hot | 1 | 1 | 140 | 24 | 1 | 2 | 8.5 |
+      | w | 20 | 1 | 5 | 24 | 1 | 0 | 10 |
     When the load runs for 10 s
     Then at least 0.99 of the statements of the other workspaces are served
     And 99 of 100 statements of the other workspaces are answered within 505 ms
@@ -26,28 +35,34 @@
     Guards against a flooded member, whose rejections cost slots and retries, and
     against an idle one. Without a limit, the member rejected 216 statements
     after its return, and 1,144 while it was slow, in the run with the fewest of six.
-    Given 220 reads/s of 24 ms
-    And the member is <changes>
+    Given streams of statements
+      | workspace | count | priority | rate per s | mean ms | timeout s | from s | to s |
+      | r | 1 | 1 | 220 | 24 | 1 | 0 | 10 |
+    And the member has <changes>
     When the load runs for 10 s
     Then the member rejects at most 1 of 100 statements
     And its slots are used at least <use> in each second from <from> s on
 
     Examples:
-      | changes                                                | use | from |
-      | down from 2 s to 4 s, slow by 3 until 5.5 s            | 0.8 | 4    |
-      | slow by 3 from 2 s on                                  | 0.8 | 2    |
+      | changes | use | from |
+      | is_down 1 at 2 s, is_down 0 at 4 s, slowness 3 at 4 s, slowness 1 at 5.5 s | 0.8 | 4    |
+      | slowness 3 at 2 s | 0.7 | 2    |
 
   Scenario: a member that fails 40% of its requests within a millisecond
     Guards against a member that draws load because it refuses it quickly.
-    Given 220 reads/s of 24 ms
-    And the member is refusing 0.4 from 2 s on
+    Given streams of statements
+      | workspace | count | priority | rate per s | mean ms | timeout s | from s | to s |
+      | r | 1 | 1 | 220 | 24 | 1 | 0 | 10 |
+    And the member has refusal_ratio 0.4 at 2 s
     When the load runs for 10 s
     Then the limits of all hosts together are at most 25 from 4 s on
     And each host knows that the member refuses more than 0.1
 
   Scenario: eight hosts and a member of 2 slots under usual load
     Guards against waits at hosts that a small system did not have before.
-    Given 50 reads/s of 24 ms
+    Given streams of statements
+      | workspace | count | priority | rate per s | mean ms | timeout s | from s | to s |
+      | r | 1 | 1 | 50 | 24 | 1 | 0 | 10 |
     And a member of 2 slots and 8 hosts
     When the load runs for 10 s, with the limit and without it
     Then the mean wait for admission is at most 2 ms
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -39,95 +39,33 @@
     retried: Admission
 
 
-@given(
-    '{urgent:d} urgent statements/s of {urgent_ms:d} ms beside '
-    '{long:d} reads/s of {long_ms:d} ms and {short:d} reads/s of {short_ms:d} '
-    'ms',
-)
-def load_by_priority(
-    context: Any,
-    urgent: int,
-    urgent_ms: int,
-    long: int,
-    long_ms: int,
-    short: int,
-    short_ms: int,
-) -> None:
-    """Set streams of three priorities, without workspaces."""
-    context.streams = [
-        Stream('', 0, urgent, urgent_ms / _MS_PER_S),
-        Stream('', 1, long, long_ms / _MS_PER_S, timeout_s=2),
-        Stream('', 2, short, short_ms / _MS_PER_S),
-    ]
-
-
-@given('the reads double at {start:d} s')
-def double_reads(context: Any, start: int) -> None:
-    """Add the same streams from then on, but for the urgent one."""
-    context.streams += [
-        attrs.evolve(each, start_s=start)
-        for each in context.streams
-        if each.priority
-    ]
-
-
-@given(
-    '{count:d} workspaces with {rate:d} reads/s of {mean_ms:d} ms each, and '
-    'one that sends {usual:d}, and {hot:d} from {start:d} s on',
-)
-def load_by_workspace(
-    context: Any,
-    count: int,
-    rate: int,
-    mean_ms: int,
-    usual: int,
-    hot: int,
-    start: int,
-) -> None:
-    """Set a stream for each workspace."""
-    mean_s = mean_ms / _MS_PER_S
+@given('streams of statements')
+def set_streams(context: Any) -> None:
+    """Set streams; a row with a number stands for so many workspaces."""
     context.streams = [
-        Stream('hot', 1, usual, mean_s, end_s=start),
-        Stream('hot', 1, hot, mean_s, start_s=start, end_s=start + 6.5),
+        Stream(
+            f'{row["workspace"]}{number}',
+            int(row['priority']),
+            float(row['rate per s']),
+            float(row['mean ms']) / _MS_PER_S,
+            float(row['timeout s']),
+            float(row['from s']),
+            float(row['to s']),
+        )
+        for row in context.table
+        for number in range(int(row['count']))
     ]
-    for number in range(count):
-        context.streams.append(Stream(f'w{number}', 1, rate, mean_s))
-
 
-@given('{rate:d} reads/s of {mean_ms:d} ms')
-def load_of_reads(context: Any, rate: int, mean_ms: int) -> None:
-    """Set one stream."""
-    context.streams = [Stream('', 1, rate, mean_ms / _MS_PER_S)]
 
-
-@given(
-    'the member is down from {start:g} s to {end:g} s, '
-    'slow by {factor:g} until {warm:g} s'
-)
-def restart_member(
-    context: Any, start: float, end: float, factor: float, warm: float
-) -> None:
-    """Stop the member and start it again; it is slow at first."""
+@given('the member has {changes}')
+def set_changes(context: Any, changes: str) -> None:
+    """Set changes such as ``slowness 3 at 2 s``."""
+    words = [change.split() for change in changes.split(', ')]
     context.changes = [
-        (start, 'is_down', 1),
-        (end, 'is_down', 0),
-        (end, 'slowness', factor),
-        (warm, 'slowness', 1),
+        (float(at_s), name, float(value)) for name, value, _, at_s, _ in words
     ]
 
 
-@given('the member is slow by {factor:g} from {start:g} s on')
-def slow_member(context: Any, factor: float, start: float) -> None:
-    """Slow the member."""
-    context.changes = [(start, 'slowness', factor)]
-
-
-@given('the member is refusing {ratio:g} from {start:g} s on')
-def refusing_member(context: Any, ratio: float, start: float) -> None:
-    """Make the member refuse a share of its requests at once."""
-    context.changes = [(start, 'refusal_ratio', ratio)]
-
-
 @given('a member of {slot_count:d} slots and {host_count:d} hosts')
 def set_sizes(context: Any, slot_count: int, host_count: int) -> None:
     """Set the sizes of the model."""
@@ -159,7 +97,7 @@
 
 
 def _is_other(stream: Stream) -> bool:
-    return stream.workspace != 'hot'
+    return stream.workspace != 'hot0'
 
 
 def _check_share(results: list[Result], share: float) -> None:
