Bound the connections that transactions of workspaces hold

Cause: a transaction keeps its connection between statements, and may be idle for 3 s. Enough of them took all connections of a pool, and statements of every caller waited behind them.

Change: of one pool, open transactions of callers with a workspace hold half of the connections at most, and those of one workspace a quarter, at least one each. Others wait in the pool until one ends, or are refused at their deadline. The idle timeouts are as before. NoConnection and the timer of the pool are in modules of their own.

Ruled out: to count only transactions that are idle now, since a burst of them would begin while none is idle and be idle a moment later; to bound transactions of callers without a workspace, which would change the deployments that have none.

--- a/features/workspace_builders.py
+++ b/features/workspace_builders.py
@@ -91,6 +91,8 @@
     duration_s: float,
     priority: int = 1,
     wait_s: float = _WAIT_S,
+    *,
+    is_transaction: bool = False,
 ) -> str | None:
     """Borrow a connection for a time, and return its workspace.
 
@@ -99,7 +101,9 @@
     str | None
         None if there was no connection in time.
     """
-    lease = await pool.borrow(priority, wait_s, {}, workspace)
+    lease = await pool.borrow(
+        priority, wait_s, {}, workspace, is_transaction=is_transaction
+    )
     if not isinstance(lease, ConnectionLease):
         return None
     await asyncio.sleep(duration_s)
--- a/features/workspace_connections.feature
+++ b/features/workspace_connections.feature
@@ -97,3 +97,28 @@
     And reads of beta choose one that is not
     When m3 has refused a read
     Then reads of alpha choose another member
+
+  # Guards against transactions that stay idle and keep all connections, so that
+  # statements of other callers, and of the same workspace, find none.
+  Scenario Outline: open transactions leave connections to statements
+    Given a pool of <limit> connections
+    When <count> transactions of each of <workspaces> begin and stay idle
+    Then <open> of them are open
+    And a statement of each of <workspaces> and of delta is served at once
+    When the transactions end
+    Then all of them have been open
+
+    Examples:
+      | limit | count | workspaces               | open |
+      | 8     | 6     | alpha                    | 2    |
+      | 8     | 6     | alpha, beta              | 4    |
+      | 8     | 6     | alpha, beta, gamma, zeta | 4    |
+      | 2     | 3     | alpha                    | 1    |
+
+  # Guards against a bound that changes deployments without workspaces.
+  Scenario: transactions of callers without a workspace are not bounded
+    Given a pool of 4 connections
+    When 4 transactions of callers without a workspace begin and stay idle
+    Then 4 of them are open
+    When the transactions end
+    Then all of them have been open
--- a/mimosapond/failover/control_requests.py
+++ b/mimosapond/failover/control_requests.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from mimosapond.failover.member_fanout import gather_answers
-from mimosapond.groups.connection_pool import NoConnection
+from mimosapond.groups.no_connection import NoConnection
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_answer import LinkLost, Rejected, RejectionKind
 from mimosapond.groups.member_port import MemberConnection, StatusAnswer
--- a/mimosapond/groups/connection_pool.py
+++ b/mimosapond/groups/connection_pool.py
@@ -10,8 +10,6 @@
 from collections.abc import Mapping
 from typing import Final, TypeAlias, final
 
-import attrs
-
 from mimosapond.boot_clock import Now
 from mimosapond.groups.connection_dialing import (
     ConnectionDialing,
@@ -30,24 +28,10 @@
 from mimosapond.groups.member_load import MemberLoad
 from mimosapond.groups.member_port import MemberDialer
 from mimosapond.groups.member_record import MemberRecord
+from mimosapond.groups.no_connection import NoConnection
 from mimosapond.groups.pooled_connection import PooledConnection
-
-
-@final
-@attrs.frozen
-class NoConnection:
-    """No connection could be borrowed.
-
-    Parameters
-    ----------
-    reason
-        Cause for log lines.
-    is_reachable
-        True if the member is reachable and only lacks free connections.
-    """
-
-    reason: str
-    is_reachable: bool
+from mimosapond.groups.retry_timer import RetryTimer
+from mimosapond.groups.transaction_bounds import TransactionBounds
 
 
 _Waiter: TypeAlias = Waiter[ConnectionLease | NoConnection]
@@ -77,14 +61,15 @@
         self._load = load
         self._now = now
         self._idle = IdleConnections(now)
+        self._bounds = TransactionBounds()
         self._waiters: ConnectionWaiters[ConnectionLease | NoConnection] = (
-            ConnectionWaiters()
+            ConnectionWaiters(self._allowed_count)
         )
         self._pace = DialPace(now)
         self._dialing = ConnectionDialing(
             record, dialer, load, self._pace, self._end_dial
         )
-        self._retry_timer: asyncio.TimerHandle | None = None
+        self._retry = RetryTimer(self._open_for_waiters)
         self._is_closed = False
 
     @property
@@ -116,6 +101,8 @@
         wait_s: float,
         values: Mapping[str, str] | None = None,
         workspace: str | None = None,
+        *,
+        is_transaction: bool = False,
     ) -> ConnectionLease | NoConnection:
         """Borrow a connection, waiting up to ``wait_s``.
 
@@ -130,6 +117,8 @@
             Workspace that the connection must have been opened for; empty for
             statements of callers without one. None for requests of the product
             itself, which may use a connection of any workspace.
+        is_transaction
+            Whether it is for a transaction, which keeps it between statements.
 
         Returns
         -------
@@ -137,12 +126,15 @@
             ``NoConnection`` after the timeout, if the member cannot be
             reached, or if the pool is closed.
         """
-        connection = self._idle.take(workspace, values or {})
-        if connection is not None:
-            return self._lease(connection, workspace)
+        if not is_transaction or self._allowed_count(workspace or '') > 0:
+            connection = self._idle.take(workspace, values or {})
+            if connection is not None:
+                return self._lease(connection, workspace, is_transaction)
         if self._is_closed:
             return _CLOSED
-        waiter = self._waiters.add(priority, workspace, self._now())
+        waiter = self._waiters.add(
+            priority, workspace, self._now(), is_transaction=is_transaction
+        )
         self._open_for_waiters()
         try:
             await asyncio.wait((waiter.future,), timeout=wait_s)
@@ -167,8 +159,7 @@
     def close(self) -> None:
         """Close idle connections now, and borrowed ones on their release."""
         self._is_closed = True
-        if self._retry_timer is not None:
-            self._retry_timer.cancel()
+        self._retry.cancel()
         self._idle.close_all()
         self._waiters.serve_all(_CLOSED)
 
@@ -177,7 +168,10 @@
         self._idle.close_all()
 
     def _lease(
-        self, connection: PooledConnection, workspace: str | None
+        self,
+        connection: PooledConnection,
+        workspace: str | None,
+        is_transaction: bool,
     ) -> ConnectionLease:
         """Lend a connection.
 
@@ -185,10 +179,26 @@
         more likely to be used again by the workspace, so it keeps its age.
         """
         keeps_age = workspace is None and bool(connection.workspace)
-        return ConnectionLease(
-            connection,
-            functools.partial(self._take_back, keeps_age=keeps_age),
-        )
+        if not is_transaction:
+            return ConnectionLease(
+                connection,
+                functools.partial(self._take_back, keeps_age=keeps_age),
+            )
+        self._bounds.add(connection.workspace)
+        return ConnectionLease(connection, self._end_transaction)
+
+    def _end_transaction(self, connection: PooledConnection) -> None:
+        """Take a connection back, and let other transactions begin."""
+        self._bounds.remove(connection.workspace)
+        self._take_back(connection)
+        for waiter in self._waiters.transactions():
+            idle = self._idle.take(waiter.workspace, {})
+            if idle is not None:
+                lease = self._lease(idle, waiter.workspace, is_transaction=True)
+                self._waiters.serve(waiter, lease)
+
+    def _allowed_count(self, workspace: str) -> int:
+        return self._bounds.allowed_count(workspace, self.limit_count)
 
     def _take_back(
         self, connection: PooledConnection, *, keeps_age: bool = False
@@ -226,7 +236,7 @@
             self._idle.release_place()
             self._open_for_waiters()
             return
-        lease = self._lease(connection, waiter.workspace)
+        lease = self._lease(connection, waiter.workspace, waiter.is_transaction)
         self._waiters.serve(waiter, lease)
 
     def _next_without_dial(self) -> _Waiter | None:
@@ -242,7 +252,7 @@
         if waiter is None or self._pace.may_start(is_probe=waiter.is_probe):
             return waiter
         # Without a back-off, the end of a dial leads here again.
-        self._retry_after(self._pace.back_off_left_s)
+        self._retry.start(self._pace.back_off_left_s)
         return None
 
     def _end_wait(
@@ -268,7 +278,7 @@
                 waiter.arrived_s, is_probe=waiter.is_probe
             )
             if claim is PlaceClaim.soon:
-                self._retry_after(MIN_REPLACED_AGE_S)
+                self._retry.start(MIN_REPLACED_AGE_S)
             if claim is not PlaceClaim.free:
                 return
             self._dialing.start(
@@ -276,15 +286,6 @@
             )
             waiter = self._next_without_dial()
 
-    def _retry_after(self, delay_s: float) -> None:
-        """Open connections for waiters after a delay, unless it is 0."""
-        if not delay_s or self._is_closed:
-            return
-        if self._retry_timer is not None:
-            self._retry_timer.cancel()
-        loop = asyncio.get_running_loop()
-        self._retry_timer = loop.call_later(delay_s, self._open_for_waiters)
-
     def _end_dial(self, end: DialEnd) -> None:
         match end:
             case PooledConnection():
--- a/mimosapond/groups/connection_waiters.py
+++ b/mimosapond/groups/connection_waiters.py
@@ -7,7 +7,7 @@
 import bisect
 import itertools
 from collections import Counter
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Final, Generic, TypeVar, final
 
 import attrs
@@ -34,6 +34,8 @@
         Time of its arrival.
     workspace
         Workspace of the connections that it may use; None for any.
+    is_transaction
+        Whether it will keep the connection for a transaction.
     """
 
     priority: int
@@ -41,6 +43,7 @@
     arrived_s: float
     workspace: str | None
     future: asyncio.Future[_Outcome]
+    is_transaction: bool
 
     @property
     def is_probe(self) -> bool:
@@ -76,15 +79,28 @@
 
 @final
 class ConnectionWaiters(Generic[_Outcome]):
-    """The waiting borrowers of a pool."""
+    """The waiting borrowers of a pool.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    allowed_count
+        Returns how many more transactions of a workspace may begin. Others
+        wait until some have ended.
+    """
+
+    def __init__(self, allowed_count: Callable[[str], int]) -> None:
         """Start without borrowers."""
+        self._allowed_count = allowed_count
         self._waiters: list[Waiter[_Outcome]] = []
         self._arrival_numbers = itertools.count()
 
     def add(
-        self, priority: int, workspace: str | None, now_s: float
+        self,
+        priority: int,
+        workspace: str | None,
+        now_s: float,
+        *,
+        is_transaction: bool,
     ) -> Waiter[_Outcome]:
         """Add a borrower that arrives now."""
         waiter: Waiter[_Outcome] = Waiter(
@@ -93,6 +109,7 @@
             now_s,
             workspace,
             asyncio.get_running_loop().create_future(),
+            is_transaction,
         )
         bisect.insort(self._waiters, waiter, key=_service_order)
         return waiter
@@ -116,10 +133,20 @@
     def first(self, workspace: str) -> Waiter[_Outcome] | None:
         """Return the next one that may use a connection of a workspace."""
         return next(
-            (waiter for waiter in self._waiters if waiter.accepts(workspace)),
+            (
+                waiter
+                for waiter in self._waiters
+                if waiter.accepts(workspace) and self._may_begin(waiter)
+            ),
             None,
         )
 
+    def transactions(self) -> Iterator[Waiter[_Outcome]]:
+        """Return transactions that may begin, in order."""
+        for waiter in tuple(self._waiters):
+            if waiter.is_transaction and self._may_begin(waiter):
+                yield waiter
+
     def without_dial(
         self, dialing_counts: Mapping[str, int]
     ) -> Iterator[Waiter[_Outcome]]:
@@ -131,12 +158,27 @@
             Number of connections that are being opened, by workspace.
         """
         left_counts = Counter(dialing_counts)
+        begun_counts: Counter[str] = Counter()
         for waiter in tuple(self._waiters):
+            if waiter.is_transaction:
+                if not self._may_begin(
+                    waiter, begun_counts[waiter.dialed_workspace]
+                ):
+                    continue
+                begun_counts[waiter.dialed_workspace] += 1
             if left_counts[waiter.dialed_workspace] > 0:
                 left_counts[waiter.dialed_workspace] -= 1
             else:
                 yield waiter
 
+    def _may_begin(
+        self, waiter: Waiter[_Outcome], begun_count: int = 0
+    ) -> bool:
+        """Return whether the bounds of transactions allow to serve it."""
+        if not waiter.is_transaction:
+            return True
+        return self._allowed_count(waiter.dialed_workspace) > begun_count
+
 
 def _service_order(waiter: Waiter[_Outcome]) -> tuple[int, int]:
     return (waiter.priority, waiter.arrival_number)
--- a/mimosapond/routing/member_status_request.py
+++ b/mimosapond/routing/member_status_request.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from mimosapond.groups.connection_pool import NoConnection
+from mimosapond.groups.no_connection import NoConnection
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_status import MemberStatus
 
--- a/mimosapond/routing/primary_path.py
+++ b/mimosapond/routing/primary_path.py
@@ -74,9 +74,14 @@
         self._now = now
         self._leaving_limit_s = leaving_limit_s
 
-    async def find(self, work: Work) -> Path:
+    async def find(self, work: Work, *, is_transaction: bool = False) -> Path:
         """Return a path to the primary.
 
+        Parameters
+        ----------
+        is_transaction
+            Whether a transaction is to begin on the connection.
+
         Returns
         -------
         Path
@@ -93,11 +98,15 @@
                 return holder
             if holder is not None:
                 return RelayPath(holder)
-            path = await self._find_once(work, remaining_s)
+            path = await self._find_once(
+                work, remaining_s, is_transaction=is_transaction
+            )
             if path is not None:
                 return path
 
-    async def _find_once(self, work: Work, remaining_s: float) -> Path | None:
+    async def _find_once(
+        self, work: Work, remaining_s: float, *, is_transaction: bool
+    ) -> Path | None:
         primary = work.group.primary
         if primary is None:
             return await self._await_primary(work, remaining_s)
@@ -107,7 +116,11 @@
         if not primary.pool.open_count:
             wait_s = min(remaining_s, _NO_CONNECTION_WAIT_S)
         connection = await primary.pool.borrow(
-            work.route.priority, wait_s, work.values, work.workspace
+            work.route.priority,
+            wait_s,
+            work.values,
+            work.workspace,
+            is_transaction=is_transaction,
         )
         if isinstance(connection, ConnectionLease):
             return LocalPath(primary, connection)
--- a/mimosapond/routing/primary_probe.py
+++ b/mimosapond/routing/primary_probe.py
@@ -9,7 +9,7 @@
 from typing import Final, final
 
 from mimosapond.boot_clock import Now
-from mimosapond.groups.connection_pool import NoConnection
+from mimosapond.groups.no_connection import NoConnection
 from mimosapond.groups.group import Group
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_answer import Completed, Rejected, RejectionKind
--- a/mimosapond/routing/read_router.py
+++ b/mimosapond/routing/read_router.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from mimosapond.boot_clock import Now
-from mimosapond.groups.connection_pool import NoConnection
+from mimosapond.groups.no_connection import NoConnection
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_answer import (
--- a/mimosapond/sessions/transaction.py
+++ b/mimosapond/sessions/transaction.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from mimosapond.boot_clock import Now
-from mimosapond.groups.connection_pool import NoConnection
+from mimosapond.groups.no_connection import NoConnection
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_answer import (
@@ -168,7 +168,7 @@
             return wait_for
         is_proved = self._routing.proof.is_answer_enough or wait_for is not None
         while True:
-            path = await self._routing.paths.find(work)
+            path = await self._routing.paths.find(work, is_transaction=True)
             match path:
                 case Failure():
                     return path
@@ -187,11 +187,7 @@
     async def _begin_position(self, work: Work) -> LogPosition | Failure | None:
         """Return the position that proves the primary of a transaction.
 
-        Returns
-        -------
-        LogPosition | Failure | None
-            None if none is needed, because an answer is enough or the work is
-            passed on.
+        It is None if an answer is enough, or if the work is passed on.
         """
         holder = self._routing.holders.find(work.group, work.workspace)
         if self._routing.proof.is_answer_enough or holder is not None:
@@ -254,6 +250,7 @@
             _BORROW_TIMEOUT_S,
             work.values,
             work.workspace,
+            is_transaction=True,
         )
         if isinstance(connection, NoConnection):
             return None
