Compare the workspace of a connection before each statement

Cause: a transaction keeps its connection, and later statements reach it by the key of the transaction, also from other hosts. A wrong key would have run the statement of one workspace on the connection of another. Change: run_work refuses such a statement as not sent, closes the connection and logs connection_of_other_workspace. Ruled out: a check in the pool alone, which sees a transaction only when it begins.

--- a/features/steps/workspace_transactions_steps.py
+++ b/features/steps/workspace_transactions_steps.py
@@ -3,12 +3,17 @@
 import asyncio
 from typing import Any, Final
 
+import attrs
 from behave import given, then, when
 
+from features.group_builders import GroupWorld, build_world
+from features.ownership_builders import build_work
 from features.virtual_loop import VirtualLoop
 from features.workspace_builders import CountingMember, build_pool, use
 from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.groups.connection_pool import ConnectionPool
+from mimosapond.routing.statement_runner import RestoreFailed, run_work
+from mimosapond.statements.statement import Begin, DirectStatement
 
 _WAIT_S: Final = 60.0
 _PAUSE_S: Final = 1.0
@@ -104,3 +109,45 @@
     """Check that the waiting ones have begun as well."""
     transactions = context.transactions
     assert transactions.begun_count == len(transactions.tasks)
+
+
+@given('a transaction of {owner} at member p')
+def prepare_transaction(context: Any, owner: str) -> None:
+    """Keep the workspace that begins the transaction."""
+    context.world = build_world()
+    context.owner = owner.replace('no workspace', '')
+
+
+@when('a statement of {sender} is to run in it')
+def run_foreign(context: Any, sender: str) -> None:
+    """Begin the transaction and send the statement."""
+    workspace = sender.replace('no workspace', '')
+    context.statements = asyncio.run(
+        _run_in_transaction(context.world, context.owner, workspace)
+    )
+
+
+async def _run_in_transaction(
+    world: GroupWorld, owner: str, sender: str
+) -> list[str]:
+    pool = world.group.members['p'].pool
+    lease = await pool.borrow(1, _WAIT_S, {}, owner, is_transaction=True)
+    assert isinstance(lease, ConnectionLease), lease
+    await lease.ask(lease.link.begin(Begin(False), None, _WAIT_S))
+    statement = DirectStatement('READ x', is_write=False)
+    work = build_work('r1', world.group, statement)
+    try:
+        await run_work(
+            lease, attrs.evolve(work, workspace=sender), None, _WAIT_S
+        )
+    except RestoreFailed as error:
+        assert not error.answer.was_sent, error
+        assert not lease.link.is_open
+    return list(world.fakes['p'].executed_statements)
+
+
+@then('the transaction ran {statements}')
+def check_run(context: Any, statements: str) -> None:
+    """Compare the statements of callers."""
+    expected = [] if statements == 'nothing' else [statements]
+    assert context.statements == ['BEGIN', *expected], context.statements
--- a/features/workspace_connections.feature
+++ b/features/workspace_connections.feature
@@ -122,3 +122,17 @@
     Then 4 of them are open
     When the transactions end
     Then all of them have been open
+
+  # Guards against a statement that runs in a transaction of another workspace,
+  # for example after a host passed on the key of the transaction by mistake.
+  Scenario Outline: a statement of another workspace does not run
+    Given a transaction of <owner> at member p
+    When a statement of <sender> is to run in it
+    Then the transaction ran <statements>
+
+    Examples:
+      | owner        | sender       | statements |
+      | alpha        | alpha        | READ x     |
+      | alpha        | beta         | nothing    |
+      | alpha        | no workspace | nothing    |
+      | no workspace | beta         | nothing    |
--- a/mimosapond/groups/connection_lease.py
+++ b/mimosapond/groups/connection_lease.py
@@ -43,6 +43,11 @@
         """The connection to the member."""
         return self._require_connection().link
 
+    @property
+    def workspace(self) -> str:
+        """Workspace that the connection was opened for; empty without one."""
+        return self._require_connection().workspace
+
     @property
     def session_values(self) -> dict[str, str]:
         """Session values that the member holds for the connection."""
--- a/mimosapond/routing/statement_runner.py
+++ b/mimosapond/routing/statement_runner.py
@@ -82,6 +82,7 @@
     RestoreFailed
         The statement was not sent. The connection is closed.
     """
+    _require_own(connection, work)
     await restore_values(connection, work.values, limit_s)
     statement = work.statement
     if isinstance(statement, PreparedCall):
@@ -126,6 +127,26 @@
     return connection.prepared_names[shape]
 
 
+def _require_own(connection: ConnectionLease, work: Work) -> None:
+    """Refuse a statement on a connection of another workspace.
+
+    A transaction keeps its connection, while each of its statements names a
+    workspace, so this is checked again at each statement.
+    """
+    if connection.workspace == work.workspace:
+        return
+    logger.bind(
+        request=work.request_id,
+        connection=connection.link.name,
+        workspace=work.workspace,
+        opened_for=connection.workspace,
+    ).error('connection_of_other_workspace')
+    connection.link.close()
+    raise RestoreFailed(
+        LinkLost('a connection of another workspace', was_sent=False)
+    )
+
+
 def _require_completed(
     connection: ConnectionLease, answer: MemberAnswer
 ) -> None:
