--- a/mimosapond/quotas/read_tokens.py
+++ b/mimosapond/quotas/read_tokens.py
@@ -3,7 +3,7 @@
 from typing import Final, TypeAlias, final
 
 from mimosapond.groups.admission_request import NotAdmitted
-from mimosapond.groups.connection_pool import NoConnection
+from mimosapond.groups.no_connection import NoConnection
 from mimosapond.groups.member_answer import (
     NOT_EXECUTED_KINDS,
     LinkLost,
--- a/mimosapond/routing/admitted_connection.py
+++ b/mimosapond/routing/admitted_connection.py
@@ -7,7 +7,7 @@
 from mimosapond.groups.admission_permit import Permit
 from mimosapond.groups.admission_request import AdmissionRequest, NotAdmitted
 from mimosapond.groups.connection_lease import ConnectionLease
-from mimosapond.groups.connection_pool import NoConnection
+from mimosapond.groups.no_connection import NoConnection
 from mimosapond.groups.member import Member
 from mimosapond.groups.statement_class import StatementClass
 from mimosapond.routing.work import Work
@@ -43,7 +43,11 @@
 
 
 async def borrow_admitted(
-    member: Member, work: Work, wait_s: float
+    member: Member,
+    work: Work,
+    wait_s: float,
+    *,
+    is_transaction: bool = False,
 ) -> BorrowOutcome:
     """Wait for a permit, then borrow a connection.
 
@@ -52,6 +56,8 @@
     wait_s
         Longest wait for the connection; the wait for the permit ends at the
         deadline of the work.
+    is_transaction
+        Whether a transaction is to begin on the connection.
     """
     permit = await member.admission.admit(admission_request(work))
     if isinstance(permit, NotAdmitted):
@@ -59,7 +65,11 @@
     outcome: ConnectionLease | NoConnection | None = None
     try:
         outcome = await member.pool.borrow(
-            work.route.priority, wait_s, work.values, work.workspace
+            work.route.priority,
+            wait_s,
+            work.values,
+            work.workspace,
+            is_transaction=is_transaction,
         )
     finally:
         if not isinstance(outcome, ConnectionLease):
--- a/mimosapond/routing/failures.py
+++ b/mimosapond/routing/failures.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from mimosapond.groups.admission_request import NotAdmitted, RefusalCause
-from mimosapond.groups.connection_pool import NoConnection
+from mimosapond.groups.no_connection import NoConnection
 from mimosapond.groups.member_answer import Rejected, RejectionKind
 from mimosapond.statements.reply import Failure, FailureKind
 
--- a/mimosapond/routing/primary_path.py
+++ b/mimosapond/routing/primary_path.py
@@ -7,7 +7,7 @@
 from mimosapond.boot_clock import Now
 from mimosapond.groups.member import Member
 from mimosapond.groups.admission_request import NotAdmitted, RefusalCause
-from mimosapond.groups.connection_pool import NoConnection
+from mimosapond.groups.no_connection import NoConnection
 from mimosapond.routing import failures
 from mimosapond.routing.admitted_connection import (
     AdmittedConnection,
@@ -83,9 +83,14 @@
         """Return whether work is not passed on to a holder of its group."""
         return self._holders.find(work.group, work.workspace) is None
 
-    async def find(self, work: Work) -> Path:
+    async def find(self, work: Work, *, is_transaction: bool = False) -> Path:
         """Return a path to the primary.
 
+        Parameters
+        ----------
+        is_transaction
+            Whether a transaction is to begin on the connection.
+
         Returns
         -------
         Path
@@ -102,11 +107,15 @@
                 return holder
             if holder is not None:
                 return RelayPath(holder)
-            path = await self._find_once(work, remaining_s)
+            path = await self._find_once(
+                work, remaining_s, is_transaction=is_transaction
+            )
             if path is not None:
                 return path
 
-    async def _find_once(self, work: Work, remaining_s: float) -> Path | None:
+    async def _find_once(
+        self, work: Work, remaining_s: float, *, is_transaction: bool
+    ) -> Path | None:
         primary = work.group.primary
         if primary is None:
             return await self._await_primary(work, remaining_s)
@@ -115,7 +124,9 @@
         wait_s = remaining_s
         if not primary.pool.open_count:
             wait_s = min(remaining_s, _NO_CONNECTION_WAIT_S)
-        outcome = await borrow_admitted(primary, work, wait_s)
+        outcome = await borrow_admitted(
+            primary, work, wait_s, is_transaction=is_transaction
+        )
         match outcome:
             case AdmittedConnection():
                 return LocalPath(primary, outcome)
--- a/mimosapond/sessions/transaction.py
+++ b/mimosapond/sessions/transaction.py
@@ -195,7 +195,7 @@
             return wait_for
         is_proved = self._routing.proof.is_answer_enough or wait_for is not None
         while True:
-            path = await self._routing.paths.find(work)
+            path = await self._routing.paths.find(work, is_transaction=True)
             match path:
                 case Failure():
                     return path
@@ -214,11 +214,7 @@
     async def _begin_position(self, work: Work) -> LogPosition | Failure | None:
         """Return the position that proves the primary of a transaction.
 
-        Returns
-        -------
-        LogPosition | Failure | None
-            None if none is needed, because an answer is enough or the work is
-            passed on.
+        It is None if an answer is enough, or if the work is passed on.
         """
         if self._routing.proof.is_answer_enough or self._is_remote(work):
             return None
@@ -280,7 +276,9 @@
     async def _begin_read_only_at(
         self, work: Work, member: Member, position: LogPosition
     ) -> OpenTransaction | Failure | None:
-        admitted = await borrow_admitted(member, work, _BORROW_TIMEOUT_S)
+        admitted = await borrow_admitted(
+            member, work, _BORROW_TIMEOUT_S, is_transaction=True
+        )
         if not isinstance(admitted, AdmittedConnection):
             # The selector knows the queues: others are expected to be worse.
             return failures.from_borrowing(admitted)
