Give back the tokens of reads that were not sent, and test tokens at the call sites

Cause: a hedged read whose third attempt was cancelled while it waited for a connection kept the token of that attempt. The new scenario found it: three tokens for two members. Change: a read gives back what it did not use when it ends. Scenarios count the tokens of reads, writes, transactions, retries after a refusal by a member and hedged reads.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -35,3 +35,45 @@
     When an operation has no workspace
     Then no operation is refused
     And no message was sent
+
+  # Guards against operations that count more than once or not at all, and
+  # against tokens that are lost with attempts that no member ran.
+  Scenario Outline: an operation that members run takes one token
+    Given a session on a group whose primary is p
+    And the session may run 5 operations
+    And the members refuse <refused> requests as busy
+    When the caller sends <statements>
+    Then <tokens> tokens are taken
+
+    Examples:
+      | statements                       | refused | tokens |
+      | read                             | 0       | 1      |
+      | read                             | 1       | 1      |
+      | write                            | 0       | 1      |
+      | write                            | 1       | 1      |
+      | begin, write, read, write, commit | 0      | 1      |
+      | begin, write, commit             | 1       | 1      |
+      | begin, write, commit, read       | 0       | 2      |
+      | begin, rollback                  | 0       | 0      |
+
+  # Guards against a hedged read that is counted once, though two members run it.
+  Scenario: a second member that runs a read takes another token
+    Given a session on a group whose primary is p
+    And the session may run 5 operations
+    And each statement takes 200 ms
+    When the caller sends read
+    And 500 ms pass
+    Then as many tokens are taken as members ran it, which are several
+
+  # Guards against statements that reach a member after the quota is used up.
+  Scenario Outline: nothing runs when the quota is used up
+    Given a session on a group whose primary is p
+    And the session may run 0 operations
+    When the caller sends <statements>
+    Then the quota refuses it, and no member ran anything
+
+    Examples:
+      | statements   |
+      | read         |
+      | write        |
+      | begin, write |
--- a/mimosapond/quotas/read_tokens.py
+++ b/mimosapond/quotas/read_tokens.py
@@ -28,6 +28,7 @@
         self._quotas = quotas
         self._work = work
         self._unused_count = 1
+        self._is_over = False
 
     async def take(self) -> bool:
         """Take a token for a member; return whether there was one."""
@@ -36,9 +37,26 @@
             return True
         return await self._quotas.take(self._work) is None
 
-    def keep_unused(self, answer: Attempt) -> None:
-        """Keep a token for the next member if this one did not run the read."""
-        self._unused_count += not _may_have_run(answer)
+    def keep_unused(self, answer: Attempt | None) -> None:
+        """Keep a token for the next member if this one did not run the read.
+
+        Parameters
+        ----------
+        answer
+            None if the attempt was cancelled before the read was sent.
+        """
+        if answer is not None and _may_have_run(answer):
+            return
+        self._unused_count += 1
+        if self._is_over:
+            self.close()
+
+    def close(self) -> None:
+        """Give back unused tokens, as the read has ended."""
+        self._is_over = True
+        for _ in range(self._unused_count):
+            self._quotas.give_back(self._work)
+        self._unused_count = 0
 
 
 def _may_have_run(answer: Attempt) -> bool:
--- a/mimosapond/routing/read_router.py
+++ b/mimosapond/routing/read_router.py
@@ -102,20 +102,20 @@
         if position is None:
             self._quotas.give_back(work)
             return failures.NO_FRESH_MEMBER
+        tokens = ReadTokens(self._quotas, work)
         attempts = _ReadAttempts(
             work,
             position,
             self._selector,
             self._running_attempts,
             self._now,
-            ReadTokens(self._quotas, work),
+            tokens,
         )
         try:
             return await self._run_until_reply(work, attempts)
         finally:
             attempts.cancel_unsent()
-            if not attempts.was_sent:
-                self._quotas.give_back(work)
+            tokens.close()
 
     async def _run_until_reply(
         self, work: Work, attempts: '_ReadAttempts'
@@ -174,8 +174,7 @@
         self._pending: dict[_Attempt, Member] = {}
         # Members whose current attempt has not sent the read yet.
         self._unsent: set[Member] = set()
-        # Whether a member was sent the read.
-        self.was_sent = False
+        self._was_sent = False
         self._round_back_off_s = _MIN_ROUND_BACK_OFF_S
 
     async def run(self) -> Reply | None:
@@ -213,9 +212,9 @@
             request=self._work.request_id,
             tried=[member.member_id for member in self._tried],
             at=str(self._position),
-            was_sent=self.was_sent,
+            was_sent=self._was_sent,
         ).warning('read_given_up')
-        if self.was_sent:
+        if self._was_sent:
             return failures.READ_UNANSWERED
         return failures.NO_CONNECTION
 
@@ -247,7 +246,7 @@
         # Members that refused are tried again in the next round. Members that
         # still run the read, or whose answer may be lost, are not.
         self._tried = list(self._pending.values())
-        if not self.was_sent:
+        if not self._was_sent:
             return None
         back_off_s = self._round_back_off_s
         self._round_back_off_s = min(back_off_s * 2, _MAX_ROUND_BACK_OFF_S)
@@ -283,8 +282,11 @@
     async def _run_attempt(self, member: Member) -> MemberAnswer | NoConnection:
         if not await self._tokens.take():
             return NO_TOKEN
-        answer = await self._run_at(member)
-        self._tokens.keep_unused(answer)
+        answer = None
+        try:
+            answer = await self._run_at(member)
+        finally:
+            self._tokens.keep_unused(answer)
         return answer
 
     async def _run_at(self, member: Member) -> MemberAnswer | NoConnection:
@@ -300,7 +302,7 @@
         limit_s = max(work.deadline_s - self._now(), 0)
         try:
             self._unsent.discard(member)
-            self.was_sent = True
+            self._was_sent = True
             return await run_work(connection, work, self._position, limit_s)
         except RestoreFailed as error:
             return LinkLost(str(error))
