--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -25,6 +25,24 @@
     And the quota is used
     And the refusals say when to retry
 
+  # Guards against a new home that starts with a full bucket, against two homes
+  # that both grant the whole quota, and against a limit that stays as it was.
+  Scenario Outline: the bound holds when the home of a workspace changes
+    Given a quota of 100 operations per second
+    When the demand is 7 times the quota and these events occur: <events>
+    Then the bound is kept
+
+    Examples: an event is kind, time, duration and host, in order of preference
+      | events                            |
+      | restart 4.5 0 1                   |
+      | restart 4.5 0 0                   |
+      | restart 4.5 0 1, restart 6.0 0 1  |
+      | cut 4.5 4 0                       |
+      | freeze 4.5 0.17 0, freeze 5.5 1 0 |
+      | lists 3.0 8 0                     |
+      | loss 4.0 8 0                      |
+      | quota 5.0 0 0                     |
+
   # Guards against two hosts that grant the whole quota at the same time.
   Scenario: the bound holds whatever happens to hosts and connections
     Then the bound is kept in any history of hosts, cuts, losses and changes
--- a/features/steps/quotas_steps.py
+++ b/features/steps/quotas_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from features.quota_builders import build_work
-from features.quota_model import QuotaModel, QuotaRun, run_model
+from features.quota_model import ModelEvent, QuotaModel, QuotaRun, run_model
 from features.quota_properties import check_histories
 from features.virtual_loop import run_virtually
 
@@ -25,6 +25,25 @@
     context.run = run_model(1, context.rate_per_s, ratio, [], LASTS_S)
 
 
+@when(
+    'the demand is {ratio:g} times the quota and these events occur: {events}'
+)
+def run_events(context: Any, ratio: float, events: str) -> None:
+    """Run a model with events."""
+    context.run = run_model(
+        1,
+        context.rate_per_s,
+        ratio,
+        [_parse_event(text) for text in events.split(', ')],
+        LASTS_S,
+    )
+
+
+def _parse_event(text: str) -> ModelEvent:
+    kind, at_s, lasts_s, number = text.split()
+    return ModelEvent(kind, float(at_s), float(lasts_s), int(number))
+
+
 @when('an operation has no workspace')
 def run_without_workspace(context: Any) -> None:
     """Run one operation without a workspace."""
