--- a/mimosapond/entry/memory_lanes.py
+++ b/mimosapond/entry/memory_lanes.py
@@ -117,6 +117,8 @@
 
     def release(self) -> None:
         """Give all shares back."""
+        if not self._held_bytes:
+            return
         held = self._held_bytes
         self._held_bytes = {}
         for shares, held_bytes in held.items():
--- a/mimosapond/platform/line_stream.py
+++ b/mimosapond/platform/line_stream.py
@@ -121,7 +121,13 @@
 
     async def finish_read(self, pending: asyncio.Future[bytes]) -> str:
         """Return the line of a started read; raises as ``read`` does."""
-        self._received += await pending
+        chunk = await pending
+        end = chunk.find(LINE_END)
+        if self._is_whole_line(chunk, end):
+            # Most requests arrive in one piece and need no buffer.
+            self._kept_bytes += end
+            return _decode(chunk[:end])
+        self._received += chunk
         end = self._received.find(LINE_END)
         if end < 0:
             end = await self._receive_rest()
@@ -188,6 +194,14 @@
         self._next_line = asyncio.ensure_future(pending)
         return self._next_line
 
+    def _is_whole_line(self, chunk: bytes, end: int) -> bool:
+        return (
+            end >= 0
+            and end + len(LINE_END) == len(chunk)
+            and not self._received
+            and self._kept_bytes <= SMALL_BYTES
+        )
+
     async def _receive_rest(self) -> int:
         """Read until the end of a line, and return the position of the end."""
         try:
@@ -249,9 +263,7 @@
         self._kept_bytes += end
         try:
             with memoryview(self._received) as received, received[:end] as line:
-                return str(line, 'utf-8')
-        except UnicodeDecodeError as error:
-            raise LineUnreadableError from error
+                return _decode(line)
         finally:
             del self._received[: end + len(LINE_END)]
 
@@ -273,3 +285,10 @@
         except OSError:
             # Nothing has arrived, or the connection is broken.
             return False
+
+
+def _decode(line: bytes | memoryview) -> str:
+    try:
+        return str(line, 'utf-8')
+    except UnicodeDecodeError as error:
+        raise LineUnreadableError from error
