Bound the values and prepared statements that sessions keep

Cause: SET and PARSE of legal size were kept for each session without a bound. 60 callers with four values of 0.9 MB each took a host to 243 MiB.

Change: the definitions of all sessions share 0.08 of the memory of the settings; a further one is refused with RETRY, and the session goes on.

Ruled out: a bound for each session, which a crowd multiplies. What a connection to a member knows of prepared statements is still not bounded.

--- a/features/misbehaving_builders.py
+++ b/features/misbehaving_builders.py
@@ -32,6 +32,7 @@
 _PIECE_BYTES: Final = 1000
 _PIPELINED_COUNT: Final = 20_000
 _LARGE_PIPELINED_COUNT: Final = 12
+_VALUE_COUNT: Final = 4
 _STORED_ITEM: Final = 'stored'
 _REQUEST_NUMBERS: Final = itertools.count(1)
 # Only ends a test that would hang.
@@ -55,6 +56,13 @@
     return _query(f'READ {_STORED_ITEM}') * _LARGE_PIPELINED_COUNT
 
 
+def _set_large_values() -> bytes:
+    return b''.join(
+        _query(f'SET v{number} {"x" * _HALF_BYTES}')
+        for number in range(_VALUE_COUNT)
+    )
+
+
 def _pipelined() -> bytes:
     return b'QUERY x SET a b\r\n' * _PIPELINED_COUNT
 
@@ -73,6 +81,9 @@
         'request large answers and read none': lambda: (
             _START + _read_large_item()
         ),
+        'keep large values in their sessions': lambda: (
+            _START + _set_large_values()
+        ),
         'connect and send nothing': bytes,
     }
 )
--- a/features/misbehaving_callers.feature
+++ b/features/misbehaving_callers.feature
@@ -19,6 +19,7 @@
       | 60    | send a message far over the limit     |
       | 20    | send many requests and read no answer |
       | 60    | request large answers and read none   |
+      | 60    | keep large values in their sessions   |
       | 300   | connect and send nothing              |
 
   Scenario: a crowd whose requests are passed on to another host
--- a/mimosapond/entry/host_resources.py
+++ b/mimosapond/entry/host_resources.py
@@ -21,6 +21,7 @@
 _FRAME_RATIO: Final = 0.05
 _MEDIUM_RATIO: Final = 0.02
 _WIDE_RATIO: Final = 0.04
+_DEFINITION_RATIO: Final = 0.08
 _CONNECTION_RATIO: Final = 0.25
 # Streams, task and session of an idle connection.
 _CONNECTION_BYTES: Final = 20_000
@@ -66,11 +67,14 @@
     requests, answers, frames
         Memory for the messages of callers, for the answers of members and
         other hosts, and for the work that other hosts pass on.
+    definitions
+        Memory for the values and prepared statements of sessions.
     """
 
     requests: MemoryLanes
     answers: MemoryLanes
     frames: MemoryLanes
+    definitions: ByteBudget
     connections: ConnectionBound
     times: TimeLimits
     refusals: RefusalLog
@@ -92,6 +96,7 @@
             requests,
             answers,
             frames,
+            ByteBudget(memory_bytes * _DEFINITION_RATIO),
             ConnectionBound(_count_connections(settings, memory_bytes)),
             TimeLimits(
                 settings.start_timeout_ms / _MS_PER_S,
--- a/mimosapond/platform/caller_server.py
+++ b/mimosapond/platform/caller_server.py
@@ -7,6 +7,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
+from mimosapond.entry.definition_share import DefinitionShare
 from mimosapond.entry.host_resources import HostResources, default_resources
 from mimosapond.entry.memory_lanes import MemoryAccount
 from mimosapond.entry.refusal_log import RefusalCause
@@ -43,6 +44,10 @@
     FailureKind.not_run,
     'the host has no memory for a large message; retry after 1000 ms',
 )
+_NO_MEMORY_FOR_VALUE: Final = Failure(
+    FailureKind.not_run,
+    'the host has no memory for more values of sessions; retry after 1000 ms',
+)
 _TOO_MANY_CONNECTIONS: Final = Failure(
     FailureKind.not_run,
     'the host has too many connections; retry after 1000 ms',
@@ -112,6 +117,7 @@
         )
         self._sessions = sessions
         self._resources = resources
+        self._definitions = DefinitionShare(resources.definitions)
         self._session: Session | None = None
         self._task: asyncio.Task[Reply] | None = None
 
@@ -133,6 +139,7 @@
     def close(self) -> None:
         self._resources.connections.leave(self._close_without_session)
         self._lines.release_memory()
+        self._definitions.release()
         self._lines.close()
         if self._session is not None:
             self._sessions.unregister(self._session)
@@ -161,10 +168,19 @@
         if word != 'QUERY' or not request_id or not text:
             raise _ProtocolError(_MALFORMED_MESSAGE)
         with self._sessions.serving(session):
-            reply = await session.execute(request_id, decode_statement(text))
+            reply = await self._execute(session, request_id, text)
             await self._write_reply(reply, session.state)
         return True
 
+    async def _execute(
+        self, session: Session, request_id: str, text: str
+    ) -> Reply:
+        statement = decode_statement(text)
+        if not self._definitions.admit(statement):
+            self._resources.refusals.record(RefusalCause.memory)
+            return _NO_MEMORY_FOR_VALUE
+        return await session.execute(request_id, statement)
+
     async def _read_start(self) -> str:
         try:
             async with asyncio.timeout(self._resources.times.start_s):
