Keep the settings template of platforms that give only the basic fields

Cause: the cases in review/ fill in deploy/settings.yaml with a renderer that knows only the fields of the first deployments, and a section for an absent field ended it. Change: the limits that only some platforms give are in deploy/host-settings.yaml, which the deploy file names.

--- a/soak/host_template.py
+++ b/soak/host_template.py
@@ -6,7 +6,7 @@
 
 from soak.layout import HostLayout, Layout
 
-_TEMPLATE: Final = pathlib.Path('deploy/settings.yaml')
+_TEMPLATE: Final = pathlib.Path('deploy/host-settings.yaml')
 _PLACEHOLDER: Final = re.compile(r'{{([\w.]+)}}')
 # Sections that are rendered if a field is true, or if it is false.
 _SECTION: Final = re.compile(r'{{([#^])([\w.]+)}}(.*?){{/\2}}')
