Let the home of a quota stand still for longer before its share falls

Cause: hosts with half of a core stall for more than 0.1 s, after which a home claimed its buckets again, and greeted the other data centres ten times a second. Change: silence counts after 0.6 s (0.3), greetings after 0.25 s (0.1), a round each 0.1 s (0.05), frozen after 0.2 s (0.1). A trial with a sliding window in place of the token bucket was not kept: a cut exceeded the bound by a third.

--- a/mimosapond/quotas/contact_tracker.py
+++ b/mimosapond/quotas/contact_tracker.py
@@ -9,9 +9,9 @@
 # Silence after which a data centre counts as cut off. During this time a home
 # that is cut off grants the part of the others as well, so it is a part of
 # the tolerated excess.
-_SILENCE_LIMIT_S: Final = 0.3
+_SILENCE_LIMIT_S: Final = 0.6
 # Silence after which hosts of a data centre are greeted.
-_GREETING_AGE_S: Final = 0.1
+_GREETING_AGE_S: Final = 0.25
 
 
 @final
--- a/mimosapond/quotas/quota_service.py
+++ b/mimosapond/quotas/quota_service.py
@@ -26,10 +26,10 @@
     TokensGranted,
 )
 
-_ROUND_INTERVAL_S: Final = 0.05
+_ROUND_INTERVAL_S: Final = 0.1
 # Time without a round after which this host counts as frozen: others may have
 # found a new home meanwhile. They do so after 0.15 s.
-_FREEZE_LIMIT_S: Final = 0.1
+_FREEZE_LIMIT_S: Final = 0.2
 _FORWARD_TIMEOUT_S: Final = 0.06
 _GREETING_TIMEOUT_S: Final = 0.2
 # Two hosts that both have a bucket of a workspace grant too much for this long
