Run a read at another member after one member failed it

Change: a read that a member failed is run by another; the failure of a second member is that of the statement. A member that failed a statement is avoided for 0.1 s, like one that is busy. Writes and transactions are as before.

--- a/features/sessions.feature
+++ b/features/sessions.feature
@@ -144,6 +144,21 @@
     When the caller sends read
     Then the last reply is success
 
+  # Guards against a member that fails its statements although it reports that it
+  # is well: its callers would get failures that another member would not give.
+  Scenario: a read that one member fails is run by another
+    Given a session on a group whose primary is p
+    And the members p refuse the next 2 requests as failed
+    And the members a refuse the next 1 requests as failed
+    When the caller sends read
+    Then the last reply is success
+
+  Scenario: a read that two members fail is a failure of the statement
+    Given a session on a group whose primary is p
+    And the members p,a,b refuse the next 1 requests as failed
+    When the caller sends read
+    Then the last reply is failed
+
   Scenario: a busy primary is not overloaded with queries for its position
     # Guards against hosts that keep a busy member busy with their queries: in
     # the live test one host sent 293 of them in 0.3 s.
--- a/mimosapond/groups/member_load.py
+++ b/mimosapond/groups/member_load.py
@@ -19,6 +19,9 @@
 _INITIAL_LATENCY_S: Final = 0.015
 # Weight of a new sample in the smoothed latency.
 _LATENCY_SAMPLE_WEIGHT: Final = 0.15
+# Rejections after which a member is avoided: a member that fails statements may
+# do so although it reports that it is well.
+_AVOIDED_KINDS: Final = frozenset((RejectionKind.busy, RejectionKind.failed))
 # Time for which a member is avoided after it refused work because it was busy.
 _AVOID_AFTER_REJECTION_S: Final = 0.1
 # Time for which a member whose log lagged behind gets no read that needs a later
@@ -114,7 +117,7 @@
                 self._record_lag()
                 self.record_contact(position)
             case Rejected(position=position, kind=kind):
-                if kind is RejectionKind.busy:
+                if kind in _AVOIDED_KINDS:
                     self.avoid_until_s = self._now() + _AVOID_AFTER_REJECTION_S
                 self.record_contact(position)
             case LinkLost():
--- a/mimosapond/routing/read_attempts.py
+++ b/mimosapond/routing/read_attempts.py
@@ -36,6 +36,8 @@
 _MIN_HEDGE_DELAY_S: Final = 0.1
 # Wait for a connection to one member before the attempt fails.
 _BORROW_TIMEOUT_S: Final = 0.15
+# Members that fail a read until its failure is that of the statement.
+_MAX_FAILURE_COUNT: Final = 2
 # Delay before members are tried again; it doubles with each round, as many
 # reads wait at the same time when members are overloaded or lag behind.
 _MIN_ROUND_BACK_OFF_S: Final = 0.02
@@ -78,6 +80,7 @@
         # Refusals of admission in the present round.
         self._refusals: list[NotAdmitted] = []
         self._round_back_off_s = _MIN_ROUND_BACK_OFF_S
+        self._failure_count = 0
 
     async def run(self) -> Reply | None:
         """Return the reply of a member.
@@ -209,7 +212,7 @@
             case Rejected(kind=kind) if kind in NOT_EXECUTED_KINDS:
                 return None
             case Rejected():
-                return failures.from_rejection(answer)
+                return self._judge_failure(answer)
             case NotAdmitted(cause=cause):
                 if cause is not RefusalCause.unreachable:
                     self._refusals.append(answer)
@@ -217,6 +220,18 @@
             case _:
                 return None
 
+    def _judge_failure(self, answer: Rejected) -> Reply | None:
+        """Return the failure of a statement if it is not that of one member.
+
+        A member may fail part of its statements, or all, while it reports that
+        it is well. A read changes nothing, so another member can run it.
+        """
+        self._failure_count += 1
+        is_alone = self._failure_count >= len(self._work.group.members)
+        if self._failure_count >= _MAX_FAILURE_COUNT or is_alone:
+            return failures.from_rejection(answer)
+        return None
+
     async def _run_attempt(self, member: Member) -> _AttemptOutcome:
         delay_s = self._hedge_delay_s()
         if delay_s > 0:
