--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -17,6 +17,12 @@
       | 175  | 0.6    |
       | 175  | 0.9    |
 
+  # Guards against a home that never grants again once its bucket was not used
+  # for a while, so that small workspaces move from host to host.
+  Scenario: a workspace that pauses is served by the same home
+    Given a quota of 5 operations per second
+    Then a home grants again after a pause of 3 s and a claim
+
   # Guards against hosts that count on their own, so that the sum is too high.
   Scenario: a workspace that sends seven times its quota is limited
     Given a quota of 100 operations per second
--- a/features/steps/quotas_steps.py
+++ b/features/steps/quotas_steps.py
@@ -9,6 +9,9 @@
 from features.quota_model import ModelEvent, QuotaModel, QuotaRun, run_model
 from features.quota_properties import check_histories
 from features.virtual_loop import run_virtually
+from mimosapond.configuration.workspace import Workspace
+from mimosapond.quotas.quota_home import QuotaHome
+from mimosapond.quotas.quota_terms import QuotaTerms
 
 LASTS_S = 12.0
 
@@ -55,6 +58,21 @@
     context.run = run_virtually(run())
 
 
+@then('a home grants again after a pause of {pause_s:g} s and a claim')
+def check_pause(context: Any, pause_s: float) -> None:
+    """Claim a bucket, leave it unused, claim it again and take a token."""
+    now_s: list[float] = [0]
+    rate = context.rate_per_s
+    workspace = Workspace('w', frozenset(), 1, rate, rate)
+    home = QuotaHome(lambda _: workspace, QuotaTerms(), lambda: now_s[0])
+    for _ in range(2):
+        now_s[0] += pause_s
+        assert not home.is_certain('w')
+        home.install(workspace, (), 1, is_complete=True)
+        assert home.is_certain('w')
+        assert home.grant(workspace, 1, 1, 1)[0] == 1
+
+
 @then('no operation is refused')
 def check_no_refusal(context: Any) -> None:
     """Check that there are no refusals, and that operations ran."""
--- a/mimosapond/entry/host_settings.py
+++ b/mimosapond/entry/host_settings.py
@@ -86,7 +86,7 @@
 @final
 @attrs.frozen
 class HostSettings:
-    """Addresses that a host listens on and calls, and limits for its stop.
+    """Addresses that a host listens on and calls, and its limits.
 
     Parameters
     ----------
--- a/mimosapond/groups/concurrency_limit.py
+++ b/mimosapond/groups/concurrency_limit.py
@@ -15,7 +15,8 @@
 # First limit of a member that says that it is still slow after its start.
 _COLD_START_COUNT: Final = 1.0
 _MIN_COUNT: Final = 1.0
-# The limit stops growing and shrinks at these multiples of the floor latency. A
+# At the first of these multiples of the floor latency the limit stops growing,
+# and at the second it shrinks. A
 # smoothed heavy-tailed latency varies by about half without any load.
 _HOLD_RATIO: Final = 1.6
 _SHRINK_RATIO: Final = 2.2
--- a/mimosapond/groups/latency_trend.py
+++ b/mimosapond/groups/latency_trend.py
@@ -18,7 +18,7 @@
 
 @final
 class LatencyTrend:
-    """Compares the recent latency with the lowest one of a moving window."""
+    """Compares the recent latency with a floor that rises slowly."""
 
     def __init__(self, now_s: float) -> None:
         """Start without samples."""
--- a/mimosapond/groups/member_load.py
+++ b/mimosapond/groups/member_load.py
@@ -22,7 +22,7 @@
 # Rejections after which a member is avoided: a member that fails statements may
 # do so although it reports that it is well.
 _AVOIDED_KINDS: Final = frozenset((RejectionKind.busy, RejectionKind.failed))
-# Time for which a member is avoided after it refused work because it was busy.
+# Time for which a member is avoided after such a rejection.
 _AVOID_AFTER_REJECTION_S: Final = 0.1
 # Time for which a member whose log lagged behind gets no read that needs a later
 # position. It doubles with each further refusal: a replica that receives nothing
--- a/mimosapond/peers/peer_client.py
+++ b/mimosapond/peers/peer_client.py
@@ -16,6 +16,7 @@
 from mimosapond.peers.peer_versions import PeerVersions
 from mimosapond.peers.primary_report import PrimaryReport
 from mimosapond.peers.shared_state import SharedState
+from mimosapond.peers.state_publisher import MAX_WAIT_S
 from mimosapond.peers.shared_state_codec import decode_state
 from mimosapond.peers.work_codec import (
     decode_outcome,
@@ -34,8 +35,8 @@
 _ROLLBACK_TIMEOUT_S: Final = 1.0
 # A peer answers work at its deadline at the latest; the answer travels.
 _ANSWER_MARGIN_S: Final = 0.1
-# A peer answers a request for the state after 1.7 s at the latest.
-_STATE_TIMEOUT_S: Final = 1.9
+# A peer answers a request for the state after ``MAX_WAIT_S`` at the latest.
+_STATE_TIMEOUT_S: Final = MAX_WAIT_S + 0.2
 _BODY_ERRORS: Final = (AttributeError, KeyError, TypeError, ValueError)
 
 
--- a/mimosapond/peers/state_follower.py
+++ b/mimosapond/peers/state_follower.py
@@ -12,7 +12,7 @@
 from mimosapond.boot_clock import Now
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.member_record import MemberRecord
-from mimosapond.peers.holder_ranking import prefer_by_host
+from mimosapond.peers.holder_ranking import sort_by_score
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_client import PeerClient
 from mimosapond.peers.peer_directory import PeerDirectory
@@ -97,7 +97,7 @@
             if peer.data_centre == self._own.data_centre
             and self._peers.is_available(peer)
         ]
-        first = prefer_by_host(_READER_KEY, [*hosts, self._own])[0]
+        first = sort_by_score(_READER_KEY, [*hosts, self._own])[0]
         return None if first.host == self._own.host else first
 
     async def _follow(self, reader: Peer) -> bool:
--- a/mimosapond/quotas/bucket_claims.py
+++ b/mimosapond/quotas/bucket_claims.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final, Self, final
 
 import attrs
@@ -136,10 +136,11 @@
             level = yielded_level
         return BucketYielded(level)
 
-    def forget_removed(self, names: frozenset[str]) -> None:
-        """Forget the successors of all workspaces but ``names``."""
-        for name in self._successors.keys() - names:
-            self._successors.pop(name)
+    def forget_removed(self, is_configured: Callable[[str], bool]) -> None:
+        """Forget what is known of workspaces that are no longer configured."""
+        for known in (self._successors, self._yielded):
+            for name in [name for name in known if not is_configured(name)]:
+                known.pop(name)
 
     async def _claim(self, workspace: Workspace) -> None:
         name = workspace.name
--- a/mimosapond/quotas/no_quota_service.py
+++ b/mimosapond/quotas/no_quota_service.py
@@ -1,4 +1,4 @@
-"""A host that is the home of no workspace."""
+"""Answers no request about quotas; used in tests."""
 
 from typing import final
 
@@ -7,7 +7,7 @@
 
 @final
 class NoQuotaService:
-    """Answers nothing; used in tests and without workspaces."""
+    """Stands in for a host without quotas."""
 
     async def answer(self, request: QuotaRequest) -> QuotaAnswer | None:
         """Return None."""
--- a/mimosapond/quotas/quota_home.py
+++ b/mimosapond/quotas/quota_home.py
@@ -31,7 +31,7 @@
     bucket: TokenBucket
     share_ratio: float
     used_s: float
-    # The host was frozen, or the bucket unused, so that another host may have
+    # This host was frozen since the last claim, so that another host may have
     # become the home.
     is_doubtful: bool = False
 
@@ -67,7 +67,7 @@
         """Return whether this host has the bucket, certainly or not."""
         return name in self._buckets
 
-    def has_certain(self, name: str) -> bool:
+    def is_certain(self, name: str) -> bool:
         """Return whether this host has the bucket and need not claim it."""
         home = self._buckets.get(name)
         if home is None or home.is_doubtful:
@@ -81,7 +81,7 @@
 
     def used_names(self) -> list[str]:
         """Return the workspaces whose buckets are certain and in use."""
-        return [name for name in self._buckets if self.has_certain(name)]
+        return [name for name in self._buckets if self.is_certain(name)]
 
     def to_reclaim(self, share_ratio: float) -> list[str]:
         """Return the buckets to claim again while they are used.
@@ -119,8 +119,8 @@
         known = list(levels)
         if former is not None:
             known.append(former.bucket.level_count(now_s))
-        is_uncertain = former is None or former.is_doubtful
-        is_guess = is_uncertain and not (levels or is_complete)
+        is_certain = self.is_certain(workspace.name)
+        is_guess = not (is_certain or levels or is_complete)
         if not known or is_guess:
             known.append(self._start_count(workspace, now_s))
         bucket = TokenBucket(
@@ -130,7 +130,7 @@
             now_s,
         )
         used_s = now_s
-        if former is not None and not is_uncertain:
+        if former is not None and is_certain:
             used_s = former.used_s
         self._buckets[workspace.name] = _HomeBucket(bucket, share_ratio, used_s)
 
--- a/mimosapond/quotas/quota_service.py
+++ b/mimosapond/quotas/quota_service.py
@@ -28,7 +28,7 @@
 
 _ROUND_INTERVAL_S: Final = 0.1
 # Time without a round after which this host counts as frozen: others may have
-# found a new home meanwhile. They do so after 0.15 s.
+# found a new home meanwhile. They do so after a request without an answer.
 _FREEZE_LIMIT_S: Final = 0.2
 _FORWARD_TIMEOUT_S: Final = 0.06
 _GREETING_TIMEOUT_S: Final = 0.2
@@ -81,6 +81,7 @@
         self._greet()
         self._reclaim()
         self._parts.home.forget_removed()
+        self._parts.claims.forget_removed(self._is_configured)
 
     async def answer(self, request: QuotaRequest) -> QuotaAnswer | None:
         """Return the answer to a request of a host, also of this one.
@@ -102,17 +103,20 @@
             case Greeting():
                 return Greeted()
 
+    def _is_configured(self, name: str) -> bool:
+        return self._parts.find_workspace(name) is not None
+
     async def _take(self, request: TakeTokens) -> TokensGranted | None:
         workspace = self._parts.find_workspace(request.workspace)
         if workspace is None or not self._parts.ranking.is_loaded:
             return None
         parts = self._parts
-        if not parts.home.has_certain(workspace.name):
+        if not parts.home.is_certain(workspace.name):
             granted = await self._forward(request)
             if granted is not None:
                 return granted
             await parts.claims.claim(workspace)
-        if parts.home.has_certain(workspace.name):
+        if parts.home.is_certain(workspace.name):
             return self._grant(workspace, request)
         return await self._forward(request)
 
--- a/mimosapond/routing/read_attempts.py
+++ b/mimosapond/routing/read_attempts.py
@@ -150,9 +150,8 @@
         return _answer_time_s(member)
 
     def _end_round(self) -> float | None:
-        # Members that refused are tried again in the next round. Members that
-        # still run the read, or whose answer may be lost, or where it waits,
-        # are not.
+        # Members that refused are tried again in the next round. Not tried again
+        # are members where the read runs, waits, or may have lost its answer.
         self._tried = list(self._pending.values())
         if self._is_refused_by_all():
             return None
