--- a/review/stand_ins_2/world.py
+++ b/review/stand_ins_2/world.py
@@ -244,6 +244,19 @@
             writer.transport.abort()
         self.group.record('member', self.id, 'crashes at', self.position_text())
 
+    async def start_again(self, member_id, role_is_kept):
+        """Start the process again, with its log, under another id."""
+        asyncio.get_running_loop().call_later(
+            3.6, self.group.store.drop, 'servers', self.id
+        )
+        self.id, self.is_primary = member_id, role_is_kept
+        self.paused_term, self.seq = 0, 0
+        self.born_ms = int(time.time() * 1000)
+        self.is_up = True
+        await self.open()
+        self.register()
+        self.group.record('member', self.id, 'is back:', self.status())
+
     def register(self):
         self.seq += 1
         entry = {
@@ -424,6 +437,7 @@
         member.log.append((member.term, number, request_id, tuple(writes)))
         entry = member.log[-1]
         term = member.term
+        member.group.commit_times[request_id] = member.group.record.now()
         member.group.record(
             'member', member.id, 'commits', f'{term}.{number}', request_id
         )
@@ -451,6 +465,8 @@
         self.members[0].is_primary = True
         self.rows = lambda member, item: [item]
         self.promotions = []
+        # Time at which each write or transaction was committed at a primary.
+        self.commit_times = {}
         self._tasks = []
 
     @property
@@ -468,6 +484,25 @@
         ]
         self._tasks.append(asyncio.create_task(self._beat()))
 
+    async def join(self, member_id, address):
+        """Start a new member, which receives from its start on."""
+        member = Member(self, member_id, *address)
+        self.members.append(member)
+        await member.open()
+        self._tasks.append(asyncio.create_task(self._replicate(member)))
+        member.register()
+        self.record('member', member.id, 'joins')
+
+    async def release(self, member, drain_s):
+        """Have a member drain and leave."""
+        member.is_draining = True
+        member.register()
+        self.record('member', member.id, 'drains')
+        await asyncio.sleep(drain_s)
+        if member.is_up:
+            await member.crash()
+        self.store.drop('servers', member.id)
+
     def is_received(self, primary, entry):
         return any(
             entry in each.log[-200:]
@@ -563,7 +598,8 @@
     """A process of the system, started as the deploy file says."""
 
     def __init__(self, world, index):
-        self.world, self.name = world, f'front-zone-a-{index + 1}'
+        self.zone = f'zone-{"abcd"[index % world.zone_count]}'
+        self.world, self.name = world, f'front-{self.zone}-{index + 1}'
         self.ip = f'127.0.1.{index + 1}'
         self.process = None
         self.starts = 0
@@ -578,7 +614,7 @@
         world = self.world
         fields = {
             'node': self.name,
-            'zone': 'zone-a',
+            'zone': self.zone,
             'ip': self.ip,
             'listen.front': f'{self.ip}:{world.front_port}',
             'listen.ready': f'{self.ip}:{world.ready_port}',
@@ -651,8 +687,9 @@
     """A small deployment on loopback addresses."""
 
     def __init__(self, record, *, hosts=2, groups=1, memory_mb=300, lag_ms=8,
-                 routes=None):
+                 routes=None, zones=1):
         self.record = record
+        self.zone_count = zones
         self.memory_mb = memory_mb
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.hosts = [Host(self, index) for index in range(hosts)]
@@ -705,6 +742,15 @@
         await asyncio.gather(*(host.start() for host in self.hosts))
         await self.wait_ready(self.hosts)
 
+    def run_before(self, at_s):
+        """Return the ids of what was committed before a time."""
+        return {
+            request_id
+            for group in self.groups.values()
+            for request_id, committed_s in group.commit_times.items()
+            if committed_s < at_s
+        }
+
     async def wait_ready(self, hosts, limit_s=20):
         end = time.monotonic() + limit_s
         while time.monotonic() < end:
