--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,6 +8,8 @@
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
+# What was sent, answered and run.
+RECORD = HERE / 'record.txt'
 sys.path.insert(0, str(HERE.parent / 'stand_ins_2'))
 from world import Client, Closed, World, free_port, run_case  # noqa: E402
 
@@ -109,4 +111,4 @@
         await world.close()
 
 
-run_case(HERE, case, limit_s=115)
+run_case(RECORD, case, limit_s=115)
--- a/review/stand_ins_2/world.py
+++ b/review/stand_ins_2/world.py
@@ -48,11 +48,11 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to record.txt."""
+    """Writes what was sent, answered and run to a file."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.started = time.monotonic()
-        self.file = open(pathlib.Path(folder) / 'record.txt', 'w')
+        self.file = open(path, 'w', encoding='utf-8')
 
     def now(self):
         return time.monotonic() - self.started
@@ -831,9 +831,12 @@
         self.writer.close()
 
 
-def run_case(folder, case, limit_s=110):
-    """Run a case; exit with 1 if the rule was broken, 0 if not, 2 if it failed."""
-    record = Record(folder)
+def run_case(path, case, limit_s=110):
+    """Run a case, and write its record to a path.
+
+    Exits with 1 if the rule was broken, 0 if it held, 2 if the case failed.
+    """
+    record = Record(path)
     with_trouble = os.environ.get('TROUBLE', '1') != '0'
     record('trouble', with_trouble)
 
