Compare log positions within one term when a commit is confirmed

A primary that is back while a replica is being promoted acknowledges commits through a member that has just joined. The host held the answer back, as no witness had the commit. Then the replica led from an earlier position, its first commit of the newer term reached the witnesses, and the host took that position for one that includes the commit: positions were ordered by term, then by number.

A position of a newer term includes the commits of a former term up to where the newer one began, and that point cannot be read from it. So a witness now confirms a commit only with a position of the commit's term (LogPosition.includes). Once a witness is in a newer term and none has the commit, the caller is told at once that the outcome is unknown.

--- a/features/commit_witnesses.feature
+++ b/features/commit_witnesses.feature
@@ -26,6 +26,34 @@
       | behind             | behind  | begin, read, commit  | success |
       | late by 50 ms      | behind  | write                | success |
 
+  # Guards against acknowledged commits that were rolled back: a replica in a newer
+  # term has those up to where that term began, whatever its position (review/6).
+  Scenario Outline: a commit of a former term is not confirmed by a newer term
+    Given a session on a group whose primary is p
+    And its members acknowledge a commit once a replica has it
+    And its statements may take 1500 ms
+    And the commits of p reach replica a, which is <a>, and replica b, which is <b>
+    When the caller sends <statements>
+    Then the last reply is <reply>
+
+    Examples:
+      | a               | b               | statements           | reply   |
+      | in a newer term | leaving         | write                | unknown |
+      | in a newer term | in a newer term | write                | unknown |
+      | in a newer term | leaving         | begin, write, commit | unknown |
+      | in a newer term | up to date      | write                | success |
+
+  # Guards against a caller that waits until its deadline for a proof that cannot
+  # come any more.
+  Scenario: the outcome is reported as unknown once a newer term began
+    Given a session on a group whose primary is p
+    And its members acknowledge a commit once a replica has it
+    And its statements may take 1500 ms
+    And the commits of p reach replica a, which is in a newer term, and replica b, which is leaving
+    When the caller sends write
+    Then the last reply is unknown
+    And the reply took less than 1000 ms
+
   # Guards against a request to a replica for each commit, and against trust in
   # replicas that were cut off meanwhile.
   Scenario Outline: witnesses are asked unless the host is in contact with them
--- a/features/steps/commit_witnesses_steps.py
+++ b/features/steps/commit_witnesses_steps.py
@@ -13,6 +13,8 @@
 
 _MS_PER_S: Final = 1000
 _COMMITTED: Final = LogPosition(1, 20)
+# First commit of the next term, which began before the commit of p.
+_FIRST_OF_NEWER_TERM: Final = LogPosition(2, 20)
 # Longer than a leaving member drains.
 _LEAVING_AGE_S: Final = 8
 
@@ -53,6 +55,8 @@
     match words:
         case ['silent']:
             fake.is_silent = True
+        case ['in', 'a', 'newer', 'term']:
+            fake.position = _FIRST_OF_NEWER_TERM
         case ['leaving']:
             member.record = attrs.evolve(member.record, is_leaving=True)
         case ['unlisted']:
--- a/mimosapond/routing/commit_witnesses.py
+++ b/mimosapond/routing/commit_witnesses.py
@@ -79,7 +79,8 @@
         Returns
         -------
         bool
-            False if no witness was seen to have it before the deadline.
+            False if no witness was seen to have it before the deadline, or
+            if a newer term began without a proof that it has the position.
         """
         if not group.needs_replica or self._is_confirmed(group, position):
             return True
@@ -87,9 +88,14 @@
             return True
         delay_s = _RETRY_DELAY_S
         while self._now() < deadline_s:
-            witnesses = self._witnesses(group, primary)
-            if await self._ask(group, witnesses, position):
+            received = await self._ask(
+                self._witnesses(group, primary), position
+            )
+            self._record(group, received)
+            if _is_included(position, received):
                 return True
+            if any(each.term > position.term for each in received):
+                return False
             await asyncio.sleep(delay_s)
             delay_s = min(delay_s * 2, _MAX_RETRY_DELAY_S)
         return False
@@ -128,24 +134,32 @@
         )
 
     async def _ask(
-        self, group: Group, witnesses: list[Member], position: LogPosition
-    ) -> bool:
-        """Ask the witnesses one after another, overlapping if one is slow."""
+        self, witnesses: list[Member], position: LogPosition
+    ) -> list[LogPosition]:
+        """Ask the witnesses one after another, overlapping if one is slow.
+
+        Returns
+        -------
+        list of LogPosition
+            What the witnesses received that answered until one had the
+            position.
+        """
+        received: list[LogPosition] = []
         pending: set[asyncio.Task[MemberStatus | None]] = set()
         try:
             for task in self._requests(witnesses):
                 pending.add(task)
-                pending = await self._collect(group, pending, _HEDGE_DELAY_S)
-                if self._is_confirmed(group, position):
-                    return True
+                pending = await _collect(received, pending, _HEDGE_DELAY_S)
+                if _is_included(position, received):
+                    return received
             while pending:
-                pending = await self._collect(group, pending, _STATUS_TIMEOUT_S)
-                if self._is_confirmed(group, position):
-                    return True
+                pending = await _collect(received, pending, _STATUS_TIMEOUT_S)
+                if _is_included(position, received):
+                    return received
         finally:
             for task in pending:
                 task.add_done_callback(_ignore_result)
-        return False
+        return received
 
     def _requests(
         self, witnesses: list[Member]
@@ -155,30 +169,35 @@
                 fetch_member_status(member, _STATUS_TIMEOUT_S)
             )
 
-    async def _collect(
-        self,
-        group: Group,
-        pending: set[asyncio.Task[MemberStatus | None]],
-        limit_s: float,
-    ) -> set[asyncio.Task[MemberStatus | None]]:
-        """Wait for an answer, record it, and return the pending requests."""
-        done, still_pending = await asyncio.wait(
-            pending, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in done:
-            status = task.result()
-            if status is not None:
-                self._record(group, status.received)
-        return still_pending
-
-    def _record(self, group: Group, received: LogPosition) -> None:
+    def _record(self, group: Group, received: list[LogPosition]) -> None:
         known = self._confirmed.get(group.name)
-        if known is None or known < received:
-            self._confirmed[group.name] = received
+        newest = max(received, default=known)
+        if newest is not None and (known is None or known < newest):
+            self._confirmed[group.name] = newest
 
     def _is_confirmed(self, group: Group, position: LogPosition) -> bool:
         known = self._confirmed.get(group.name)
-        return known is not None and known >= position
+        return known is not None and known.includes(position)
+
+
+async def _collect(
+    received: list[LogPosition],
+    pending: set[asyncio.Task[MemberStatus | None]],
+    limit_s: float,
+) -> set[asyncio.Task[MemberStatus | None]]:
+    """Wait for an answer, record it, and return the pending requests."""
+    done, still_pending = await asyncio.wait(
+        pending, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
+    )
+    for task in done:
+        status = task.result()
+        if status is not None:
+            received.append(status.received)
+    return still_pending
+
+
+def _is_included(position: LogPosition, received: list[LogPosition]) -> bool:
+    return any(each.includes(position) for each in received)
 
 
 def _ignore_result(task: asyncio.Task[MemberStatus | None]) -> None:
