Ask a witness for each commit

While a replica is being promoted, both replicas are paused and answer reads. A host that had such an answer within 0.1 s, and whose registrations were up to 2.5 s old, took that for a proof that the replicas receive every commit, and did not ask them. The commit was acknowledged by a member that had just joined, and which this host had not read yet.

Contact proves nothing about what a replica receives, whatever its age. So a witness is asked for each commit, after the member has acknowledged it, and neither the age of the registrations nor earlier answers stand in for that. A slow witness no longer delays the next question to another one. Ruled out: a lease on the writer's side (it leaves the commits of its duration open), and reading the position from the witness's answers to reads (a host with few reads would wait for the next one).

The scenario that expected witnesses not to be asked stated the fault; it is replaced by one that asks for the same contacts and checks the replies as well. Four of its eight examples fail on the code before, among them replicas that are behind.

--- a/features/commit_witnesses.feature
+++ b/features/commit_witnesses.feature
@@ -54,25 +54,29 @@
     Then the last reply is unknown
     And the reply took less than 1000 ms
 
-  # Guards against a request to a replica for each commit, and against trust in
-  # replicas that were cut off meanwhile.
-  Scenario Outline: witnesses are asked unless the host is in contact with them
+  # Guards against acknowledged commits that only a member has that this host does
+  # not know yet: a replica that is paused or cut off from the primary answers this
+  # host, and receives nothing (review/6).
+  Scenario Outline: contact with the witnesses does not replace their proof
     Given a session on a group whose primary is p
     And its members acknowledge a commit once a replica has it
     And its statements may take 1500 ms
-    And the commits of p reach replica a, which is <a>, and replica b, which is up to date
+    And the commits of p reach replica a, which is <a>, and replica b, which is <b>
     And the replicas answered <contact_ms> ms ago and the registry <registry_s> s ago
-    When the caller sends write
-    Then the last reply is success
-    And the replicas were <asked>
+    When the caller sends <statements>
+    Then the last reply is <reply>
+    And the replicas were asked
 
     Examples:
-      | a                  | contact_ms | registry_s | asked     |
-      | up to date         | 20         | 1          | not asked |
-      | up to date         | 300        | 1          | asked     |
-      | up to date         | 20         | 4          | asked     |
-      | leaving            | 20         | 1          | asked     |
-      | registered 1 s ago | 20         | 1          | asked     |
+      | a                  | b          | contact_ms | registry_s | statements           | reply   |
+      | behind             | behind     | 20         | 1          | write                | unknown |
+      | behind             | behind     | 20         | 1          | begin, write, commit | unknown |
+      | behind             | up to date | 20         | 1          | write                | success |
+      | up to date         | up to date | 20         | 1          | write                | success |
+      | up to date         | up to date | 300        | 1          | write                | success |
+      | up to date         | up to date | 20         | 4          | write                | success |
+      | leaving            | up to date | 20         | 1          | write                | success |
+      | registered 1 s ago | up to date | 20         | 1          | write                | success |
 
   # Guards against writes that fail where members acknowledge without a replica.
   Scenario: a group without synchronous replicas needs no witness
--- a/features/group_builders.py
+++ b/features/group_builders.py
@@ -205,7 +205,7 @@
     positions = ReadPositionFinder(probe, boot_time_s)
     selector = MemberSelector(DATA_CENTRE, boot_time_s)
     paths = PrimaryPathFinder(relays, boot_time_s, LEAVING_LIMIT_S)
-    witnesses = CommitWitnesses(directory, boot_time_s)
+    witnesses = CommitWitnesses(boot_time_s)
     writes = WriteRouter(paths, witnesses, boot_time_s)
     return SessionServices(
         configuration=active,
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -173,7 +173,7 @@
             self._now,
             lambda: settings.has_token_check and self._directory.holds_any,
         )
-        self._witnesses = CommitWitnesses(self._directory, self._now)
+        self._witnesses = CommitWitnesses(self._now)
         self._limits = ServingLimits(self._now)
         self._sessions = SessionRegistry(self._build_session_services())
         self._relayed_work_handler = RelayedWorkHandler(
--- a/mimosapond/routing/commit_witnesses.py
+++ b/mimosapond/routing/commit_witnesses.py
@@ -6,17 +6,16 @@
 primary. A commit is therefore acknowledged to its caller only after a replica
 that every change of primary has to pause was seen to have it: a witness.
 
-While this host is in contact with the registry and a witness, and no member is
-new or leaves, the witnesses receive every commit, and they are not asked.
+The witnesses are asked for each commit. A witness that answers reads may be
+paused or cut off from the primary, so contact with it proves nothing.
 """
 
 import asyncio
-from collections.abc import Iterator
+import enum
 from typing import Final, final
 
 from mimosapond.boot_clock import Now
 from mimosapond.groups.group import Group
-from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_status import MemberStatus
@@ -26,11 +25,6 @@
 # that promotes may have read the registrations up to 4 s before, and its change
 # of primary takes up to 3 s.
 WITNESS_AGE_S: Final = 7.0
-# Age of the last answer of a witness, and of the registrations, up to which no
-# part of the group can have been cut off for long. The registrations are read
-# every 1.5 s.
-_CONTACT_AGE_S: Final = 0.1
-_REGISTRATION_AGE_S: Final = 2.5
 # Time after which a second witness is asked as well.
 _HEDGE_DELAY_S: Final = 0.02
 _STATUS_TIMEOUT_S: Final = 0.3
@@ -40,23 +34,32 @@
 _MAX_RETRY_DELAY_S: Final = 0.05
 
 
+@final
+class _Proof(enum.Enum):
+    """Whether witnesses prove that a commit survives.
+
+    Attributes
+    ----------
+    given
+        A witness has the commit.
+    open
+        No witness that answered has it yet.
+    impossible
+        A newer term began, and no witness that answered has the commit.
+    """
+
+    given = 'given'
+    open = 'open'
+    impossible = 'impossible'
+
+
 @final
 class CommitWitnesses:
     """Asks the witnesses of a group for the positions they received."""
 
-    def __init__(self, directory: GroupDirectory, now: Now) -> None:
-        """Start without confirmed positions.
-
-        Parameters
-        ----------
-        directory
-            Knows when the registrations were last read.
-        now
-            Clock of the deadlines.
-        """
-        self._directory = directory
+    def __init__(self, now: Now) -> None:
+        """Use a clock for the deadlines and the ages of registrations."""
         self._now = now
-        self._confirmed: dict[str, LogPosition] = {}
 
     async def confirm(
         self,
@@ -82,40 +85,22 @@
             False if no witness was seen to have it before the deadline, or
             if a newer term began without a proof that it has the position.
         """
-        if not group.needs_replica or self._is_confirmed(group, position):
-            return True
-        if self._is_calm(group, primary):
+        if not group.needs_replica:
             return True
+        requests = _StatusRequests()
         delay_s = _RETRY_DELAY_S
-        while self._now() < deadline_s:
-            received = await self._ask(
-                self._witnesses(group, primary), position
-            )
-            self._record(group, received)
-            if _is_included(position, received):
-                return True
-            if any(each.term > position.term for each in received):
-                return False
-            await asyncio.sleep(delay_s)
-            delay_s = min(delay_s * 2, _MAX_RETRY_DELAY_S)
+        try:
+            while self._now() < deadline_s:
+                witnesses = self._witnesses(group, primary)
+                proof = await _ask_witnesses(requests, witnesses, position)
+                if proof is not _Proof.open:
+                    return proof is _Proof.given
+                await asyncio.sleep(delay_s)
+                delay_s = min(delay_s * 2, _MAX_RETRY_DELAY_S)
+        finally:
+            requests.abandon()
         return False
 
-    def _is_calm(self, group: Group, primary: Member) -> bool:
-        """Return whether only witnesses can have received a commit."""
-        if self._now() - self._directory.read_s > _REGISTRATION_AGE_S:
-            return False
-        witnesses = self._witnesses(group, primary)
-        others = [
-            member
-            for member in group.members.values()
-            if member is not primary and member not in witnesses
-        ]
-        is_stable = not others and primary.accepts_new_work
-        return is_stable and any(
-            member.load.had_contact_within(_CONTACT_AGE_S)
-            for member in witnesses
-        )
-
     def _witnesses(self, group: Group, primary: Member) -> list[Member]:
         """Return the witnesses, those that answer soonest first."""
         established_s = self._now() - WITNESS_AGE_S
@@ -133,71 +118,57 @@
             ),
         )
 
-    async def _ask(
-        self, witnesses: list[Member], position: LogPosition
-    ) -> list[LogPosition]:
-        """Ask the witnesses one after another, overlapping if one is slow.
 
-        Returns
-        -------
-        list of LogPosition
-            What the witnesses received that answered until one had the
-            position.
+@final
+class _StatusRequests:
+    """Requests of the statuses of witnesses, one at a time for each."""
+
+    def __init__(self) -> None:
+        self._pending: dict[str, asyncio.Task[MemberStatus | None]] = {}
+
+    async def ask(self, member: Member) -> list[LogPosition]:
+        """Ask a member, and return what has been answered by it or others.
+
+        A member that has not answered an earlier request is not asked again.
+        The wait ends with the first answer, or after the hedge delay.
         """
-        received: list[LogPosition] = []
-        pending: set[asyncio.Task[MemberStatus | None]] = set()
-        try:
-            for task in self._requests(witnesses):
-                pending.add(task)
-                pending = await _collect(received, pending, _HEDGE_DELAY_S)
-                if _is_included(position, received):
-                    return received
-            while pending:
-                pending = await _collect(received, pending, _STATUS_TIMEOUT_S)
-                if _is_included(position, received):
-                    return received
-        finally:
-            for task in pending:
-                task.add_done_callback(_ignore_result)
-        return received
-
-    def _requests(
-        self, witnesses: list[Member]
-    ) -> Iterator[asyncio.Task[MemberStatus | None]]:
-        for member in witnesses:
-            yield asyncio.create_task(
+        if member.member_id not in self._pending:
+            self._pending[member.member_id] = asyncio.create_task(
                 fetch_member_status(member, _STATUS_TIMEOUT_S)
             )
-
-    def _record(self, group: Group, received: list[LogPosition]) -> None:
-        known = self._confirmed.get(group.name)
-        newest = max(received, default=known)
-        if newest is not None and (known is None or known < newest):
-            self._confirmed[group.name] = newest
-
-    def _is_confirmed(self, group: Group, position: LogPosition) -> bool:
-        known = self._confirmed.get(group.name)
-        return known is not None and known.includes(position)
-
-
-async def _collect(
-    received: list[LogPosition],
-    pending: set[asyncio.Task[MemberStatus | None]],
-    limit_s: float,
-) -> set[asyncio.Task[MemberStatus | None]]:
-    """Wait for an answer, record it, and return the pending requests."""
-    done, still_pending = await asyncio.wait(
-        pending, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
-    )
-    for task in done:
-        status = task.result()
-        if status is not None:
-            received.append(status.received)
-    return still_pending
-
-
-def _is_included(position: LogPosition, received: list[LogPosition]) -> bool:
-    return any(each.includes(position) for each in received)
+        await asyncio.wait(
+            self._pending.values(),
+            timeout=_HEDGE_DELAY_S,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        done = {
+            member_id: task
+            for member_id, task in self._pending.items()
+            if task.done()
+        }
+        for member_id in done:
+            self._pending.pop(member_id)
+        statuses = [task.result() for task in done.values()]
+        return [each.received for each in statuses if each is not None]
+
+    def abandon(self) -> None:
+        """Ignore the requests that are still under way."""
+        for task in self._pending.values():
+            task.add_done_callback(_ignore_result)
+
+
+async def _ask_witnesses(
+    requests: _StatusRequests, witnesses: list[Member], position: LogPosition
+) -> _Proof:
+    """Ask the witnesses one after another until one has a position."""
+    received: list[LogPosition] = []
+    for member in witnesses:
+        received += await requests.ask(member)
+        if any(each.includes(position) for each in received):
+            return _Proof.given
+    if any(each.term > position.term for each in received):
+        return _Proof.impossible
+    return _Proof.open
 
 
 def _ignore_result(task: asyncio.Task[MemberStatus | None]) -> None:
