Compare the logs of a hand-over within the term of the leaving primary

A hand-over promoted the successor once its position was not below that of the leaving primary, ordered by term and number. A successor in a newer term, which began while this host did not see it (a promotion that is carried out late), passed this check without the log of its term, and the promotion would have rolled back what only the primary of that term and other replicas have.

The successor now has to have the position of the leaving primary within one term, or a commit of the term that the leaving primary led without a commit of its own.

Test: one of the five new examples failed on the code before (a promotion of the replica in the newer term); the others show that hand-overs within a term go on.

--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -68,6 +68,8 @@
     member_id: str
     is_primary: bool = False
     position: LogPosition = LogPosition(1, 10)
+    # Term that it is in without a commit of that term; 0 if it has one.
+    empty_term: int = 0
     paused_term: int = 0
     is_silent: bool = False
     is_full: bool = False
@@ -91,7 +93,7 @@
         """The status that the member reports."""
         return MemberStatus(
             is_primary=self.is_primary,
-            term=self.position.term,
+            term=max(self.position.term, self.empty_term),
             received=self.position,
             paused_term=self.paused_term,
         )
--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -185,6 +185,24 @@
     When the leaving primary hands over
     Then the promoted member is a
 
+  # Guards against lost commits: a replica of a newer term, which began without this
+  # host, was taken for one that has the log of the leaving primary.
+  Scenario Outline: a leaving primary hands over within its own term
+    Given a group whose primary is p
+    And member p is in term <term>, up to <p>
+    And member a has received up to <a>
+    And member b has received up to 1.15
+    When the leaving primary hands over
+    Then the promotion calls name <promoted>
+
+    Examples:
+      | p    | term | a    | promoted |
+      | 1.20 | 1    | 2.21 | p        |
+      | 1.20 | 2    | 2.21 | a        |
+      | 1.20 | 2    | 1.20 | a        |
+      | 1.20 | 2    | 1.19 | p        |
+      | 2.20 | 2    | 2.19 | p        |
+
   Scenario: a leaving primary does not hand over if a replica is silent
     Given a group whose primary is p
     And member a has received up to 1.20
--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -66,6 +66,13 @@
     fake.position = LogPosition(int(term), int(number))
 
 
+@given('member p is in term {term:d}, up to {position}')
+def set_term(context: Any, term: int, position: str) -> None:
+    """Set the position of p, and a term of which it may have no commit."""
+    set_position(context, 'p', position)
+    context.world.fakes['p'].empty_term = term
+
+
 @given('member {name} does not answer control request {number:d}')
 def skip_control_answer(context: Any, name: str, number: int) -> None:
     """Make one control request get no answer."""
--- a/mimosapond/failover/failover_coordinator.py
+++ b/mimosapond/failover/failover_coordinator.py
@@ -33,6 +33,7 @@
 from mimosapond.failover.promotion_turns import PromotionTurns
 from mimosapond.groups.group import Group
 from mimosapond.groups.member import Member
+from mimosapond.groups.member_status import MemberStatus
 
 # Time limit for the successor of a leaving primary to catch up with it.
 _CATCH_UP_TIMEOUT_S: Final = 3.0
@@ -336,10 +337,7 @@
         deadline_s = self._now() + _CATCH_UP_TIMEOUT_S
         while self._now() < deadline_s:
             status = await fetch_status(successor)
-            if (
-                status is not None
-                and status.received >= primary_status.received
-            ):
+            if status is not None and _has_log_of(primary_status, status):
                 return MemberReport(successor, status)
             await asyncio.sleep(_CATCH_UP_POLL_INTERVAL_S)
         return None
@@ -370,6 +368,18 @@
         return candidate.status.received < primary.status.received
 
 
+def _has_log_of(primary: MemberStatus, successor: MemberStatus) -> bool:
+    """Return whether a replica has the log that a primary reported before.
+
+    A primary without a commit of its own term reports where its term began, and
+    each commit of that term comes after it.
+    """
+    is_at_start = primary.received.term < primary.term
+    if is_at_start and successor.received.term == primary.term:
+        return True
+    return successor.received.includes(primary.received)
+
+
 def _log_proof(
     group: Group, candidate: MemberReport, paused: GroupStatuses
 ) -> None:
