Read large configurations at the store instead of handing them on

A new configuration came late on many hosts (CONFIG, the meaning "late"). One host of a data centre follows the store, and the others get newer versions from it, or from whichever host names one. A configuration with 1,454 routes fills a link of 5 Mbit/s for half a second, and up to nineteen hosts ask for it at once. The requests time out after 1 s and are repeated, the answers are sent all the same, and the work on these links waits behind them. Nothing let a host read the store itself meanwhile, as the reader was in contact with it.

A host no longer hands over a configuration above 32 KiB; the answer says so, and the other host reads it at the store, over its own link, at most once a second. A host that was told of a version and does not get it does the same. A host whose own calls to the store fail gets any configuration, and so does one of an earlier version of the product. Ruled out: compression (nineteen answers still fill the link), and a limit of the answers at a time alone (the last host would wait as long).

Tests: of the new scenarios, the one with 1,400 routes failed on the code before, where the host got them from the other one; the others need the request to read.

--- a/features/steps/handed_configurations_steps.py
+++ b/features/steps/handed_configurations_steps.py
@@ -10,7 +10,12 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from features.group_builders import DATA_CENTRE, GROUP, build_world
+from features.group_builders import (
+    DATA_CENTRE,
+    GROUP,
+    build_route,
+    build_world,
+)
 from features.peer_fakes import FakePeer
 from features.relay_builders import build_relayed_work_services, serve_handler
 from features.workspace_builders import build_workspace_configuration
@@ -36,7 +41,7 @@
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_client import PeerClient
 from mimosapond.peers.peer_directory import PeerDirectory
-from mimosapond.peers.peer_versions import PeerVersions
+from mimosapond.peers.peer_versions import VERSION_FIELD, PeerVersions
 from mimosapond.peers.relayed_work_handler import RelayedWorkHandler
 
 _MS_PER_S: Final = 1000
@@ -85,11 +90,34 @@
     context.open_other = lambda: _serve_version(other)
 
 
+@given('another host with version {other:d} and {count:d} routes')
+def describe_large(context: Any, other: int, count: int) -> None:
+    """Let the other host have a configuration with many routes."""
+    template = build_route()
+    routes = {
+        name: attrs.evolve(template, database=name)
+        for name in map('database-{}'.format, range(count))
+    }
+    configuration = attrs.evolve(_build_version(other), routes=routes)
+    context.open_other = lambda: _serve_configuration(configuration)
+
+
+@given('another host that names version {other:d} and hands over nothing')
+def describe_silent(context: Any, other: int) -> None:
+    """Let each answer of the other host name a version."""
+    body = json.dumps({VERSION_FIELD: other, 'position': None})
+    context.open_other = lambda: _serve_content(body.encode())
+
+
 async def _serve_version(version: int) -> str:
+    return await _serve_configuration(_build_version(version))
+
+
+async def _serve_configuration(configuration: Configuration) -> str:
     world = build_world()
     services = world.services
     active = ActiveConfiguration()
-    active.activate(_build_version(version))
+    active.activate(configuration)
     world.services = attrs.evolve(services, configuration=active)
     handler = RelayedWorkHandler(build_relayed_work_services(world))
     return serve_handler(handler, world)[1]
@@ -108,9 +136,14 @@
 
 
 async def _serve_body(body: str, status: str = '200') -> str:
+    content = json.dumps({'configuration': json.loads(body)})
+    return await _serve_content(content.encode(), status)
+
+
+async def _serve_content(content: bytes, status: str = '200') -> str:
     fake = FakePeer(is_first_connection_silent=False)
     fake.status = status
-    fake.answer = json.dumps({'configuration': json.loads(body)}).encode()
+    fake.answer = content
     return fake.open_port()
 
 
@@ -165,6 +198,13 @@
         assert announced == [expected], announced
 
 
+@then('the first host was asked to read its source: {answer}')
+def check_read(context: Any, answer: str) -> None:
+    """Check whether the follower of the first host was told to read."""
+    is_asked = context.contact.read_requested.is_set()
+    assert is_asked == (answer == 'yes'), is_asked
+
+
 @then('the other host may be asked for other work')
 def check_available(context: Any) -> None:
     """Check that its answers do not count as failures."""
@@ -224,10 +264,12 @@
 
     def __init__(self) -> None:
         self.waits_s: list[float] = []
+        self.read_count = 0
         self.is_answering = True
 
     async def read(self) -> SourceAnswer:
         """Return a state without a configuration, or fail."""
+        self.read_count += 1
         return await self._answer()
 
     async def follow(self, cursor: int, wait_s: float) -> SourceAnswer:
@@ -262,6 +304,33 @@
     asyncio.run(_poll(context.follower))
 
 
+@when('the follower of a covered host is asked to read and {wait_ms:d} ms pass')
+def run_covered(context: Any, wait_ms: int) -> None:
+    """Run the follower of a host to which another one hands new versions."""
+    asyncio.run(_run_covered(context.source, wait_ms))
+
+
+async def _run_covered(source: _PollSource, wait_ms: int) -> None:
+    active = ActiveConfiguration()
+    active.activate(_build_version(1))
+    contact = SourceContact(boot_time_s)
+    contact.is_covered = lambda: True
+    follower = ConfigurationFollower(
+        source, active, lambda _: None, _APPLY_S, contact
+    )
+    task = asyncio.create_task(follower.run())
+    contact.read_requested.set()
+    await asyncio.sleep(wait_ms / _MS_PER_S)
+    task.cancel()
+
+
+@then('the source was read once')
+def check_read_count(context: Any) -> None:
+    """Count the reads and the polls."""
+    assert context.source.read_count == 1, context.source.read_count
+    assert not context.source.waits_s
+
+
 @when('the source answers no poll')
 def fail_source(context: Any) -> None:
     """Run the follower against a source that fails."""
--- a/features/workspaces.feature
+++ b/features/workspaces.feature
@@ -210,6 +210,36 @@
       | 3   | does not answer          | 2     | sends nothing              | 1300    | 3     |
       | no  | does not answer          | 3     | asks for the primary       | 1300    | no    |
 
+  # Guards against configurations that come late on many hosts (CONFIG): one host
+  # handed a configuration with many routes to each host of its data centre, whose
+  # requests timed out on its full link again and again, beside the work on it.
+  Scenario Outline: a large configuration is read from the source
+    Given a host with version 2 whose source <answers>
+    And another host with version 3 and <count> routes
+    When the first host asks for the primary and 300 ms pass for it
+    Then the first host has version <found>
+    And the first host was asked to read its source: <is_asked>
+
+    Examples:
+      | answers         | count | found | is_asked |
+      | answers         | 10    | 3     | no       |
+      | answers         | 1400  | 2     | yes      |
+      | does not answer | 1400  | 3     | no       |
+
+  # Guards against a host that waits for a version which the others do not give it.
+  Scenario: a version that another host names and does not hand over is read
+    Given a host with version 2 whose source answers
+    And another host that names version 3 and hands over nothing
+    When the first host asks for the primary and 300 ms pass for it
+    Then the first host was asked to read its source: yes
+
+  # Guards against a host that ignores such a request while another one hands on
+  # new versions, and against one that goes on to read after it.
+  Scenario: a host that another one covers reads its source once on request
+    Given a source that answers each poll
+    When the follower of a covered host is asked to read and 600 ms pass
+    Then the source was read once
+
   Scenario: a host that lost its first version with a restart waits for the store
     Given a host with version no whose source does not answer
     And another host with version 3
--- a/mimosapond/configuration/configuration_follower.py
+++ b/mimosapond/configuration/configuration_follower.py
@@ -1,6 +1,7 @@
 """Keeps the configuration in force at the newest version."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Final, final
 
@@ -59,13 +60,20 @@
         self._dependency = DependencyMonitor('configuration_source')
 
     async def run(self) -> None:
-        """Follow the source until the task is cancelled."""
+        """Follow the source until the task is cancelled.
+
+        While another host hands on new versions, the source is read on request
+        only.
+        """
+        is_requested = self._contact.read_requested
         while True:
             if self._active.is_loaded and self._contact.is_covered():
                 self._cursor = None
-                await asyncio.sleep(_COVER_CHECK_INTERVAL_S)
-            else:
-                await self._poll()
+                await _wait_for(is_requested, _COVER_CHECK_INTERVAL_S)
+                if not is_requested.is_set():
+                    continue
+            is_requested.clear()
+            await self._poll()
 
     async def _poll(self) -> None:
         self._contact.record_call()
@@ -99,3 +107,9 @@
     def _apply(self, configuration: Configuration) -> None:
         if self._active.activate(configuration):
             self._on_change(configuration)
+
+
+async def _wait_for(event: asyncio.Event, limit_s: float) -> None:
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(limit_s):
+            await event.wait()
--- a/mimosapond/configuration/source_contact.py
+++ b/mimosapond/configuration/source_contact.py
@@ -1,5 +1,6 @@
 """When the source of configurations was last in contact with this host."""
 
+import asyncio
 import math
 from collections.abc import Callable
 from typing import final
@@ -9,7 +10,7 @@
 
 @final
 class SourceContact:
-    """Records the answers of the source and the calls without one."""
+    """Records the answers of the source, and whether it is to be read."""
 
     def __init__(self, now: Now) -> None:
         """Start without contact; ``now`` is the clock of all times."""
@@ -18,6 +19,9 @@
         self._answered_s = -math.inf
         self._current_s = -math.inf
         self._is_failing = False
+        # Set to have the source read now, also while another host hands on new
+        # versions.
+        self.read_requested = asyncio.Event()
         # Whether another host hands on new versions in time, so that this host
         # need not follow the source.
         self.is_covered: Callable[[], bool] = _is_never_covered
@@ -31,6 +35,11 @@
         """
         return -math.inf if self._is_failing else self._current_s
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last call got no usable answer."""
+        return self._is_failing
+
     def record_call(self) -> None:
         """Record that the source is called now."""
         self._called_s = self._now()
--- a/mimosapond/peers/configuration_requester.py
+++ b/mimosapond/peers/configuration_requester.py
@@ -21,6 +21,9 @@
 # A host that names a newer version but does not give it is not asked again with
 # each of its answers.
 _RETRY_DELAY_S: Final = 0.2
+# Shortest time between two reads of the source that this module asks for. Large
+# configurations may change several times a second.
+_SOURCE_READ_INTERVAL_S: Final = 1.0
 # Share of the time in which a new configuration must be in force, after which a
 # silent source counts as one without contact. The rest is for two requests.
 _MAX_SILENCE_RATIO: Final = 0.3
@@ -33,6 +36,11 @@
 class ConfigurationRequester:
     """Asks other hosts if they have a newer version, or the source is silent.
 
+    A host that names a newer version may not hand it over: it does not answer,
+    or the configuration is so large that handing it to each host would fill its
+    link. This host then reads the source itself, also while another host
+    otherwise does so for it.
+
     The first version after the start comes from the source only: other hosts
     may be cut off from it, and have an older version than this host had before.
     """
@@ -54,7 +62,7 @@
         on_change
             Called with each configuration that has come into force.
         contact
-            Says whether the source answers this host.
+            Says whether the source answers this host, and has it read.
         versions
             Newer versions that other hosts named.
         directory
@@ -78,17 +86,29 @@
                 await self._request()
 
     async def _request(self) -> None:
-        peer = self._versions.take()
+        named = self._versions.take()
+        peer = named
         if peer is None and self._contact.is_silent(self._max_silence_s):
             peer = self._choose()
         if peer is None:
             return
-        configuration = await self._client.ask_configuration(
-            peer, self._active.version, _ANSWER_TIMEOUT_S
+        answer = await self._client.ask_configuration(
+            peer,
+            self._active.version,
+            _ANSWER_TIMEOUT_S,
+            accepts_large=self._contact.is_failing,
         )
-        if configuration is None:
-            await asyncio.sleep(_RETRY_DELAY_S)
-        elif self._active.activate(configuration):
+        match answer:
+            case Configuration():
+                self._apply(answer, peer)
+            case None if named is None:
+                await asyncio.sleep(_RETRY_DELAY_S)
+            case _:
+                self._contact.read_requested.set()
+                await asyncio.sleep(_SOURCE_READ_INTERVAL_S)
+
+    def _apply(self, configuration: Configuration, peer: Peer) -> None:
+        if self._active.activate(configuration):
             logger.bind(peer=peer.host, version=configuration.version).info(
                 'configuration_from_peer'
             )
--- a/mimosapond/peers/peer_calls.py
+++ b/mimosapond/peers/peer_calls.py
@@ -5,7 +5,10 @@
 from typing import Any, Final, TypeAlias, final
 
 from mimosapond.peers import peer_paths
-from mimosapond.peers.configuration_transfer import encode_configuration
+from mimosapond.peers.configuration_transfer import (
+    ConfigurationSize,
+    encode_configuration,
+)
 from mimosapond.peers.peer_services import PeerServices
 from mimosapond.peers.shared_state_codec import encode_state
 from mimosapond.peers.work_codec import (
@@ -41,6 +44,7 @@
         """Create the calls of some services."""
         self._services = services
         self._handler = services.handler
+        self._configuration_size = ConfigurationSize()
 
     def decode(self, path: str, body: Body) -> Call | None:
         """Return the call of a request; None if its path is not known.
@@ -63,7 +67,11 @@
                 return functools.partial(self._roll_back, str(body['key']))
             case peer_paths.CONFIGURATION:
                 return functools.partial(
-                    self._hand_configuration, int(body['newer_than'])
+                    self._hand_configuration,
+                    int(body['newer_than']),
+                    # A host of an earlier version of the product cannot read
+                    # the source at once.
+                    accepts_large=bool(body.get('accepts_large', True)),
                 )
             case peer_paths.QUOTA:
                 return functools.partial(
@@ -113,10 +121,14 @@
         )
         return encode_state(state, arrived_s)
 
-    async def _hand_configuration(self, newer_than: int) -> Body:
+    async def _hand_configuration(
+        self, newer_than: int, *, accepts_large: bool
+    ) -> Body:
         current = self._services.configuration.current
         if current is None or current.version <= newer_than:
             return {'configuration': None}
+        if not accepts_large and self._configuration_size.is_too_large(current):
+            return {'configuration': None, 'is_too_large': True}
         return {'configuration': encode_configuration(current)}
 
     async def _answer_quota(self, request: QuotaRequest) -> Body:
--- a/mimosapond/peers/peer_client.py
+++ b/mimosapond/peers/peer_client.py
@@ -9,7 +9,10 @@
 from mimosapond.configuration.configuration import Configuration
 from mimosapond.entry.memory_lanes import MemoryLanes
 from mimosapond.peers import peer_paths
-from mimosapond.peers.configuration_transfer import decode_configuration
+from mimosapond.peers.configuration_transfer import (
+    ConfigurationTooLarge,
+    decode_configuration,
+)
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_caller import Body, PeerCaller
 from mimosapond.peers.peer_directory import PeerDirectory
@@ -94,20 +97,30 @@
         )
 
     async def ask_configuration(
-        self, peer: Peer, newer_than: int, limit_s: float
-    ) -> Configuration | None:
+        self,
+        peer: Peer,
+        newer_than: int,
+        limit_s: float,
+        *,
+        accepts_large: bool = True,
+    ) -> Configuration | ConfigurationTooLarge | None:
         """Ask a peer for its configuration.
 
+        Parameters
+        ----------
+        accepts_large
+            Whether the peer hands over a configuration of any size.
+
         Returns
         -------
-        Configuration | None
+        Configuration | ConfigurationTooLarge | None
             None if the peer has no version newer than ``newer_than`` or gives
             no usable answer.
         """
         return await self._ask(
             peer,
             peer_paths.CONFIGURATION,
-            {'newer_than': newer_than},
+            {'newer_than': newer_than, 'accepts_large': accepts_large},
             limit_s,
             _decode_configuration,
         )
@@ -246,7 +259,11 @@
     return PrimaryReport(str(body['member_id']), position, age_s)
 
 
-def _decode_configuration(body: Mapping[str, Any]) -> Configuration | None:
+def _decode_configuration(
+    body: Mapping[str, Any],
+) -> Configuration | ConfigurationTooLarge | None:
+    if body.get('is_too_large') is True:
+        return ConfigurationTooLarge()
     configuration = body.get('configuration')
     return (
         None if configuration is None else decode_configuration(configuration)
