Tell the hosts that rely on a reader when its source fails

The reader now answers the waiting requests when its source stops giving usable answers, once for each outage.

Test: the new scenario failed on the code before.

--- a/features/shared_state.feature
+++ b/features/shared_state.feature
@@ -48,6 +48,16 @@
     And the reader reads the registrations of p and a
     Then the host follows the source of configurations itself
 
+  Scenario: A reader whose source stops answering says so at once
+    # Guards against configurations that come late (CONFIG): hosts relied on a
+    # reader that was cut off until it answered them with its next read.
+    Given a reader of the store and a host that follows it
+    When the reader reads the registrations of p and a
+    And the source of configurations answers the reader
+    And the reader reads the registrations of p and a
+    And the source of configurations does not answer the reader
+    Then the host follows the source of configurations itself
+
   Scenario: A reader without an answer of the source does not cover it
     Given a reader of the store and a host that follows it
     When the reader reads the registrations of p and a
--- a/mimosapond/configuration/source_contact.py
+++ b/mimosapond/configuration/source_contact.py
@@ -22,6 +22,8 @@
         # Set to have the source read now, also while another host hands on new
         # versions.
         self.read_requested = asyncio.Event()
+        # Called when the source stops giving usable answers.
+        self.on_failure: Callable[[], None] = _do_nothing
         # Whether another host hands on new versions in time, so that this host
         # need not follow the source.
         self.is_covered: Callable[[], bool] = _is_never_covered
@@ -52,7 +54,10 @@
 
     def record_failure(self) -> None:
         """Record that a call got no usable answer."""
+        was_failing = self._is_failing
         self._is_failing = True
+        if not was_failing:
+            self.on_failure()
 
     def is_silent(self, limit_s: float) -> bool:
         """Return whether the last call failed or the last answer is old.
@@ -65,6 +70,10 @@
         return self._is_failing or self._now() - self._answered_s > limit_s
 
 
+def _do_nothing() -> None:
+    """Do nothing."""
+
+
 def _is_never_covered() -> bool:
     """Return False: each host follows the source itself."""
     return False
--- a/mimosapond/peers/state_publisher.py
+++ b/mimosapond/peers/state_publisher.py
@@ -43,6 +43,8 @@
         self._digest_read_number = -1
         self._digest = ''
         directory.on_read = self.notify
+        # Hosts that rely on this one follow the source themselves then.
+        contact.on_failure = self.notify
 
     @property
     def is_asked(self) -> bool:
