Ask witnesses what they applied before what they received

For the first 25 ms, a witness is now asked for the position that it has applied, with an empty read-only transaction that begins from the commit on. It takes no slot, and is rolled back or refused at once. What is applied was received, so the proof is the same. A replica that applies late is asked for its status after that, so that its lag does not hold writes back.

--- a/features/commit_witnesses.feature
+++ b/features/commit_witnesses.feature
@@ -78,6 +78,24 @@
       | leaving            | up to date | 20         | 1          | write                | success |
       | registered 1 s ago | up to date | 20         | 1          | write                | success |
 
+  # Guards against reads that wait for the slots of replicas, and against writes that
+  # are held back as long as a replica needs to apply them.
+  Scenario Outline: witnesses are asked for slots only if they apply late
+    Given a session on a group whose primary is p
+    And its members acknowledge a commit once a replica has it
+    And its statements may take 1500 ms
+    And the commits of p reach replica a, which is <a>, and replica b, which is <b>
+    When the caller sends write
+    Then the last reply is success
+    And the reply took less than 1000 ms
+    And slots of the replicas were <used>
+
+    Examples:
+      | a             | b          | used     |
+      | up to date    | up to date | not used |
+      | behind        | up to date | not used |
+      | late to apply | behind     | used     |
+
   # Guards against writes that fail where members acknowledge without a replica.
   Scenario: a group without synchronous replicas needs no witness
     Given a session on a group whose primary is p
--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -70,6 +70,8 @@
     position: LogPosition = LogPosition(1, 10)
     # Term that it is in without a commit of that term; 0 if it has one.
     empty_term: int = 0
+    # Position that it has received and not applied; None if there is none.
+    received: LogPosition | None = None
     paused_term: int = 0
     is_silent: bool = False
     is_full: bool = False
@@ -94,7 +96,7 @@
         return MemberStatus(
             is_primary=self.is_primary,
             term=max(self.position.term, self.empty_term),
-            received=self.position,
+            received=self.received or self.position,
             paused_term=self.paused_term,
         )
 
--- a/features/steps/commit_witnesses_steps.py
+++ b/features/steps/commit_witnesses_steps.py
@@ -55,6 +55,9 @@
     match words:
         case ['silent']:
             fake.is_silent = True
+        case ['late', 'to', 'apply']:
+            fake.position = LogPosition(1, 10)
+            fake.received = _COMMITTED
         case ['in', 'a', 'newer', 'term']:
             fake.position = _FIRST_OF_NEWER_TERM
         case ['leaving']:
@@ -124,6 +127,21 @@
 
 @then('the replicas were asked')
 def check_asked(context: Any) -> None:
-    """Count the control requests to the replicas."""
-    fakes = context.world.fakes
-    assert any(fakes[name].control_request_count for name in ('a', 'b'))
+    """Look for transactions that began, were refused, or control requests."""
+    assert any(
+        fake.control_request_count
+        or fake.refusal_count
+        or 'BEGIN' in fake.executed_statements
+        for fake in _replicas(context)
+    )
+
+
+@then('slots of the replicas were {used}')
+def check_slots(context: Any, used: str) -> None:
+    """Count the control requests, each of which takes a slot."""
+    count = sum(fake.control_request_count for fake in _replicas(context))
+    assert (count > 0) == (used == 'used'), count
+
+
+def _replicas(context: Any) -> list[FakeMember]:
+    return [context.world.fakes[name] for name in ('a', 'b')]
--- a/mimosapond/routing/commit_witnesses.py
+++ b/mimosapond/routing/commit_witnesses.py
@@ -7,7 +7,9 @@
 that every change of primary has to pause was seen to have it: a witness.
 
 The witnesses are asked for each commit. A witness that answers reads may be
-paused or cut off from the primary, so contact with it proves nothing.
+paused or cut off from the primary, so contact with it proves nothing. At first
+they are asked what they have applied, which takes none of their slots, and later
+what they have received.
 """
 
 import asyncio
@@ -18,8 +20,10 @@
 from mimosapond.groups.group import Group
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member import Member
-from mimosapond.groups.member_status import MemberStatus
-from mimosapond.routing.member_status_request import fetch_member_status
+from mimosapond.routing.member_position_request import (
+    fetch_applied,
+    fetch_received,
+)
 
 # Time for which a replica has to be registered before it is a witness. A host
 # that promotes may have read the registrations up to 4 s before, and its change
@@ -27,9 +31,11 @@
 WITNESS_AGE_S: Final = 7.0
 # Time after which a second witness is asked as well.
 _HEDGE_DELAY_S: Final = 0.02
-_STATUS_TIMEOUT_S: Final = 0.3
-# Pause before the witnesses are asked again; a replica receives a commit some
-# milliseconds after the primary.
+_ANSWER_TIMEOUT_S: Final = 0.3
+# Time within which a replica usually applies a commit. Later, it is asked what it
+# has received.
+_APPLY_TIME_S: Final = 0.025
+# Pause before the witnesses are asked, and asked again.
 _RETRY_DELAY_S: Final = 0.005
 _MAX_RETRY_DELAY_S: Final = 0.05
 
@@ -87,16 +93,16 @@
         """
         if not group.needs_replica:
             return True
-        requests = _StatusRequests()
+        requests = _PositionRequests(position, self._now)
         delay_s = _RETRY_DELAY_S
         try:
             while self._now() < deadline_s:
+                await asyncio.sleep(delay_s)
+                delay_s = min(delay_s * 2, _MAX_RETRY_DELAY_S)
                 witnesses = self._witnesses(group, primary)
                 proof = await _ask_witnesses(requests, witnesses, position)
                 if proof is not _Proof.open:
                     return proof is _Proof.given
-                await asyncio.sleep(delay_s)
-                delay_s = min(delay_s * 2, _MAX_RETRY_DELAY_S)
         finally:
             requests.abandon()
         return False
@@ -120,11 +126,14 @@
 
 
 @final
-class _StatusRequests:
-    """Requests of the statuses of witnesses, one at a time for each."""
+class _PositionRequests:
+    """Requests of the positions of witnesses, one at a time for each."""
 
-    def __init__(self) -> None:
-        self._pending: dict[str, asyncio.Task[MemberStatus | None]] = {}
+    def __init__(self, position: LogPosition, now: Now) -> None:
+        self._position = position
+        self._now = now
+        self._applied_until_s = now() + _APPLY_TIME_S
+        self._pending: dict[str, asyncio.Task[LogPosition | None]] = {}
 
     async def ask(self, member: Member) -> list[LogPosition]:
         """Ask a member, and return what has been answered by it or others.
@@ -134,7 +143,7 @@
         """
         if member.member_id not in self._pending:
             self._pending[member.member_id] = asyncio.create_task(
-                fetch_member_status(member, _STATUS_TIMEOUT_S)
+                self._fetch(member)
             )
         await asyncio.wait(
             self._pending.values(),
@@ -148,17 +157,24 @@
         }
         for member_id in done:
             self._pending.pop(member_id)
-        statuses = [task.result() for task in done.values()]
-        return [each.received for each in statuses if each is not None]
+        answers = [task.result() for task in done.values()]
+        return [each for each in answers if each is not None]
 
     def abandon(self) -> None:
         """Ignore the requests that are still under way."""
         for task in self._pending.values():
             task.add_done_callback(_ignore_result)
 
+    async def _fetch(self, member: Member) -> LogPosition | None:
+        if self._now() < self._applied_until_s:
+            return await fetch_applied(
+                member, self._position, _ANSWER_TIMEOUT_S
+            )
+        return await fetch_received(member, _ANSWER_TIMEOUT_S)
+
 
 async def _ask_witnesses(
-    requests: _StatusRequests, witnesses: list[Member], position: LogPosition
+    requests: _PositionRequests, witnesses: list[Member], position: LogPosition
 ) -> _Proof:
     """Ask the witnesses one after another until one has a position."""
     received: list[LogPosition] = []
@@ -171,7 +187,7 @@
     return _Proof.open
 
 
-def _ignore_result(task: asyncio.Task[MemberStatus | None]) -> None:
+def _ignore_result(task: asyncio.Task[LogPosition | None]) -> None:
     """Retrieve an error, so that it is not reported as unhandled."""
     if not task.cancelled():
         task.exception()
--- a/mimosapond/routing/lead_proof.py
+++ b/mimosapond/routing/lead_proof.py
@@ -10,7 +10,7 @@
 from mimosapond.groups.group import Group
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_status import MemberStatus
-from mimosapond.routing.member_status_request import fetch_member_status
+from mimosapond.routing.member_position_request import fetch_member_status
 
 
 class LeadProof(Protocol):
--- /dev/null
+++ b/mimosapond/routing/member_position_request.py
@@ -0,0 +1,90 @@
+"""Requests of a member's position beside the statements of callers."""
+
+from typing import Final
+
+from mimosapond.groups.connection_lease import ConnectionLease
+from mimosapond.groups.log_position import LogPosition
+from mimosapond.groups.member import Member
+from mimosapond.groups.member_answer import Completed, LinkLost
+from mimosapond.groups.member_status import MemberStatus
+from mimosapond.groups.no_connection import NoConnection
+from mimosapond.statements.statement import Begin
+
+# Ahead of every statement in the queue for a connection.
+_STATUS_PRIORITY: Final = -1
+
+
+async def fetch_member_status(
+    member: Member, limit_s: float
+) -> MemberStatus | None:
+    """Return the status of a member; None without an answer in time.
+
+    The request takes one of the member's slots.
+
+    Parameters
+    ----------
+    limit_s
+        Limit for a connection to become free, and again for the answer.
+    """
+    connection = await member.pool.borrow(_STATUS_PRIORITY, limit_s)
+    if isinstance(connection, NoConnection):
+        return None
+    try:
+        answer = await connection.link.status(limit_s)
+    finally:
+        connection.release()
+    if not isinstance(answer, MemberStatus):
+        return None
+    member.load.record_contact(answer.received)
+    return answer
+
+
+async def fetch_received(member: Member, limit_s: float) -> LogPosition | None:
+    """Return the position that a member has received, applied or not.
+
+    Parameters
+    ----------
+    limit_s
+        As for ``fetch_member_status``.
+    """
+    status = await fetch_member_status(member, limit_s)
+    return None if status is None else status.received
+
+
+async def fetch_applied(
+    member: Member, position: LogPosition, limit_s: float
+) -> LogPosition | None:
+    """Return the position that a member has applied; None without an answer.
+
+    An empty read-only transaction asks for it, which takes no slot.
+
+    Parameters
+    ----------
+    position
+        The position in question; the transaction begins only from there on.
+    limit_s
+        Limit for a connection to become free, and again for each answer.
+    """
+    connection = await member.pool.borrow(_STATUS_PRIORITY, limit_s)
+    if isinstance(connection, NoConnection):
+        return None
+    try:
+        applied = await _begin_from(connection, position, limit_s)
+    finally:
+        connection.release()
+    if applied is not None:
+        member.load.record_contact(applied)
+    return applied
+
+
+async def _begin_from(
+    connection: ConnectionLease, position: LogPosition, limit_s: float
+) -> LogPosition | None:
+    answer = await connection.link.begin(
+        Begin(is_read_only=True), position, limit_s
+    )
+    if isinstance(answer, LinkLost):
+        return None
+    if isinstance(answer, Completed):
+        await connection.link.rollback(limit_s)
+    return answer.position
