--- /dev/null
+++ b/features/steps/witness_explorer_steps.py
@@ -0,0 +1,16 @@
+"""Steps of witness_explorer.feature."""
+
+from typing import Any
+
+from behave import then
+
+from features.witness_explorer import explore
+
+
+@then(
+    'no confirmed commit is lost in the orders of events {first:d} to {last:d}'
+)
+def check_orders(context: Any, first: int, last: int) -> None:
+    """Play the orders of these seeds."""
+    violations = explore(first, last - first + 1)
+    assert not violations, violations
