Wait for a configuration that is on its way from the store

A configuration with many routes still came late on hosts with slow links (CONFIG, late and a new route not served). A read of the store had to end within 1 s, and one of 2,862 routes takes 0.8 s of a link of 5 Mbit/s without other work on it. The read counted as an answer that did not come; after that, the hosts asked each other for the large configuration, as if the store were lost, and filled the links further.

A read or a poll of the configuration may now take 2.5 s longer once its answer has begun to arrive; a store that does not begin to answer counts as silent as before. A host asks others for a large configuration only after its own calls have failed for 1.5 s, and each host hands over one of these a second. Reads on request are 0.3 of the apply time apart.

Tests: of the new scenarios of a slow store, the two with a transfer of 1.5 s failed on the code before.

--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -99,6 +99,19 @@
     When the table store truncates its history
     Then the follower has to read the whole configuration again
 
+  # Guards against configurations that never arrive on a slow link (CONFIG): a
+  # transfer that was under way counted as a store that does not answer.
+  Scenario Outline: a configuration that arrives slowly is read
+    Given a store that begins to answer after <begin_ms> ms and takes <transfer_ms> ms
+    Then the <call> of the configuration gives <result>
+
+    Examples:
+      | begin_ms | transfer_ms | call | result    |
+      | 100      | 1500        | read | version 3 |
+      | 100      | 1500        | feed | version 3 |
+      | 1500     | 0           | read | nothing   |
+      | 100      | 6000        | read | nothing   |
+
   Scenario: registrations of members, including invalid and removed ones
     Given a table store and the hosts a and b
     When member m1 registers as ready
--- a/features/steps/handed_configurations_steps.py
+++ b/features/steps/handed_configurations_steps.py
@@ -35,6 +35,7 @@
 from mimosapond.configuration.workspace import Workspace
 from mimosapond.peers.configuration_requester import ConfigurationRequester
 from mimosapond.peers.configuration_transfer import (
+    HandOverGate,
     decode_configuration,
     encode_configuration,
 )
@@ -64,6 +65,9 @@
     match answers:
         case 'does not answer':
             context.contact.record_failure()
+        case 'does not answer for 2 s':
+            context.contact.record_failure()
+            context.now_s = 2
         case 'answered a long time ago':
             context.now_s = _APPLY_S
 
@@ -93,13 +97,34 @@
 @given('another host with version {other:d} and {count:d} routes')
 def describe_large(context: Any, other: int, count: int) -> None:
     """Let the other host have a configuration with many routes."""
+    configuration = _build_routes(other, count)
+    context.open_other = lambda: _serve_configuration(configuration)
+
+
+def _build_routes(version: int, count: int) -> Configuration:
     template = build_route()
     routes = {
         name: attrs.evolve(template, database=name)
         for name in map('database-{}'.format, range(count))
     }
-    configuration = attrs.evolve(_build_version(other), routes=routes)
-    context.open_other = lambda: _serve_configuration(configuration)
+    return attrs.evolve(_build_version(version), routes=routes)
+
+
+@then(
+    'a configuration of {count:d} routes is handed over at {handed} of '
+    '{asked} ms',
+)
+def check_gate(context: Any, count: int, handed: str, asked: str) -> None:
+    """Ask a gate at these times, and compare when it admits."""
+    configuration = _build_routes(3, count)
+    now_ms = [0]
+    gate = HandOverGate(lambda: now_ms[0] / _MS_PER_S)
+    admitted = []
+    for time_ms in map(int, asked.split(', ')):
+        now_ms[0] = time_ms
+        if gate.admit(configuration, accepts_large=True):
+            admitted.append(str(time_ms))
+    assert ', '.join(admitted) == handed, admitted
 
 
 @given('another host that names version {other:d} and hands over nothing')
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -8,6 +8,7 @@
 
 from behave import given, then, when
 
+from features.store_fakes import SlowStore
 from mimosapond.boot_clock import boot_time_s
 from mimosapond.configuration.configuration_source import (
     SourceGap,
@@ -30,6 +31,7 @@
 _LATE_S: Final = 1.0
 _WAIT_S: Final = 0.2
 _FEED_S: Final = 1.0
+_MS_PER_S: Final = 1000
 
 
 def _run(context: Any, coroutine: Coroutine[Any, Any, Any]) -> Any:
@@ -199,6 +201,36 @@
     context.mark = answer.cursor
 
 
+@given(
+    'a store that begins to answer after {begin_ms:d} ms and takes '
+    '{transfer_ms:d} ms',
+)
+def start_slow_store(context: Any, begin_ms: int, transfer_ms: int) -> None:
+    """Start a store on a slow link."""
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    store = SlowStore(begin_ms / _MS_PER_S, transfer_ms / _MS_PER_S)
+    address = _run(context, store.listen())
+    context.add_cleanup(lambda: _run(context, store.close()))
+    context.client = _run(context, _connect_to(address))
+
+
+async def _connect_to(address: str) -> StoreClient:
+    return StoreClient(address)
+
+
+@then('the {call} of the configuration gives {expected}')
+def check_slow_answer(context: Any, call: str, expected: str) -> None:
+    """Read or follow the configuration, and compare what arrived."""
+    source = StoreConfiguration(context.client)
+    request = source.read() if call == 'read' else source.follow(1, _WAIT_S)
+    answer = _run(context, request)
+    found = 'nothing'
+    if isinstance(answer, SourceState) and answer.configuration is not None:
+        found = f'version {answer.configuration.version}'
+    assert found == expected, answer
+
+
 @then('the follower has to read the whole configuration again')
 def check_gap(context: Any) -> None:
     """Follow from a version that the truncated history does not hold."""
--- a/features/workspaces.feature
+++ b/features/workspaces.feature
@@ -221,10 +221,17 @@
     And the first host was asked to read its source: <is_asked>
 
     Examples:
-      | answers         | count | found | is_asked |
-      | answers         | 10    | 3     | no       |
-      | answers         | 1400  | 2     | yes      |
-      | does not answer | 1400  | 3     | no       |
+      | answers                 | count | found | is_asked |
+      | answers                 | 10    | 3     | no       |
+      | answers                 | 1400  | 2     | yes      |
+      | does not answer         | 1400  | 2     | yes      |
+      | does not answer for 2 s | 1400  | 3     | no       |
+
+  # Guards against a link that is full of large configurations while many hosts
+  # cannot reach the store.
+  Scenario: a host hands over a large configuration once a second
+    Then a configuration of 1400 routes is handed over at 0, 1100, 2200 of 0, 100, 1100, 1200, 2200 ms
+    And a configuration of 10 routes is handed over at 0, 100, 1100 of 0, 100, 1100 ms
 
   # Guards against a host that waits for a version which the others do not give it.
   Scenario: a version that another host names and does not hand over is read
--- a/mimosapond/configuration/source_contact.py
+++ b/mimosapond/configuration/source_contact.py
@@ -19,6 +19,7 @@
         self._answered_s = -math.inf
         self._current_s = -math.inf
         self._is_failing = False
+        self._failing_since_s = math.inf
         # Set to have the source read now, also while another host hands on new
         # versions.
         self.read_requested = asyncio.Event()
@@ -37,10 +38,9 @@
         """
         return -math.inf if self._is_failing else self._current_s
 
-    @property
-    def is_failing(self) -> bool:
-        """Whether the last call got no usable answer."""
-        return self._is_failing
+    def is_failing_for(self, limit_s: float) -> bool:
+        """Return whether calls have failed for at least ``limit_s``."""
+        return self._now() - self._failing_since_s >= limit_s
 
     def record_call(self) -> None:
         """Record that the source is called now."""
@@ -51,13 +51,15 @@
         self._answered_s = self._now()
         self._current_s = self._called_s
         self._is_failing = False
+        self._failing_since_s = math.inf
 
     def record_failure(self) -> None:
         """Record that a call got no usable answer."""
-        was_failing = self._is_failing
+        if self._is_failing:
+            return
         self._is_failing = True
-        if not was_failing:
-            self.on_failure()
+        self._failing_since_s = self._now()
+        self.on_failure()
 
     def is_silent(self, limit_s: float) -> bool:
         """Return whether the last call failed or the last answer is old.
--- a/mimosapond/peers/configuration_requester.py
+++ b/mimosapond/peers/configuration_requester.py
@@ -21,9 +21,13 @@
 # A host that names a newer version but does not give it is not asked again with
 # each of its answers.
 _RETRY_DELAY_S: Final = 0.2
-# Shortest time between two reads of the source that this module asks for. Large
-# configurations may change several times a second.
-_SOURCE_READ_INTERVAL_S: Final = 1.0
+# Time for which the source fails before a large configuration is asked of another
+# host, whose link it fills: a connection that was reset is no outage.
+_OUTAGE_S: Final = 1.5
+# Share of the time in which a new configuration must be in force, which passes
+# between two reads of the source that this module asks for. Large configurations may
+# change several times a second.
+_SOURCE_READ_RATIO: Final = 0.3
 # Share of the time in which a new configuration must be in force, after which a
 # silent source counts as one without contact. The rest is for two requests.
 _MAX_SILENCE_RATIO: Final = 0.3
@@ -77,6 +81,7 @@
         self._client = client
         self._directory = directory
         self._max_silence_s = apply_s * _MAX_SILENCE_RATIO
+        self._source_read_interval_s = apply_s * _SOURCE_READ_RATIO
 
     async def run(self) -> None:
         """Request newer versions until the task is cancelled."""
@@ -96,7 +101,7 @@
             peer,
             self._active.version,
             _ANSWER_TIMEOUT_S,
-            accepts_large=self._contact.is_failing,
+            accepts_large=self._contact.is_failing_for(_OUTAGE_S),
         )
         match answer:
             case Configuration():
@@ -105,7 +110,7 @@
                 await asyncio.sleep(_RETRY_DELAY_S)
             case _:
                 self._contact.read_requested.set()
-                await asyncio.sleep(_SOURCE_READ_INTERVAL_S)
+                await asyncio.sleep(self._source_read_interval_s)
 
     def _apply(self, configuration: Configuration, peer: Peer) -> None:
         if self._active.activate(configuration):
--- a/mimosapond/peers/peer_calls.py
+++ b/mimosapond/peers/peer_calls.py
@@ -6,7 +6,7 @@
 
 from mimosapond.peers import peer_paths
 from mimosapond.peers.configuration_transfer import (
-    ConfigurationSize,
+    HandOverGate,
     encode_configuration,
 )
 from mimosapond.peers.peer_services import PeerServices
@@ -44,7 +44,7 @@
         """Create the calls of some services."""
         self._services = services
         self._handler = services.handler
-        self._configuration_size = ConfigurationSize()
+        self._hand_over_gate = HandOverGate(services.now)
 
     def decode(self, path: str, body: Body) -> Call | None:
         """Return the call of a request; None if its path is not known.
@@ -127,7 +127,7 @@
         current = self._services.configuration.current
         if current is None or current.version <= newer_than:
             return {'configuration': None}
-        if not accepts_large and self._configuration_size.is_too_large(current):
+        if not self._hand_over_gate.admit(current, accepts_large=accepts_large):
             return {'configuration': None, 'is_too_large': True}
         return {'configuration': encode_configuration(current)}
 
--- a/mimosapond/platform/store_client.py
+++ b/mimosapond/platform/store_client.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import base64
+import io
 import json
-from collections.abc import Mapping
+from collections.abc import Awaitable, Mapping
 from typing import Any, Final, final
 from urllib.parse import urlencode
 
@@ -106,17 +107,24 @@
         )
 
     async def read_table(
-        self, table: str, limit_s: float
+        self, table: str, limit_s: float, transfer_s: float = 0
     ) -> StoredRows | Unavailable:
         """Return the rows in the unnamed partition of a table.
 
         A large table is read in several calls of ``limit_s`` each, so that its
         rows are not all of the same moment.
+
+        Parameters
+        ----------
+        transfer_s
+            How much longer a call may take once its answer has begun.
         """
         pages: list[StoredRows] = []
         first = ''
         while True:
-            page = await self._read(limit_s, table=table, first=first)
+            page = await self._read(
+                limit_s, transfer_s, table=table, first=first
+            )
             if isinstance(page, Unavailable):
                 return page
             pages.append(page)
@@ -131,11 +139,16 @@
     ) -> StoredRows | Unavailable:
         """Return one row of a table; no row if it does not exist."""
         return await self._read(
-            limit_s, table=table, first=row_key, end=_key_after(row_key)
+            limit_s, 0, table=table, first=row_key, end=_key_after(row_key)
         )
 
     async def wait_for_changes(
-        self, table: str, after: int, wait_s: float, limit_s: float
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        limit_s: float,
+        transfer_s: float = 0,
     ) -> StoredRows | HistoryTruncated | Unavailable:
         """Return the rows that changed after a version, waiting for a change.
 
@@ -148,11 +161,15 @@
             rows.
         limit_s
             Timeout of the call; it has to be longer than ``wait_s``.
+        transfer_s
+            How much longer the call may take once its answer has begun.
         """
         query = urlencode(
             {'table': table, 'after': after, 'wait_ms': int(wait_s * 1000)},
         )
-        response = await self._fetch('GET', f'rows-feed?{query}', None, limit_s)
+        response = await self._fetch_body(
+            f'rows-feed?{query}', limit_s, transfer_s
+        )
         if isinstance(response, Unavailable):
             return response
         if response.code == _GONE:
@@ -191,13 +208,21 @@
         return decode_rows(response)
 
     async def _read(
-        self, limit_s: float, *, table: str, first: str = '', end: str = ''
+        self,
+        limit_s: float,
+        transfer_s: float,
+        *,
+        table: str,
+        first: str = '',
+        end: str = '',
     ) -> StoredRows | Unavailable:
         bounds = {
             name: key for name, key in (('from', first), ('to', end)) if key
         }
         query = urlencode({'table': table, 'part': '', **bounds})
-        response = await self._fetch('GET', f'rows-get?{query}', None, limit_s)
+        response = await self._fetch_body(
+            f'rows-get?{query}', limit_s, transfer_s
+        )
         if isinstance(response, HTTPResponse):
             return decode_rows(response)
         return response
@@ -219,8 +244,42 @@
             connect_timeout=limit_s,
             request_timeout=limit_s,
         )
+        return await self._await_answer(
+            self._client.fetch(request, raise_error=False)
+        )
+
+    async def _fetch_body(
+        self, path: str, limit_s: float, transfer_s: float
+    ) -> HTTPResponse | Unavailable:
+        """Return an answer whose body may arrive for longer than the limit.
+
+        A store that does not begin to answer within the limit is silent.
+        """
+        chunks: list[bytes] = []
+        request = HTTPRequest(
+            f'{self._base_url}/{path}',
+            decompress_response=False,
+            connect_timeout=limit_s,
+            request_timeout=limit_s + transfer_s,
+            streaming_callback=chunks.append,
+        )
+        call = self._client.fetch(request, raise_error=False)
+        await asyncio.wait((call,), timeout=limit_s)
+        if not (call.done() or chunks):
+            call.add_done_callback(_ignore_answer)
+            return Unavailable('the store did not answer in time')
+        response = await self._await_answer(call)
+        if isinstance(response, Unavailable):
+            return response
+        return HTTPResponse(
+            request, response.code, buffer=io.BytesIO(b''.join(chunks))
+        )
+
+    async def _await_answer(
+        self, call: Awaitable[HTTPResponse]
+    ) -> HTTPResponse | Unavailable:
         try:
-            response = await self._client.fetch(request, raise_error=False)
+            response = await call
         except _CALL_ERRORS as error:
             return Unavailable(repr(error))
         if response.code in {_OK, _PRECONDITION_FAILED, _GONE}:
@@ -228,6 +287,12 @@
         return Unavailable(f'HTTP status {response.code}')
 
 
+def _ignore_answer(call: asyncio.Future[HTTPResponse]) -> None:
+    """Retrieve an error, so that it is not reported as unhandled."""
+    if not call.cancelled():
+        call.exception()
+
+
 def _key_after(row_key: str) -> str:
     """Return the lowest key above a key."""
     return f'{row_key}\0'
--- a/mimosapond/platform/store_configuration.py
+++ b/mimosapond/platform/store_configuration.py
@@ -22,6 +22,9 @@
 _TABLE: Final = 'op'
 _KEY: Final = 'config'
 _READ_TIMEOUT_S: Final = 1.0
+# Time that a large configuration may take on a slow link once it has begun to
+# arrive. A store that sends it is not silent.
+_TRANSFER_S: Final = 2.5
 # Time for the network, beyond the time that the store is asked to wait.
 _FOLLOW_MARGIN_S: Final = 0.5
 
@@ -37,7 +40,7 @@
     async def read(self) -> SourceAnswer:
         """Return the current configuration."""
         return _decode_answer(
-            await self._store.read_table(_TABLE, _READ_TIMEOUT_S)
+            await self._store.read_table(_TABLE, _READ_TIMEOUT_S, _TRANSFER_S)
         )
 
     async def follow(self, cursor: int, wait_s: float) -> SourceAnswer:
@@ -53,7 +56,11 @@
         """
         return _decode_answer(
             await self._store.wait_for_changes(
-                _TABLE, cursor, wait_s, wait_s + _FOLLOW_MARGIN_S
+                _TABLE,
+                cursor,
+                wait_s,
+                wait_s + _FOLLOW_MARGIN_S,
+                _TRANSFER_S,
             ),
         )
 
