Count the time of an outage from failed call to failed call

A host asks others for a large configuration once its own calls to the source have failed for 1.5 s. The time was counted from the first failure to now. A host that another one covers makes no further calls, so a single failure, such as a reset connection, counted as an outage 1.5 s later, and the host filled the link of another one, which the limit is to prevent. The time is now that between the first and the last failed call since an answer.

Test: the new example, a source that did not answer 2 s ago, failed on the code before. The example of an outage of 2 s now has a failed call at its end.

--- a/features/steps/handed_configurations_steps.py
+++ b/features/steps/handed_configurations_steps.py
@@ -65,9 +65,13 @@
     match answers:
         case 'does not answer':
             context.contact.record_failure()
+        case 'did not answer 2 s ago':
+            context.contact.record_failure()
+            context.now_s = 2
         case 'does not answer for 2 s':
             context.contact.record_failure()
             context.now_s = 2
+            context.contact.record_failure()
         case 'answered a long time ago':
             context.now_s = _APPLY_S
 
--- a/features/workspaces.feature
+++ b/features/workspaces.feature
@@ -225,6 +225,7 @@
       | answers                 | 10    | 3     | no       |
       | answers                 | 1400  | 2     | yes      |
       | does not answer         | 1400  | 2     | yes      |
+      | did not answer 2 s ago  | 1400  | 2     | yes      |
       | does not answer for 2 s | 1400  | 3     | no       |
 
   # Guards against a link that is full of large configurations while many hosts
--- a/mimosapond/configuration/source_contact.py
+++ b/mimosapond/configuration/source_contact.py
@@ -19,7 +19,9 @@
         self._answered_s = -math.inf
         self._current_s = -math.inf
         self._is_failing = False
+        # Times of the first and the last call since the last usable answer.
         self._failing_since_s = math.inf
+        self._failed_s = -math.inf
         # Set to have the source read now, also while another host hands on new
         # versions.
         self.read_requested = asyncio.Event()
@@ -39,8 +41,12 @@
         return -math.inf if self._is_failing else self._current_s
 
     def is_failing_for(self, limit_s: float) -> bool:
-        """Return whether calls have failed for at least ``limit_s``."""
-        return self._now() - self._failing_since_s >= limit_s
+        """Return whether calls have failed for at least ``limit_s``.
+
+        A single failure tells nothing about the time after it, in which a host
+        that another one covers makes no calls.
+        """
+        return self._failed_s - self._failing_since_s >= limit_s
 
     def record_call(self) -> None:
         """Record that the source is called now."""
@@ -55,10 +61,11 @@
 
     def record_failure(self) -> None:
         """Record that a call got no usable answer."""
+        self._failed_s = self._now()
         if self._is_failing:
             return
         self._is_failing = True
-        self._failing_since_s = self._now()
+        self._failing_since_s = self._failed_s
         self.on_failure()
 
     def is_silent(self, limit_s: float) -> bool:
