Tell the processes of a member apart by their start

A member may start again under its id, with nothing of before. Registrations now carry the start, and a member that registers with another start is a new member of the directory. The age of a member counts from its first sight, also for the first registrations that a host reads.

A host of an earlier version hands on registrations without the start; what is known stays then.

--- a/mimosapond/groups/group_directory.py
+++ b/mimosapond/groups/group_directory.py
@@ -4,10 +4,12 @@
 from collections.abc import Callable, Iterable
 from typing import Final, final
 
+import attrs
 from loguru import logger
 
 from mimosapond.boot_clock import Now
 from mimosapond.configuration.configuration import Configuration
+from mimosapond.groups.absences import Absences
 from mimosapond.groups.concurrency_limit import ConcurrencyLimit
 from mimosapond.groups.connection_pool import ConnectionPool
 from mimosapond.groups.connection_share import connection_limit_count
@@ -49,8 +51,8 @@
         self._created_s = now()
         self._connection_counts: dict[str, int] = {}
         self._records: tuple[MemberRecord, ...] = ()
-        self._is_first_read = True
         self._listed_since_s: dict[str, float] = {}
+        self._absences = Absences(now)
         self.groups: dict[str, Group] = {}
         # Whether the last read of the registry succeeded.
         self.is_current = False
@@ -94,6 +96,15 @@
             member_id not in group.members and reading_s > _UNLISTED_RETENTION_S
         )
 
+    def absence_s(self, group: Group, member_id: str) -> float:
+        """Return for how long a member has not been registered."""
+        member = group.members.get(member_id)
+        if member is None:
+            return self._absences.duration_s(member_id)
+        if member.unlisted_since_s is None:
+            return 0
+        return self._now() - member.unlisted_since_s
+
     @property
     def holds_any(self) -> bool:
         """Whether this host holds any group."""
@@ -137,6 +148,7 @@
         grace period after the outage has passed.
         """
         self.is_current = False
+        self._absences.clear()
         self._unlist_from_s = self._now() + _REREGISTRATION_GRACE_S
         self.registrations_complete_from_s = self._unlist_from_s
 
@@ -173,6 +185,7 @@
         self._records = tuple(records)
         registered = {record.member_id for record in self._records}
         self._record_listing(registered)
+        self._absences.note_registered(registered)
         for record in self._records:
             self._apply(record)
         self.update_pool_limits()
@@ -204,8 +217,8 @@
             return
         group = self.get_or_create(record.group)
         member = group.members.get(record.member_id)
-        if member is not None and _has_moved(member, record):
-            group.suspect_primary(member, 'the member has another address')
+        if member is not None and _is_other_process(member, record):
+            group.suspect_primary(member, 'the member is another process')
             member.close()
             member = None
         if member is None:
@@ -226,15 +239,13 @@
             # It may have started again under its id.
             member.leaving_since_s = None
             member.is_drain_start_known = True
-        member.record = record
+        member.record = _with_known_start(record, member.record)
         member.unlisted_since_s = None
 
     def _record_listing(self, registered: set[str]) -> None:
-        """Note since when each member is registered, as far as known."""
-        since_s = -math.inf if self._is_first_read else self._now()
-        self._is_first_read = False
+        """Note since when this host knows each member to be registered."""
         self._listed_since_s = {
-            member_id: self._listed_since_s.get(member_id, since_s)
+            member_id: self._listed_since_s.get(member_id, self._now())
             for member_id in registered
         }
 
@@ -251,7 +262,7 @@
             MemberAdmission(record.member_id, limit, load, self._now),
             leaving_since_s=self._now() if record.is_leaving else None,
             listed_since_s=self._listed_since_s.get(
-                record.member_id, -math.inf
+                record.member_id, self._now()
             ),
             is_drain_start_known=not record.is_leaving,
         )
@@ -274,14 +285,31 @@
             )
         elif self._now() - member.unlisted_since_s > _UNLISTED_RETENTION_S:
             group.members.pop(member.member_id)
+            self._absences.note_absent(
+                member.member_id, member.unlisted_since_s
+            )
             group.suspect_primary(member, 'unlisted')
             member.close()
 
 
-def _has_moved(member: Member, record: MemberRecord) -> bool:
-    """Return whether a member was started again at another address."""
+def _is_other_process(member: Member, record: MemberRecord) -> bool:
+    """Return whether a member was started again, perhaps at another address."""
     known = member.record
-    return (known.ip, known.port) != (record.ip, record.port)
+    has_moved = (known.ip, known.port) != (record.ip, record.port)
+    is_start_known = None not in {known.born_ms, record.born_ms}
+    return has_moved or (is_start_known and known.born_ms != record.born_ms)
+
+
+def _with_known_start(
+    record: MemberRecord, known: MemberRecord
+) -> MemberRecord:
+    """Return a registration with the start that is known of the process.
+
+    A host of an earlier version hands on registrations without it.
+    """
+    if record.born_ms is not None:
+        return record
+    return attrs.evolve(record, born_ms=known.born_ms)
 
 
 def _do_nothing() -> None:
--- a/mimosapond/groups/member.py
+++ b/mimosapond/groups/member.py
@@ -27,8 +27,7 @@
         Time at which this host learned that the member is leaving; None if it
         is not leaving.
     listed_since_s
-        Time at which its registration was found; -inf if it was among the
-        first that this host read.
+        Time at which this host found its registration.
     is_drain_start_known
         Whether it was seen to begin to leave. If it was leaving when this host
         first read its registration, it may have been for any time.
