--- a/features/commit_witnesses.feature
+++ b/features/commit_witnesses.feature
@@ -18,8 +18,8 @@
       | up to date         | silent  | write                | success |
       | behind             | behind  | write                | unknown |
       | leaving            | behind  | write                | unknown |
-      | registered 1 s ago | behind  | write                | unknown |
-      | registered 8 s ago | behind  | write                | success |
+      | not recorded       | behind  | write                | unknown |
+      | started again      | behind  | write                | unknown |
       | unlisted           | behind  | write                | unknown |
       | leaving            | behind  | begin, write, commit | unknown |
       | up to date         | behind  | begin, write, commit | success |
@@ -76,7 +76,7 @@
       | up to date         | up to date | 300        | 1          | write                | success |
       | up to date         | up to date | 20         | 4          | write                | success |
       | leaving            | up to date | 20         | 1          | write                | success |
-      | registered 1 s ago | up to date | 20         | 1          | write                | success |
+      | not recorded       | up to date | 20         | 1          | write                | success |
 
   # Guards against reads that wait for the slots of replicas, and against writes that
   # are held back as long as a replica needs to apply them.
--- a/features/failover_explorer.py
+++ b/features/failover_explorer.py
@@ -38,7 +38,7 @@
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member_record import MemberRecord
 from mimosapond.groups.registration_poller import RegistrationPoller
-from mimosapond.routing.commit_witnesses import WITNESS_AGE_S
+from mimosapond.failover.witness_roster import MIN_LISTED_S
 from mimosapond.routing.primary_probe import PrimaryProbe
 from mimosapond.routing.relay_port import NoRelays
 
@@ -81,7 +81,7 @@
 
     def is_witness(self, now_s: float) -> bool:
         """Return whether the other hosts trust it to keep a commit."""
-        is_known = now_s - self.listed_since_s >= WITNESS_AGE_S
+        is_known = now_s - self.listed_since_s >= MIN_LISTED_S
         return self.is_registered and self.leaving_since_s is None and is_known
 
 
--- a/features/group_builders.py
+++ b/features/group_builders.py
@@ -2,7 +2,9 @@
 
 import functools
 import math
+import zlib
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Final, final
 
 import attrs
@@ -24,6 +26,7 @@
 from mimosapond.failover.failover_coordinator import FailoverCoordinator
 from mimosapond.failover.promoter import Promoter
 from mimosapond.groups.group import Group
+from mimosapond.groups.group_record import GroupRecord
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member_record import MemberRecord
@@ -50,6 +53,9 @@
 # Time for which a member serves after it announced that it leaves.
 DRAIN_S = 7
 _NO_RELAYS: Final = NoRelays()
+_PORT_COUNT: Final = 60_000
+# The member whose address a member takes over.
+_PLACES: Final = MappingProxyType({'d': 'a'})
 
 
 def build_route(
@@ -91,17 +97,27 @@
     *,
     is_leaving: bool = False,
     reports_primary: bool = False,
-    port: int = 1,
+    port: int | None = None,
+    born_ms: int | None = None,
 ) -> MemberRecord:
-    """Build the registration of a member of the group."""
+    """Build the registration of a member of the group.
+
+    Parameters
+    ----------
+    port
+        Each member has a port of its own by default, but for the one that
+        takes the place of another one.
+    """
+    place = _PLACES.get(member_id, member_id)
     return MemberRecord(
         member_id=member_id,
         group=GROUP,
         ip='127.0.0.1',
-        port=port,
+        port=port or 1 + zlib.crc32(place.encode()) % _PORT_COUNT,
         data_centre=DATA_CENTRE,
         is_leaving=is_leaving,
         reports_primary=reports_primary,
+        born_ms=born_ms,
     )
 
 
@@ -152,6 +168,7 @@
     directory.is_current = True
     directory.registrations_complete_from_s = 0
     directory.first_read_s = -math.inf
+    record_all_witnesses(directory)
     active = ActiveConfiguration()
     active.activate(configuration)
     probe = PrimaryProbe(boot_time_s, relays)
@@ -175,13 +192,23 @@
     )
 
 
+def record_all_witnesses(directory: GroupDirectory) -> None:
+    """Let each member that is listed witness the commits of the group."""
+    group = directory.get_or_create(GROUP)
+    group.record = GroupRecord(
+        witnesses=frozenset(
+            member.record.process for member in group.members.values()
+        )
+    )
+
+
 def _build_own_record(
     fakes: Mapping[str, FakeMember], name: str
 ) -> MemberRecord:
     """Build the registration of a member that reports its own role."""
-    fake = fakes.get(name)
+    fake = fakes.get(name, FakeMember(name))
     return build_record(
-        name, reports_primary=fake is not None and fake.is_primary
+        name, reports_primary=fake.is_primary, born_ms=fake.born_ms
     )
 
 
--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -15,6 +15,7 @@
     ClaimOutcome,
     DutyTaken,
     DutyUnknown,
+    FoundRecord,
     LeadRecording,
     NoLead,
 )
@@ -25,6 +26,7 @@
     PromotionUnknown,
 )
 from mimosapond.groups.connection_share import ConnectionShare
+from mimosapond.groups.group_record import GroupRecord
 from mimosapond.groups.lead import Lead
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member_answer import (
@@ -35,6 +37,7 @@
     RejectionKind,
 )
 from mimosapond.groups.member_port import StatusAnswer
+from mimosapond.groups.member_process import MemberProcess
 from mimosapond.groups.member_record import MemberRecord
 from mimosapond.groups.member_status import MemberStatus
 from mimosapond.groups.registration_source import (
@@ -78,6 +81,8 @@
     paused_term: int = 0
     is_silent: bool = False
     is_full: bool = False
+    # Start of its process; None if the member does not tell it.
+    born_ms: int | None = None
     # Time after which an attempt to connect to a silent member fails.
     connect_delay_s: float = 0
     loses_answers: bool = False
@@ -312,6 +317,10 @@
         self.recording = LeadRecording.recorded
         self.recorded_lead: Lead | None = None
         self.claim_count = 0
+        # What is read; None stands for a store that does not answer.
+        self.found: FoundRecord | None = FoundRecord(GroupRecord(), 0, False)
+        self.recorded_witnesses: frozenset[MemberProcess] | None = None
+        self.is_withdrawn = False
 
     async def claim(self, group: str) -> ClaimOutcome:
         """Return the outcome that the test set."""
@@ -329,6 +338,25 @@
         self.recorded_lead = lead
         return self.recording
 
+    async def withdraw_lead(self, group: str, claim: DutyClaim) -> bool:
+        """Record that the lead was withdrawn."""
+        self.is_withdrawn = True
+        return True
+
+    async def read_record(self, group: str) -> FoundRecord | None:
+        """Return the record that the test set."""
+        return self.found
+
+    async def record_witnesses(
+        self,
+        group: str,
+        found: FoundRecord,
+        witnesses: frozenset[MemberProcess],
+    ) -> bool:
+        """Keep the witnesses."""
+        self.recorded_witnesses = witnesses
+        return True
+
     async def reserve(self) -> int | None:
         """Return the token that the test set."""
         return self.reserved_token
@@ -349,7 +377,9 @@
     def __init__(self) -> None:
         """Create a store without a holder."""
         self._holder = ''
-        self.lead: Lead | None = None
+        self.record = GroupRecord()
+        # Increases with each change of the record.
+        self.version = 0
         # The host to which each token was granted.
         self.granted: dict[int, str] = {}
 
@@ -360,7 +390,18 @@
         self._holder = host
         token = len(self.granted) + 2
         self.granted[token] = host
-        return DutyClaim(token, math.inf, self.lead or NoLead())
+        lead = self.record.lead or NoLead()
+        return DutyClaim(token, math.inf, lead, self.record.witnesses)
+
+    def found(self) -> FoundRecord:
+        """Return the record as it is now."""
+        version = self.version + len(self.granted)
+        return FoundRecord(self.record, version, bool(self._holder))
+
+    def replace(self, record: GroupRecord) -> None:
+        """Write a record."""
+        self.version += 1
+        self.record = record
 
     def release(self, host: str) -> None:
         """End the claim of a host."""
@@ -386,9 +427,34 @@
         """Record at the store, which has granted no other claim since."""
         if claim.token != max(self.store.granted):
             return LeadRecording.superseded
-        self.store.lead = lead
+        self.store.replace(
+            attrs.evolve(self.store.record, lead=lead, is_withdrawn=False)
+        )
         return LeadRecording.recorded
 
+    async def withdraw_lead(self, group: str, claim: DutyClaim) -> bool:
+        """Withdraw the lead, if no other claim was granted since."""
+        if claim.token != max(self.store.granted):
+            return False
+        self.store.replace(attrs.evolve(self.store.record, is_withdrawn=True))
+        return True
+
+    async def read_record(self, group: str) -> FoundRecord | None:
+        """Read from the store."""
+        return self.store.found()
+
+    async def record_witnesses(
+        self,
+        group: str,
+        found: FoundRecord,
+        witnesses: frozenset[MemberProcess],
+    ) -> bool:
+        """Write to the store if nothing has changed since it was read."""
+        if found != self.store.found() or found.is_claimed:
+            return False
+        self.store.replace(attrs.evolve(self.store.record, witnesses=witnesses))
+        return True
+
     async def reserve(self) -> None:
         """Return no token."""
 
--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -81,6 +81,51 @@
       | 1000   | recorded   |
       | 4500   | superseded |
 
+  # Guards against lost commits: a change that does not read the witnesses that
+  # another host recorded does not ask them.
+  Scenario: recorded witnesses reach each later claim
+    Given a table store and the hosts a and b
+    When host b records the witnesses m1,m2
+    And host a claims the group
+    And host a records the lead of m1 from 2.7
+    And host a releases the group
+    And host b claims the group
+    Then the last claim has the witnesses m1,m2
+    And the last claim has the lead of m1 from 2.7
+
+  # Guards against a change of primary that does not know a witness which joined
+  # meanwhile.
+  Scenario Outline: witnesses are recorded only in a row that is as it was read
+    Given a table store and the hosts a and b
+    When host b reads the record
+    And <event>
+    And host b records the witnesses m1,m2 in what it read
+    Then the witnesses are <result>
+
+    Examples:
+      | event                           | result       |
+      | 1 ms pass on the store's clock  | recorded     |
+      | host a claims the group         | not recorded |
+      | host a records the witnesses m1 | not recorded |
+
+  # Guards against members that join while a call may still be carried out, and
+  # against a lead of another host that is taken for withdrawn.
+  Scenario Outline: a lead is withdrawn by the host that holds the claim
+    Given a table store and the hosts a and b
+    When host a claims the group
+    And host a records the lead of m1 from 2.7
+    And host a releases the group
+    And host a claims the group
+    And <event>
+    And host a withdraws the lead of its last claim
+    Then the lead in the record is <result>
+
+    Examples:
+      | event                             | result        |
+      | 1000 ms pass on the store's clock | withdrawn     |
+      | 5000 ms pass on the store's clock | not withdrawn |
+
+
   Scenario: a lead is not known to be recorded while the store is silent
     Given a table store and the hosts a and b
     When host a claims the group
--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -290,19 +290,28 @@
     Given a group whose primary is p
     And member a announced <leaving_s> s ago that it leaves
     And member a is <listing>
+    And member a is <recorded> a recorded witness
     And the registry <answers>
     And the members p,a are silent
     When a host replaces the lost primary
     Then the promoted member is <promoted>
 
     Examples:
-      | leaving_s | listing            | answers        | promoted |
-      | 14        | unlisted for 6 s   | answers        | b        |
-      | 8         | unlisted for 6 s   | answers        | b        |
-      | 3         | unlisted for 1 s   | answers        | none     |
-      | 13        | listed             | does not       | none     |
-      | 13        | listed             | answers        | none     |
-      | 8         | listed             | does not       | none     |
+      | leaving_s | listing            | recorded  | answers        | promoted |
+      | 14        | unlisted for 6 s   | no longer | answers        | b        |
+      | 8         | unlisted for 6 s   | no longer | answers        | b        |
+      | 3         | unlisted for 1 s   | no longer | answers        | none     |
+      | 13        | listed             | no longer | does not       | none     |
+      | 13        | listed             | no longer | answers        | none     |
+      | 8         | listed             | no longer | does not       | none     |
+
+    # Guards against lost commits that only a member had which has left: another
+    # replica may not have received them before the primary was lost as well.
+    Examples: it is still recorded
+      | leaving_s | listing            | recorded  | answers        | promoted |
+      | 14        | unlisted for 6 s   | still     | answers        | none     |
+      | 24        | unlisted for 19 s  | still     | answers        | none     |
+      | 26        | unlisted for 21 s  | still     | answers        | b        |
 
   Scenario Outline: the successor of a member that left is waited for
     # Guards against lost commits (LOST in the live test, seed 5): the successor
@@ -311,18 +320,20 @@
     Given a group whose primary is p
     And member a announced 8 s ago that it leaves
     And member a is unlisted for <unlisted_s> s
+    And member a is <recorded> a recorded witness
     And the members p,a are silent
     And <successor>
     When a host replaces the lost primary
     Then the promoted member is <promoted>
 
     Examples:
-      | unlisted_s | successor                                    | promoted |
-      | 0          | no successor of a can be read                | none     |
-      | 4          | no successor of a can be read                | none     |
-      | 6          | no successor of a can be read                | b        |
-      | 0          | the successor of a is listed and is ahead    | d        |
-      | 4          | the successor of a is listed and is ahead    | d        |
+      | unlisted_s | recorded  | successor                                    | promoted |
+      | 0          | no longer | no successor of a can be read                | none     |
+      | 4          | no longer | no successor of a can be read                | none     |
+      | 6          | no longer | no successor of a can be read                | b        |
+      | 6          | still     | no successor of a can be read                | none     |
+      | 0          | still     | the successor of a is listed and is ahead    | d        |
+      | 4          | still     | the successor of a is listed and is ahead    | d        |
 
   Scenario: a host that has just started is not in rotation yet
     Given a group whose primary is p
@@ -454,16 +465,18 @@
     # one of them silent, and a host that had just started took them for all.
     Given a group whose primary is p
     And the registration of member a has lapsed
+    And member a is <recorded> a recorded witness
     And the host first read the registrations <age_s> s ago
     And the members p are silent
     When a host replaces the lost primary
     Then the promoted member is <promoted>
 
     Examples:
-      | age_s | promoted |
-      | 3     | none     |
-      | 9     | none     |
-      | 11    | b        |
+      | age_s | recorded  | promoted |
+      | 3     | no longer | none     |
+      | 9     | no longer | none     |
+      | 11    | no longer | b        |
+      | 11    | still     | none     |
 
   Scenario Outline: a host that never saw the last primary reads what it began with
     # Guards against lost commits (LOST, review case 8): a host that started after
@@ -540,6 +553,7 @@
     # started.
     Given a group whose primary is p
     And the registration of member a has lapsed
+    And member a is no longer a recorded witness
     And the host <age>
     And the members p are silent
     When a host replaces the lost primary
--- a/features/steps/commit_witnesses_steps.py
+++ b/features/steps/commit_witnesses_steps.py
@@ -13,7 +13,9 @@
 )
 from features.group_fakes import FakeMember
 from mimosapond.boot_clock import boot_time_s
+from mimosapond.groups.group_record import GroupRecord
 from mimosapond.groups.log_position import LogPosition
+from mimosapond.groups.member_process import MemberProcess
 
 _MS_PER_S: Final = 1000
 _COMMITTED: Final = LogPosition(1, 20)
@@ -21,6 +23,7 @@
 _FIRST_OF_NEWER_TERM: Final = LogPosition(2, 20)
 # Longer than a leaving member drains.
 _LEAVING_AGE_S: Final = 8
+_BORN_AGAIN_MS: Final = 5
 
 
 @given('its members acknowledge a commit once a replica has it')
@@ -55,10 +58,8 @@
     fake = context.world.fakes[name]
     member = context.world.group.members[name]
     fake.position = LogPosition(1, 10) if state == 'behind' else _COMMITTED
-    words = state.split(' ')
-    match words:
-        case ['silent']:
-            fake.is_silent = True
+    fake.is_silent = state == 'silent'
+    match state.split(' '):
         case ['late', 'to', 'apply']:
             fake.position = LogPosition(1, 10)
             fake.received = _COMMITTED
@@ -68,8 +69,10 @@
             member.record = attrs.evolve(member.record, is_leaving=True)
         case ['unlisted']:
             member.unlisted_since_s = boot_time_s()
-        case ['registered', age_s, *_]:
-            member.listed_since_s = boot_time_s() - float(age_s)
+        case ['not', 'recorded']:
+            _withdraw_witness(context, member.record.process)
+        case ['started', 'again']:
+            member.record = attrs.evolve(member.record, born_ms=_BORN_AGAIN_MS)
         case ['late', 'by', delay_ms, _]:
             fake.position = LogPosition(1, 10)
             context.loop.call_later(
@@ -81,6 +84,12 @@
             )
 
 
+def _withdraw_witness(context: Any, process: MemberProcess) -> None:
+    """Take a process out of the record, as if it had joined just before."""
+    group = context.world.group
+    group.record = GroupRecord(witnesses=group.record.witnesses - {process})
+
+
 @given('the registrations were read {age_s:d} s ago and cannot be read now')
 def age_registrations(context: Any, age_s: int) -> None:
     """Let the registry be silent since the last read."""
--- a/features/steps/foreign_entries_steps.py
+++ b/features/steps/foreign_entries_steps.py
@@ -269,7 +269,7 @@
     context.dialer = _RecordingDialer()
     context.directory = GroupDirectory(context.dialer, boot_time_s)
     context.directory.apply_limits(build_configuration(build_route()))
-    context.directory.apply_registrations([build_record('m1')])
+    context.directory.apply_registrations([build_record('m1', port=1)])
 
 
 @when('m1 registers at 127.0.0.1:2')
--- /dev/null
+++ b/features/steps/group_record_steps.py
@@ -0,0 +1,69 @@
+"""Steps of platform_store.feature for the records of groups."""
+
+from typing import Any
+
+from behave import then, when
+
+from mimosapond.failover.claim_port import DutyClaim
+from mimosapond.groups.member_process import MemberProcess
+
+
+@when('host {host} reads the record')
+def read(context: Any, host: str) -> None:
+    """Keep the record that the host reads."""
+    context.found_record = context.loop.run_until_complete(
+        context.claims[host].read_record(context.group_name)
+    )
+
+
+@when('host {host} records the witnesses {names} in what it read')
+def record_in_found(context: Any, host: str, names: str) -> None:
+    """Write witnesses to the row as it was read."""
+    context.is_recorded = context.loop.run_until_complete(
+        context.claims[host].record_witnesses(
+            context.group_name, context.found_record, _processes(names)
+        )
+    )
+
+
+@when('host {host} records the witnesses {names}')
+def record(context: Any, host: str, names: str) -> None:
+    """Read the record, and write witnesses to it."""
+    kept = getattr(context, 'found_record', None)
+    read(context, host)
+    record_in_found(context, host, names)
+    context.found_record = kept
+
+
+@when('host {host} withdraws the lead of its last claim')
+def withdraw(context: Any, host: str) -> None:
+    """Withdraw the lead that came with the claim."""
+    held = [each for each in context.outcomes if isinstance(each, DutyClaim)]
+    context.loop.run_until_complete(
+        context.claims[host].withdraw_lead(context.group_name, held[-1])
+    )
+
+
+@then('the last claim has the witnesses {names}')
+def check_witnesses(context: Any, names: str) -> None:
+    """Compare the witnesses that came with the claim."""
+    found = context.outcomes[-1]
+    assert found.witnesses == _processes(names), found
+
+
+@then('the witnesses are {result}')
+def check_recorded(context: Any, result: str) -> None:
+    """Compare the result of the last write of witnesses."""
+    assert context.is_recorded == (result == 'recorded')
+
+
+@then('the lead in the record is {result}')
+def check_withdrawn(context: Any, result: str) -> None:
+    """Read whether the recorded lead was withdrawn."""
+    read(context, 'a')
+    is_withdrawn = context.found_record.record.is_withdrawn
+    assert is_withdrawn == (result == 'withdrawn')
+
+
+def _processes(names: str) -> frozenset[MemberProcess]:
+    return frozenset(MemberProcess(name, 5) for name in names.split(','))
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -72,6 +72,7 @@
         host: StoreClaims(client, host, boot_time_s) for host in 'ab'
     }
     context.outcomes = []
+    context.group_name = _GROUP
 
 
 async def _build_store() -> TableStore:
--- a/features/steps/primary_change_members_steps.py
+++ b/features/steps/primary_change_members_steps.py
@@ -6,6 +6,7 @@
 
 from features.group_fakes import FakeMember
 from mimosapond.boot_clock import boot_time_s
+from mimosapond.groups.group_record import GroupRecord
 
 # Longer than a change waits for the registry.
 _REGISTRY_DELAY_S: Final = 0.6
@@ -52,6 +53,17 @@
     context.world.registrations.names = ['p', 'b']
 
 
+@given('member a is {recorded} a recorded witness')
+def set_witness(context: Any, recorded: str) -> None:
+    """Keep member a in the record, or take it out as another host did."""
+    group = context.world.group
+    if recorded == 'no longer':
+        staying = {
+            each for each in group.record.witnesses if each.member_id != 'a'
+        }
+        group.record = GroupRecord(witnesses=frozenset(staying))
+
+
 @given('the host started just now')
 def mark_host_started_now(context: Any) -> None:
     """Set a time, still to come, until which members may be unregistered."""
--- /dev/null
+++ b/features/steps/witness_roster_steps.py
@@ -0,0 +1,229 @@
+"""Steps of witness_roster.feature."""
+
+import asyncio
+from typing import Any, Final
+
+import attrs
+from behave import given, then, when
+
+from features.group_builders import build_record, build_world
+from features.group_fakes import FakeMember
+from mimosapond.boot_clock import boot_time_s
+from mimosapond.failover.claim_port import FoundRecord
+from mimosapond.groups.group_record import GroupRecord
+from mimosapond.groups.lead import Lead
+from mimosapond.groups.log_position import LogPosition
+from mimosapond.groups.member_process import MemberProcess
+from mimosapond.routing.commit_witnesses import find_witnesses
+
+_MS_PER_S: Final = 1000
+_BORN_AGAIN_MS: Final = 7
+_BEGIN: Final = LogPosition(1, 10)
+_EMPTY_LOG: Final = LogPosition(0, 0)
+# Longer than a leaving member drains.
+_LEAVING_AGE_S: Final = 8
+
+
+@given('a host that has just started, with a record of {names}')
+def start_host(context: Any, names: str) -> None:
+    """Give the host a record that it read after its start."""
+    context.world = build_world()
+    context.world.directory.first_read_s = boot_time_s()
+    recorded = None if names == 'nobody' else _processes(names)
+    _set_record(context, GroupRecord(witnesses=recorded))
+    world = context.world
+    world.group.confirm_primary(world.group.members['p'], boot_time_s(), _BEGIN)
+
+
+@given('member d has been listed for {listed_s:d} s')
+def list_member(context: Any, listed_s: int) -> None:
+    """Register a further member, and let the host know the primary."""
+    world = context.world
+    world.fakes['d'] = FakeMember('d')
+    world.registrations.names.append('d')
+    world.directory.apply_registrations(
+        [build_record(name) for name in world.registrations.names]
+    )
+    since_s = boot_time_s() - listed_s
+    world.group.members['d'].listed_since_s = since_s
+    _prepare(context)
+
+
+@given('all members answer')
+def keep_members(context: Any) -> None:
+    """Check that no member is silent."""
+    assert not any(fake.is_silent for fake in context.world.fakes.values())
+
+
+@given('member b is paused')
+def pause_one(context: Any) -> None:
+    """Pause b, as a change does that has not reached a yet."""
+    context.world.fakes['b'].paused_term = 2
+
+
+@given('another host claims the group')
+def claim(context: Any) -> None:
+    """Let the record be found with a claim."""
+    claims = context.world.claims
+    claims.found = attrs.evolve(claims.found, is_claimed=True)
+
+
+@given('the recorded lead of {name} {state}')
+def record_lead(context: Any, name: str, state: str) -> None:
+    """Record a lead that may begin, cannot begin any more, or has begun."""
+    record = attrs.evolve(
+        context.world.claims.found.record,
+        lead=Lead(name, _BEGIN, 1),
+        is_withdrawn=state == 'was withdrawn',
+    )
+    context.world.claims.found = FoundRecord(record, 1, is_claimed=False)
+
+
+@given('the store does not answer')
+def silence_store(context: Any) -> None:
+    """Let reads of the record get no answer."""
+    context.world.claims.found = None
+
+
+@given('member {name} has started again {log} its log')
+def start_again(context: Any, name: str, log: str) -> None:
+    """Register another process under the id of a member."""
+    world = context.world
+    fake = world.fakes[name]
+    fake.is_primary = False
+    fake.born_ms = _BORN_AGAIN_MS
+    has_log = log == 'with'
+    fake.position = world.fakes['p'].position if has_log else _EMPTY_LOG
+    _register(context)
+    if name != 'p':
+        _prepare(context)
+
+
+@given('member a has left')
+def leave(context: Any) -> None:
+    """Remove the registration of a, which had announced that it leaves."""
+    world = context.world
+    world.fakes['a'].is_silent = True
+    member = world.group.members['a']
+    member.leaving_since_s = boot_time_s() - _LEAVING_AGE_S
+    member.unlisted_since_s = boot_time_s()
+    world.registrations.names.remove('a')
+    _prepare(context)
+
+
+@given('member a has been unlisted for {unlisted_s:d} s')
+def unlist(context: Any, unlisted_s: int) -> None:
+    """Remove the registration of a, which may come back."""
+    world = context.world
+    member = world.group.members['a']
+    member.unlisted_since_s = boot_time_s() - unlisted_s
+    world.registrations.names.remove('a')
+    _prepare(context)
+
+
+@given('member a has lapsed before this host started')
+def lapse(context: Any) -> None:
+    """Let the host know a from the record only."""
+    context.world.group.members.pop('a')
+    context.world.registrations.names.remove('a')
+    _prepare(context)
+
+
+@given('member p is {listing}')
+def set_primary_listing(context: Any, listing: str) -> None:
+    """Remove the registration of p if it is to be absent."""
+    if listing == 'listed':
+        return
+    world = context.world
+    absent_s = float(listing.split(' ')[2])
+    world.group.members['p'].unlisted_since_s = boot_time_s() - absent_s
+    world.registrations.names.remove('p')
+
+
+@given(
+    'an accepted call lets b lead {effect_ms:d} ms after the fence was raised',
+)
+def accept_call(context: Any, effect_ms: int) -> None:
+    """Let b lead some time after the host called for the primary."""
+    context.world.promotions.on_call = lambda: (
+        asyncio.get_running_loop().call_later(
+            effect_ms / _MS_PER_S, _lead_next_term, context.world.fakes, 'b'
+        )
+    )
+
+
+@when('the record is brought up to date')
+def update(context: Any) -> None:
+    """Read the record once, and change it if that is safe."""
+    world = context.world
+    asyncio.run(world.failover.roster.update(world.group))
+
+
+@then('the witnesses of p are {names}')
+def check_witnesses(context: Any, names: str) -> None:
+    """Compare the members that may witness commits of p."""
+    group = context.world.group
+    found = find_witnesses(group, group.members['p'])
+    text = ','.join(sorted(member.member_id for member in found))
+    assert (text or 'none') == names, text
+
+
+@then('the recorded witnesses are {names}')
+def check_recorded(context: Any, names: str) -> None:
+    """Compare the witnesses that were written; * marks a second process."""
+    recorded = context.world.claims.recorded_witnesses
+    text = 'unchanged'
+    if recorded is not None:
+        text = ','.join(
+            process.member_id + '*' * bool(process.born_ms)
+            for process in sorted(recorded)
+        )
+    assert text == names, text
+
+
+@then('member a is {state}')
+def check_pause(context: Any, state: str) -> None:
+    """Check whether a receives again."""
+    is_paused = context.world.fakes['a'].paused_term > 0
+    assert is_paused == (state == 'paused')
+
+
+@then('the lead was {state}')
+def check_withdrawal(context: Any, state: str) -> None:
+    """Check whether the recorded lead was withdrawn."""
+    is_withdrawn = context.world.claims.is_withdrawn
+    assert is_withdrawn == (state == 'withdrawn')
+
+
+def _lead_next_term(fakes: dict[str, FakeMember], name: str) -> None:
+    """Let a replica lead with what it has received."""
+    for fake in fakes.values():
+        fake.is_primary = fake.member_id == name
+    fakes[name].position = LogPosition(2, 10)
+
+
+def _prepare(context: Any) -> None:
+    """Let the host know the primary, and find the record in the store."""
+    world = context.world
+    _set_record(context, world.group.record)
+    world.group.confirm_primary(world.group.members['p'], boot_time_s(), _BEGIN)
+
+
+def _set_record(context: Any, record: GroupRecord) -> None:
+    context.world.group.record = record
+    context.world.claims.found = FoundRecord(record, 1, is_claimed=False)
+
+
+def _register(context: Any) -> None:
+    """Let the host read the registrations."""
+    world = context.world
+    world.directory.apply_registrations(
+        [
+            build_record(name, born_ms=world.fakes[name].born_ms)
+            for name in world.registrations.names
+        ]
+    )
+
+
+def _processes(names: str) -> frozenset[MemberProcess]:
+    return frozenset(MemberProcess(name) for name in names.split(','))
--- a/features/witness_explorer.py
+++ b/features/witness_explorer.py
@@ -18,12 +18,13 @@
     build_configuration,
     build_record,
     build_route,
+    record_all_witnesses,
 )
 from features.group_fakes import FakeDialer, FakeMember
 from features.virtual_loop import run_virtually
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.log_position import LogPosition
-from mimosapond.routing.commit_witnesses import WITNESS_AGE_S, CommitWitnesses
+from mimosapond.routing.commit_witnesses import CommitWitnesses
 
 _Log: TypeAlias = list[LogPosition]
 
@@ -90,8 +91,8 @@
         self._list_members()
         group = self._directory.get_or_create(GROUP)
         group.needs_replica = True
+        record_all_witnesses(self._directory)
         self._witnesses = CommitWitnesses(self._now)
-        await asyncio.sleep(WITNESS_AGE_S + 1)
         for _ in range(_EVENT_COUNT):
             self._act()
             await asyncio.sleep(self._random.choice(_STEPS_S))
--- /dev/null
+++ b/features/witness_roster.feature
@@ -0,0 +1,102 @@
+Feature: The record of a group names the processes that witness its commits
+  Commits are acknowledged, and primaries replaced, by the witnesses in the record
+  that the store keeps, whatever a host has seen by itself.
+
+  # Guards against acknowledged commits that only a member has that a promoting host
+  # does not know: it joined a moment before the acknowledging host started.
+  Scenario Outline: a host that starts witnesses commits by the record alone
+    Given a group whose primary is p
+    And a host that has just started, with a record of <recorded>
+    Then the witnesses of p are <witnesses>
+
+    Examples:
+      | recorded | witnesses |
+      | p,a,b    | a,b       |
+      | p,a      | a         |
+      | nobody   | none      |
+
+  # Guards against a promotion that does not pause a witness, as it is carried out
+  # late, or as the registrations of its host are older than the witness.
+  Scenario Outline: a member joins the record once every change knows it
+    Given a group whose primary is p
+    And member d has been listed for <listed_s> s
+    And <state>
+    When the record is brought up to date
+    Then the recorded witnesses are <recorded>
+
+    Examples:
+      | listed_s | state                                        | recorded  |
+      | 8        | all members answer                           | a,b,d,p   |
+      | 8        | the members a are silent                     | a,b,d,p   |
+      | 6        | all members answer                           | unchanged |
+      | 8        | members a and b are paused                   | unchanged |
+      | 8        | member b is paused                           | unchanged |
+      | 8        | the members a,b are silent                   | unchanged |
+      | 8        | the members d are silent                     | unchanged |
+      | 8        | the members p are silent                     | unchanged |
+      | 8        | another host claims the group                | unchanged |
+      | 8        | the recorded lead of b has not begun         | unchanged |
+      | 8        | the recorded lead of b was withdrawn         | a,b,d,p   |
+      | 8        | the recorded lead of p has begun             | a,b,d,p   |
+      | 8        | the store does not answer                    | unchanged |
+
+  # Guards against lost commits that only a replica had which left, or which started
+  # again without its log (review/9).
+  Scenario Outline: a process leaves the record once another witness has its commits
+    Given a group whose primary is p
+    And member p has received up to 1.12
+    And member b has received up to <b>
+    And member a has <end>
+    When the record is brought up to date
+    Then the recorded witnesses are <recorded>
+
+    Examples:
+      | b    | end                               | recorded  |
+      | 1.12 | left                              | b,p       |
+      | 1.11 | left                              | unchanged |
+      | 1.12 | started again with its log        | a*,b,p    |
+      | 1.12 | started again without its log     | a*,b,p    |
+      | 1.11 | started again without its log     | unchanged |
+      | 1.11 | started again with its log        | a*,b,p    |
+      | 1.12 | been unlisted for 1 s             | unchanged |
+      | 1.12 | lapsed before this host started   | unchanged |
+
+  # Guards against a group that never acknowledges a commit.
+  Scenario Outline: the first witnesses are recorded at once
+    Given a group whose primary is p
+    And a host that has just started, with a record of nobody
+    And <state>
+    When the record is brought up to date
+    Then the recorded witnesses are <recorded>
+
+    Examples:
+      | state                                | recorded  |
+      | all members answer                   | a,b,p     |
+      | the registration of member a has lapsed | unchanged |
+
+  # Guards against a member that is promoted without the commits of a witness that
+  # started again without its log (LOST, review/9): it answers, and the primary,
+  # which has them, comes back.
+  Scenario Outline: a member that started again does not answer for its former process
+    Given a group whose primary is p
+    And the host saw member p lead
+    And member a has started again <log>
+    And the members p are silent
+    And member p is <listing>
+    When a host replaces the lost primary
+    Then the promoted member is <promoted>
+
+    Examples:
+      | log             | listing             | promoted |
+      | without its log | listed              | none     |
+      | with its log    | listed              | none     |
+      | without its log | absent for 21 s     | b        |
+
+  # Guards against a group without a primary: one that started again without its log
+  # answers as a replica, and nobody can wait for what it had.
+  Scenario: a primary that started again without its log is replaced
+    Given a group whose primary is p
+    And the host saw member p lead
+    And member p has started again without its log
+    When a host replaces the lost primary
+    Then the promoted member is b
--- /dev/null
+++ b/mimosapond/failover/change_steps.py
@@ -0,0 +1,162 @@
+"""Steps that every change of a group's primary has in common."""
+
+from collections.abc import Iterable
+from typing import Final, final
+
+from loguru import logger
+
+from mimosapond.boot_clock import Now
+from mimosapond.failover.claim_port import ClaimPort, DutyClaim
+from mimosapond.failover.control_requests import (
+    CONTROL_TIMEOUT_S,
+    MemberReport,
+    resume_all,
+)
+from mimosapond.failover.group_statuses import GroupStatuses, newest_term
+from mimosapond.failover.lead_recorder import LeadRecorder
+from mimosapond.failover.promoter import Promoter, PromotionResult
+from mimosapond.failover.promotion_turns import PromotionTurns
+from mimosapond.groups.group import Group
+from mimosapond.groups.member import Member
+
+# Covers borrowing a connection, the status request and the resume request.
+_RESUME_TIMEOUT_S: Final = 3 * CONTROL_TIMEOUT_S
+
+
+@final
+class ChangeSteps:
+    """Claims a group, promotes a member, and ends a change without a promotion.
+
+    One host carries out a change at a time; a claim with its fencing token
+    excludes the others.
+    """
+
+    def __init__(self, claims: ClaimPort, promoter: Promoter, now: Now) -> None:
+        """Create the steps of the changes of this host."""
+        self._leads = LeadRecorder(claims)
+        self._claims = claims
+        self._turns = PromotionTurns(claims, now)
+        self._promoter = promoter
+        self._now = now
+
+    async def promote(
+        self,
+        group: Group,
+        candidate: MemberReport,
+        claim: DutyClaim,
+        paused: GroupStatuses,
+    ) -> bool:
+        """Record the lead of a member, promote it, and end the pauses.
+
+        Returns
+        -------
+        bool
+            Whether the member is seen to lead.
+        """
+        if not await self._leads.record(group, candidate, claim, paused):
+            return False
+        result = await self._call_promotion(group, candidate, claim)
+        if result is PromotionResult.leads:
+            # If replicas received before the new primary leads, a former
+            # primary that still runs could go on acknowledging commits.
+            others = (
+                member
+                for member in paused.members
+                if member is not candidate.member
+            )
+            await self._resume(group, claim, others)
+        return result is PromotionResult.leads
+
+    async def withdraw_change(
+        self, group: Group, statuses: GroupStatuses
+    ) -> bool:
+        """End a change that another host began, once its claim is over.
+
+        Returns
+        -------
+        bool
+            Whether the claim for this was granted.
+        """
+        claim = await self.claim(group, 'replicas left paused')
+        if claim is not None:
+            await self.abort(group, claim, statuses)
+        return claim is not None
+
+    async def abort(
+        self, group: Group, claim: DutyClaim, paused: GroupStatuses
+    ) -> None:
+        """Let replicas receive again once no other promotion can take effect.
+
+        A promotion call that timed out may still take effect, and another host
+        may have paused the replicas under a reserved token. A promotion call
+        that names the current primary changes nothing, but its higher token
+        makes the platform refuse all calls with lower tokens. If no primary is known, the replicas stay paused
+        until a host finds that writes are stalled and resumes them.
+        """
+        primary = paused.primary
+        if primary is None:
+            await self._turns.release(group.name)
+            return
+        result = await self._call_promotion(group, primary, claim)
+        if result is not PromotionResult.leads:
+            return
+        if await self._claims.withdraw_lead(group.name, claim):
+            group.withdraw_lead()
+        await self._resume(group, claim, paused.replicas)
+
+    async def claim(self, group: Group, reason: str) -> DutyClaim | None:
+        """Return a claim whose token is above all terms of the group.
+
+        Members are paused under the token of the claim, so a member that is
+        paused under a higher token takes part in a change of another host.
+
+        Returns
+        -------
+        DutyClaim or None
+            None if the claim was not granted. Also None if a member has a term
+            that is not lower than the token; the claim is released then.
+        """
+        outcome = await self._claims.claim(group.name)
+        logger.bind(group=group.name, reason=reason, outcome=str(outcome)).info(
+            'duty_claim'
+        )
+        if not isinstance(outcome, DutyClaim):
+            return None
+        if outcome.token > newest_term(group):
+            return outcome
+        logger.bind(group=group.name, newest=newest_term(group)).warning(
+            'duty_claim_superseded'
+        )
+        await self._turns.release(group.name)
+        return None
+
+    async def _call_promotion(
+        self, group: Group, candidate: MemberReport, claim: DutyClaim
+    ) -> PromotionResult:
+        result = await self._promoter.promote(group, candidate, claim)
+        if result is not PromotionResult.not_called:
+            await self._turns.record_call(group.name, claim)
+        return result
+
+    async def _resume(
+        self, group: Group, claim: DutyClaim, members: Iterable[Member]
+    ) -> None:
+        """Let members that were paused under the claim receive again.
+
+        A claim that is about to expire is renewed first. Members that stay
+        paused are resumed by the next host that finds writes stalled.
+        """
+        expires_s = claim.expires_s
+        if expires_s - self._now() < _RESUME_TIMEOUT_S:
+            renewed = await self._claims.claim(group.name)
+            logger.bind(group=group.name, outcome=str(renewed)).info(
+                'duty_renewed'
+            )
+            if not isinstance(renewed, DutyClaim):
+                return
+            expires_s = renewed.expires_s
+        await resume_all(
+            members,
+            claim.token,
+            lambda: expires_s - self._now() > CONTROL_TIMEOUT_S,
+        )
--- a/mimosapond/failover/claim_port.py
+++ b/mimosapond/failover/claim_port.py
@@ -9,7 +9,10 @@
 
 import attrs
 
+from mimosapond.groups.group import Group
+from mimosapond.groups.group_record import GroupRecord
 from mimosapond.groups.lead import Lead
+from mimosapond.groups.member_process import MemberProcess
 
 # Time after which a claim that was not released expires. It exceeds the time
 # from a claim to its promotion call by the time within which no other host may
@@ -45,11 +48,21 @@
         Time on the boot clock from which another host may hold the claim.
     lead
         The last lead that a holder of the claim recorded.
+    witnesses
+        Processes that a change under this claim has to ask; None if none were
+        recorded or the record could not be read.
     """
 
     token: int
     expires_s: float
     lead: LeadRecord
+    witnesses: frozenset[MemberProcess] | None = None
+
+    def known_witnesses(self, group: Group) -> frozenset[MemberProcess] | None:
+        """Return the recorded witnesses, as far as this host knows them."""
+        if self.witnesses is not None or group.record is None:
+            return self.witnesses
+        return group.record.witnesses
 
 
 @final
@@ -63,6 +76,24 @@
     unknown = 'unknown'
 
 
+@final
+@attrs.frozen
+class FoundRecord:
+    """The record of a group, as the store has it.
+
+    Parameters
+    ----------
+    version
+        Version of the row; 0 if there is none yet.
+    is_claimed
+        Whether a host may be changing the primary.
+    """
+
+    record: GroupRecord
+    version: int
+    is_claimed: bool
+
+
 @final
 @attrs.frozen
 class DutyTaken:
@@ -99,6 +130,38 @@
             The claim under which the member is promoted.
         """
 
+    async def withdraw_lead(self, group: str, claim: DutyClaim) -> bool:
+        """Record that the recorded lead of a claim cannot begin any more.
+
+        Returns
+        -------
+        bool
+            False if the store did not answer, or if another host has claimed
+            the group since.
+        """
+
+    async def read_record(self, group: str) -> FoundRecord | None:
+        """Return the record of a group; None if the store did not answer."""
+
+    async def record_witnesses(
+        self,
+        group: str,
+        found: FoundRecord,
+        witnesses: frozenset[MemberProcess],
+    ) -> bool:
+        """Replace the witnesses of a group.
+
+        Parameters
+        ----------
+        found
+            Record that nobody may have changed or claimed since.
+
+        Returns
+        -------
+        bool
+            Whether they are known to be recorded.
+        """
+
     async def reserve(self) -> int | None:
         """Obtain a fencing token in advance, for use while the store is down.
 
--- a/mimosapond/failover/failover_coordinator.py
+++ b/mimosapond/failover/failover_coordinator.py
@@ -7,39 +7,28 @@
 paused may exist, and nothing is promoted.
 """
 
-from collections.abc import Iterable
 from typing import Final, final
 
-from loguru import logger
-
 from mimosapond.boot_clock import Now
-from mimosapond.failover.claim_port import DutyClaim, ClaimPort
+from mimosapond.failover.change_steps import ChangeSteps
+from mimosapond.failover.claim_port import ClaimPort, DutyClaim, NoLead
+from mimosapond.failover.control_requests import step_down
 from mimosapond.failover.group_membership import GroupMembership
 from mimosapond.failover.group_pauser import GroupPauser
-from mimosapond.failover.control_requests import (
-    CONTROL_TIMEOUT_S,
-    MemberReport,
-    resume_all,
-    fetch_status,
-    step_down,
-)
-from mimosapond.failover.group_statuses import GroupStatuses, newest_term
-from mimosapond.failover.lead_recorder import LeadRecorder
-from mimosapond.failover.promoter import (
-    Promoter,
-    PromotionResult,
-)
+from mimosapond.failover.group_statuses import GroupStatuses
+from mimosapond.failover.hand_over import HandOver
+from mimosapond.failover.promoter import Promoter
 from mimosapond.failover.promotion_log import (
     log_promotion_proof,
     log_unsafe_promotion,
 )
-from mimosapond.failover.promotion_turns import PromotionTurns
 from mimosapond.failover.replica_survey import ReplicaSurvey
+from mimosapond.failover.witness_check import WitnessCheck
+from mimosapond.failover.witness_roster import WitnessRoster
 from mimosapond.groups.group import Group
 from mimosapond.groups.member import Member
 
-# Covers borrowing a connection, the status request and the resume request.
-_RESUME_TIMEOUT_S: Final = 3 * CONTROL_TIMEOUT_S
+_NO_LEAD: Final = NoLead()
 
 
 @final
@@ -72,10 +61,10 @@
         self._survey = ReplicaSurvey(membership, now)
         self._membership = membership
         self._pauser = GroupPauser(membership)
-        self._leads = LeadRecorder(claims)
-        self._claims = claims
-        self._turns = PromotionTurns(claims, now)
-        self._promoter = promoter
+        self._witness_check = WitnessCheck(membership)
+        self.roster: Final = WitnessRoster(claims, membership, now)
+        self._steps = ChangeSteps(claims, promoter, now)
+        self._hand_over = HandOver(self._steps, membership, now)
         self._now = now
 
     async def replace_lost_primary(self, group: Group) -> bool:
@@ -93,10 +82,12 @@
         # could use it. The answers also give the terms that the term of a
         # pause has to exceed.
         statuses = await self._pauser.fetch(group)
-        if not statuses.includes_all_replicas(None):
+        if not statuses.includes_all_replicas(None) or not (
+            self._has_known_witnesses(group, statuses)
+        ):
             log_unsafe_promotion(group, statuses)
             return False
-        claim = await self._claim(group, 'primary lost')
+        claim = await self._steps.claim(group, 'primary lost')
         if claim is None:
             return False
         return await self._replace_primary(group, claim, None)
@@ -106,28 +97,31 @@
     ) -> bool:
         """Resolve why the commits of a primary are not acknowledged.
 
-        Replicas that an earlier change left paused receive again. A primary
-        whose commits reach no replica is replaced.
+        A change that another host began and did not end is withdrawn, and the
+        replicas that it paused receive again. A primary whose commits reach no
+        replica is replaced.
 
         Returns
         -------
         bool
-            If replicas were paused, whether the claim for resuming them was
+            If another change is pending, whether the claim for ending it was
             granted. Otherwise whether a promoted replica is seen to lead.
         """
         statuses = await self._pauser.fetch(group)
         if statuses.primary is None or statuses.primary.member is not primary:
             return False
-        if statuses.has_paused_member:
-            claim = await self._claim(group, 'replicas left paused')
-            if claim is not None:
-                await self._abort(group, claim, statuses)
-            return claim is not None
+        record = group.record
+        if statuses.has_paused_member or (
+            record and record.is_change_pending(primary.member_id)
+        ):
+            return await self._steps.withdraw_change(group, statuses)
         if not statuses.is_complete or not await self._survey.is_cut_off(
             group, statuses
         ):
             return False
-        claim = await self._claim(group, 'primary cut off from its replicas')
+        claim = await self._steps.claim(
+            group, 'primary cut off from its replicas'
+        )
         if claim is None:
             return False
         await step_down(primary, claim.token)
@@ -142,37 +136,7 @@
             Whether the successor is seen to lead. False if no change was
             possible or safe, or if the promotion had no known outcome.
         """
-        status = await fetch_status(leaving)
-        if status is None:
-            return False
-        if not status.is_primary:
-            group.suspect_primary(
-                leaving, 'the member is no longer the primary'
-            )
-            return False
-        successor = await self._survey.choose_successor(group, leaving)
-        if successor is None:
-            return False
-        claim = await self._claim(group, 'primary leaving')
-        if claim is None:
-            return False
-        paused = await self._pauser.pause(
-            group, claim.token, (successor, leaving)
-        )
-        caught_up = None
-        if paused.is_complete:
-            caught_up = await self._survey.await_catch_up(leaving, successor)
-        if caught_up is None:
-            logger.bind(group=group.name).warning('hand_over_not_safe')
-            paused.add(MemberReport(leaving, status))
-            await self._abort(group, claim, paused)
-            return False
-        log_promotion_proof(group, caught_up, paused)
-        leads = await self._promote(group, caught_up, claim, paused)
-        if leads:
-            # A former primary may go on to accept requests until it is told.
-            await step_down(leaving, claim.token)
-        return leads
+        return await self._hand_over.run(group, leaving)
 
     async def _replace_primary(
         self, group: Group, claim: DutyClaim, excluded: Member | None
@@ -180,107 +144,24 @@
         paused = await self._pauser.pause(group, claim.token)
         leads = self._membership.leads_to_keep(group, claim.lead)
         candidate = paused.find_candidate(excluded, claim.lead, leads)
-        if candidate is None:
+        if candidate is None or not self._witness_check.passes(
+            group, paused, claim.known_witnesses(group), recorded=claim.lead
+        ):
             log_unsafe_promotion(group, paused)
-            await self._abort(group, claim, paused)
+            await self._steps.abort(group, claim, paused)
             return False
         log_promotion_proof(group, candidate, paused)
         group.observations.add(self._now(), candidate.status.received)
-        return await self._promote(group, candidate, claim, paused)
+        return await self._steps.promote(group, candidate, claim, paused)
 
-    async def _promote(
-        self,
-        group: Group,
-        candidate: MemberReport,
-        claim: DutyClaim,
-        paused: GroupStatuses,
+    def _has_known_witnesses(
+        self, group: Group, answers: GroupStatuses
     ) -> bool:
-        if not await self._leads.record(group, candidate, claim, paused):
-            return False
-        result = await self._call_promotion(group, candidate, claim)
-        if result is PromotionResult.leads:
-            # If replicas received before the new primary leads, a former
-            # primary that still runs could go on acknowledging commits.
-            others = (
-                member
-                for member in paused.members
-                if member is not candidate.member
-            )
-            await self._resume(group, claim, others)
-        return result is PromotionResult.leads
-
-    async def _call_promotion(
-        self, group: Group, candidate: MemberReport, claim: DutyClaim
-    ) -> PromotionResult:
-        result = await self._promoter.promote(group, candidate, claim)
-        if result is not PromotionResult.not_called:
-            await self._turns.record_call(group.name, claim)
-        return result
-
-    async def _abort(
-        self, group: Group, claim: DutyClaim, paused: GroupStatuses
-    ) -> None:
-        """Let replicas receive again once no other promotion can take effect.
-
-        A promotion call that timed out may still take effect, and another host
-        may have paused the replicas under a reserved token. A promotion call
-        that names the current primary changes nothing, but its higher token
-        makes the platform refuse all calls with lower tokens. If no primary is
-        known, the replicas stay paused until a host finds that writes are
-        stalled and resumes them.
-        """
-        if paused.primary is None:
-            await self._turns.release(group.name)
-            return
-        result = await self._call_promotion(group, paused.primary, claim)
-        if result is PromotionResult.leads:
-            await self._resume(group, claim, paused.replicas)
-
-    async def _resume(
-        self, group: Group, claim: DutyClaim, members: Iterable[Member]
-    ) -> None:
-        """Let members that were paused under the claim receive again.
-
-        A claim that is about to expire is renewed first. Members that stay
-        paused are resumed by the next host that finds writes stalled.
-        """
-        expires_s = claim.expires_s
-        if expires_s - self._now() < _RESUME_TIMEOUT_S:
-            renewed = await self._claims.claim(group.name)
-            logger.bind(group=group.name, outcome=str(renewed)).info(
-                'duty_renewed'
-            )
-            if not isinstance(renewed, DutyClaim):
-                return
-            expires_s = renewed.expires_s
-        await resume_all(
-            members,
-            claim.token,
-            lambda: expires_s - self._now() > CONTROL_TIMEOUT_S,
-        )
-
-    async def _claim(self, group: Group, reason: str) -> DutyClaim | None:
-        """Return a claim whose token is above all terms of the group.
-
-        Members are paused under the token of the claim, so a member that is
-        paused under a higher token takes part in a change of another host.
-
-        Returns
-        -------
-        DutyClaim or None
-            None if the claim was not granted. Also None if a member has a term
-            that is not lower than the token; the claim is released then.
-        """
-        outcome = await self._claims.claim(group.name)
-        logger.bind(group=group.name, reason=reason, outcome=str(outcome)).info(
-            'duty_claim'
-        )
-        if not isinstance(outcome, DutyClaim):
-            return None
-        if outcome.token > newest_term(group):
-            return outcome
-        logger.bind(group=group.name, newest=newest_term(group)).warning(
-            'duty_claim_superseded'
+        """Return whether the witnesses that this host knows answered."""
+        record = group.record
+        return record is None or self._witness_check.passes(
+            group,
+            answers,
+            record.witnesses,
+            recorded=record.lead or _NO_LEAD,
         )
-        await self._turns.release(group.name)
-        return None
--- a/mimosapond/failover/group_membership.py
+++ b/mimosapond/failover/group_membership.py
@@ -69,6 +69,14 @@
         self._registrations = registrations
         self._now = now
 
+    def has_left(self, member: Member) -> bool:
+        """Return whether a member has left for good, as far as is known."""
+        return self._departure_detector.has_left(member)
+
+    def absence_s(self, group: Group, member_id: str) -> float:
+        """Return for how long a member has not been registered."""
+        return self._directory.absence_s(group, member_id)
+
     def expected(self, group: Group) -> tuple[Member, ...]:
         """Return the members that may hold commits of the current term."""
         return tuple(
--- a/mimosapond/failover/group_statuses.py
+++ b/mimosapond/failover/group_statuses.py
@@ -174,11 +174,15 @@
         return max(candidates, key=_promotion_rank, default=None)
 
     def most_advanced(
-        self, excluded: Member | None, leads: Collection[Lead] = ()
+        self,
+        excluded: Member | None,
+        leads: Collection[Lead] = (),
+        preferred_id: str = '',
     ) -> MemberReport | None:
         """Return the replica with the most advanced log, or None without one.
 
-        Of equally advanced replicas, one that takes new work is preferred.
+        Of equally advanced replicas, the preferred one is chosen, then one that
+        takes new work.
 
         Parameters
         ----------
@@ -186,6 +190,9 @@
             Leads whose begin the log has to have. A primary that was the only
             witness of a commit before it was promoted may have it alone, if its
             replicas lagged behind then.
+        preferred_id
+            Member of a recorded lead: an earlier call that has been accepted
+            already may let it lead for a moment before the member chosen here.
         """
         candidates = [
             report
@@ -194,7 +201,11 @@
             and not report.status.is_primary
             and all(_has_begin(report, lead) for lead in leads)
         ]
-        return max(candidates, key=_promotion_rank, default=None)
+        return max(
+            candidates,
+            key=lambda report: _promotion_rank(report, preferred_id),
+            default=None,
+        )
 
     def _may_lead(self, silent: Member, recorded: LeadRecord) -> bool:
         """Return whether a silent member can be the primary.
@@ -227,9 +238,12 @@
     return max(terms, default=0)
 
 
-def _promotion_rank(report: MemberReport) -> tuple[object, ...]:
+def _promotion_rank(
+    report: MemberReport, preferred_id: str = ''
+) -> tuple[object, ...]:
     return (
         report.status.received,
+        report.member.member_id == preferred_id,
         report.member.accepts_new_work,
         report.member.member_id,
     )
--- a/mimosapond/failover/primary_monitor.py
+++ b/mimosapond/failover/primary_monitor.py
@@ -86,6 +86,7 @@
         self._group = group
         self._probe = probe
         self._failover = failover
+        self._roster_update: asyncio.Task[None] | None = None
         self._relays = relays
         self._now = now
         self._holding = holding
@@ -115,6 +116,7 @@
         self._lost_since_s = None
         self._close_idle_connections()
         self._probe_replicas(primary)
+        self._update_roster()
         if primary.record.is_leaving:
             await self._attempt_failover(
                 self._failover.hand_over(self._group, primary)
@@ -156,14 +158,28 @@
             if result is ProbeResult.silent and self._is_silent(primary):
                 self._group.suspect_primary(primary, 'no answer')
                 return
-        if (
-            primary.load.oldest_request_age_s(writes_only=True)
-            > _STALLED_WRITE_AGE_S
-        ):
+        if self._has_stalled_commits(primary):
             await self._attempt_failover(
                 self._failover.replace_stalled_primary(self._group, primary),
             )
 
+    def _has_stalled_commits(self, primary: Member) -> bool:
+        """Return whether commits wait for a replica or for a witness."""
+        ages_s = (
+            primary.load.oldest_request_age_s(writes_only=True),
+            self._group.confirmations.oldest_age_s(self._now()),
+        )
+        return max(ages_s) > _STALLED_WRITE_AGE_S
+
+    def _update_roster(self) -> None:
+        """Start to bring the recorded witnesses up to date if it is due."""
+        update = self._roster_update
+        is_running = update is not None and not update.done()
+        if not is_running and self._failover.roster.is_due(self._group):
+            self._roster_update = asyncio.create_task(
+                self._failover.roster.update(self._group)
+            )
+
     async def _probe_twice(self, member: Member) -> ProbeResult:
         """Probe a member, and again on a new connection if that failed.
 
--- a/mimosapond/failover/replica_survey.py
+++ b/mimosapond/failover/replica_survey.py
@@ -32,28 +32,17 @@
         self._membership = membership
         self._now = now
 
-    async def choose_successor(
+    async def ask_replicas(
         self, group: Group, leaving: Member
-    ) -> Member | None:
-        """Return the most advanced replica that is not leaving.
-
-        Returns
-        -------
-        Member or None
-            None if a replica is silent or may be unknown. The hand-over would
-            be given up then, after callers have waited for it.
-        """
+    ) -> GroupStatuses:
+        """Return the statuses of all members but a leaving primary."""
         await self._membership.refresh_incomplete(group)
         replicas = tuple(
             member
             for member in self._membership.expected(group)
             if member is not leaving
         )
-        statuses = await self._fetch(group, replicas)
-        successor = statuses.best_successor
-        if successor is None or not statuses.is_complete:
-            return None
-        return successor.member
+        return await self._fetch(group, replicas)
 
     async def await_catch_up(
         self, primary: Member, successor: Member
@@ -111,3 +100,15 @@
             self._membership.knowledge(group),
             group,
         )
+
+
+def choose_successor(replicas: GroupStatuses) -> MemberReport | None:
+    """Return the most advanced replica that is not leaving.
+
+    Returns
+    -------
+    MemberReport or None
+        None if a replica is silent or may be unknown. The hand-over would be
+        given up then, after callers have waited for it.
+    """
+    return replicas.best_successor if replicas.is_complete else None
--- a/mimosapond/failover/reserved_token_claims.py
+++ b/mimosapond/failover/reserved_token_claims.py
@@ -20,10 +20,12 @@
     ClaimOutcome,
     ClaimPort,
     DutyUnknown,
+    FoundRecord,
     LeadRecording,
     LeadUnknown,
 )
 from mimosapond.groups.lead import Lead
+from mimosapond.groups.member_process import MemberProcess
 
 # Upper limit of a random delay before a reserved token is used, so that hosts
 # that lose a primary at the same time act one after another.
@@ -112,6 +114,25 @@
             return LeadRecording.unknown
         return await self._store.record_lead(group, claim, lead)
 
+    async def withdraw_lead(self, group: str, claim: DutyClaim) -> bool:
+        """Withdraw a lead, unless the claim was made without the store."""
+        if isinstance(claim.lead, LeadUnknown):
+            return False
+        return await self._store.withdraw_lead(group, claim)
+
+    async def read_record(self, group: str) -> FoundRecord | None:
+        """Return the record that the store has."""
+        return await self._store.read_record(group)
+
+    async def record_witnesses(
+        self,
+        group: str,
+        found: FoundRecord,
+        witnesses: frozenset[MemberProcess],
+    ) -> bool:
+        """Replace the witnesses in the store."""
+        return await self._store.record_witnesses(group, found, witnesses)
+
     async def reserve(self) -> int | None:
         """Return the reserved token, or None if there is none yet."""
         return self._token
--- /dev/null
+++ b/mimosapond/failover/witness_check.py
@@ -0,0 +1,142 @@
+"""Checks that a change of primary asked every witness of the group.
+
+A commit may have been acknowledged because one process has it. A member that was
+started again under its id does not answer for its former process, which may have
+ended with its log.
+"""
+
+from collections.abc import Collection
+from typing import Final, final
+
+from mimosapond.failover.claim_port import LeadRecord, LeadUnknown
+from mimosapond.failover.group_membership import GroupMembership
+from mimosapond.failover.group_statuses import GroupStatuses
+from mimosapond.groups.group import Group
+from mimosapond.groups.lead import Lead
+from mimosapond.groups.member import Member
+from mimosapond.groups.member_process import MemberProcess
+
+# Time after which a member without a registration counts as lost for good,
+# with its log.
+_LOST_AFTER_S: Final = 20.0
+_LEAD_UNKNOWN: Final = LeadUnknown()
+
+
+@final
+class WitnessCheck:
+    """Compares the recorded witnesses with the members that answered."""
+
+    def __init__(self, membership: GroupMembership) -> None:
+        """Use a membership, which tells how long members are absent."""
+        self._membership = membership
+
+    def passes(
+        self,
+        group: Group,
+        answers: GroupStatuses,
+        witnesses: frozenset[MemberProcess] | None,
+        unpaused: Collection[Member] = (),
+        *,
+        recorded: LeadRecord = _LEAD_UNKNOWN,
+    ) -> bool:
+        """Return whether the answers include those of all witnesses needed.
+
+        The primary need not be among them, as it witnesses no commits of its
+        own. Another witness that is missing is waited for as long as the primary
+        may come back with what both had.
+
+        Parameters
+        ----------
+        witnesses
+            Recorded witnesses; None if they are not known.
+        unpaused
+            The primary and its successor, if both take part in the change.
+        recorded
+            The last recorded lead.
+        """
+        primary_id = _lost_primary_id(group, answers, recorded)
+        unpaused_processes = {member.record.process for member in unpaused}
+        missing = [
+            process
+            for process in (witnesses or frozenset()) - unpaused_processes
+            if process.member_id != primary_id
+            and not self._is_covered(group, answers, process)
+        ]
+        if not missing:
+            return True
+        is_restarted = all(
+            _is_started_again(group, process) for process in missing
+        )
+        return is_restarted and self._is_log_lost(group, answers, primary_id)
+
+    def _is_covered(
+        self, group: Group, answers: GroupStatuses, process: MemberProcess
+    ) -> bool:
+        """Return whether a witness answered, or nothing can be had from it."""
+        has_answered = any(
+            member.record.process == process for member in answers.members
+        )
+        return (
+            has_answered
+            or _has_successor(group, answers, process)
+            or self._is_lost(group, process.member_id)
+        )
+
+    def _is_lost(self, group: Group, member_id: str) -> bool:
+        """Return whether nobody waits for a member any more."""
+        return self._membership.absence_s(group, member_id) > _LOST_AFTER_S
+
+    def _is_log_lost(
+        self, group: Group, answers: GroupStatuses, primary_id: str
+    ) -> bool:
+        """Return whether the log of the lost primary cannot come back.
+
+        A primary that crashed comes back as a primary. One that answers and
+        does not lead has started again without its log.
+        """
+        has_answered = any(
+            member.member_id == primary_id for member in answers.members
+        )
+        return has_answered or self._is_lost(group, primary_id)
+
+
+def _lost_primary_id(
+    group: Group, answers: GroupStatuses, recorded: LeadRecord
+) -> str:
+    """Return the id of the member whose loss the change makes up for.
+
+    It is the one that is silent, which ``GroupStatuses`` has checked, or the
+    last one known to lead.
+    """
+    if answers.silent_members:
+        return answers.silent_members[0].member_id
+    answered_ids = {member.member_id for member in answers.members}
+    if isinstance(recorded, Lead) and recorded.member_id not in answered_ids:
+        return recorded.member_id
+    return group.last_primary_id
+
+
+def _has_successor(
+    group: Group, answers: GroupStatuses, process: MemberProcess
+) -> bool:
+    """Return whether the log of a member that left passed to one that answered.
+
+    The log of a leaving member is transferred to a new member at its address.
+    """
+    former = group.members.get(process.member_id)
+    if former is None or former.unlisted_since_s is None:
+        return False
+    return former.leaving_since_s is not None and any(
+        member is not former and _address(member) == _address(former)
+        for member in answers.members
+    )
+
+
+def _is_started_again(group: Group, process: MemberProcess) -> bool:
+    """Return whether another process is registered under the id of a witness."""
+    member = group.members.get(process.member_id)
+    return member is not None and member.record.process != process
+
+
+def _address(member: Member) -> tuple[str, int]:
+    return member.record.ip, member.record.port
--- a/mimosapond/groups/group.py
+++ b/mimosapond/groups/group.py
@@ -3,12 +3,15 @@
 import asyncio
 from typing import Final, final
 
+import attrs
 from loguru import logger
 
+from mimosapond.groups.group_record import GroupRecord
 from mimosapond.groups.lead import Lead
 from mimosapond.groups.leader_observations import LeaderObservations
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member import Member
+from mimosapond.groups.pending_confirmations import PendingConfirmations
 
 # Longest time that a failover takes if detection and promotion succeed at the
 # first attempt. Callers that arrive later are refused without waiting.
@@ -36,6 +39,9 @@
         # The last known primary and where it was first seen to lead. Its log may
         # be the only one that has all commits up to there.
         self.lead: Lead | None = None
+        # What the store had about the group when this host last read it.
+        self.record: GroupRecord | None = None
+        self.confirmations = PendingConfirmations()
         self.primary_confirmed_s = created_s
         self.primary_check_needed = asyncio.Event()
         self._primary: Member | None = None
@@ -126,6 +132,11 @@
         self.primary_confirmed_s = max(asked_s, self.primary_confirmed_s)
         self.observations.add(asked_s, position)
 
+    def withdraw_lead(self) -> None:
+        """Record that the recorded lead cannot begin any more."""
+        if self.record is not None:
+            self.record = attrs.evolve(self.record, is_withdrawn=True)
+
     def start_search(self, now_s: float) -> None:
         """Let requests wait for a primary, as this host only now seeks it."""
         if self._primary is None:
--- a/mimosapond/groups/member_status.py
+++ b/mimosapond/groups/member_status.py
@@ -25,6 +25,10 @@
     received: LogPosition
     paused_term: int
 
+    def leads_as(self, earlier: 'MemberStatus') -> bool:
+        """Return whether a primary still leads in the term it had before."""
+        return self.is_primary and self.term == earlier.term
+
     def has_log_of(self, primary: 'MemberStatus') -> bool:
         """Return whether a replica has the log that a primary reported before.
 
--- a/mimosapond/platform/store_claims.py
+++ b/mimosapond/platform/store_claims.py
@@ -3,9 +3,10 @@
 The version that the store assigns to the write of a claim is the fencing
 token. Versions come from a single counter of the store, so no token is used
 twice and each claim has a higher token than all earlier ones. The row also keeps
-the last lead of the group. It is written on the condition that the row is still
-at the version of the claim, so a host whose claim was followed by another one
-cannot write it.
+the record of the group: its last lead and its witnesses. A lead is written on the
+condition that the row is still at the version of the claim, so a host whose
+claim was followed by another one cannot write it. Witnesses are written on the
+condition that the row is unchanged since it was read without a claim.
 """
 
 import json
@@ -22,10 +23,13 @@
     ClaimOutcome,
     DutyTaken,
     DutyUnknown,
+    FoundRecord,
     LeadRecording,
     NoLead,
 )
+from mimosapond.groups.group_record import GroupRecord
 from mimosapond.groups.lead import Lead
+from mimosapond.groups.member_process import MemberProcess
 from mimosapond.json_decoding import UndecodableJson, decode_json_object
 from mimosapond.platform.store_client import StoreClient
 from mimosapond.platform.store_rows import (
@@ -52,6 +56,18 @@
     holder: str = ''
     claimed_ms: int = 0
     lead: Lead | None = None
+    is_withdrawn: bool = False
+    witnesses: tuple[MemberProcess, ...] | None = None
+
+    @property
+    def record(self) -> GroupRecord:
+        """What the claim keeps about the group."""
+        witnesses = self.witnesses
+        return GroupRecord(
+            self.lead,
+            self.is_withdrawn,
+            None if witnesses is None else frozenset(witnesses),
+        )
 
 
 @final
@@ -114,15 +130,18 @@
         holder = active_holder(row, found.now_ms)
         if holder not in {'', self._host}:
             return DutyTaken(holder)
-        lead = _decode_row(row).lead
-        self._written[group] = _StoredClaim(self._host, found.now_ms, lead)
+        self._written[group] = attrs.evolve(
+            _decode_row(row), holder=self._host, claimed_ms=found.now_ms
+        )
         return await self._write_claim(row, self._written[group], expires_s)
 
     async def record_lead(
         self, group: str, claim: DutyClaim, lead: Lead
     ) -> LeadRecording:
         """Record a lead in the row of the claim under which it begins."""
-        stored = attrs.evolve(self._written[group], lead=lead)
+        stored = attrs.evolve(
+            self._written[group], lead=lead, is_withdrawn=False
+        )
         written = await self._store.compare_and_set(
             _TABLE,
             StoredRow(group, _encode_claim(stored), claim.token),
@@ -136,6 +155,48 @@
             case Unavailable():
                 return LeadRecording.unknown
 
+    async def withdraw_lead(self, group: str, claim: DutyClaim) -> bool:
+        """Withdraw the lead of a claim that this host still holds."""
+        found = await self._read(group)
+        if isinstance(found, Unavailable):
+            return False
+        row = _find_row(found, group)
+        stored = _decode_row(row)
+        is_same_lead = (stored.lead or NoLead()) == claim.lead
+        if active_holder(row, found.now_ms) != self._host or not is_same_lead:
+            return False
+        return await self._replace(row, attrs.evolve(stored, is_withdrawn=True))
+
+    async def read_record(self, group: str) -> FoundRecord | None:
+        """Return the record in the row of the group's claim."""
+        found = await self._read(group)
+        if isinstance(found, Unavailable):
+            return None
+        row = _find_row(found, group)
+        return FoundRecord(
+            _decode_row(row).record,
+            row.version,
+            is_claimed=bool(active_holder(row, found.now_ms)),
+        )
+
+    async def record_witnesses(
+        self,
+        group: str,
+        found: FoundRecord,
+        witnesses: frozenset[MemberProcess],
+    ) -> bool:
+        """Replace the witnesses, if the row is as it was found."""
+        if found.is_claimed:
+            return False
+        stored = _StoredClaim(
+            lead=found.record.lead,
+            is_withdrawn=found.record.is_withdrawn,
+            witnesses=tuple(sorted(witnesses)),
+        )
+        return await self._replace(
+            StoredRow(group, None, found.version), stored
+        )
+
     async def release(self, group: str) -> None:
         """Release this host's claim, so that others need not await its expiry."""
         found = await self._read(group)
@@ -147,16 +208,21 @@
         row = _find_row(found, group)
         if active_holder(row, found.now_ms) != self._host:
             return
-        stored = _StoredClaim(lead=_decode_row(row).lead)
-        released = StoredRow(group, _encode_claim(stored), row.version)
-        written = await self._store.compare_and_set(
-            _TABLE, released, _CALL_TIMEOUT_S
-        )
-        if not isinstance(written, StoredRows):
-            logger.bind(group=group, reason=str(written)).warning(
+        released = attrs.evolve(_decode_row(row), holder='', claimed_ms=0)
+        if not await self._replace(row, released):
+            logger.bind(group=group, reason='not written').warning(
                 'duty_not_released'
             )
 
+    async def _replace(self, row: StoredRow, claim: _StoredClaim) -> bool:
+        """Return whether a row was replaced, as far as is known."""
+        written = await self._store.compare_and_set(
+            _TABLE,
+            StoredRow(row.key, _encode_claim(claim), row.version),
+            _CALL_TIMEOUT_S,
+        )
+        return isinstance(written, StoredRows)
+
     async def _read(self, row_key: str) -> StoredRows | Unavailable:
         return await self._store.read_row(_TABLE, row_key, _CALL_TIMEOUT_S)
 
@@ -170,7 +236,12 @@
         )
         match written:
             case StoredRows(version=version):
-                return DutyClaim(version, expires_s, claim.lead or NoLead())
+                return DutyClaim(
+                    version,
+                    expires_s,
+                    claim.lead or NoLead(),
+                    claim.record.witnesses,
+                )
             case ConditionFailed():
                 return DutyTaken('another host, at the same time')
             case Unavailable(reason=reason):
--- a/mimosapond/routing/commit_witnesses.py
+++ b/mimosapond/routing/commit_witnesses.py
@@ -4,7 +4,8 @@
 may be one that leaves with its log, or one that has just started and that the
 hosts elsewhere do not know, so that they do not pause it when they replace the
 primary. A commit is therefore acknowledged to its caller only after a replica
-that every change of primary has to pause was seen to have it: a witness.
+that every change of primary has to pause was seen to have it: a witness. The
+witnesses are processes in the record of the group (``groups/group_record``).
 
 The witnesses are asked for each commit. A witness that answers reads may be
 paused or cut off from the primary, so contact with it proves nothing. At first
@@ -25,10 +26,6 @@
     fetch_received,
 )
 
-# Time for which a replica has to be registered before it is a witness. A host
-# that promotes may have read the registrations up to 4 s before, and its change
-# of primary takes up to 3 s.
-WITNESS_AGE_S: Final = 7.0
 # Time after which a second witness is asked as well.
 _HEDGE_DELAY_S: Final = 0.02
 _ANSWER_TIMEOUT_S: Final = 0.3
@@ -64,7 +61,7 @@
     """Asks the witnesses of a group for the positions they received."""
 
     def __init__(self, now: Now) -> None:
-        """Use a clock for the deadlines and the ages of registrations."""
+        """Use a clock for the deadlines."""
         self._now = now
 
     async def confirm(
@@ -93,13 +90,24 @@
         """
         if not group.needs_replica:
             return True
+        with group.confirmations.confirming(self._now()):
+            return await self._await_proof(group, primary, position, deadline_s)
+
+    async def _await_proof(
+        self,
+        group: Group,
+        primary: Member,
+        position: LogPosition,
+        deadline_s: float,
+    ) -> bool:
+        """Ask the witnesses until one has a position or none can have it."""
         requests = _PositionRequests(position, self._now)
         delay_s = _RETRY_DELAY_S
         try:
             while self._now() < deadline_s:
                 await asyncio.sleep(delay_s)
                 delay_s = min(delay_s * 2, _MAX_RETRY_DELAY_S)
-                witnesses = self._witnesses(group, primary)
+                witnesses = find_witnesses(group, primary)
                 proof = await _ask_witnesses(requests, witnesses, position)
                 if proof is not _Proof.open:
                     return proof is _Proof.given
@@ -107,23 +115,6 @@
             requests.abandon()
         return False
 
-    def _witnesses(self, group: Group, primary: Member) -> list[Member]:
-        """Return the witnesses, those that answer soonest first."""
-        established_s = self._now() - WITNESS_AGE_S
-        return sorted(
-            (
-                member
-                for member in group.members.values()
-                if member is not primary
-                and member.accepts_new_work
-                and member.listed_since_s <= established_s
-            ),
-            key=lambda member: (
-                member.load.is_unreachable,
-                member.load.latency_s * (1 + member.load.in_flight_count),
-            ),
-        )
-
 
 @final
 class _PositionRequests:
@@ -173,6 +164,25 @@
         return await fetch_received(member, _ANSWER_TIMEOUT_S)
 
 
+def find_witnesses(group: Group, primary: Member) -> list[Member]:
+    """Return the members that may witness commits, the fastest first."""
+    record = group.record
+    return sorted(
+        (
+            member
+            for member in group.members.values()
+            if member is not primary
+            and member.accepts_new_work
+            and record is not None
+            and record.has_witness(member.record.process)
+        ),
+        key=lambda member: (
+            member.load.is_unreachable,
+            member.load.latency_s * (1 + member.load.in_flight_count),
+        ),
+    )
+
+
 async def _ask_witnesses(
     requests: _PositionRequests, witnesses: list[Member], position: LogPosition
 ) -> _Proof:
