Resume replicas only after accepted promotion calls took effect

A host that ends the change of another one raises the fence with a call that names the present primary, and let the replicas receive again at once. The fence stops later calls; one that the platform had accepted before takes effect some hundred milliseconds after it. Commits that the primary acknowledged meanwhile through the resumed replicas were not in the log of the member that was promoted then.

The host now waits 1.5 s after the fence was raised, and resumes only if the same primary still leads in the same term. Without the wait, 2 of 3 examples of "replicas are resumed after accepted promotion calls took effect" fail.

--- a/features/witness_roster.feature
+++ b/features/witness_roster.feature
@@ -100,3 +100,39 @@
     And member p has started again without its log
     When a host replaces the lost primary
     Then the promoted member is b
+
+  # Guards against commits that the primary acknowledges through resumed replicas
+  # after its replacement was accepted, and before it leads (LOST): the fence stops
+  # later calls only.
+  Scenario Outline: replicas are resumed after accepted promotion calls took effect
+    Given a group whose primary is p
+    And members a and b are paused
+    And an accepted call lets b lead <effect_ms> ms after the fence was raised
+    When a host replaces the stalled primary
+    Then member a is <state>
+    And the lead was <lead>
+
+    Examples:
+      | effect_ms | state  | lead          |
+      | 300       | paused | not withdrawn |
+      | 1200      | paused | not withdrawn |
+      | 5000      | resumed | withdrawn    |
+
+  # Guards against a hand-over beside a change that another host left behind, whose
+  # call may still be carried out (LOST).
+  Scenario: a leaving primary does not hand over while replicas are paused
+    Given a group whose primary is p
+    And members a and b are paused
+    When the leaving primary hands over
+    Then the promotion calls name p
+    And no member is paused
+
+  # Guards against two members that lead in turn: of equal logs, that of a call which
+  # may have been accepted is promoted again.
+  Scenario: the member of a recorded lead is preferred
+    Given a group whose primary is p
+    And the last recorded lead is that of a, from 1.10 in a term after 1
+    And the host saw member p lead
+    And the members p are silent
+    When a host replaces the lost primary
+    Then the promoted member is a
--- a/mimosapond/failover/change_steps.py
+++ b/mimosapond/failover/change_steps.py
@@ -1,5 +1,6 @@
 """Steps that every change of a group's primary has in common."""
 
+import asyncio
 from collections.abc import Iterable
 from typing import Final, final
 
@@ -10,6 +11,7 @@
 from mimosapond.failover.control_requests import (
     CONTROL_TIMEOUT_S,
     MemberReport,
+    fetch_status,
     resume_all,
 )
 from mimosapond.failover.group_statuses import GroupStatuses, newest_term
@@ -19,6 +21,9 @@
 from mimosapond.groups.group import Group
 from mimosapond.groups.member import Member
 
+# Time after which a promotion call that the platform has accepted has taken
+# effect.
+PROMOTION_EFFECT_S: Final = 1.5
 # Covers borrowing a connection, the status request and the resume request.
 _RESUME_TIMEOUT_S: Final = 3 * CONTROL_TIMEOUT_S
 
@@ -90,7 +95,9 @@
         A promotion call that timed out may still take effect, and another host
         may have paused the replicas under a reserved token. A promotion call
         that names the current primary changes nothing, but its higher token
-        makes the platform refuse all calls with lower tokens. If no primary is known, the replicas stay paused
+        makes the platform refuse all calls with lower tokens. One that it has
+        accepted before takes effect all the same, so the primary has to lead
+        after that as well. If no primary is known, the replicas stay paused
         until a host finds that writes are stalled and resumes them.
         """
         primary = paused.primary
@@ -100,6 +107,10 @@
         result = await self._call_promotion(group, primary, claim)
         if result is not PromotionResult.leads:
             return
+        await asyncio.sleep(PROMOTION_EFFECT_S)
+        status = await fetch_status(primary.member)
+        if status is None or not status.leads_as(primary.status):
+            return
         if await self._claims.withdraw_lead(group.name, claim):
             group.withdraw_lead()
         await self._resume(group, claim, paused.replicas)
