Withdraw a change that was left behind before a hand-over

A hand-over beside replicas that another host had left paused chose a successor and let it receive, while the call of that host could still promote another one, which lacks what the successor witnessed. The change is withdrawn first.

Of members with equal logs, the one of the last recorded lead is promoted again: a call for it that was accepted may let it lead for a moment all the same.

--- a/mimosapond/failover/group_statuses.py
+++ b/mimosapond/failover/group_statuses.py
@@ -112,7 +112,8 @@
             return None
         if not self.includes_all_replicas(deposed, recorded):
             return None
-        return self.most_advanced(deposed, leads)
+        preferred_id = recorded.member_id if isinstance(recorded, Lead) else ''
+        return self.most_advanced(deposed, leads, preferred_id)
 
     def newest_term(self, recorded: LeadRecord) -> int:
         """Return the newest term that may have begun.
--- a/mimosapond/failover/hand_over.py
+++ b/mimosapond/failover/hand_over.py
@@ -60,6 +60,11 @@
             )
             return False
         replicas = await self._survey.ask_replicas(group, leaving)
+        if replicas.has_paused_member:
+            # A call of another change may still take effect.
+            replicas.add(MemberReport(leaving, status))
+            await self._steps.withdraw_change(group, replicas)
+            return False
         successor = choose_successor(replicas)
         if successor is None:
             return False
