Count the answer of a witness only if its process is known

A replica that starts again forgets that it is paused, and receives from a primary that a pending promotion is about to replace. Its answers do not say which process gives them, and a host that reads the new registration up to two seconds later counted them as those of the recorded witness. After a connection to a member was lost, the answers on a new one count only once another one from before still answers, or the registration was read 0.5 s or more after the new one was opened.

With the check taken out, the example "reconnected" of features/commit_witnesses.feature acknowledges the commit.

--- a/features/commit_witnesses.feature
+++ b/features/commit_witnesses.feature
@@ -20,6 +20,7 @@
       | leaving            | behind  | write                | unknown |
       | not recorded       | behind  | write                | unknown |
       | started again      | behind  | write                | unknown |
+      | reconnected        | behind  | write                | unknown |
       | unlisted           | behind  | write                | unknown |
       | leaving            | behind  | begin, write, commit | unknown |
       | up to date         | behind  | begin, write, commit | success |
--- a/features/steps/commit_witnesses_steps.py
+++ b/features/steps/commit_witnesses_steps.py
@@ -15,6 +15,7 @@
 from mimosapond.boot_clock import boot_time_s
 from mimosapond.groups.group_record import GroupRecord
 from mimosapond.groups.log_position import LogPosition
+from mimosapond.groups.member import Member
 from mimosapond.groups.member_process import MemberProcess
 
 _MS_PER_S: Final = 1000
@@ -65,14 +66,14 @@
             fake.received = _COMMITTED
         case ['in', 'a', 'newer', 'term']:
             fake.position = _FIRST_OF_NEWER_TERM
-        case ['leaving']:
-            member.record = attrs.evolve(member.record, is_leaving=True)
-        case ['unlisted']:
-            member.unlisted_since_s = boot_time_s()
+        case ['leaving' | 'unlisted' as listing]:
+            _set_listing(member, listing)
         case ['not', 'recorded']:
             _withdraw_witness(context, member.record.process)
         case ['started', 'again']:
             member.record = attrs.evolve(member.record, born_ms=_BORN_AGAIN_MS)
+        case ['reconnected']:
+            member.load.record_lost_connection()
         case ['late', 'by', delay_ms, _]:
             fake.position = LogPosition(1, 10)
             context.loop.call_later(
@@ -84,6 +85,13 @@
             )
 
 
+def _set_listing(member: Member, listing: str) -> None:
+    if listing == 'leaving':
+        member.record = attrs.evolve(member.record, is_leaving=True)
+    else:
+        member.unlisted_since_s = boot_time_s()
+
+
 def _withdraw_witness(context: Any, process: MemberProcess) -> None:
     """Take a process out of the record, as if it had joined just before."""
     group = context.world.group
--- a/features/steps/witness_roster_steps.py
+++ b/features/steps/witness_roster_steps.py
@@ -14,6 +14,7 @@
 from mimosapond.groups.lead import Lead
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member_process import MemberProcess
+from mimosapond.groups.process_identity import ProcessIdentity
 from mimosapond.routing.commit_witnesses import find_witnesses
 
 _MS_PER_S: Final = 1000
@@ -195,6 +196,27 @@
     assert is_withdrawn == (state == 'withdrawn')
 
 
+@given('a process whose registration was read at {read_s:g} s')
+def confirm_process(context: Any, read_s: float) -> None:
+    """Note when the process was last read."""
+    context.identity = ProcessIdentity()
+    context.identity.confirmed_s = read_s
+
+
+@given('a connection to it was lost at {lost_s} s')
+def lose_connection(context: Any, lost_s: str) -> None:
+    """Record the loss of a connection, if there was one."""
+    if lost_s != 'never':
+        context.identity.record_loss(float(lost_s))
+
+
+@then('answers on a connection opened at {opened_s:g} s are {certainty}')
+def check_certainty(context: Any, opened_s: float, certainty: str) -> None:
+    """Check whether an answer counts for the process."""
+    is_certain = context.identity.is_certain(opened_s)
+    assert is_certain == (certainty == 'its own')
+
+
 def _lead_next_term(fakes: dict[str, FakeMember], name: str) -> None:
     """Let a replica lead with what it has received."""
     for fake in fakes.values():
--- a/features/witness_roster.feature
+++ b/features/witness_roster.feature
@@ -136,3 +136,18 @@
     And the members p are silent
     When a host replaces the lost primary
     Then the promoted member is a
+
+  # Guards against commits that are acknowledged by a process which started again
+  # and so forgot its pause, before this host reads that it did (LOST).
+  Scenario Outline: answers count for the process that registered
+    Given a process whose registration was read at <read_s> s
+    And a connection to it was lost at <lost_s> s
+    Then answers on a connection opened at <opened_s> s are <certainty>
+
+    Examples:
+      | read_s | lost_s | opened_s | certainty  |
+      | 1      | never  | 2        | its own    |
+      | 1      | 3      | 2        | its own    |
+      | 1      | 3      | 4        | in doubt   |
+      | 4.2    | 3      | 4        | in doubt   |
+      | 4.6    | 3      | 4        | its own    |
--- a/mimosapond/groups/connection_dialing.py
+++ b/mimosapond/groups/connection_dialing.py
@@ -104,6 +104,7 @@
                 return DialRefused()
             case LinkLost(reason=reason):
                 self._load.is_unreachable = True
+                self._load.record_lost_connection()
                 logger.bind(member=self._record.member_id, reason=reason).debug(
                     'member_connection_failed'
                 )
@@ -112,7 +113,10 @@
                 self._load.record_contact(None)
                 self._pace.record_success()
                 return PooledConnection(
-                    outcome, self._load, workspace=workspace
+                    outcome,
+                    self._load,
+                    opened_s=self._load.last_contact_s,
+                    workspace=workspace,
                 )
 
     def _record_refusal(self, kind: RejectionKind) -> None:
--- a/mimosapond/groups/connection_lease.py
+++ b/mimosapond/groups/connection_lease.py
@@ -48,6 +48,10 @@
         """Workspace that the connection was opened for; empty without one."""
         return self._require_connection().workspace
 
+    def leads_to_known_process(self) -> bool:
+        """Return whether the registered process gave the last answer."""
+        return self._require_connection().leads_to_known_process()
+
     @property
     def session_values(self) -> dict[str, str]:
         """Session values that the member holds for the connection."""
--- a/mimosapond/groups/connection_pool.py
+++ b/mimosapond/groups/connection_pool.py
@@ -212,6 +212,8 @@
         waiter = self._waiters.first(connection.workspace)
         may_keep = self._idle.may_keep(is_awaited=waiter is not None)
         is_kept = may_keep and not self._is_closed
+        if not connection.link.is_open:
+            self._load.record_lost_connection()
         if not is_kept or connection.has_unfinished_work():
             connection.link.close()
         if not connection.link.is_open:
--- a/mimosapond/groups/group_directory.py
+++ b/mimosapond/groups/group_directory.py
@@ -191,6 +191,7 @@
         self.update_pool_limits()
         self.is_current = True
         self.read_s = self._now() if read_s is None else read_s
+        self._confirm_processes(registered)
         self.first_read_s = min(self.first_read_s, self.read_s)
         self.read_count += 1
         self.on_read()
@@ -242,6 +243,13 @@
         member.record = _with_known_start(record, member.record)
         member.unlisted_since_s = None
 
+    def _confirm_processes(self, registered: set[str]) -> None:
+        """Note when each member was last read with its present process."""
+        for group in self.groups.values():
+            for member in group.members.values():
+                if member.member_id in registered:
+                    member.load.identity.confirmed_s = self.read_s
+
     def _record_listing(self, registered: set[str]) -> None:
         """Note since when this host knows each member to be registered."""
         self._listed_since_s = {
--- a/mimosapond/groups/idle_connections.py
+++ b/mimosapond/groups/idle_connections.py
@@ -187,6 +187,7 @@
     def _close_broken(self) -> None:
         for connection in tuple(self._connections):
             if not connection.link.is_open:
+                connection.load.record_lost_connection()
                 self._close(connection)
 
     def _close(self, connection: PooledConnection) -> None:
--- a/mimosapond/groups/member_load.py
+++ b/mimosapond/groups/member_load.py
@@ -15,6 +15,7 @@
     Rejected,
     RejectionKind,
 )
+from mimosapond.groups.process_identity import ProcessIdentity
 
 _INITIAL_LATENCY_S: Final = 0.015
 # Weight of a new sample in the smoothed latency.
@@ -58,6 +59,7 @@
         self.position: LogPosition | None = None
         self.term = 0
         self.last_contact_s = -math.inf
+        self.identity = ProcessIdentity()
         # Whether an attempt to connect has failed since the last contact.
         self.is_unreachable = False
         self.avoid_until_s: float = 0
@@ -131,6 +133,10 @@
             self.position = position
             self.term = max(self.term, position.term)
 
+    def record_lost_connection(self) -> None:
+        """Record that a connection ended or could not be opened."""
+        self.identity.record_loss(self._now())
+
     def _record_lag(self) -> None:
         """Pause reads of later positions; refusals at one time count once."""
         if self._now() < self._lags_until_s:
--- a/mimosapond/groups/pooled_connection.py
+++ b/mimosapond/groups/pooled_connection.py
@@ -26,6 +26,8 @@
         Names of the statements that are prepared on this connection.
     idle_since_s
         Time of its last return to the pool by a borrower of its workspace.
+    opened_s
+        Time at which it was opened.
     workspace
         Workspace that it was opened for, whose statements alone it may carry;
         empty without one.
@@ -36,6 +38,7 @@
     session_values: dict[str, str] = attrs.field(factory=dict)
     prepared_names: dict[Shape, str] = attrs.field(factory=dict)
     idle_since_s: float = 0
+    opened_s: float = 0
     workspace: str = ''
 
     async def ask(
@@ -50,6 +53,10 @@
         self.load.record(request, answer)
         return answer
 
+    def leads_to_known_process(self) -> bool:
+        """Return whether the registered process gave the last answer."""
+        return self.load.identity.is_certain(self.opened_s)
+
     def has_unfinished_work(self) -> bool:
         """Return whether it is open but not idle, and log it if so."""
         link = self.link
--- a/mimosapond/routing/member_position_request.py
+++ b/mimosapond/routing/member_position_request.py
@@ -39,21 +39,33 @@
 
 
 async def fetch_received(member: Member, limit_s: float) -> LogPosition | None:
-    """Return the position that a member has received, applied or not.
+    """Return the position that a process has received, applied or not.
 
     Parameters
     ----------
     limit_s
         As for ``fetch_member_status``.
+
+    Returns
+    -------
+    LogPosition | None
+        None without an answer, or if another process may have given it.
     """
-    status = await fetch_member_status(member, limit_s)
-    return None if status is None else status.received
+    async with _borrowed(member, limit_s) as connection:
+        if connection is None:
+            return None
+        answer = await connection.link.status(limit_s)
+        is_known = connection.leads_to_known_process()
+    if not isinstance(answer, MemberStatus):
+        return None
+    member.load.record_contact(answer.received)
+    return answer.received if is_known else None
 
 
 async def fetch_applied(
     member: Member, position: LogPosition, limit_s: float
 ) -> LogPosition | None:
-    """Return the position that a member has applied; None without an answer.
+    """Return the position that a process has applied.
 
     An empty read-only transaction asks for it, which takes no slot.
 
@@ -63,14 +75,20 @@
         The position in question; the transaction begins only from there on.
     limit_s
         Limit for a connection to become free, and again for each answer.
+
+    Returns
+    -------
+    LogPosition | None
+        None without an answer, or if another process may have given it.
     """
     async with _borrowed(member, limit_s) as connection:
         if connection is None:
             return None
         applied = await _begin_from(connection, position, limit_s)
+        is_known = connection.leads_to_known_process()
     if applied is not None:
         member.load.record_contact(applied)
-    return applied
+    return applied if is_known else None
 
 
 @contextlib.asynccontextmanager
