Refuse a write at once if no replica could witness it

While the replicas leave or are not recorded as witnesses yet, a write was sent to the primary, waited until its deadline for a witness and ended as unknown. It is refused before it is sent now, so that its caller can repeat it. Before the change, the three examples of the new scenario end as unknown.

--- a/features/commit_witnesses.feature
+++ b/features/commit_witnesses.feature
@@ -27,6 +27,22 @@
       | behind             | behind  | begin, read, commit  | success |
       | late by 50 ms      | behind  | write                | success |
 
+  # Guards against a write whose outcome is unknown though it was known before that
+  # no replica could keep it.
+  Scenario Outline: a write that nobody could witness is refused before it runs
+    Given a session on a group whose primary is p
+    And its members acknowledge a commit once a replica has it
+    And the commits of p reach replica a, which is <a>, and replica b, which is <b>
+    When the caller sends write
+    Then the last reply is not_run
+    And no member ran a write
+
+    Examples:
+      | a            | b             |
+      | leaving      | leaving       |
+      | not recorded | unlisted      |
+      | leaving      | started again |
+
   # Guards against acknowledged commits that were rolled back: a replica in a newer
   # term has those up to where that term began, whatever its position (review/6).
   Scenario Outline: a commit of a former term is not confirmed by a newer term
--- a/mimosapond/routing/commit_witnesses.py
+++ b/mimosapond/routing/commit_witnesses.py
@@ -64,6 +64,10 @@
         """Use a clock for the deadlines."""
         self._now = now
 
+    def may_confirm(self, group: Group, primary: Member) -> bool:
+        """Return whether any replica could witness a commit now."""
+        return not group.needs_replica or bool(find_witnesses(group, primary))
+
     async def confirm(
         self,
         group: Group,
--- a/mimosapond/routing/failures.py
+++ b/mimosapond/routing/failures.py
@@ -25,6 +25,11 @@
     'no connection to a member became free in time; '
     f'retry after {RETRY_AFTER_MS} ms',
 )
+NO_WITNESS: Final = Failure(
+    FailureKind.not_run,
+    'no replica is known that would keep the write; '
+    f'retry after {RETRY_AFTER_MS} ms',
+)
 NO_FRESH_MEMBER: Final = Failure(
     FailureKind.not_run,
     'the log position that the read requires is unknown; '
--- a/mimosapond/routing/write_router.py
+++ b/mimosapond/routing/write_router.py
@@ -112,6 +112,9 @@
             case RelayPath(relay=relay):
                 return self._relay_outcome(work, await relay.write(work))
             case LocalPath(member=member, admitted=admitted):
+                if not self._witnesses.may_confirm(work.group, member):
+                    admitted.release()
+                    return failures.NO_WITNESS, None
                 return await self._run_at_member(work, member, admitted)
 
     async def _run_at_member(
