Do not take a primary for the witness of its own commits

While a commit of the former object was confirmed, the new one counted as another member, was asked as a witness and had the commit, since it made it.

Members are told apart by their ids.

Without the change the new scenario fails: the write succeeds although no replica has it.

--- a/features/commit_witnesses.feature
+++ b/features/commit_witnesses.feature
@@ -113,6 +113,17 @@
       | behind        | up to date | not used |
       | late to apply | behind     | used     |
 
+  # Guards against a primary that vouches for its own commit: found at another
+  # address, it is another object than the one that made the commit.
+  Scenario: a primary that is found again is no witness of its own commits
+    Given a session on a group whose primary is p
+    And its members acknowledge a commit once a replica has it
+    And its statements may take 1500 ms
+    And the commits of p reach replica a, which is behind, and replica b, which is behind
+    And p is found at another address 50 ms later
+    When the caller sends write
+    Then the last reply is unknown
+
   # Guards against writes that fail where members acknowledge without a replica.
   Scenario: a group without synchronous replicas needs no witness
     Given a session on a group whose primary is p
--- a/features/steps/commit_witnesses_steps.py
+++ b/features/steps/commit_witnesses_steps.py
@@ -8,6 +8,7 @@
 
 from features.group_builders import (
     build_configuration,
+    build_record,
     build_route,
     parse_position,
 )
@@ -98,6 +99,21 @@
     group.record = GroupRecord(witnesses=group.record.witnesses - {process})
 
 
+@given('p is found at another address {delay_ms:d} ms later')
+def move_primary(context: Any, delay_ms: int) -> None:
+    """Apply a registration of p with another port during a statement."""
+    records = [
+        build_record('p', reports_primary=True, port=2),
+        build_record('a'),
+        build_record('b'),
+    ]
+    context.loop.call_later(
+        delay_ms / _MS_PER_S,
+        context.world.directory.apply_registrations,
+        records,
+    )
+
+
 @given('the registrations were read {age_s:d} s ago and cannot be read now')
 def age_registrations(context: Any, age_s: int) -> None:
     """Let the registry be silent since the last read."""
--- a/mimosapond/failover/witness_roster.py
+++ b/mimosapond/failover/witness_roster.py
@@ -126,7 +126,7 @@
         replicas = [
             member
             for member in group.members.values()
-            if member is not primary
+            if member.member_id != primary.member_id
             and member.record.process in witnesses | following
         ]
         reports = tuple((await fetch_all_statuses(replicas)).values())
--- a/mimosapond/routing/commit_witnesses.py
+++ b/mimosapond/routing/commit_witnesses.py
@@ -175,7 +175,7 @@
         (
             member
             for member in group.members.values()
-            if member is not primary
+            if member.member_id != primary.member_id
             and member.accepts_new_work
             and record is not None
             and record.has_witness(member.record.process)
