Do not wait for witnesses that have ended, nor promote behind a recorded lead

A member that had crashed came back under another id at its address. The record kept it for 10 s more, so that a leaving primary could not hand over and left with its log. Later all that had the log were gone, and an empty member was promoted.

A process whose address a later one of the group has taken has ended, like one whose id is registered with another start. A leaving primary hands over without the witnesses that have ended, since it has all that they had. A lost primary that has drained, or whose successor answers, is not waited for. A member that lacks the begin of the recorded lead is never promoted: that is for an operator to decide.

--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -311,7 +311,7 @@
       | leaving_s | listing            | recorded  | answers        | promoted |
       | 14        | unlisted for 6 s   | still     | answers        | none     |
       | 24        | unlisted for 19 s  | still     | answers        | none     |
-      | 26        | unlisted for 21 s  | still     | answers        | b        |
+      | 26        | unlisted for 21 s  | still     | answers        | none     |
 
   Scenario Outline: the successor of a member that left is waited for
     # Guards against lost commits (LOST in the live test, seed 5): the successor
--- a/features/steps/witness_roster_steps.py
+++ b/features/steps/witness_roster_steps.py
@@ -6,7 +6,11 @@
 import attrs
 from behave import given, then, when
 
-from features.group_builders import build_record, build_world
+from features.group_builders import (
+    build_record,
+    build_world,
+    record_all_witnesses,
+)
 from features.group_fakes import FakeMember
 from mimosapond.boot_clock import boot_time_s
 from mimosapond.failover.claim_port import FoundRecord
@@ -103,15 +107,35 @@
 @given('member a has left')
 def leave(context: Any) -> None:
     """Remove the registration of a, which had announced that it leaves."""
+    leave_earlier(context, 0)
+
+
+@given('member a has left {left_s:d} s ago')
+def leave_earlier(context: Any, left_s: int) -> None:
+    """Remove the registration of a some time ago."""
     world = context.world
     world.fakes['a'].is_silent = True
     member = world.group.members['a']
-    member.leaving_since_s = boot_time_s() - _LEAVING_AGE_S
-    member.unlisted_since_s = boot_time_s()
+    member.unlisted_since_s = boot_time_s() - left_s
+    member.leaving_since_s = member.unlisted_since_s - _LEAVING_AGE_S
     world.registrations.names.remove('a')
     _prepare(context)
 
 
+@given('member a has crashed, and d took its address')
+def replace(context: Any) -> None:
+    """Let d start at the address of a, whose registration has not lapsed yet."""
+    world = context.world
+    world.fakes['a'].born_ms = 1
+    _register(context)
+    record_all_witnesses(world.directory)
+    world.fakes['a'].is_silent = True
+    world.fakes['d'] = FakeMember('d', born_ms=_BORN_AGAIN_MS)
+    world.registrations.names.append('d')
+    _register(context)
+    _prepare(context)
+
+
 @given('member a has been unlisted for {unlisted_s:d} s')
 def unlist(context: Any, unlisted_s: int) -> None:
     """Remove the registration of a, which may come back."""
--- a/features/witness_roster.feature
+++ b/features/witness_roster.feature
@@ -60,6 +60,8 @@
       | 1.11 | started again with its log        | a*,b,p    |
       | 1.12 | been unlisted for 1 s             | unchanged |
       | 1.12 | lapsed before this host started   | unchanged |
+      | 1.12 | crashed, and d took its address   | b,p       |
+      | 1.11 | crashed, and d took its address   | unchanged |
 
   # Guards against a group that never acknowledges a commit.
   Scenario Outline: the first witnesses are recorded at once
@@ -127,6 +129,39 @@
     Then the promotion calls name p
     And no member is paused
 
+  # Guards against a primary that leaves with its log while a hand-over waits for a
+  # witness that has ended (review/7, seed 4): the primary has what both had.
+  Scenario Outline: a hand-over does not wait for a witness that has ended
+    Given a group whose primary is p
+    And member a has <end>
+    When the leaving primary hands over
+    Then the promoted member is <promoted>
+
+    Examples:
+      | end                             | promoted |
+      | left 6 s ago                    | b        |
+      | crashed, and d took its address | d        |
+      | lapsed before this host started | none     |
+
+  # Guards against an empty member that is promoted because all that have the log
+  # are gone (LOST 55, review/7, seed 4): only an operator can decide that.
+  Scenario Outline: a member without the begin of the recorded lead is not promoted
+    Given a group whose primary is p
+    And the last recorded lead is that of p, from 1.10 in a term after 1
+    And the host saw member p lead
+    And member a has received up to <a>
+    And member b has received up to 0.0
+    And the members p are silent
+    And member p is absent for 30 s
+    When a host replaces the lost primary
+    Then the promoted member is <promoted>
+
+    Examples:
+      | a    | promoted |
+      | 0.0  | none     |
+      | 1.9  | none     |
+      | 1.10 | a        |
+
   # Guards against two members that lead in turn: of equal logs, that of a call which
   # may have been accepted is promoted again.
   Scenario: the member of a recorded lead is preferred
--- a/mimosapond/failover/group_membership.py
+++ b/mimosapond/failover/group_membership.py
@@ -19,6 +19,7 @@
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.lead import Lead
 from mimosapond.groups.member import Member
+from mimosapond.groups.member_process import MemberProcess
 from mimosapond.groups.registration_poller import RegistrationPoller
 
 # Time limit for reading the registrations. A change proceeds without them if
@@ -69,9 +70,24 @@
         self._registrations = registrations
         self._now = now
 
-    def has_left(self, member: Member) -> bool:
-        """Return whether a member has left for good, as far as is known."""
-        return self._departure_detector.has_left(member)
+    def has_left(self, group: Group, member: Member) -> bool:
+        """Return whether a member has left for good, as far as is known.
+
+        One whose address another member has taken does not run any more.
+        """
+        return (
+            self._departure_detector.has_left(member)
+            or group.successor_of(member) is not None
+        )
+
+    def has_ended(self, group: Group, process: MemberProcess) -> bool:
+        """Return whether a process has ended for good, as far as is known."""
+        member = group.members.get(process.member_id)
+        if member is None:
+            absence_s = self.absence_s(group, process.member_id)
+            return absence_s > UNLISTED_SILENCE_TIMEOUT_S
+        is_other = member.record.process != process
+        return is_other or self.has_left(group, member)
 
     def absence_s(self, group: Group, member_id: str) -> float:
         """Return for how long a member has not been registered."""
@@ -82,7 +98,7 @@
         return tuple(
             member
             for member in group.members.values()
-            if not self._departure_detector.has_left(member)
+            if not self.has_left(group, member)
         )
 
     async def refresh(self) -> None:
@@ -116,14 +132,17 @@
     ) -> tuple[Lead, ...]:
         """Return the leads whose begin a promoted member has to have.
 
-        These are the last one that this host saw and the last one that was
-        recorded. Once its member is lost for good, there is nothing to wait for.
+        These are the last one that was recorded, and the last one that this
+        host saw until its member is lost for good. A member that lacks the begin
+        of a recorded lead lacks acknowledged commits, so it is not promoted even
+        if nobody is left who has them.
         """
+        is_lost = group.lead is None or self._directory.has_forgotten(
+            group, group.lead.member_id
+        )
+        seen = None if is_lost else group.lead
         return tuple(
-            lead
-            for lead in (group.lead, recorded)
-            if isinstance(lead, Lead)
-            and not self._directory.has_forgotten(group, lead.member_id)
+            lead for lead in (seen, recorded) if isinstance(lead, Lead)
         )
 
     def _is_vacancy_certain(self, group: Group) -> bool:
--- a/mimosapond/failover/witness_check.py
+++ b/mimosapond/failover/witness_check.py
@@ -42,8 +42,9 @@
         """Return whether the answers include those of all witnesses needed.
 
         The primary need not be among them, as it witnesses no commits of its
-        own. Another witness that is missing is waited for as long as the primary
-        may come back with what both had.
+        own. Another witness that is missing may have ended: the primary has what
+        both had. So a leaving primary, which has all of it, can hand over, and a
+        lost one is waited for unless it cannot come back with its log.
 
         Parameters
         ----------
@@ -55,49 +56,48 @@
             The last recorded lead.
         """
         primary_id = _lost_primary_id(group, answers, recorded)
-        unpaused_processes = {member.record.process for member in unpaused}
+        answered = {
+            member.record.process for member in (*answers.members, *unpaused)
+        }
         missing = [
             process
-            for process in (witnesses or frozenset()) - unpaused_processes
+            for process in (witnesses or frozenset()) - answered
             if process.member_id != primary_id
-            and not self._is_covered(group, answers, process)
+            and not _has_successor(group, answers, process)
         ]
-        if not missing:
-            return True
-        is_restarted = all(
-            _is_started_again(group, process) for process in missing
-        )
-        return is_restarted and self._is_log_lost(group, answers, primary_id)
-
-    def _is_covered(
-        self, group: Group, answers: GroupStatuses, process: MemberProcess
-    ) -> bool:
-        """Return whether a witness answered, or nothing can be had from it."""
-        has_answered = any(
-            member.record.process == process for member in answers.members
-        )
+        if not all(
+            self._membership.has_ended(group, process) for process in missing
+        ):
+            return False
         return (
-            has_answered
-            or _has_successor(group, answers, process)
-            or self._is_lost(group, process.member_id)
+            not missing
+            or bool(unpaused)
+            or self._is_log_lost(group, answers, primary_id)
         )
 
-    def _is_lost(self, group: Group, member_id: str) -> bool:
-        """Return whether nobody waits for a member any more."""
-        return self._membership.absence_s(group, member_id) > _LOST_AFTER_S
-
     def _is_log_lost(
         self, group: Group, answers: GroupStatuses, primary_id: str
     ) -> bool:
         """Return whether the log of the lost primary cannot come back.
 
         A primary that crashed comes back as a primary. One that answers and
-        does not lead has started again without its log.
+        does not lead has started again without its log. One that has left took
+        its log with it, or passed it to a successor.
         """
-        has_answered = any(
-            member.member_id == primary_id for member in answers.members
+        primary = group.members.get(primary_id)
+        if primary is None:
+            return self._membership.absence_s(group, primary_id) > _LOST_AFTER_S
+        successor = group.successor_of(primary)
+        has_drained = (
+            primary.leaving_since_s is not None
+            and self._membership.has_left(group, primary)
+        )
+        return (
+            primary in answers.members
+            or successor in answers.members
+            or has_drained
+            or self._membership.absence_s(group, primary_id) > _LOST_AFTER_S
         )
-        return has_answered or self._is_lost(group, primary_id)
 
 
 def _lost_primary_id(
@@ -132,11 +132,5 @@
     )
 
 
-def _is_started_again(group: Group, process: MemberProcess) -> bool:
-    """Return whether another process is registered under the id of a witness."""
-    member = group.members.get(process.member_id)
-    return member is not None and member.record.process != process
-
-
 def _address(member: Member) -> tuple[str, int]:
     return member.record.ip, member.record.port
--- a/mimosapond/failover/witness_roster.py
+++ b/mimosapond/failover/witness_roster.py
@@ -20,7 +20,6 @@
     fetch_all_statuses,
     fetch_status,
 )
-from mimosapond.failover.departure_detector import UNLISTED_SILENCE_TIMEOUT_S
 from mimosapond.failover.group_membership import GroupMembership
 from mimosapond.groups.group import Group
 from mimosapond.groups.member import Member
@@ -171,24 +170,17 @@
             if member.accepts_new_work
             and (member.member_id in known_ids or self._is_known(member))
         )
-        gone = {each for each in witnesses if self._is_gone(group, each)}
-        return (witnesses | joining) - gone
+        ended = {
+            each
+            for each in witnesses
+            if self._membership.has_ended(group, each)
+        }
+        return (witnesses | joining) - ended
 
     def _is_known(self, member: Member) -> bool:
         """Return whether every host that changes the primary knows a member."""
         return self._now() - member.listed_since_s >= MIN_LISTED_S
 
-    def _is_gone(self, group: Group, process: MemberProcess) -> bool:
-        """Return whether a process has ended for good."""
-        member = group.members.get(process.member_id)
-        if member is None:
-            absence_s = self._membership.absence_s(group, process.member_id)
-            return absence_s > UNLISTED_SILENCE_TIMEOUT_S
-        if member.record.process != process:
-            return True
-        is_unlisted = member.unlisted_since_s is not None
-        return is_unlisted and self._membership.has_left(member)
-
 
 def _is_undisturbed(
     reports: tuple[MemberReport, ...],
--- a/mimosapond/groups/group.py
+++ b/mimosapond/groups/group.py
@@ -58,6 +58,18 @@
         """Id of the member that was last seen to lead; empty without one."""
         return self._last_primary_id
 
+    def successor_of(self, former: Member) -> Member | None:
+        """Return a member that started later at the address of another one."""
+        return next(
+            (
+                member
+                for member in self.members.values()
+                if member is not former
+                and member.record.replaces(former.record)
+            ),
+            None,
+        )
+
     @property
     def is_majority_unreachable(self) -> bool:
         """Whether more than half of the registered members are unreachable."""
--- a/mimosapond/groups/member_record.py
+++ b/mimosapond/groups/member_record.py
@@ -42,6 +42,13 @@
     warm_up_left_ms: float | None = None
     born_ms: int | None = None
 
+    def replaces(self, former: 'MemberRecord') -> bool:
+        """Return whether it started later at the address of another member."""
+        if None in {self.born_ms, former.born_ms}:
+            return False
+        is_same_place = (self.ip, self.port) == (former.ip, former.port)
+        return is_same_place and self.process.born_ms > former.process.born_ms
+
     @property
     def process(self) -> MemberProcess:
         """The process that registered."""
