Log the start of each member's process

The registration's field born is read (MemberRecord.born_ms, MemberProcess). member_found has it, and member_started_again is written when the registration of a known member names another start.

--- a/mimosapond/groups/group_directory.py
+++ b/mimosapond/groups/group_directory.py
@@ -16,6 +16,7 @@
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_admission import MemberAdmission
 from mimosapond.groups.member_load import MemberLoad
+from mimosapond.groups.member_log import log_new_start
 from mimosapond.groups.member_port import MemberDialer
 from mimosapond.groups.member_record import MemberRecord
 
@@ -204,6 +205,7 @@
             return
         group = self.get_or_create(record.group)
         member = group.members.get(record.member_id)
+        log_new_start(member, record)
         if member is not None and _has_moved(member, record):
             group.suspect_primary(member, 'the member has another address')
             member.close()
@@ -214,6 +216,7 @@
                 group=record.group,
                 member=record.member_id,
                 is_leaving=record.is_leaving,
+                born_ms=record.born_ms,
             ).info('member_found')
             return
         if record.is_leaving and not member.record.is_leaving:
--- a/mimosapond/groups/member_record.py
+++ b/mimosapond/groups/member_record.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from mimosapond.groups.member_process import UNKNOWN_START_MS, MemberProcess
+
 
 @final
 @attrs.frozen
@@ -13,8 +15,8 @@
     Parameters
     ----------
     member_id
-        Id of one incarnation of a member. A restart gives a new id, while the
-        address may be used again.
+        Id of a member. Its address may be used again by another one, and it
+        may itself start again under its id.
     is_leaving
         Whether the member will shut down soon. It still serves for a short
         time and gets no new work.
@@ -25,6 +27,8 @@
     warm_up_left_ms
         How much longer it said that it will be slow after its start; None if
         it is unknown.
+    born_ms
+        Start of its process in Unix milliseconds; None if it is unknown.
     """
 
     member_id: str
@@ -36,3 +40,9 @@
     reports_primary: bool
     slot_count: int | None = None
     warm_up_left_ms: float | None = None
+    born_ms: int | None = None
+
+    @property
+    def process(self) -> MemberProcess:
+        """The process that registered."""
+        return MemberProcess(self.member_id, self.born_ms or UNKNOWN_START_MS)
--- a/mimosapond/platform/registration_codec.py
+++ b/mimosapond/platform/registration_codec.py
@@ -52,6 +52,7 @@
         reports_primary=entry.get('db_role') == 'primary',
         slot_count=_slot_count(entry.get('slots')),
         warm_up_left_ms=_warm_up_left_ms(entry.get('cold_left_ms')),
+        born_ms=_born_ms(entry.get('born')),
     )
 
 
@@ -67,6 +68,12 @@
     return field if is_number and 0 <= field <= _MAX_WARM_UP_MS else None
 
 
+def _born_ms(field: Any) -> int | None:
+    """Return the start of a process; None if it is absent or odd."""
+    is_number = isinstance(field, int) and not isinstance(field, bool)
+    return field if is_number and field > 0 else None
+
+
 def _is_name(text: str) -> bool:
     """Return whether a text can be a field of a line to a member."""
     is_word = text.isprintable() and ' ' not in text
