Log the last acknowledged commits at a change of primary

CommitWitnesses names the process that has a commit. Each group keeps the last 64 acknowledged commits with position, primary, witness and time in memory, and writes them in one line, acknowledged_before_change, when it finds another primary. A line for each commit would cost as much as an answer's line.

--- a/features/steps/change_log_steps.py
+++ b/features/steps/change_log_steps.py
@@ -1,13 +1,18 @@
 """Steps of change_log.feature."""
 
+import re
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, Final
 
 import attrs
-from behave import given, step, then
+from behave import given, step, then, when
 from loguru import logger
 
 from features.group_builders import build_record
+from mimosapond.boot_clock import boot_time_s
+from mimosapond.groups.log_position import LogPosition
+
+_FIRST_OF_NEXT_TERM: Final = LogPosition(2, 101)
 
 
 @given('log lines are recorded')
@@ -18,6 +23,14 @@
     context.add_cleanup(logger.remove, sink)
 
 
+@given('member p started at {p_ms:d} and member a at {a_ms:d}')
+def set_starts(context: Any, p_ms: int, a_ms: int) -> None:
+    """Set the starts of the processes."""
+    for name, born_ms in (('p', p_ms), ('a', a_ms)):
+        member = context.world.group.members[name]
+        member.record = attrs.evolve(member.record, born_ms=born_ms)
+
+
 @step('the registration of a has start {born}')
 def register(context: Any, born: str) -> None:
     """Apply a registration of a, beside those of the others."""
@@ -28,6 +41,46 @@
     )
 
 
+@when('this host acknowledges {count:d} commits of p without a replica')
+def acknowledge(context: Any, count: int) -> None:
+    """Record commits from 1.1 on."""
+    group = context.world.group
+    process = group.members['p'].record.process
+    for number in range(1, count + 1):
+        group.acknowledgements.add(LogPosition(1, number), process, None)
+
+
+@when('this host finds that {name} leads')
+def find_primary(context: Any, name: str) -> None:
+    """Confirm another primary."""
+    group = context.world.group
+    group.confirm_primary(
+        group.members[name], boot_time_s(), _FIRST_OF_NEXT_TERM
+    )
+
+
+@then('the line {event} has {fields}')
+def check_line(context: Any, event: str, fields: str) -> None:
+    """Compare fields of the only line of an event."""
+    lines = _lines(context, event)
+    assert len(lines) == 1, context.records
+    context.line = lines[0]
+    for field in fields.split(' and '):
+        name, _, expected = field.partition(' ')
+        assert str(context.line[name]) == expected, context.line
+
+
+@then('its commits went {path} at {positions}')
+def check_commits(context: Any, path: str, positions: str) -> None:
+    """Compare the first and the last position that a process witnessed."""
+    assert list(context.line['commits']) == [path], context.line
+    entries = context.line['commits'][path]
+    assert all(re.fullmatch(r'\d+\.\d+ \d+', each) for each in entries), entries
+    first, _, last = positions.partition(' to ')
+    assert entries[0].split(' ')[0] == first, entries
+    assert entries[-1].split(' ')[0] == (last or first), entries
+
+
 @then('there {verb} {count} {noun} {event}')
 def check_count(
     context: Any, verb: str, count: str, noun: str, event: str
--- a/mimosapond/groups/group.py
+++ b/mimosapond/groups/group.py
@@ -5,6 +5,8 @@
 
 from loguru import logger
 
+from mimosapond.boot_clock import boot_time_s
+from mimosapond.groups.acknowledgement_record import AcknowledgementRecord
 from mimosapond.groups.lead import Lead
 from mimosapond.groups.leader_observations import LeaderObservations
 from mimosapond.groups.log_position import LogPosition
@@ -33,6 +35,7 @@
         self.needs_replica = False
         self.members: dict[str, Member] = {}
         self.observations = LeaderObservations()
+        self.acknowledgements = AcknowledgementRecord(boot_time_s)
         # The last known primary and where it was first seen to lead. Its log may
         # be the only one that has all commits up to there.
         self.lead: Lead | None = None
@@ -98,6 +101,7 @@
             # previous primary. No member would ever reach their positions.
             self.observations.clear()
             self.lead = Lead(member.member_id, position, position.term)
+            self.acknowledgements.log_before_change(self.name, member.member_id)
         self.primary_confirmed_s = max(asked_s, self.primary_confirmed_s)
         self.observations.add(asked_s, position)
         self._last_primary_id = member.member_id
@@ -122,6 +126,7 @@
         if is_new:
             self.observations.clear()
             self.lead = Lead(member_id, position, position.term)
+            self.acknowledgements.log_before_change(self.name, member_id)
         self._last_primary_id = member_id
         self.primary_confirmed_s = max(asked_s, self.primary_confirmed_s)
         self.observations.add(asked_s, position)
--- a/mimosapond/routing/commit_witnesses.py
+++ b/mimosapond/routing/commit_witnesses.py
@@ -16,10 +16,13 @@
 import enum
 from typing import Final, final
 
+import attrs
+
 from mimosapond.boot_clock import Now
 from mimosapond.groups.group import Group
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member import Member
+from mimosapond.groups.member_process import MemberProcess
 from mimosapond.routing.member_position_request import (
     fetch_applied,
     fetch_received,
@@ -41,20 +44,17 @@
 
 
 @final
-class _Proof(enum.Enum):
-    """Whether witnesses prove that a commit survives.
+class _NoProof(enum.Enum):
+    """Why no witness proves that a commit survives.
 
     Attributes
     ----------
-    given
-        A witness has the commit.
     open
         No witness that answered has it yet.
     impossible
         A newer term began, and no witness that answered has the commit.
     """
 
-    given = 'given'
     open = 'open'
     impossible = 'impossible'
 
@@ -92,6 +92,7 @@
             if a newer term began without a proof that it has the position.
         """
         if not group.needs_replica:
+            group.acknowledgements.add(position, primary.record.process, None)
             return True
         requests = _PositionRequests(position, self._now)
         delay_s = _RETRY_DELAY_S
@@ -101,8 +102,12 @@
                 delay_s = min(delay_s * 2, _MAX_RETRY_DELAY_S)
                 witnesses = self._witnesses(group, primary)
                 proof = await _ask_witnesses(requests, witnesses, position)
-                if proof is not _Proof.open:
-                    return proof is _Proof.given
+                if isinstance(proof, MemberProcess):
+                    leader = primary.record.process
+                    group.acknowledgements.add(position, leader, proof)
+                    return True
+                if proof is _NoProof.impossible:
+                    return False
         finally:
             requests.abandon()
         return False
@@ -125,6 +130,15 @@
         )
 
 
+@final
+@attrs.frozen
+class _Report:
+    """A position that a process of a member reported."""
+
+    process: MemberProcess
+    position: LogPosition
+
+
 @final
 class _PositionRequests:
     """Requests of the positions of witnesses, one at a time for each."""
@@ -133,9 +147,9 @@
         self._position = position
         self._now = now
         self._asks_applied_until_s = now() + _APPLY_TIME_S
-        self._pending: dict[str, asyncio.Task[LogPosition | None]] = {}
+        self._pending: dict[str, asyncio.Task[_Report | None]] = {}
 
-    async def ask(self, member: Member) -> list[LogPosition]:
+    async def ask(self, member: Member) -> list[_Report]:
         """Ask a member, and return what has been answered by it or others.
 
         A member that has not answered an earlier request is not asked again.
@@ -165,7 +179,12 @@
         for task in self._pending.values():
             task.add_done_callback(_ignore_result)
 
-    async def _fetch(self, member: Member) -> LogPosition | None:
+    async def _fetch(self, member: Member) -> _Report | None:
+        process = member.record.process
+        position = await self._fetch_position(member)
+        return None if position is None else _Report(process, position)
+
+    async def _fetch_position(self, member: Member) -> LogPosition | None:
         if self._now() < self._asks_applied_until_s:
             return await fetch_applied(
                 member, self._position, _ANSWER_TIMEOUT_S
@@ -175,19 +194,26 @@
 
 async def _ask_witnesses(
     requests: _PositionRequests, witnesses: list[Member], position: LogPosition
-) -> _Proof:
-    """Ask the witnesses one after another until one has a position."""
-    received: list[LogPosition] = []
+) -> MemberProcess | _NoProof:
+    """Ask the witnesses one after another until one has a position.
+
+    Returns
+    -------
+    MemberProcess or _NoProof
+        The process that has it.
+    """
+    reports: list[_Report] = []
     for member in witnesses:
-        received += await requests.ask(member)
-        if any(each.includes(position) for each in received):
-            return _Proof.given
-    if any(each.term > position.term for each in received):
-        return _Proof.impossible
-    return _Proof.open
+        reports += await requests.ask(member)
+        for report in reports:
+            if report.position.includes(position):
+                return report.process
+    if any(each.position.term > position.term for each in reports):
+        return _NoProof.impossible
+    return _NoProof.open
 
 
-def _ignore_result(task: asyncio.Task[LogPosition | None]) -> None:
+def _ignore_result(task: asyncio.Task[_Report | None]) -> None:
     """Retrieve an error, so that it is not reported as unhandled."""
     if not task.cancelled():
         task.exception()
