Log who is paused, and when a promotion is called and acts

A member known to be unreachable, whose answer is not awaited, had no line at all.

replicas_paused and replicas_resumed name each member, its position or why it did not answer, once for each change. promotion_called is written before the call, as the host may end before the answer; promotion has the duration of the call, promotion_effect the time until the member was seen to lead. change_aborted has the result of the call that fences off older ones. All have the token. The promotion port, the requests and their order are unchanged.

--- a/features/change_log.feature
+++ b/features/change_log.feature
@@ -25,6 +25,50 @@
     And the line acknowledged_before_change has member a and count 64
     And its commits went p@0>none at 1.37 to 1.100
 
+  Scenario Outline: a pause names the members that did not answer, and why
+    Given a group whose primary is p
+    And <cause>
+    And log lines are recorded
+    When a host replaces the lost primary
+    Then the line replicas_paused has token 7
+    And it says for p: <text>
+    And it says for a: 1.10
+
+    Examples:
+      | cause                                | text                           |
+      | the members p are silent             | refused                        |
+      | member p accepts no more connections | no connection .* \(reachable\) |
+      | p is known to be unreachable         | unreachable before, .*         |
+
+  Scenario: the lines of a change have its token, in the order of its steps
+    Given a group whose primary is p
+    And the members p are silent
+    And log lines are recorded
+    When a host replaces the lost primary
+    Then the lines with token 7 are replicas_paused, promotion_called, promotion, promotion_effect, replicas_resumed
+    And the line promotion_effect has member b and leads True
+    And the line replicas_resumed has token 7
+    And it says for a: 1.10
+
+  # Guards against a call that takes effect late and is in no log, as its host did
+  # not live to see the answer.
+  Scenario: a promotion without an answer is logged when it is called
+    Given a group whose primary is p
+    And the members p are silent
+    And the platform does not answer promotions
+    And log lines are recorded
+    When a host replaces the lost primary
+    Then there are 4 lines promotion_called
+    And there is no line promotion_effect
+
+  Scenario: an aborted change names the primary that fences off older calls
+    Given a group whose primary is p
+    And member p does not answer control request 1
+    And log lines are recorded
+    When a host replaces the lost primary
+    Then the line change_aborted has primary p and fence leads
+    And the line replicas_resumed has token 7
+
   Scenario Outline: a member that starts again under its id is logged
     Given a group whose primary is p
     And the registration of a has start <before>
--- a/features/steps/change_log_steps.py
+++ b/features/steps/change_log_steps.py
@@ -41,6 +41,15 @@
     )
 
 
+@given('p is known to be unreachable')
+def time_out(context: Any) -> None:
+    """Let connections to p fail, later than the answer is awaited."""
+    world = context.world
+    world.fakes['p'].is_silent = True
+    world.fakes['p'].connect_delay_s = 0.3
+    world.group.members['p'].load.is_unreachable = True
+
+
 @when('this host acknowledges {count:d} commits of p without a replica')
 def acknowledge(context: Any, count: int) -> None:
     """Record commits from 1.1 on."""
@@ -81,6 +90,26 @@
     assert entries[-1].split(' ')[0] == (last or first), entries
 
 
+@then('it says for {name}: {pattern}')
+def check_text(context: Any, name: str, pattern: str) -> None:
+    """Match the text on a member with a regular expression."""
+    texts: dict[str, str] = {}
+    for each in context.line.values():
+        texts.update(each if isinstance(each, Mapping) else {})
+    assert re.fullmatch(pattern, texts[f'{name}@0']), texts
+
+
+@then('the lines with token {token:d} are {events}')
+def check_order(context: Any, token: int, events: str) -> None:
+    """Compare the events of a change in their order."""
+    found = [
+        record['message']
+        for record in context.records
+        if record['extra'].get('token') == token
+    ]
+    assert ', '.join(found) == events, found
+
+
 @then('there {verb} {count} {noun} {event}')
 def check_count(
     context: Any, verb: str, count: str, noun: str, event: str
--- a/mimosapond/failover/control_requests.py
+++ b/mimosapond/failover/control_requests.py
@@ -1,12 +1,17 @@
 """Control requests to members: status, pause, resume and step down."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from typing import Final, TypeAlias, final
 
 import attrs
 from loguru import logger
 
+from mimosapond.failover.control_log import (
+    ControlAnswer,
+    log_pause,
+    log_resume,
+)
 from mimosapond.failover.member_fanout import gather_answers
 from mimosapond.groups.no_connection import NoConnection
 from mimosapond.groups.member import Member
@@ -43,17 +48,8 @@
         The status after the request, or None if no connection was free, or
         if the member gave no answer, rejected the request or stayed busy.
     """
-    for _ in range(_BUSY_ATTEMPT_COUNT):
-        answer = await _send_once(member, call)
-        if isinstance(answer, MemberStatus):
-            return answer
-        if not _is_busy(answer):
-            logger.bind(member=member.member_id, answer=str(answer)).warning(
-                'member_control_failed'
-            )
-            return None
-        await asyncio.sleep(_BUSY_RETRY_DELAY_S)
-    return None
+    answer = await _send_until_carried_out(member, call)
+    return answer if isinstance(answer, MemberStatus) else None
 
 
 async def fetch_status(member: Member) -> MemberStatus | None:
@@ -92,9 +88,12 @@
         The members that answered, by member id. A primary answers too, but
         does not pause.
     """
-    return await _send_to_all(
-        members, lambda connection: connection.pause(term, CONTROL_TIMEOUT_S)
+    asked = tuple(members)
+    answers = await _send_to_all(
+        asked, lambda connection: connection.pause(term, CONTROL_TIMEOUT_S)
     )
+    log_pause(term, asked, answers)
+    return _reports(answers)
 
 
 async def resume_all(
@@ -113,31 +112,39 @@
         claim of this host expires. A request that is carried out after that
         could end the pause of the next holder.
     """
-    await _send_to_all(
-        members,
+    asked = tuple(members)
+    answers = await _send_to_all(
+        asked,
         lambda connection: _resume(connection, term, claim_covers_request),
     )
+    log_resume(term, asked, answers)
 
 
 async def fetch_all_statuses(
     members: Iterable[Member],
 ) -> dict[str, MemberReport]:
     """Return the reports of the members that answer, by member id."""
-    return await _send_to_all(
+    answers = await _send_to_all(
         members, lambda connection: connection.status(CONTROL_TIMEOUT_S)
     )
+    return _reports(answers)
 
 
 async def _send_to_all(
     members: Iterable[Member], call: _ControlCall
-) -> dict[str, MemberReport]:
-    answers = await gather_answers(
-        members, lambda member: send_control_request(member, call)
+) -> dict[Member, ControlAnswer]:
+    return await gather_answers(
+        members, lambda member: _send_until_carried_out(member, call)
     )
+
+
+def _reports(
+    answers: Mapping[Member, ControlAnswer],
+) -> dict[str, MemberReport]:
     return {
-        member.member_id: MemberReport(member, status)
-        for member, status in answers.items()
-        if status is not None
+        member.member_id: MemberReport(member, answer)
+        for member, answer in answers.items()
+        if isinstance(answer, MemberStatus)
     }
 
 
@@ -154,9 +161,24 @@
     return await connection.resume(CONTROL_TIMEOUT_S)
 
 
-async def _send_once(
+async def _send_until_carried_out(
     member: Member, call: _ControlCall
-) -> StatusAnswer | NoConnection:
+) -> ControlAnswer:
+    """Return the last answer; a member that is busy is asked again."""
+    answer = await _send_once(member, call)
+    for _ in range(_BUSY_ATTEMPT_COUNT - 1):
+        if not _is_busy(answer):
+            break
+        await asyncio.sleep(_BUSY_RETRY_DELAY_S)
+        answer = await _send_once(member, call)
+    if not (isinstance(answer, MemberStatus) or _is_busy(answer)):
+        logger.bind(member=member.member_id, answer=str(answer)).warning(
+            'member_control_failed'
+        )
+    return answer
+
+
+async def _send_once(member: Member, call: _ControlCall) -> ControlAnswer:
     connection = await member.pool.borrow(_CONTROL_PRIORITY, CONTROL_TIMEOUT_S)
     if isinstance(connection, NoConnection):
         return connection
@@ -170,5 +192,5 @@
     return answer
 
 
-def _is_busy(answer: StatusAnswer | NoConnection) -> bool:
+def _is_busy(answer: ControlAnswer) -> bool:
     return isinstance(answer, Rejected) and answer.kind is RejectionKind.busy
--- a/mimosapond/failover/failover_coordinator.py
+++ b/mimosapond/failover/failover_coordinator.py
@@ -30,6 +30,7 @@
     PromotionResult,
 )
 from mimosapond.failover.promotion_log import (
+    log_aborted_change,
     log_promotion_proof,
     log_unsafe_promotion,
 )
@@ -230,9 +231,11 @@
         stalled and resumes them.
         """
         if paused.primary is None:
+            log_aborted_change(group, claim.token, None, 'not_called')
             await self._turns.release(group.name)
             return
         result = await self._call_promotion(group, paused.primary, claim)
+        log_aborted_change(group, claim.token, paused.primary, result.value)
         if result is PromotionResult.leads:
             await self._resume(group, claim, paused.replicas)
 
--- a/mimosapond/failover/promoter.py
+++ b/mimosapond/failover/promoter.py
@@ -9,6 +9,7 @@
 from mimosapond.boot_clock import Now
 from mimosapond.failover.claim_port import DutyClaim
 from mimosapond.failover.control_requests import MemberReport
+from mimosapond.failover.promotion_call_log import PromotionCallLog
 from mimosapond.failover.promotion_port import Promoted, PromotionPort
 from mimosapond.failover.promotion_port import PromotionRefused
 from mimosapond.groups.group import Group
@@ -74,6 +75,7 @@
             Claim of this host; its token fences the calls.
         """
         result = PromotionResult.not_called
+        log = PromotionCallLog(group, candidate, claim.token, self._now)
         for _ in range(_ATTEMPT_COUNT):
             if self._now() >= claim.expires_s:
                 logger.bind(group=group.name, token=claim.token).warning(
@@ -81,21 +83,18 @@
                 )
                 return result
             result = PromotionResult.unknown
+            log.log_call()
             outcome = await self._port.promote(
                 group.name,
                 candidate.member.member_id,
                 claim.token,
                 _CALL_TIMEOUT_S,
             )
-            logger.bind(
-                group=group.name,
-                member=candidate.member.member_id,
-                at=str(candidate.status.received),
-                token=claim.token,
-                outcome=str(outcome),
-            ).info('promotion')
+            log.log_answer(outcome)
             if isinstance(outcome, Promoted):
-                return await self._await_leadership(group, candidate.member)
+                result = await self._await_leadership(group, candidate.member)
+                log.log_effect(leads=result is PromotionResult.leads)
+                return result
             if isinstance(outcome, PromotionRefused):
                 return PromotionResult.refused
         return result
--- a/mimosapond/failover/promotion_log.py
+++ b/mimosapond/failover/promotion_log.py
@@ -22,6 +22,29 @@
     ).info('promotion_proof')
 
 
+def log_aborted_change(
+    group: Group, token: int, fenced: MemberReport | None, outcome: str
+) -> None:
+    """Log that a change is given up, and whether late calls are fenced off.
+
+    Parameters
+    ----------
+    token
+        Fencing token of the change.
+    fenced
+        The primary that a call under the token named, so that the platform
+        refuses older calls; None if no primary is known.
+    outcome
+        Result of that call.
+    """
+    logger.bind(
+        group=group.name,
+        token=token,
+        primary=fenced.member.member_id if fenced else '',
+        fence=outcome,
+    ).warning('change_aborted')
+
+
 def log_unsafe_promotion(group: Group, answers: GroupStatuses) -> None:
     """Log who is silent in a group whose primary is not replaced now."""
     primary = answers.primary
