--- a/mimosapond/failover/change_steps.py
+++ b/mimosapond/failover/change_steps.py
@@ -17,6 +17,7 @@
 from mimosapond.failover.group_statuses import GroupStatuses, newest_term
 from mimosapond.failover.lead_recorder import LeadRecorder
 from mimosapond.failover.promoter import Promoter, PromotionResult
+from mimosapond.failover.promotion_log import log_aborted_change
 from mimosapond.failover.promotion_turns import PromotionTurns
 from mimosapond.groups.group import Group
 from mimosapond.groups.member import Member
@@ -102,9 +103,11 @@
         """
         primary = paused.primary
         if primary is None:
+            log_aborted_change(group, claim.token, None, 'not_called')
             await self._turns.release(group.name)
             return
         result = await self._call_promotion(group, primary, claim)
+        log_aborted_change(group, claim.token, primary, result.value)
         if result is not PromotionResult.leads:
             return
         await asyncio.sleep(PROMOTION_EFFECT_S)
--- a/mimosapond/groups/group_directory.py
+++ b/mimosapond/groups/group_directory.py
@@ -18,6 +18,7 @@
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_admission import MemberAdmission
 from mimosapond.groups.member_load import MemberLoad
+from mimosapond.groups.member_log import log_new_start
 from mimosapond.groups.member_port import MemberDialer
 from mimosapond.groups.member_record import MemberRecord
 
@@ -218,6 +219,7 @@
             return
         group = self.get_or_create(record.group)
         member = group.members.get(record.member_id)
+        log_new_start(member, record)
         if member is not None and _is_other_process(member, record):
             group.suspect_primary(member, 'the member is another process')
             member.close()
@@ -228,6 +230,7 @@
                 group=record.group,
                 member=record.member_id,
                 is_leaving=record.is_leaving,
+                born_ms=record.born_ms,
             ).info('member_found')
             return
         if record.is_leaving and not member.record.is_leaving:
