Let stand-in members be replaced, lose their logs and be promoted late

Members of a stand-in group were replaced only by a successor at the same address, after they had left. Replicas always kept their logs, no other program held connections, and late calls were carried out after 2 s.

- `replace`: a new member with a new id and address starts and receives first; the old one then drains and leaves with its log.
- `lose_log`: a replica starts again without its log, term and pause.
- `occupied`: other programs hold connections of a member.
- A fault of the promotion call has its own delay, and the holder, the token and the time of a call are recorded with the time of its effect.
- A promotion records each acknowledged commit that the new log lacks, with the replicas that received it and the members that still have it.
Before, a commit was reported only if another member's log was rolled back.

--- a/features/database_group.feature
+++ b/features/database_group.feature
@@ -235,6 +235,59 @@
     When the fault "crash" is set at "m3" for 600 s
     Then the store eventually holds "m3" as "nothing"
 
+  # Guards against a stand-in whose new members start only after the old ones
+  # have left: a host that does not know a member that receives loses commits.
+  Scenario: a member that replaces another one receives before the other leaves
+    Given a database group
+    When caller "a" sends "s1.t0.1 WRITE a b" to "m1"
+    And "m2" is replaced after 1 s and drains for 1 s
+    Then the store eventually holds "g1-b-new1" as "g1 b ready replica"
+    And member "g1-b-new1" eventually reports "replica 1 1.1 *"
+    And member "m2" eventually reports "replica 1 1.1 *"
+    And the store eventually holds "m2" as "g1 b draining replica"
+    And the store eventually holds "m2" as "nothing"
+    And the members are eventually "m1 m3 g1-b-new1"
+
+  # Guards against a restarted member that keeps its pause, or that keeps a log
+  # which a member without its disk does not have.
+  Scenario Outline: a replica that starts again keeps its log or forgets it
+    Given a database group
+    When caller "a" sends "s1.t0.1 WRITE a b" to "m1"
+    And caller "b" sends "- PAUSE 2" to "m2"
+    And the fault "<primary>" is set at "m1"
+    And the fault "<fault>" is set at "m2" for 0 s
+    Then member "m2" eventually reports "<status>"
+
+    Examples:
+      | primary | fault    | status          |
+      | crash   | crash    | replica 1 1.1 0 * |
+      | crash   | lose_log | replica 1 1.0 0 * |
+      | deaf    | lose_log | replica 1 1.1 0 * |
+
+  # Guards against members that always have a free connection: hosts would never
+  # be refused one, as they are where all connections are in use.
+  Scenario Outline: connections of other programs count against the limit
+    Given a database group with "max_connections" 4
+    When <count> connections of "m1" are occupied
+    And caller "a" starts with "g1 me m1" at "m1"
+    Then caller "a" gets "<answer>"
+
+    Examples:
+      | count | answer             |
+      | 3     | READY I 1.0        |
+      | 4     | ERROR CONNLIMIT *  |
+
+  # Guards against a lost commit that is reported without the promotion that
+  # lost it, and against one that only a lost log has and that goes unnoticed.
+  Scenario: a promotion names the acknowledged commits that it loses
+    Given a database group
+    When the fault "deaf" is set at "m2"
+    And caller "a" sends "s1.t0.1 WRITE a b" to "m1"
+    And the fault "crash" is set at "m1"
+    And the fault "lose_log" is set at "m3"
+    And "m2" is promoted
+    Then the promotion of "m2" lost "1.1 s1.t0.1", received by "m3" and held by "m1"
+
   # Guards against checks that miss a broken rule or report one that was
   # followed: the results of the live test would prove nothing.
   Scenario Outline: broken rules are recorded
--- a/features/database_group_builders.py
+++ b/features/database_group_builders.py
@@ -38,14 +38,19 @@
     options
         Other fields of ``GroupSettings``.
     """
-    ports = [int(each.split(':')[1]) for each in (control, *free_addresses(3))]
+    ports = [int(each.split(':')[1]) for each in (control, *free_addresses(4))]
     places = tuple(
         MemberEndpoint(f'm{number}', port, data_centre)
         for number, port, data_centre in zip(
-            (1, 2, 3), ports[1:], 'abc', strict=True
+            (1, 2, 3), ports[1:4], 'abc', strict=True
         )
     )
-    defaults = {'promote_ms': 20, 'heartbeat_ms': 100, 'seed': 5}
+    defaults = {
+        'spare_ports': (ports[4],),
+        'promote_ms': 20,
+        'heartbeat_ms': 100,
+        'seed': 5,
+    }
     return GroupSettings(
         _GROUP, ports[0], store, places, **{**defaults, **options}
     )
--- a/features/steps/database_group_steps.py
+++ b/features/steps/database_group_steps.py
@@ -183,6 +183,22 @@
     context.rig.run(context.rig.call('/fault', for_s=for_s, **call))
 
 
+@when('"{member}" is replaced after {overlap_s:d} s and drains for {for_s:d} s')
+def replace_by_new(
+    context: Any, member: str, overlap_s: int, for_s: int
+) -> None:
+    """Start a new member at another address, then drain the old one."""
+    call = {'kind': 'replace', 'member_id': member, 'overlap_s': overlap_s}
+    context.rig.run(context.rig.call('/fault', for_s=for_s, **call))
+
+
+@when('{count:d} connections of "{member}" are occupied')
+def occupy(context: Any, count: int, member: str) -> None:
+    """Let other programs hold connections of a member."""
+    call = {'kind': 'occupied', 'member_id': member, 'ratio': count}
+    context.rig.run(context.rig.call('/fault', **call))
+
+
 @when('"{member}" is promoted')
 def promote(context: Any, member: str) -> None:
     """Promote a member and keep the response."""
@@ -266,6 +282,36 @@
     )
 
 
+@then('the members are eventually "{expected}"')
+def await_members(context: Any, expected: str) -> None:
+    """Wait until the group has these members."""
+    _await_report(
+        context,
+        lambda report: (
+            [each['member_id'] for each in report['members']]
+            == expected.split()
+        ),
+    )
+
+
+@then(
+    'the promotion of "{member}" lost "{commit}", received by "{receiver}" '
+    'and held by "{holder}"'
+)
+def check_lost(
+    context: Any, member: str, commit: str, receiver: str, holder: str
+) -> None:
+    """Compare the only promotion and the only commit that it lost."""
+    report = context.rig.run(context.rig.call('/report'))
+    promotion = report['promotions'][0]
+    lost = promotion['lost'][0]
+    assert promotion['call']['member_id'] == member, promotion
+    found = ' '.join((lost['position'], *lost['request_ids']))
+    assert (found, lost['primary_id']) == (commit, 'm1'), lost
+    assert receiver in lost['receiver_ids'], lost
+    assert lost['holder_ids'] == [holder], lost
+
+
 @then('the store eventually holds "{member}" as "{expected}"')
 def await_row(context: Any, member: str, expected: str) -> None:
     """Wait until the registration of the member matches."""
--- a/standins/database_group/control_handlers.py
+++ b/standins/database_group/control_handlers.py
@@ -8,6 +8,7 @@
 from mimosapond.codec import decode
 from standins.database_group.database_group import DatabaseGroup
 from standins.database_group.fault_call import FaultCall
+from standins.database_group.promotion_call import PromotionCall
 
 _BAD_REQUEST: Final = 400
 _CONFLICT: Final = 409
@@ -20,18 +21,18 @@
 
 
 class PromoteHandler(_GroupHandler):
-    """``POST /promote``: promote a member to primary."""
+    """``POST /promote``: promote a member; the body is a ``PromotionCall``."""
 
     async def post(self) -> None:
         """Promote a member and respond with its term once it is primary.
 
         The response is 409 if the member does not exist or does not run.
         """
-        member_id = json.loads(self.request.body)['member_id']
-        term = await self.group.promotion.promote(member_id)
+        call = decode(PromotionCall, json.loads(self.request.body))
+        term = await self.group.promotion.promote(call)
         if term is None:
             self.set_status(_CONFLICT)
-            self.write({'problem': f'{member_id} is not running'})
+            self.write({'problem': f'{call.member_id} is not running'})
         else:
             self.write({'term': term})
 
--- a/standins/database_group/database_group.py
+++ b/standins/database_group/database_group.py
@@ -6,15 +6,14 @@
 import attrs
 
 from standins.database_group.fault_call import FaultCall
-from standins.database_group.fault_injector import FaultInjector
 from standins.database_group.group_member import GroupMember
-from standins.database_group.group_settings import GroupSettings
-from standins.database_group.member_listener import MemberListener
+from standins.database_group.group_settings import GroupSettings, MemberEndpoint
+from standins.database_group.log_entry import LogEntry
 from standins.database_group.member_log import position_text
+from standins.database_group.member_process import MemberProcess
+from standins.database_group.member_replacer import MemberReplacer
 from standins.database_group.promotion import Promotion
-from standins.database_group.registrar import Registrar
 from standins.database_group.receipt_log import ReceiptLog
-from standins.database_group.replication import Replication
 from standins.database_group.rule_checks import RuleChecks
 from standins.database_group.stuck_transaction_monitor import (
     STUCK_TIMEOUT_S,
@@ -38,51 +37,40 @@
         """
         self.checks: Final = RuleChecks()
         self.receipts: Final = ReceiptLog(settings.drain_ms)
-        members = tuple(
-            GroupMember(place, settings, self.checks, self.receipts)
-            for place in settings.members
+        self._settings = settings
+        self._acknowledged: list[LogEntry] = []
+        self.members: Final[list[GroupMember]] = []
+        self._processes: list[MemberProcess] = []
+        for place in settings.members:
+            self._add(place)
+        self.members[0].is_primary = True
+        self.promotion: Final = Promotion(self.members, self._acknowledged)
+        self._replacer = MemberReplacer(
+            settings.group, settings.spare_ports, self._add, self._remove
         )
-        members[0].is_primary = True
-        self.members: Final = members
-        self.promotion: Final = Promotion(members)
-        self._listeners = [MemberListener(member) for member in members]
-        registrars = [Registrar(member) for member in members]
-        self._injectors = [
-            FaultInjector(*arguments)
-            for arguments in zip(
-                members, self._listeners, registrars, strict=True
-            )
-        ]
-        self._background_jobs: list[
-            StuckTransactionMonitor | Replication | Registrar
-        ] = [
-            StuckTransactionMonitor(members, stuck_timeout_s),
-            *(Replication(member, members) for member in members),
-            *registrars,
-        ]
+        self._monitor = StuckTransactionMonitor(self.members, stuck_timeout_s)
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Open the ports, and start replication and registration."""
-        for listener in self._listeners:
-            await listener.start()
-        self._tasks = [
-            asyncio.create_task(job.run()) for job in self._background_jobs
-        ]
+        for process in self._processes:
+            await process.start()
+        self._tasks = [asyncio.create_task(self._monitor.run())]
 
     def stop(self) -> None:
         """Cancel all tasks and close all ports."""
+        self._replacer.stop()
         for task in self._tasks:
             task.cancel()
-        for listener in self._listeners:
-            listener.stop()
+        for process in self._processes:
+            process.stop()
 
     def inject_fault(self, call: FaultCall) -> bool:
         """Start a fault; return False if its kind or member is unknown."""
         outcomes = [
-            injector.inject_fault(call)
-            for injector in self._injectors
-            if call.member_id in {None, injector.member_id}
+            self._inject(process, call)
+            for process in self._processes
+            if call.member_id in {None, process.member.member_id}
         ]
         return bool(outcomes) and all(outcomes)
 
@@ -115,7 +103,37 @@
                 for write in entry.writes
             ],
             'members': [
-                {'member_id': member.member_id, 'status': member.status}
+                {
+                    'member_id': member.member_id,
+                    'status': member.status,
+                    'port': member.endpoint.port,
+                }
                 for member in self.members
             ],
+            'promotions': [
+                attrs.asdict(record) for record in self.promotion.records
+            ],
         }
+
+    def _inject(self, process: MemberProcess, call: FaultCall) -> bool:
+        if call.kind != 'replace':
+            return process.injector.inject_fault(call)
+        self._replacer.replace(process, call)
+        return True
+
+    def _add(self, place: MemberEndpoint) -> MemberProcess:
+        member = GroupMember(
+            place,
+            self._settings,
+            self.checks,
+            self.receipts,
+            self._acknowledged,
+        )
+        process = MemberProcess(member, self.members)
+        self.members.append(member)
+        self._processes.append(process)
+        return process
+
+    def _remove(self, process: MemberProcess) -> None:
+        self.members.remove(process.member)
+        self._processes.remove(process)
--- a/standins/database_group/fault_call.py
+++ b/standins/database_group/fault_call.py
@@ -23,6 +23,9 @@
         Only for ``drain``: time from the stop of the member until a
         replacement with the same log and a new id starts at its address; by
         default, there is no replacement.
+    overlap_s
+        Only for ``replace``: time from the start of the new member until the
+        old one drains.
     """
 
     kind: str
@@ -30,3 +33,4 @@
     for_s: float | None = None
     ratio: float = 1
     replace_after_s: float | None = None
+    overlap_s: float = 0
--- a/standins/database_group/fault_injector.py
+++ b/standins/database_group/fault_injector.py
@@ -17,7 +17,7 @@
 _DROP_AFTER_S: Final = 3.0
 # Faults that the member checks itself while they are in force.
 _TIMED_KINDS: Final = frozenset(
-    ('answer_lost', 'answer_cut', 'answer_split', 'slow', 'deaf'),
+    ('answer_lost', 'answer_cut', 'answer_split', 'slow', 'deaf', 'occupied'),
 )
 
 
@@ -52,7 +52,9 @@
         for_s = call.for_s or 0
         match call.kind:
             case 'crash':
-                self._start_task(self._crash(for_s))
+                self._start_task(self._crash(for_s, keeps_log=True))
+            case 'lose_log':
+                self._start_task(self._crash(for_s, keeps_log=False))
             case 'dark':
                 self._start_task(self._make_unreachable(for_s))
             case 'forget_connections':
@@ -63,9 +65,25 @@
                 return False
         return True
 
-    async def _crash(self, for_s: float) -> None:
+    async def leave(self, for_s: float) -> bool:
+        """Drain for ``for_s`` and stop; False if it leaves or is down already."""
+        if self._member.is_draining or not self._member.is_running:
+            return False
+        self._member.is_draining = True
+        self._member.notify()
+        await asyncio.sleep(for_s)
+        await self._wait_until_running()
+        self._stop_member()
+        self._member.is_primary = False
+        await self._registrar.remove()
+        return True
+
+    async def _crash(self, for_s: float, *, keeps_log: bool) -> None:
         if self._member.is_running:
             self._stop_member()
+            # A primary that crashes comes back with its log.
+            if not (keeps_log or self._member.is_primary):
+                self._member.log.clear()
             await asyncio.sleep(for_s)
             await self._restart_member()
 
@@ -99,16 +117,7 @@
             connection.drop()
 
     async def _drain(self, for_s: float, replace_after_s: float | None) -> None:
-        if self._member.is_draining or not self._member.is_running:
-            return
-        self._member.is_draining = True
-        self._member.notify()
-        await asyncio.sleep(for_s)
-        await self._wait_until_running()
-        self._stop_member()
-        self._member.is_primary = False
-        await self._registrar.remove()
-        if replace_after_s is not None:
+        if await self.leave(for_s) and replace_after_s is not None:
             await asyncio.sleep(replace_after_s)
             self._replacement_count += 1
             endpoint = attrs.evolve(
--- a/standins/database_group/group_member.py
+++ b/standins/database_group/group_member.py
@@ -33,8 +33,16 @@
         settings: GroupSettings,
         checks: RuleChecks,
         receipts: ReceiptLog,
+        acknowledged: list[LogEntry],
     ) -> None:
-        """Start as a replica with an empty log."""
+        """Start as a replica with an empty log.
+
+        Parameters
+        ----------
+        acknowledged
+            Receives the commits that the member acknowledges.
+        """
+        self.acknowledged: Final = acknowledged
         self.receipts: Final = receipts
         self.endpoint = endpoint
         self.settings: Final = settings
@@ -70,6 +78,17 @@
         """Whether other members and callers can reach it."""
         return self.is_running and not self.faults.has('dark')
 
+    @property
+    def accepts_connections(self) -> bool:
+        """Whether there are fewer connections than it accepts.
+
+        The ratio of the fault ``occupied`` is the number of connections that
+        other programs hold.
+        """
+        other_count = self.faults.ratio('occupied')
+        count = len(self.counted_connections) + other_count
+        return count < self.settings.max_connections
+
     @property
     def draining_ms(self) -> float:
         """Time since the store accepted that it drains; 0 if it does not."""
--- a/standins/database_group/group_settings.py
+++ b/standins/database_group/group_settings.py
@@ -24,6 +24,8 @@
     ----------
     members
         The first member is the primary of term 1.
+    spare_ports
+        Ports of members that start later, beside those of the start.
     slots
         Requests that one member runs at the same time.
     max_connections
@@ -47,6 +49,7 @@
     control_port: int
     store_address: str
     members: tuple[MemberEndpoint, ...]
+    spare_ports: tuple[int, ...] = ()
     slots: int = 2
     max_connections: int = 16
     read_ms: float = 4
--- a/standins/database_group/member_log.py
+++ b/standins/database_group/member_log.py
@@ -27,10 +27,31 @@
         """Position of the last received entry."""
         return self.term, len(self.entries)
 
-    def append(self, writes: Sequence[KeptWrite]) -> LogEntry:
+    @property
+    def count(self) -> int:
+        """Number of received entries."""
+        return len(self.entries)
+
+    def has(self, entry: LogEntry) -> bool:
+        """Return whether a commit has been received and not rolled back."""
+        is_long_enough = entry.number <= len(self.entries)
+        return is_long_enough and self.entries[entry.number - 1] is entry
+
+    def clear(self) -> None:
+        """Forget everything, as a member does that starts without its disk."""
+        self.entries.clear()
+        self.items.clear()
+        self.term = 1
+        self.applied = (1, 0)
+
+    def append(
+        self, writes: Sequence[KeptWrite], primary_id: str = ''
+    ) -> LogEntry:
         """Append a commit in the current term and return its entry."""
         number = len(self.entries) + 1
-        self.entries.append(LogEntry(self.term, number, tuple(writes)))
+        self.entries.append(
+            LogEntry(self.term, number, tuple(writes), primary_id)
+        )
         return self.entries[-1]
 
     def receive(self, entries: Sequence[LogEntry], term: int) -> None:
--- a/standins/database_group/member_session.py
+++ b/standins/database_group/member_session.py
@@ -202,9 +202,11 @@
     async def _append_commit(
         self, writes: list[KeptWrite], done: Done
     ) -> Result:
-        entry = self._member.log.append(writes)
+        entry = self._member.log.append(writes, self._member.member_id)
         if await self._member.wait_for_replication(entry):
             entry.is_acknowledged = True
+            entry.acknowledged_s = time.monotonic()
+            self._member.acknowledged.append(entry)
             return done
         return Refusal('TIMEOUT', 'the commit has not reached a replica')
 
--- a/standins/database_group/replication.py
+++ b/standins/database_group/replication.py
@@ -1,6 +1,7 @@
 """Replication of commits from the primary to a replica."""
 
 import asyncio
+from collections.abc import Sequence
 from typing import Final, final
 
 import attrs
@@ -23,7 +24,7 @@
     """Copies the commits of the primary to one replica after a delay."""
 
     def __init__(
-        self, replica: GroupMember, members: tuple[GroupMember, ...]
+        self, replica: GroupMember, members: Sequence[GroupMember]
     ) -> None:
         """Store the replica and all members of its group."""
         self._replica: Final = replica
@@ -47,6 +48,8 @@
         if primary is not None and self._snapshot.primary is primary:
             term, number = snapshot.position
             if term == primary.log.term:
+                for entry in primary.log.entries[replica.log.count : number]:
+                    entry.receiver_ids.append(replica.member_id)
                 replica.log.receive(primary.log.entries[:number], term)
                 # A commit is acknowledged once one replica has received it.
                 primary.log.apply(replica.log.received)
--- a/standins/database_group/stuck_transaction_monitor.py
+++ b/standins/database_group/stuck_transaction_monitor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Sequence
 from typing import Final, final
 
 from standins.database_group.group_member import GroupMember
@@ -19,7 +20,7 @@
 
     def __init__(
         self,
-        members: tuple[GroupMember, ...],
+        members: Sequence[GroupMember],
         timeout_s: float = STUCK_TIMEOUT_S,
     ) -> None:
         """Store the members to check and the idle timeout."""
--- a/standins/database_group/wire_connection.py
+++ b/standins/database_group/wire_connection.py
@@ -98,10 +98,8 @@
         if not is_expected or words[3:] not in ([], [self._member.member_id]):
             await self._send(f'ERROR WRONGNODE {self._member.member_id}')
             return False
-        if (
-            len(self._member.counted_connections)
-            >= self._member.settings.max_connections
-        ):
+        if not self._member.accepts_connections:
+            self._member.checks.counts['CONNLIMIT'] += 1
             await self._send('ERROR CONNLIMIT too many connections')
             return False
         self._member.counted_connections.add(self)
--- a/standins/platform_services/faulty_server.py
+++ b/standins/platform_services/faulty_server.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 from typing import Any, Final, TypeAlias, final
 
+import attrs
 from loguru import logger
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerRequest
@@ -24,6 +25,19 @@
 _Handler: TypeAlias = Callable[[HTTPServerRequest], Awaitable[ServiceAnswer]]
 
 
+@final
+@attrs.frozen
+class _TimedFault:
+    """Fault until a time on the monotonic clock, and its delay of calls."""
+
+    fault: StoreFault
+    end_s: float
+    late_s: float
+
+
+_NO_FAULT: Final = _TimedFault(StoreFault.none, 0, 0)
+
+
 @final
 class FaultyServer:
     """Answers calls under the faults in force.
@@ -48,7 +62,7 @@
         self._late_s = late_s
         self._tasks: set[asyncio.Task[None]] = set()
         self._server = HTTPServer(self._handle)
-        self._host_faults: dict[str, tuple[StoreFault, float]] = {}
+        self._host_faults: dict[str, _TimedFault] = {}
         self._fault_end_s = -math.inf
         self.fault = StoreFault.none
 
@@ -63,7 +77,11 @@
         self._server.stop()
 
     def inject_fault(
-        self, fault: StoreFault, for_s: float, hosts: list[str]
+        self,
+        fault: StoreFault,
+        for_s: float,
+        hosts: list[str],
+        late_s: float = 0,
     ) -> None:
         """Put a fault into force for ``for_s`` seconds.
 
@@ -72,24 +90,29 @@
         hosts
             Server addresses that the affected hosts use; if empty, all hosts
             are affected.
+        late_s
+            Delay of the calls under the fault ``applies_late``; by default,
+            that of this server.
         """
         end_s = time.monotonic() + for_s
         self._fault_end_s = max(self._fault_end_s, end_s)
         for host in hosts or ['']:
-            self._host_faults[host] = (fault, end_s)
+            self._host_faults[host] = _TimedFault(
+                fault, end_s, late_s or self._late_s
+            )
 
     def was_disturbed_within(self, age_s: float) -> bool:
         """Return whether a timed fault ended less than ``age_s`` ago."""
         return time.monotonic() - self._fault_end_s < age_s
 
-    def _fault_of(self, request: HTTPServerRequest) -> StoreFault:
+    def _fault_of(self, request: HTTPServerRequest) -> _TimedFault:
         if request.path.startswith(_FAULT_FREE_PREFIX):
-            return StoreFault.none
+            return _NO_FAULT
         for host in (request.host_name, ''):
-            fault, end_s = self._host_faults.get(host, (StoreFault.none, 0))
-            if time.monotonic() < end_s:
-                return fault
-        return self.fault
+            found = self._host_faults.get(host, _NO_FAULT)
+            if time.monotonic() < found.end_s:
+                return found
+        return _TimedFault(self.fault, math.inf, self._late_s)
 
     def _handle(self, request: HTTPServerRequest) -> None:
         task = asyncio.create_task(self._answer(request))
@@ -97,7 +120,8 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _answer(self, request: HTTPServerRequest) -> None:
-        match self._fault_of(request):
+        found = self._fault_of(request)
+        match found.fault:
             case StoreFault.none:
                 _send(request, await self._handler(request))
             case StoreFault.refuses:
@@ -105,7 +129,7 @@
             case StoreFault.loses_answers:
                 await self._handler(request)
             case StoreFault.applies_late:
-                await asyncio.sleep(self._late_s)
+                await asyncio.sleep(found.late_s)
                 await self._handler(request)
             case StoreFault.slow:
                 await asyncio.sleep(_SLOW_DELAY_S)
--- a/standins/platform_services/promotion_service.py
+++ b/standins/platform_services/promotion_service.py
@@ -77,6 +77,7 @@
                     StoreFault(body['kind']),
                     float(body['for_s']),
                     body.get('hosts', []),
+                    float(body.get('late_s', 0)),
                 )
                 return HTTPStatus.OK, {}
             case '/report':
@@ -92,7 +93,8 @@
         call = _PromotionCall(
             request.headers['Duty-Holder'],
             int(request.headers['Fence-Token']),
-            time.monotonic(),
+            # The call may have been delayed since it arrived.
+            time.monotonic() - request.request_time(),
         )
         earlier = self._newest_calls.get(group, [])
         newest = earlier[-1] if earlier else None
@@ -104,7 +106,7 @@
         else:
             self._check_turns(group, call, earlier)
         self._newest_calls[group] = [*earlier[-1:], call]
-        return await self._forward(group, member_id)
+        return await self._forward(group, member_id, call)
 
     def _check_turns(
         self, group: str, call: _PromotionCall, earlier: list[_PromotionCall]
@@ -130,12 +132,14 @@
                 f'the token {call.token}',
             )
 
-    async def _forward(self, group: str, member_id: str) -> ServiceAnswer:
+    async def _forward(
+        self, group: str, member_id: str, call: _PromotionCall
+    ) -> ServiceAnswer:
         try:
             found = await self._client.fetch(
                 f'http://{self._groups[group]}/promote',
                 method='POST',
-                body=json.dumps({'member_id': member_id}),
+                body=json.dumps({'member_id': member_id, **attrs.asdict(call)}),
                 request_timeout=_FORWARD_TIMEOUT_S,
                 raise_error=False,
             )
--- a/standins/platform_services/table_store.py
+++ b/standins/platform_services/table_store.py
@@ -139,6 +139,7 @@
                 StoreFault(body['kind']),
                 float(body['for_s']),
                 body.get('hosts', []),
+                float(body.get('late_s', 0)),
             )
         return HTTPStatus.OK, {}
 
