Give members one address for all hosts of the live test

The store showed each host the members at this host's own links. Hosts hand registrations on within a data centre, so a host also got the addresses of another host's links: cuts then affected the wrong host, and each time it read for itself again all members seemed to have moved, which closed its connections and created them anew (three times in 8 s at one host).

Members now have one address, and the host process of the live test redirects its connections to its own links. One scenario checks both.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -80,6 +80,14 @@
       | refused      | 0     | -       |
       | refused      | 1     | REFUSED |
 
+  # Guards against a host that gets the addresses of another host's links, as
+  # hosts hand registrations on: cuts then affected the wrong host, and members
+  # seemed to move.
+  Scenario: all hosts know a member by one address and connect through their own links
+    Given the layout of a live test with 6 hosts
+    Then the store shows no member at another address
+    And a connection of each host to a member opens at a link of this host
+
   # Guards against hosts that change a primary in turn without a report: the live
   # test compared the holders of equal tokens only.
   Scenario Outline: hosts that promote in turn are detected
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -2,23 +2,27 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import random
 import tempfile
 import time
 from typing import Any, Final
+from unittest import mock
 
 from behave import given, then, when
 from tornado.httpclient import AsyncHTTPClient
 
 from features.soak_fakes import FaultyHost
+from mimosapond.address_resolver import AddressResolver
 from soak.balancer import Balancer
 from soak.caller_connection import CallerConnection
 from soak.caller_session import CallerSession, now_s
 from soak.disruption_log import DisruptionLog
 from soak.fault_schedule import build_schedule
 from soak.history import History, Write
-from soak.layout import HostLayout, Layout
+from soak.host_process import OWN_IP_VARIABLE, resolve_via_proxy
+from soak.layout import HostLayout, Layout, link_name
 from soak.log_scan import find_errors
 from soak.plan import SoakPlan
 from soak.route_kind import RouteKind
@@ -252,6 +256,35 @@
     return service.violations
 
 
+@given('the layout of a live test with {hosts:d} hosts')
+def choose_layout(context: Any, hosts: int) -> None:
+    """Choose addresses and ports."""
+    context.layout = Layout.choose(SoakPlan(_SEED, hosts=hosts))
+
+
+@then('the store shows no member at another address')
+def check_member_addresses(context: Any) -> None:
+    """Compare the addresses that the store replaces with those of hosts."""
+    layout = context.layout
+    hosts = {f'{host.ip}:{layout.peer_port}' for host in layout.hosts}
+    assert set(layout.peer_link_ports()) == hosts
+
+
+@then('a connection of each host to a member opens at a link of this host')
+def check_member_links(context: Any) -> None:
+    """Compare the resolved addresses with the links of the fault proxy."""
+    layout = context.layout
+    port = layout.groups[0].members[0].port
+    for host in layout.hosts:
+        with mock.patch.dict(os.environ, {OWN_IP_VARIABLE: host.ip}):
+            found = asyncio.run(
+                resolve_via_proxy(AddressResolver(), '127.0.0.1', port)
+            )
+        ip, found_port = found[0][1]
+        target = (f'{ip}:{found_port}', f'127.0.0.1:{port}')
+        assert layout.links()[link_name(host, port)] == target
+
+
 @then('the promotion stand-in reports {count:d} violations')
 def check_promotion_violations(context: Any, count: int) -> None:
     """Count the violations of the rule on one holder."""
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from soak.host_process import OWN_IP_VARIABLE
 from soak.host_template import render_settings
 from soak.layout import LOOPBACK, GroupLayout, HostLayout, Layout
 from soak.unanswered_check import STOP_GRACE_S
@@ -66,10 +67,14 @@
         )
         await self.processes.start(
             host.name,
-            'mimosapond.platform.daemon',
+            'soak.host_process',
             (),
             f'http://{host.ip}:{self.layout.ready_port}/api/ready',
-            {**_ENVIRONMENT, 'MIMOSAPOND_NODE_FILE': str(path)},
+            {
+                **_ENVIRONMENT,
+                'MIMOSAPOND_NODE_FILE': str(path),
+                OWN_IP_VARIABLE: host.ip,
+            },
         )
         self._stopped_by_test.discard(host.name)
 
@@ -129,7 +134,7 @@
                 for group in layout.groups
             },
             'host_ips': [host.ip for host in layout.hosts],
-            'link_ports': layout.link_ports(),
+            'link_ports': layout.peer_link_ports(),
         }
         path = self._write_json('platform_services', body)
         await self.processes.start(
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -1,9 +1,9 @@
 """Names, addresses and ports of a live test.
 
 Each host has an IP address of its own and calls the store at this address. The
-store therefore knows which host calls, and returns addresses of members and
-other hosts at the same IP, where the fault proxy listens for the links of this
-host.
+store therefore knows which host calls, and returns addresses of other hosts at
+the same IP, where the fault proxy listens for the links of this host. The proxy
+listens there for members as well (``soak.host_process``).
 """
 
 from typing import Final, Self, final
@@ -103,16 +103,20 @@
         """URL at which the fault driver calls the promotion service."""
         return f'http://{LOOPBACK}:{self.promotion_port}'
 
+    def peer_link_ports(self) -> dict[str, int]:
+        """Return the port of the proxied links by address of a host."""
+        return {
+            f'{host.ip}:{self.peer_port}': host.link_port for host in self.hosts
+        }
+
     def link_ports(self) -> dict[str, int]:
         """Return the port of the proxied links by target address."""
-        members = [member for group in self.groups for member in group.members]
-        return {
-            **{f'{LOOPBACK}:{member.port}': member.port for member in members},
-            **{
-                f'{host.ip}:{self.peer_port}': host.link_port
-                for host in self.hosts
-            },
+        members = {
+            f'{LOOPBACK}:{member.port}': member.port
+            for group in self.groups
+            for member in group.members
         }
+        return {**members, **self.peer_link_ports()}
 
     def links(self) -> dict[str, tuple[str, str]]:
         """Return listening and target address of each proxied link by name."""
