Add series of faults around a change of primary to the live test

Its members were never replaced under load, replicas never lost their logs, promotion calls were 2 s late at most, and nothing combined a lost primary with members or hosts that start.

- `--series` draws from eight new series and a combination of three of them, with members chosen by role (soak/primary_change_series.py).
Groups can have five members.
`--crowded` has callers hold connections in long transactions.
- LOST names the promotion (called at, by which host and token, effect), the replicas that had the commit, and how long before the effect the caller was told of success.
A commit that only a member acknowledged, and whose caller was told that the outcome is unknown, is counted and is no violation.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -88,6 +88,30 @@
     Then the store shows no member at another address
     And a connection of each host to a member opens at a link of this host
 
+  # Guards against a lost commit that is judged by what a member acknowledged. A
+  # host that told its caller that the outcome is unknown has broken no rule.
+  Scenario Outline: a commit that a promotion lost counts if its caller was told of it
+    Given a commit that was reported <reported> to its caller, <when_ms> ms after a promotion lost it
+    Then the violated rules are <rules>
+
+    Examples:
+      | reported     | when_ms | rules |
+      | acknowledged | -100    | LOST  |
+      | acknowledged | 100     | LOST  |
+      | unknown      | -100    | -     |
+
+  # Guards against late calls whose fence is checked when they arrive: a call
+  # that a newer one overtook would be refused by the platform.
+  Scenario Outline: a promotion call that is late is judged when it is carried out
+    Given a promotion call with token 5 that is carried out late
+    And a call with token <token> meanwhile
+    Then the group is asked to promote <promoted>
+
+    Examples:
+      | token | promoted    |
+      | 6     | newer       |
+      | 5     | newer, late |
+
   # Guards against hosts that change a primary in turn without a report: the live
   # test compared the holders of equal tokens only.
   Scenario Outline: hosts that promote in turn are detected
@@ -110,3 +134,16 @@
   # Guards against a fault schedule that its seed does not reproduce.
   Scenario: a seed determines the fault schedule
     Then seed 5 gives the same faults twice and seed 6 gives different faults
+
+  # Guards against a series that is never drawn, or that cannot be drawn alone.
+  Scenario Outline: a live test draws the series of faults that it names
+    Then a schedule of "<series>" has the faults <faults>
+
+    Examples:
+      | series                     | faults              |
+      | replace_members            | replace             |
+      | lose_replica_logs          | lose_log            |
+      | join_before_late_promotion | applies_late, replace |
+      | start_beside_join          | deaf, replace       |
+      | crowd                      | occupied, slow      |
+      | primary_changes            | replace, lose_log, applies_late, occupied |
--- a/features/soak_fakes.py
+++ b/features/soak_fakes.py
@@ -1,8 +1,11 @@
-"""Fake host whose answers are wrong in a chosen manner."""
+"""Fake host whose answers are wrong in a chosen manner, and a fake group."""
 
 import asyncio
+import json
 from typing import Final, final
 
+from tornado.web import RequestHandler
+
 from standins.database_group.signature import sign
 
 REQUEST_COUNT: Final = 3
@@ -57,3 +60,16 @@
         if self._manner != 'older than the write':
             self._items[item] = content[0]
         return ()
+
+
+@final
+class PromotedHandler(RequestHandler):
+    """Control call of a group that records which members it promotes."""
+
+    def initialize(self, promoted: list[str]) -> None:
+        """Store the list that receives the members."""
+        self._promoted = promoted
+
+    def post(self) -> None:
+        """Record the member."""
+        self._promoted.append(json.loads(self.request.body)['member_id'])
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,6 +1,7 @@
 """Steps of soak.feature."""
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -10,10 +11,14 @@
 from typing import Any, Final
 from unittest import mock
 
+import attrs
 from behave import given, then, when
-from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
 
-from features.soak_fakes import FaultyHost
+from features.soak_fakes import FaultyHost, PromotedHandler
 from mimosapond.address_resolver import AddressResolver
 from soak.balancer import Balancer
 from soak.caller_connection import CallerConnection
@@ -25,16 +30,25 @@
 from soak.layout import HostLayout, Layout, link_name
 from soak.log_scan import find_errors
 from soak.plan import SoakPlan
+from soak.promotion_check import check_promotions
 from soak.route_kind import RouteKind
 from soak.shared_state import SharedState
 from soak.soak_run import SoakRun
 from soak.unanswered_check import UnansweredCheck, UnansweredRequest
 from soak.violation import ViolationLog
+from standins.database_group.promotion_call import PromotionCall
+from standins.database_group.promotion_record import (
+    LostCommit,
+    PromotionRecord,
+)
 from standins.platform_services.promotion_service import PromotionService
+from standins.platform_services.store_fault import StoreFault
 
 _SEED: Final = 5
 _LEVELS: Final = ('INFO', 'WARNING', 'ERROR')
 _PAUSE_S: Final = 0.05
+# Delay of a late call, well above the pauses before the call that overtakes it.
+_LATE_S: Final = 0.5
 _MS_PER_S: Final = 1000
 _HOST: Final = HostLayout('wrong', '127.0.0.1', 'a', 0)
 
@@ -285,6 +299,86 @@
         assert layout.links()[link_name(host, port)] == target
 
 
+@given(
+    'a commit that was reported {reported} to its caller, {when_ms:d} ms after '
+    'a promotion lost it'
+)
+def lose_commit(context: Any, reported: str, when_ms: int) -> None:
+    """Check a record of a promotion against the history of the callers."""
+    context.violations = ViolationLog()
+    history = History()
+    effect_s = now_s()
+    if reported == 'acknowledged':
+        write = Write('s1.t0.1', 's1.0', 1)
+        history.record_acknowledged((write,), effect_s + when_ms / _MS_PER_S)
+    lost = LostCommit(('s1.t0.1',), '1.1', 'm1', effect_s, ('m3',), ('m3',))
+    call = PromotionCall('m2', 'host-1', 3)
+    record = PromotionRecord(call, effect_s, 2, '1.0', (lost,))
+    check_promotions([attrs.asdict(record)], history, context.violations)
+
+
+@given('a promotion call with token 5 that is carried out late')
+def delay_call(context: Any) -> None:
+    """Keep the token of the late call."""
+    context.late_token = 5
+
+
+@given('a call with token {token:d} meanwhile')
+def call_meanwhile(context: Any, token: int) -> None:
+    """Send a late call and a newer one, and collect what reaches the group."""
+    context.promoted = asyncio.run(_promote_late(context.late_token, token))
+
+
+async def _promote_late(late_token: int, token: int) -> list[str]:
+    promoted: list[str] = []
+    group = HTTPServer(
+        Application([('/promote', PromotedHandler, {'promoted': promoted})])
+    )
+    sockets = bind_sockets(0, '127.0.0.1')
+    group.add_sockets(sockets)
+    service = PromotionService(
+        {'g0': f'127.0.0.1:{sockets[0].getsockname()[1]}'}, 0, bool
+    )
+    address = service.server.listen('127.0.0.1')
+    service.server.inject_fault(StoreFault.applies_late, _PAUSE_S, [], _LATE_S)
+    late = asyncio.create_task(_call_promotion(address, late_token, 'late'))
+    await asyncio.sleep(2 * _PAUSE_S)
+    await _call_promotion(address, token, 'newer')
+    await late
+    service.server.close()
+    group.stop()
+    return promoted
+
+
+async def _call_promotion(address: str, token: int, member_id: str) -> None:
+    client = AsyncHTTPClient(force_instance=True)
+    # A late call is carried out without an answer.
+    with contextlib.suppress(HTTPClientError):
+        await client.fetch(
+            f'http://{address}/promote',
+            method='POST',
+            headers={'Duty-Holder': 'host-1', 'Fence-Token': str(token)},
+            body=json.dumps({'service': 'g0', 'id': member_id}),
+            request_timeout=2 * _LATE_S,
+        )
+
+
+@then('the group is asked to promote {promoted}')
+def check_promoted(context: Any, promoted: str) -> None:
+    """Compare the members in the order of the calls."""
+    assert ', '.join(context.promoted) == promoted, context.promoted
+
+
+@then('a schedule of "{series}" has the faults {faults}')
+def check_series(context: Any, series: str, faults: str) -> None:
+    """Require the manners of faults, the same ones twice for a seed."""
+    plan = SoakPlan(_SEED, 300, series_names=(series,), interval_s=10)
+    found = build_schedule(plan)
+    assert found == build_schedule(plan)
+    manners = {fault.manner for fault in found}
+    assert manners.issuperset(faults.split(', ')), manners
+
+
 @then('the promotion stand-in reports {count:d} violations')
 def check_promotion_violations(context: Any, count: int) -> None:
     """Count the violations of the rule on one holder."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,6 +24,9 @@
     folder: str = '',
     *,
     planned: bool = False,
+    crowded: bool = False,
+    series: str = '',
+    interval_s: float = 0.5,
 ) -> None:
     """Run a live test; the exit code is 1 if it finds a violation.
 
@@ -36,8 +39,26 @@
     planned
         Whether to do planned work only: stops, reloads, configurations and
         drained members. Each request without an answer is judged then.
+    crowded
+        Whether the callers hold connections of members for most of the time.
+    series
+        Names of the series of faults to draw from, separated by ``+``, or
+        ``primary_changes`` for all series around a change of primary.
+    interval_s
+        Mean time between the starts of two series.
     """
-    plan = SoakPlan(seed, duration_s, hosts, groups, callers, planned)
+    names = tuple(series.split('+')) if series else ()
+    plan = SoakPlan(
+        seed,
+        duration_s,
+        hosts,
+        groups,
+        callers,
+        planned,
+        names,
+        interval_s,
+        crowded,
+    )
     path = pathlib.Path(folder or tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     path.mkdir(parents=True, exist_ok=True)
     logger.remove()
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -17,6 +17,7 @@
 _MAX_PAUSE_S: Final = 0.06
 _MAX_RECONNECT_DELAY_S: Final = 0.1
 _TRANSACTION_RATIO: Final = 0.25
+_CROWDED_TRANSACTION_RATIO: Final = 0.7
 _WRITE_RATIO: Final = 0.5
 _PREPARE_RATIO: Final = 0.56
 _SET_MODE_RATIO: Final = 0.6
@@ -85,7 +86,10 @@
             await asyncio.sleep(session.random.uniform(0, _MAX_PAUSE_S))
 
     async def _operate(self, session: CallerSession, draw: float) -> bool:
-        if draw < _TRANSACTION_RATIO:
+        is_long = session.shared.is_crowded and (
+            session.random.random() < _CROWDED_TRANSACTION_RATIO
+        )
+        if is_long or draw < _TRANSACTION_RATIO:
             number = next(self._transactions)
             return await CallerTransaction(session, number).run()
         if draw < _WRITE_RATIO:
--- a/soak/caller_transaction.py
+++ b/soak/caller_transaction.py
@@ -20,6 +20,8 @@
 # Longer than the limit for idle transactions.
 _MAX_LONG_PAUSE_S: Final = 1.5
 _LONG_PAUSE_RATIO: Final = 0.01
+# A little shorter than that limit.
+_MAX_CROWDED_PAUSE_S: Final = 0.9
 
 
 @final
@@ -75,11 +77,16 @@
             if not isinstance(answer, Success):
                 return False
             self._check_state(answer)
-            is_long = self._random.random() < _LONG_PAUSE_RATIO
-            max_pause_s = _MAX_LONG_PAUSE_S if is_long else _MAX_PAUSE_S
-            await asyncio.sleep(self._random.uniform(0, max_pause_s))
+            await asyncio.sleep(self._draw_pause_s())
         return True
 
+    def _draw_pause_s(self) -> float:
+        if self._session.shared.is_crowded:
+            return self._random.uniform(0, _MAX_CROWDED_PAUSE_S)
+        is_long = self._random.random() < _LONG_PAUSE_RATIO
+        max_pause_s = _MAX_LONG_PAUSE_S if is_long else _MAX_PAUSE_S
+        return self._random.uniform(0, max_pause_s)
+
     async def _run_statement(self) -> Answer:
         session = self._session
         draw = self._random.random()
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -150,6 +150,7 @@
             'control_port': group.control_port,
             'store_address': f'{LOOPBACK}:{self.layout.store_port}',
             'members': [attrs.asdict(member) for member in group.members],
+            'spare_ports': group.spare_ports,
             'read_ms': _READ_MS,
             'write_ms': _WRITE_MS,
         }
--- a/soak/fault.py
+++ b/soak/fault.py
@@ -24,6 +24,20 @@
     peer_cut = 'peer_cut'
 
 
+@final
+class MemberChoice(enum.IntEnum):
+    """Members that are chosen by their role when a fault starts.
+
+    The values take the place of the index of a member.
+    """
+
+    primary = -1
+    first_replica = -2
+    second_replica = -3
+    # The replica that started last; it is one of the others as well.
+    newest_replica = -4
+
+
 @final
 @attrs.frozen
 class Fault:
@@ -36,14 +50,18 @@
     for_s
         Duration; 0 for a fault without one.
     hosts, members
-        Indexes of hosts, and pairs of group index and member index. A cut
-        affects the links between each host and each member; a peer cut affects
+        Indexes of hosts, and pairs of group index and member index, or
+        ``MemberChoice`` in place of the latter. A cut affects the links between each host and each member; a peer cut affects
         the links between each two of the hosts.
     manner
         Kind of the fault at a stand-in, or field of the fault proxy's settings.
     ratio
         Strength of a member fault: the probability per answer of faults that
-        affect answers, or the factor of the statement cost for ``slow``.
+        affect answers, the factor of the statement cost for ``slow``, or the
+        number of connections for ``occupied``.
+    delay_s
+        Delay of calls that are carried out late; for ``replace``, time from the
+        start of the new member until the old one drains.
     """
 
     at_s: float
@@ -53,3 +71,4 @@
     members: tuple[tuple[int, int], ...] = ()
     manner: str = ''
     ratio: float = 1
+    delay_s: float = 0
--- a/soak/fault_driver.py
+++ b/soak/fault_driver.py
@@ -14,12 +14,13 @@
 from soak.fault import Fault, FaultKind
 from soak.http_json import get_json, post_json
 from soak.layout import LOOPBACK, HostLayout, link_name
+from soak.member_targets import find_targets
 from soak.operator import Operator
 
 _Handler: TypeAlias = Callable[[Fault], Awaitable[None]]
 
 _SILENT: Final = 'silent'
-_DRAIN: Final = 'drain'
+_PLANNED_MANNERS: Final = frozenset(('drain', 'replace'))
 _PLANNED_KINDS: Final = frozenset(
     (FaultKind.restart, FaultKind.reload, FaultKind.configure)
 )
@@ -93,7 +94,7 @@
                 tasks.create_task(self._apply(fault))
 
     async def _apply(self, fault: Fault) -> None:
-        if fault.kind in _PLANNED_KINDS or fault.manner == _DRAIN:
+        if fault.kind in _PLANNED_KINDS or fault.manner in _PLANNED_MANNERS:
             await self._handlers[fault.kind](fault)
             return
         with self._disruptions.disruption():
@@ -157,7 +158,12 @@
         # the calls of this driver.
         numbers = fault.hosts or range(len(self._layout.hosts))
         ips = [self._layout.hosts[number].ip for number in numbers]
-        body = {'kind': fault.manner, 'for_s': fault.for_s, 'hosts': ips}
+        body = {
+            'kind': fault.manner,
+            'for_s': fault.for_s,
+            'hosts': ips,
+            'late_s': fault.delay_s,
+        }
         await post_json(url, body)
 
     async def _lose_registrations(self, _fault: Fault) -> None:
@@ -169,26 +175,21 @@
             await post_json(f'{store_url}/standin/rows-put', body)
 
     async def _inject_member_fault(self, fault: Fault) -> None:
-        for group_number, member_number in fault.members:
-            port = self._layout.groups[group_number].control_port
-            url = f'http://{LOOPBACK}:{port}'
-            # A member that replaced another one has a different id.
-            members = (await get_json(f'{url}/report'))['members']
+        for target in await find_targets(self._layout, fault.members):
+            logger.info('{} {} at {}', fault.manner, fault.for_s, target)
             body = {
                 'kind': fault.manner,
-                'member_id': members[member_number]['member_id'],
+                'member_id': target.member_id,
                 'for_s': fault.for_s,
                 'ratio': fault.ratio,
                 'replace_after_s': _REPLACE_AFTER_S,
+                'overlap_s': fault.delay_s,
             }
-            await post_json(f'{url}/fault', body)
+            await post_json(f'{target.control_url}/fault', body)
 
     async def _cut(self, fault: Fault) -> None:
-        groups = self._layout.groups
-        members = [
-            groups[group].members[number] for group, number in fault.members
-        ]
-        await self._cut_links(fault, [member.port for member in members])
+        targets = await find_targets(self._layout, fault.members)
+        await self._cut_links(fault, [target.port for target in targets])
 
     async def _cut_peers(self, fault: Fault) -> None:
         ports = [self._layout.hosts[host].link_port for host in fault.hosts]
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -5,19 +5,18 @@
 """
 
 import random
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 from types import MappingProxyType
-from typing import Final, TypeAlias, final
-
-import attrs
+from typing import Final, TypeAlias
 
 from soak.fault import Fault, FaultKind
 from soak.layout import DATA_CENTRE_COUNT, MEMBER_COUNT
 from soak.plan import SoakPlan
+from soak.primary_change_series import PRIMARY_CHANGE_WEIGHTS
+from soak.series_start import Series, SeriesStart
 
 _FAULT_FREE_START_S: Final = 2.0
 _FAULT_FREE_END_S: Final = 3.0
-_MEAN_INTERVAL_S: Final = 0.5
 _STORE_MANNERS: Final = (
     'refuses',
     'silent',
@@ -54,31 +53,10 @@
 _RESET_S: Final = 0.05
 _BURST_COUNT: Final = 8
 _BURST_INTERVAL_S: Final = 0.1
+# Name of all series around a change of primary.
+_PRIMARY_CHANGES: Final = 'primary_changes'
 
-_Series: TypeAlias = Iterator[Fault]
-
-
-@final
-@attrs.frozen
-class _SeriesStart:
-    """Start time of a series and random choice of its targets."""
-
-    plan: SoakPlan
-    rng: random.Random
-    at_s: float
-
-    def hosts(self, max_count: int) -> tuple[int, ...]:
-        count = self.rng.randint(1, min(max_count, self.plan.hosts))
-        return tuple(self.rng.sample(range(self.plan.hosts), count))
-
-    def member(self) -> tuple[int, int]:
-        return (
-            self.rng.randrange(self.plan.groups),
-            self.rng.randrange(MEMBER_COUNT),
-        )
-
-    def duration_s(self, max_s: float) -> float:
-        return self.rng.uniform(max_s / 10, max_s)
+_Weights: TypeAlias = Mapping[Callable[[SeriesStart], Series], float]
 
 
 def build_schedule(plan: SoakPlan) -> list[Fault]:
@@ -87,19 +65,46 @@
     faults: list[Fault] = []
     at_s = _FAULT_FREE_START_S
     end_s = plan.duration_s - _FAULT_FREE_END_S
-    series_weights = (
-        _PLANNED_WEIGHTS if plan.is_planned_only else _SERIES_WEIGHTS
-    )
+    series_weights = _weights(plan)
     kinds, weights = tuple(series_weights), tuple(series_weights.values())
     while at_s < end_s:
         series = rng.choices(kinds, weights)[0]
-        faults.extend(series(_SeriesStart(plan, rng, at_s)))
-        at_s += rng.expovariate(1 / _MEAN_INTERVAL_S)
+        faults.extend(series(SeriesStart(plan, rng, at_s)))
+        at_s += _draw_interval_s(plan, rng)
     scheduled = [fault for fault in faults if fault.at_s < end_s]
     return sorted(scheduled, key=lambda fault: fault.at_s)
 
 
-def _cut(start: _SeriesStart) -> _Series:
+def _draw_interval_s(plan: SoakPlan, rng: random.Random) -> float:
+    if plan.series_names:
+        return plan.interval_s * rng.uniform(1 / 2, 3 / 2)
+    return rng.expovariate(1 / plan.interval_s)
+
+
+def _weights(plan: SoakPlan) -> _Weights:
+    """Return the series of a plan and their weights.
+
+    Raises
+    ------
+    KeyError
+        If the plan names an unknown series.
+    """
+    if not plan.series_names:
+        return _PLANNED_WEIGHTS if plan.is_planned_only else _SERIES_WEIGHTS
+    known = {
+        series.__name__.strip('_'): (series, weight)
+        for series, weight in (
+            *_SERIES_WEIGHTS.items(),
+            *PRIMARY_CHANGE_WEIGHTS.items(),
+        )
+    }
+    names = plan.series_names
+    if names == (_PRIMARY_CHANGES,):
+        return PRIMARY_CHANGE_WEIGHTS
+    return dict(known[name] for name in names)
+
+
+def _cut(start: SeriesStart) -> Series:
     """Cut the links between some hosts and one or two members of a group."""
     group, first = start.member()
     members = [(group, first)]
@@ -115,7 +120,7 @@
     )
 
 
-def _isolate(start: _SeriesStart) -> _Series:
+def _isolate(start: SeriesStart) -> Series:
     """Cut the links between half of the hosts and one member of each group."""
     hosts = start.rng.sample(range(start.plan.hosts), start.plan.hosts // 2)
     member = start.member()[1]
@@ -129,7 +134,7 @@
     )
 
 
-def _cut_peers(start: _SeriesStart) -> _Series:
+def _cut_peers(start: SeriesStart) -> Series:
     """Reset the links between some hosts, or cut them for some seconds."""
     hosts = start.rng.sample(
         range(start.plan.hosts), max(2, start.plan.hosts // 2)
@@ -143,7 +148,7 @@
     )
 
 
-def _member(start: _SeriesStart) -> _Series:
+def _member(start: SeriesStart) -> Series:
     yield Fault(
         start.at_s,
         FaultKind.member,
@@ -154,7 +159,7 @@
     )
 
 
-def _drain(start: _SeriesStart) -> _Series:
+def _drain(start: SeriesStart) -> Series:
     """Drain a member; a new member then starts at its address."""
     yield Fault(
         start.at_s,
@@ -165,7 +170,7 @@
     )
 
 
-def _members_in_turn(start: _SeriesStart) -> _Series:
+def _members_in_turn(start: SeriesStart) -> Series:
     """Crash the members of a group one after another."""
     group, first = start.member()
     for number in range(MEMBER_COUNT):
@@ -178,13 +183,13 @@
         )
 
 
-def _restarts(start: _SeriesStart) -> _Series:
+def _restarts(start: SeriesStart) -> Series:
     for number, host in enumerate(start.hosts(_MAX_HOST_COUNT)):
         at_s = start.at_s + number * _RESTART_INTERVAL_S
         yield Fault(at_s, FaultKind.restart, start.duration_s(1), (host,))
 
 
-def _stop_data_centre(start: _SeriesStart) -> _Series:
+def _stop_data_centre(start: SeriesStart) -> Series:
     """Stop all hosts of a data centre, or all but one, at the same time."""
     place = start.rng.randrange(DATA_CENTRE_COUNT)
     hosts = range(place, start.plan.hosts, DATA_CENTRE_COUNT)
@@ -193,7 +198,7 @@
         yield Fault(start.at_s, FaultKind.restart, start.duration_s(1), (host,))
 
 
-def _stop_and_change(start: _SeriesStart) -> _Series:
+def _stop_and_change(start: SeriesStart) -> Series:
     """Reload hosts and change the configuration while others stop."""
     yield from _restarts(start)
     for number in range(_BURST_COUNT):
@@ -202,11 +207,11 @@
         yield Fault(at_s, FaultKind.reload, hosts=start.hosts(2))
 
 
-def _kill(start: _SeriesStart) -> _Series:
+def _kill(start: SeriesStart) -> Series:
     yield Fault(start.at_s, FaultKind.kill, start.duration_s(1), start.hosts(2))
 
 
-def _kill_all(start: _SeriesStart) -> _Series:
+def _kill_all(start: SeriesStart) -> Series:
     hosts = tuple(range(start.plan.hosts))
     yield Fault(start.at_s, FaultKind.kill_all, start.duration_s(1), hosts)
     # The cuts make the restarted processes pass their first work on to other
@@ -214,19 +219,19 @@
     yield from _isolate(start)
 
 
-def _freeze(start: _SeriesStart) -> _Series:
+def _freeze(start: SeriesStart) -> Series:
     yield Fault(
         start.at_s, FaultKind.freeze, start.duration_s(4), start.hosts(2)
     )
 
 
-def _reload(start: _SeriesStart) -> _Series:
+def _reload(start: SeriesStart) -> Series:
     yield Fault(
         start.at_s, FaultKind.reload, hosts=start.hosts(_MAX_HOST_COUNT)
     )
 
 
-def _configure(start: _SeriesStart) -> _Series:
+def _configure(start: SeriesStart) -> Series:
     count = start.rng.choice((1, _BURST_COUNT))
     for number in range(count):
         yield Fault(
@@ -234,7 +239,7 @@
         )
 
 
-def _store(start: _SeriesStart) -> _Series:
+def _store(start: SeriesStart) -> Series:
     hosts = start.hosts(3) if start.rng.random() < 1 / 2 else ()
     yield Fault(
         start.at_s,
@@ -245,7 +250,7 @@
     )
 
 
-def _promotion(start: _SeriesStart) -> _Series:
+def _promotion(start: SeriesStart) -> Series:
     yield Fault(
         start.at_s,
         FaultKind.promotion,
@@ -254,43 +259,39 @@
     )
 
 
-def _lose_registrations(start: _SeriesStart) -> _Series:
+def _lose_registrations(start: SeriesStart) -> Series:
     yield Fault(start.at_s, FaultKind.lose_registrations)
 
 
 # Probability weights. Cuts weigh most, because they make hosts pass work on to
 # other hosts.
-_SERIES_WEIGHTS: Final[Mapping[Callable[[_SeriesStart], _Series], float]] = (
-    MappingProxyType(
-        {
-            _cut: 10,
-            _isolate: 10,
-            _cut_peers: 8,
-            _member: 5,
-            _freeze: 4,
-            _restarts: 2,
-            _stop_data_centre: 1,
-            _kill: 2,
-            _store: 2,
-            _configure: 1,
-            _promotion: 1,
-            _reload: 1,
-            _members_in_turn: 1,
-            _drain: 1,
-            _lose_registrations: 0.5,
-            _kill_all: 1,
-        },
-    )
+_SERIES_WEIGHTS: Final[_Weights] = MappingProxyType(
+    {
+        _cut: 10,
+        _isolate: 10,
+        _cut_peers: 8,
+        _member: 5,
+        _freeze: 4,
+        _restarts: 2,
+        _stop_data_centre: 1,
+        _kill: 2,
+        _store: 2,
+        _configure: 1,
+        _promotion: 1,
+        _reload: 1,
+        _members_in_turn: 1,
+        _drain: 1,
+        _lose_registrations: 0.5,
+        _kill_all: 1,
+    },
 )
-_PLANNED_WEIGHTS: Final[Mapping[Callable[[_SeriesStart], _Series], float]] = (
-    MappingProxyType(
-        {
-            _restarts: 3,
-            _stop_data_centre: 3,
-            _stop_and_change: 2,
-            _reload: 2,
-            _configure: 2,
-            _drain: 1,
-        },
-    )
+_PLANNED_WEIGHTS: Final[_Weights] = MappingProxyType(
+    {
+        _restarts: 3,
+        _stop_data_centre: 3,
+        _stop_and_change: 2,
+        _reload: 2,
+        _configure: 2,
+        _drain: 1,
+    },
 )
--- a/soak/history.py
+++ b/soak/history.py
@@ -48,6 +48,7 @@
     def __init__(self) -> None:
         """Create an empty history."""
         self._acknowledged: dict[str, Write] = {}
+        self._acknowledged_s: dict[str, float] = {}
         self._not_applied: dict[str, str] = {}
         self._acknowledgements: dict[str, list[tuple[float, int]]] = (
             collections.defaultdict(list)
@@ -62,6 +63,7 @@
         """Record writes that were acknowledged to their caller at ``at_s``."""
         for write in writes:
             self._acknowledged[write.request_id] = write
+            self._acknowledged_s[write.request_id] = at_s
             self._acknowledgements[write.item].append((at_s, write.sequence))
 
     def record_not_applied(self, writes: Iterable[Write], reason: str) -> None:
@@ -75,6 +77,10 @@
         for write in writes:
             self._not_applied[write.request_id] = reason
 
+    def acknowledged_s(self, request_id: str) -> float:
+        """Return when a write was acknowledged; inf if it was not."""
+        return self._acknowledged_s.get(request_id, math.inf)
+
     def newest_acknowledged(self, item: str, before_s: float = math.inf) -> int:
         """Return the highest sequence number acknowledged before ``before_s``.
 
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -15,6 +15,9 @@
 from standins.processes import free_addresses
 
 MEMBER_COUNT: Final = 3
+# Members that a group can have beside those of the start, while new members have
+# started and the old ones have not left yet.
+SPARE_COUNT: Final = 2
 LOOPBACK: Final = '127.0.0.1'
 _DATA_CENTRES: Final = 'abc'
 DATA_CENTRE_COUNT: Final = len(_DATA_CENTRES)
@@ -42,11 +45,25 @@
 @final
 @attrs.frozen
 class GroupLayout:
-    """Name, members and control port of the process of a group."""
+    """Name, members and ports of the process of a group.
+
+    Attributes
+    ----------
+    members
+        Members of the start.
+    spare_ports
+        Ports of members that replace others.
+    """
 
     name: str
     control_port: int
     members: tuple[MemberEndpoint, ...]
+    spare_ports: tuple[int, ...]
+
+    @property
+    def member_ports(self) -> tuple[int, ...]:
+        """All ports at which members listen."""
+        return (*(member.port for member in self.members), *self.spare_ports)
 
 
 @final
@@ -72,14 +89,13 @@
     @classmethod
     def choose(cls, plan: SoakPlan) -> Self:
         """Return a layout for ``plan`` on free ports."""
-        count = (
-            _FIXED_PORT_COUNT + plan.hosts + plan.groups * (MEMBER_COUNT + 1)
-        )
+        group_count = MEMBER_COUNT + SPARE_COUNT + 1
+        count = _FIXED_PORT_COUNT + plan.hosts + plan.groups * group_count
         ports = [
             int(address.rpartition(':')[2]) for address in free_addresses(count)
         ]
         groups = tuple(
-            _group(number, [ports.pop() for _ in range(MEMBER_COUNT + 1)])
+            _group(number, [ports.pop() for _ in range(group_count)])
             for number in range(plan.groups)
         )
         hosts = tuple(
@@ -111,11 +127,8 @@
 
     def link_ports(self) -> dict[str, int]:
         """Return the port of the proxied links by target address."""
-        members = {
-            f'{LOOPBACK}:{member.port}': member.port
-            for group in self.groups
-            for member in group.members
-        }
+        ports = [port for group in self.groups for port in group.member_ports]
+        members = {f'{LOOPBACK}:{port}': port for port in ports}
         return {**members, **self.peer_link_ports()}
 
     def links(self) -> dict[str, tuple[str, str]]:
@@ -134,8 +147,13 @@
 
 def _group(number: int, ports: list[int]) -> GroupLayout:
     name = f'g{number}'
+    control_port, *member_ports = ports
     members = tuple(
         MemberEndpoint(f'{name}-{centre}', port, centre)
-        for centre, port in zip(_DATA_CENTRES, ports[1:], strict=True)
+        for centre, port in zip(
+            _DATA_CENTRES, member_ports[:MEMBER_COUNT], strict=True
+        )
+    )
+    return GroupLayout(
+        name, control_port, members, tuple(member_ports[MEMBER_COUNT:])
     )
-    return GroupLayout(name, ports[0], members)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -19,6 +19,12 @@
     is_planned_only
         Whether all faults are planned work: stops, reloads, configurations
         and drained members. Every request without an answer is judged then.
+    series_names
+        Series of faults to draw from; empty for the usual ones.
+    interval_s
+        Mean time between the starts of two series.
+    is_crowded
+        Whether the callers hold connections of members for most of the time.
     """
 
     seed: int
@@ -27,3 +33,6 @@
     groups: int = 3
     callers: int = 60
     is_planned_only: bool = False
+    series_names: tuple[str, ...] = ()
+    interval_s: float = 0.5
+    is_crowded: bool = False
--- a/soak/shared_state.py
+++ b/soak/shared_state.py
@@ -16,8 +16,17 @@
 class SharedState:
     """Found violations, write history, counters and recently written items."""
 
-    def __init__(self, seed: int, violations: ViolationLog) -> None:
-        """Start without items."""
+    def __init__(
+        self, seed: int, violations: ViolationLog, *, is_crowded: bool = False
+    ) -> None:
+        """Start without items.
+
+        Parameters
+        ----------
+        is_crowded
+            Whether the callers hold connections of members most of the time.
+        """
+        self.is_crowded: Final = is_crowded
         self.seed: Final = seed
         self.violations: Final = violations
         self.history: Final = History()
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -19,6 +19,7 @@
 from soak.log_scan import find_errors
 from soak.operator import Operator
 from soak.plan import SoakPlan
+from soak.promotion_check import check_promotions
 from soak.shared_state import SharedState
 from soak.unanswered_check import UnansweredCheck
 from soak.violation import Violation, ViolationLog
@@ -31,6 +32,7 @@
 # One caller in so many stays with one host, and uses it until it is gone.
 _STEADY_CALLER_INTERVAL: Final = 3
 _MAX_DETAIL_CHARS: Final = 300
+_LOST: Final = 'LOST'
 
 
 @final
@@ -58,7 +60,9 @@
             self._disruptions, self._violations
         )
         self._shared_states = {
-            group.name: SharedState(plan.seed, self._violations)
+            group.name: SharedState(
+                plan.seed, self._violations, is_crowded=plan.is_crowded
+            )
             for group in self._layout.groups
         }
 
@@ -126,20 +130,28 @@
     async def _check_group(self, group: GroupLayout) -> None:
         url = f'http://{LOOPBACK}:{group.control_port}/report'
         report = await get_json(url)
+        shared = self._shared_states[group.name]
+        counts = shared.counts
+        counts['commits rolled back, not acknowledged by a host'] += (
+            check_promotions(
+                report['promotions'], shared.history, self._violations
+            )
+        )
         for found in report['violations']:
+            if found['rule'] == _LOST:
+                # ``check_promotions`` judges by what the callers were told.
+                continue
             member_id, at_ms = found['member_id'], found['at_ms']
             detail = f'{member_id} at {at_ms}: {found["detail"]}'
             self._violations.add(found['rule'], '', [], detail)
         commit_counts = collections.Counter(
             commit['request_id'] for commit in report['commits']
         )
-        self._shared_states[group.name].history.check_committed(
-            commit_counts, self._violations
-        )
-        counts = self._shared_states[group.name].counts
+        shared.history.check_committed(commit_counts, self._violations)
         await self._check_unanswered(group)
         self._check_late(report['late_receipts'])
         counts['member promotions'] += report['counts'].get('promotions', 0)
+        counts['connections refused'] += report['counts'].get('CONNLIMIT', 0)
 
     async def _check_unanswered(self, group: GroupLayout) -> None:
         shared = self._shared_states[group.name]
