--- a/features/failover_explorer.py
+++ b/features/failover_explorer.py
@@ -29,6 +29,7 @@
     FakePromotions,
     FakeRegistrations,
 )
+from features.restart_fault import NO_RESTARTS, RestartFault, RestartFaults
 from features.virtual_loop import run_virtually
 from mimosapond.failover.departure_detector import DepartureDetector
 from mimosapond.failover.failover_coordinator import FailoverCoordinator
@@ -54,6 +55,7 @@
 _START_S: Final = 1000.0
 _HOST_RESTART_RATIO: Final = 0.05
 _CLOCK_STEP_S: Final = 0.005
+_EMPTY: Final = LogPosition(0, 0)
 
 
 @final
@@ -97,9 +99,16 @@
         One text for each promotion that lost an acknowledged commit.
     """
 
-    def __init__(self, seed: int) -> None:
-        """Create a group with the primary p and the replicas a and b."""
+    def __init__(self, seed: int, restarts: RestartFaults) -> None:
+        """Create a group with the primary p and the replicas a and b.
+
+        Parameters
+        ----------
+        restarts
+            Restarts that may happen, each drawn as often as a join.
+        """
         self._random = random.Random(seed)
+        self._restarts = restarts
         self._now_s = _START_S
         self._instances = {
             name: _Instance(FakeMember(name)) for name in ('p', 'a', 'b')
@@ -204,6 +213,11 @@
             self._act()
 
     def _act(self) -> None:
+        restarts = {
+            RestartFault.host: self._restart_witnessing_hosts,
+            RestartFault.replica: self._restart_replica,
+            RestartFault.empty_replica: self._empty_replica,
+        }
         choices: tuple[tuple[Callable[[], None], int], ...] = (
             (self._commit, 5),
             (self._pass_time, 2),
@@ -214,6 +228,11 @@
             (self._join, 1),
             (self._toggle_deafness, 1),
             (self._toggle_store, 1),
+            *(
+                (restarts[each], 1)
+                for each in RestartFault
+                if each in self._restarts
+            ),
         )
         actions, weights = zip(*choices, strict=True)
         self._random.choices(actions, weights)[0]()
@@ -321,6 +340,29 @@
                 self._note(f'{name} is back')
                 return
 
+    def _restart_witnessing_hosts(self) -> None:
+        """Start the other hosts again; they know all members from the start."""
+        for each in self._instances.values():
+            if each.is_registered:
+                each.listed_since_s = -math.inf
+        self._note('the other hosts start again')
+
+    def _restart_replica(self) -> None:
+        """Start a running replica again with its log."""
+        each = self._random.choice(self._running_replicas())
+        each.fake.paused_term = 0
+        self._note(f'{each.fake.member_id} starts again')
+
+    def _empty_replica(self) -> None:
+        """Start a replica again under its id without its log."""
+        each = self._random.choice(self._running_replicas())
+        each.fake.paused_term = 0
+        each.fake.position = _EMPTY
+        self._note(f'{each.fake.member_id} starts again without its log')
+
+    def _running_replicas(self) -> list[_Instance]:
+        return [each for each in self._running() if not each.fake.is_primary]
+
     def _leave(self) -> None:
         """Let a member announce that it leaves; one at a time."""
         leaving = [
@@ -396,11 +438,13 @@
         self.events.append(f'{self._now_s - _START_S:.1f} {event}')
 
 
-def explore(first_seed: int, count: int) -> list[str]:
+def explore(
+    first_seed: int, count: int, restarts: RestartFaults = NO_RESTARTS
+) -> list[str]:
     """Play orders of events and return all violations, with their seeds."""
     found: list[str] = []
     for seed in range(first_seed, first_seed + count):
-        explorer = FailoverExplorer(seed)
+        explorer = FailoverExplorer(seed, restarts)
         run_virtually(explorer.run())
         found.extend(f'seed {seed}: {each}' for each in explorer.violations)
     return found
