Let the explorer of witnesses keep the recorded processes

The changing host of the model promoted members although a recorded witness had started again, which the record rules out.

--- a/features/witness_explorer.py
+++ b/features/witness_explorer.py
@@ -202,6 +202,8 @@
         ]
         if any(each.fake.is_silent for each in known):
             return
+        if not all(self._is_as_recorded(each) for each in known):
+            return
         for member in known:
             member.fake.paused_term = self._term + 1
         chosen = max(known, key=lambda each: each.fake.position)
@@ -210,6 +212,13 @@
         self._chosen = chosen
         self._start(self._lead(chosen, self._random.choice(_EFFECT_S)))
 
+    def _is_as_recorded(self, instance: _Instance) -> bool:
+        """Return whether a member is no witness, or has not started again."""
+        witnesses = self._record.witnesses if self._record else None
+        recorded = {each.member_id: each for each in witnesses or ()}
+        process = recorded.get(instance.fake.member_id)
+        return process is None or process.born_ms == instance.born_ms
+
     async def _lead(self, chosen: _Instance, delay_s: float) -> None:
         await asyncio.sleep(delay_s)
         self._is_changing = False
