--- a/features/change_explorer.py
+++ b/features/change_explorer.py
@@ -21,6 +21,7 @@
 from mimosapond.groups.log_position import LogPosition
 
 _EVENT_COUNT: Final = 80
+_MIN_MEMBER_COUNT: Final = 3
 _MAX_MEMBER_COUNT: Final = 5
 # Time after which all hosts know the group and all members are witnesses.
 _WARM_UP_S: Final = 12.0
@@ -128,6 +129,7 @@
             ChangeFault.late_promotion: self._toggle_promotions,
             ChangeFault.replica_restart: self._restart_replica,
             ChangeFault.empty_restart: self._empty_replica,
+            ChangeFault.lost_replica: self._lose_replica,
             ChangeFault.full_member: self._toggle_full,
             ChangeFault.silent_store: self._toggle_store,
             ChangeFault.leaving_member: self._leave,
@@ -272,19 +274,32 @@
             self._start(self._stop(self._random.choice(self._group.replicas)))
 
     def _empty_replica(self) -> None:
-        """Start a replica again without its log.
+        """Start a replica again without its log."""
+        candidates = self._idle_replicas()
+        if candidates:
+            each = self._random.choice(candidates)
+            self._group.add(each.start_again(self._now(), keeps_log=False))
+            self._group.note(f'{each.member_id} starts again without its log')
+
+    def _lose_replica(self) -> None:
+        """End a replica for good; one at a time, and others join later."""
+        candidates = self._idle_replicas()
+        if candidates and len(self._group.running) >= _MIN_MEMBER_COUNT:
+            lost = self._random.choice(candidates)
+            lost.is_running = False
+            self._group.note(f'{lost.member_id} is lost with its log')
 
-        Not one that is about to lead: nothing withdraws an accepted promotion.
+    def _idle_replicas(self) -> list[Process]:
+        """Return the replicas that are not about to lead.
+
+        Nothing withdraws an accepted promotion, so the others alone may start
+        again without their logs, or end for good.
         """
-        candidates = [
+        return [
             each
             for each in self._group.replicas
             if each.member_id not in self._promotions.pending_ids
         ]
-        if candidates:
-            each = self._random.choice(candidates)
-            self._group.add(each.start_again(self._now(), keeps_log=False))
-            self._group.note(f'{each.member_id} starts again without its log')
 
     def _toggle_full(self) -> None:
         """Let all connections of a member be in use, or end that."""
@@ -304,7 +319,7 @@
         is_any_leaving = any(
             each.leaving_since_s is not None for each in running
         )
-        if is_any_leaving or len(running) < 3:
+        if is_any_leaving or len(running) < _MIN_MEMBER_COUNT:
             return
         each = self._pick()
         each.leaving_since_s = self._now()
--- a/features/change_fault.py
+++ b/features/change_fault.py
@@ -18,6 +18,8 @@
     replica_restart = 'replica restart'
     # A replica starts again under its id without its log.
     empty_restart = 'empty restart'
+    # A replica ends for good, with its log.
+    lost_replica = 'lost replica'
     # Promotions take effect after the call; calls may be carried out late.
     late_promotion = 'late promotion'
     # Any promotion that takes effect ends the pauses of all members.
