End the connections to a process that starts again in the explorer

The fake of a member kept its connections over a restart, so that no host could see that another process answers. The host also reads the registrations by itself now.

--- a/features/witness_explorer.py
+++ b/features/witness_explorer.py
@@ -137,6 +137,7 @@
             (self._change_primary, 2),
             (self._join, 1),
             (self._toggle_silence, 1),
+            (self._list_members, 1),
             *(
                 (restarts[each], 1)
                 for each in RestartFault
@@ -286,8 +287,14 @@
         self._note(f'{each.fake.member_id} starts again without its log')
 
     def _start_process(self, instance: _Instance) -> None:
-        """Start a process of a member, which may register some time later."""
-        instance.fake.paused_term = 0
+        """Start a process of a member, which may register some time later.
+
+        The connections to its former process get no more answers.
+        """
+        former = instance.fake
+        instance.fake = attrs.evolve(former, paused_term=0)
+        former.is_silent = True
+        self._fakes[former.member_id] = instance.fake
         instance.born_ms += 1
         if self._random.random() < 1 / 2:
             self._list_members()
