Let the explorer keep one log with each confirmed commit

A process that alone has a confirmed commit may not lose its log: no change of primary could keep the commit then. The same holds for a member whose call is still to be carried out, as it would lead without its log.

--- a/features/change_group.py
+++ b/features/change_group.py
@@ -131,6 +131,14 @@
             position in each.log for each in self.running if each is not primary
         )
 
+    def is_kept_without(self, process: Process) -> bool:
+        """Return whether the commits that callers rely on are in other logs."""
+        others = [each for each in self.processes.values() if not each.is_gone]
+        return all(
+            any(position in each.log for each in others if each is not process)
+            for position in self.confirmed
+        )
+
     def replicate(self, receiver: Process, count: int) -> None:
         """Let a replica receive some commits, if it receives any."""
         if self.primary is not None and receiver.receives:
--- a/features/change_platform.py
+++ b/features/change_platform.py
@@ -128,6 +128,8 @@
     ----------
     pending_ids
         Members whose promotion was accepted and has not taken effect.
+    called_ids
+        Members whose promotion is carried out later.
     is_silent
         Whether no call gets an answer.
     """
@@ -149,6 +151,7 @@
         self._newest_token = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self.pending_ids: list[str] = []
+        self.called_ids: list[str] = []
         self.is_silent = False
 
     async def promote(
@@ -174,7 +177,9 @@
     async def _carry_out(
         self, late_s: float, member_id: str, token: int
     ) -> None:
+        self.called_ids.append(member_id)
         await asyncio.sleep(late_s)
+        self.called_ids.remove(member_id)
         self._accept(member_id, token)
 
     def _accept(self, member_id: str, token: int) -> PromotionOutcome:
--- a/features/change_process.py
+++ b/features/change_process.py
@@ -42,6 +42,8 @@
     leaving_since_s: float | None = None
     # Whether it started under the id of a former process without its log.
     has_lost_log: bool = False
+    # Whether it has ended for good, with its log.
+    is_gone: bool = False
     # Names of the hosts that do not reach it.
     cut_hosts: set[str] = attrs.field(factory=set)
 
