--- a/features/change_explorer.feature
+++ b/features/change_explorer.feature
@@ -5,3 +5,13 @@
   # the acknowledging code together: each alone is explored by the two other explorers.
   Scenario: no explored order of crashes, cuts and joins loses a confirmed commit
     Then no confirmed commit is lost beside no other events in the whole orders 0 to 29
+
+  # Guards against a promotion that takes another process, or a primary that was told to
+  # step down, for a witness that has ended.
+  Scenario: no explored order of restarts loses a confirmed commit
+    Then no confirmed commit is lost beside empty restart, host restart, second host events in the whole orders 50 to 69
+
+  # Guards against two calls for different members that both take effect.
+  Scenario: no explored order of late promotions loses a confirmed commit
+    Then no confirmed commit is lost beside late promotion, second host, changing restart, replica restart events in the whole orders 230 to 249
+    And no confirmed commit is lost beside late promotion, second host, changing restart events in the whole orders 55 to 55
