Know the process of a witness from the first connection on

A process is in doubt from the start of a host, and whenever no connection is left, until its registration is read 1.5 s after a connection was opened: a heartbeat may pass before a new process registers. A loss counts from the last answer on the lost connection. A commit whose witness is in doubt is acknowledged only after the store, read after the answer, had neither a claim nor a pending lead; concurrent commits share the read.

--- a/features/group_builders.py
+++ b/features/group_builders.py
@@ -169,6 +169,7 @@
     directory.registrations_complete_from_s = 0
     directory.first_read_s = -math.inf
     record_all_witnesses(directory)
+    trust_processes(directory)
     active = ActiveConfiguration()
     active.activate(configuration)
     probe = PrimaryProbe(boot_time_s, relays)
@@ -192,6 +193,13 @@
     )
 
 
+def trust_processes(directory: GroupDirectory) -> None:
+    """Let this host be certain of the process of each member."""
+    for member in directory.get_or_create(GROUP).members.values():
+        member.load.identity.trust()
+        member.load.identity.is_answer_certain = True
+
+
 def record_all_witnesses(directory: GroupDirectory) -> None:
     """Let each member that is listed witness the commits of the group."""
     group = directory.get_or_create(GROUP)
--- a/features/steps/change_log_steps.py
+++ b/features/steps/change_log_steps.py
@@ -8,7 +8,7 @@
 from behave import given, step, then, when
 from loguru import logger
 
-from features.group_builders import build_record
+from features.group_builders import build_record, record_all_witnesses
 from mimosapond.boot_clock import boot_time_s
 from mimosapond.groups.log_position import LogPosition
 
@@ -29,6 +29,7 @@
     for name, born_ms in (('p', p_ms), ('a', a_ms)):
         member = context.world.group.members[name]
         member.record = attrs.evolve(member.record, born_ms=born_ms)
+    record_all_witnesses(context.world.directory)
 
 
 @step('the registration of a has start {born}')
--- a/features/steps/commit_witnesses_steps.py
+++ b/features/steps/commit_witnesses_steps.py
@@ -74,7 +74,7 @@
         case ['started', 'again']:
             member.record = attrs.evolve(member.record, born_ms=_BORN_AGAIN_MS)
         case ['reconnected']:
-            member.load.record_lost_connection()
+            member.load.identity.record_loss(boot_time_s())
         case ['late', 'by', delay_ms, _]:
             fake.position = LogPosition(1, 10)
             context.loop.call_later(
--- a/features/steps/witness_roster_steps.py
+++ b/features/steps/witness_roster_steps.py
@@ -223,14 +223,16 @@
 @given('a process whose registration was read at {read_s:g} s')
 def confirm_process(context: Any, read_s: float) -> None:
     """Note when the process was last read."""
-    context.identity = ProcessIdentity()
+    context.identity = ProcessIdentity(0)
     context.identity.confirmed_s = read_s
 
 
 @given('a connection to it was lost at {lost_s} s')
 def lose_connection(context: Any, lost_s: str) -> None:
-    """Record the loss of a connection, if there was one."""
-    if lost_s != 'never':
+    """Record the loss of a connection that answered before, if there was one."""
+    if lost_s != 'unknown':
+        context.identity.trust()
+    if lost_s not in {'unknown', 'never'}:
         context.identity.record_loss(float(lost_s))
 
 
--- a/features/witness_explorer.py
+++ b/features/witness_explorer.py
@@ -24,9 +24,11 @@
 from features.group_fakes import FakeDialer, FakeMember
 from features.restart_fault import NO_RESTARTS, RestartFault, RestartFaults
 from features.virtual_loop import run_virtually
+from mimosapond.groups.group import Group
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.group_record import GroupRecord
 from mimosapond.groups.log_position import LogPosition
+from mimosapond.groups.member import Member
 from mimosapond.routing.commit_witnesses import CommitWitnesses
 
 _Log: TypeAlias = list[LogPosition]
@@ -112,6 +114,10 @@
             await asyncio.sleep(self._random.choice(_STEPS_S))
         await asyncio.sleep(max(_EFFECT_S) + _CONFIRM_S + 1)
 
+    async def is_none_pending(self, group: Group, primary: Member) -> bool:
+        """Return whether the store has no claim; see ``ChangeCheck``."""
+        return not self._is_changing
+
     def _start_host(self) -> None:
         """Start the acknowledging host, or start it again."""
         for each in self._confirmations:
@@ -123,7 +129,7 @@
         group = self._directory.get_or_create(GROUP)
         group.needs_replica = True
         group.record = self._record
-        self._witnesses = CommitWitnesses(self._now)
+        self._witnesses = CommitWitnesses(self._now, self)
 
     def _act(self) -> None:
         restarts = {
--- a/mimosapond/failover/control_requests.py
+++ b/mimosapond/failover/control_requests.py
@@ -184,9 +184,11 @@
         return connection
     try:
         answer = await call(connection.link)
+        is_certain = connection.leads_to_known_process()
     finally:
         connection.release()
     if isinstance(answer, MemberStatus):
+        member.load.identity.is_answer_certain = is_certain
         member.load.record_contact(answer.received)
         member.load.term = max(answer.term, answer.paused_term)
     return answer
--- a/mimosapond/groups/connection_dialing.py
+++ b/mimosapond/groups/connection_dialing.py
@@ -104,7 +104,7 @@
                 return DialRefused()
             case LinkLost(reason=reason):
                 self._load.is_unreachable = True
-                self._load.record_lost_connection()
+                self._load.identity.record_loss(self._load.last_contact_s)
                 logger.bind(member=self._record.member_id, reason=reason).debug(
                     'member_connection_failed'
                 )
--- a/mimosapond/groups/connection_pool.py
+++ b/mimosapond/groups/connection_pool.py
@@ -213,7 +213,7 @@
         may_keep = self._idle.may_keep(is_awaited=waiter is not None)
         is_kept = may_keep and not self._is_closed
         if not connection.link.is_open:
-            self._load.record_lost_connection()
+            connection.record_loss()
         if not is_kept or connection.has_unfinished_work():
             connection.link.close()
         if not connection.link.is_open:
--- a/mimosapond/groups/idle_connections.py
+++ b/mimosapond/groups/idle_connections.py
@@ -187,10 +187,13 @@
     def _close_broken(self) -> None:
         for connection in tuple(self._connections):
             if not connection.link.is_open:
-                connection.load.record_lost_connection()
+                connection.record_loss()
                 self._close(connection)
 
     def _close(self, connection: PooledConnection) -> None:
         self._connections.remove(connection)
         connection.link.close()
         self.release_place()
+        if not self.open_count:
+            # Nothing would show that the process ends.
+            connection.record_loss()
--- a/mimosapond/groups/member_load.py
+++ b/mimosapond/groups/member_load.py
@@ -59,7 +59,7 @@
         self.position: LogPosition | None = None
         self.term = 0
         self.last_contact_s = -math.inf
-        self.identity = ProcessIdentity()
+        self.identity = ProcessIdentity(now())
         # Whether an attempt to connect has failed since the last contact.
         self.is_unreachable = False
         self.avoid_until_s: float = 0
@@ -133,10 +133,6 @@
             self.position = position
             self.term = max(self.term, position.term)
 
-    def record_lost_connection(self) -> None:
-        """Record that a connection ended or could not be opened."""
-        self.identity.record_loss(self._now())
-
     def _record_lag(self) -> None:
         """Pause reads of later positions; refusals at one time count once."""
         if self._now() < self._lags_until_s:
--- a/mimosapond/groups/pooled_connection.py
+++ b/mimosapond/groups/pooled_connection.py
@@ -53,6 +53,10 @@
         self.load.record(request, answer)
         return answer
 
+    def record_loss(self) -> None:
+        """Record that it ended, at some time after its last use."""
+        self.load.identity.record_loss(max(self.opened_s, self.idle_since_s))
+
     def leads_to_known_process(self) -> bool:
         """Return whether the registered process gave the last answer."""
         return self.load.identity.is_certain(self.opened_s)
--- a/mimosapond/groups/process_identity.py
+++ b/mimosapond/groups/process_identity.py
@@ -8,8 +8,9 @@
 import math
 from typing import Final, final
 
-# Time after the start of a process within which its registration can be read.
-_REGISTRATION_S: Final = 0.5
+# Time after the start of a process within which its registration can be read:
+# an interval of heartbeats, and some time for the store.
+_REGISTRATION_S: Final = 1.5
 
 
 @final
@@ -23,16 +24,31 @@
     ----------
     confirmed_s
         Time at which the last read of the registry began that had the process.
+    is_answer_certain
+        Whether the last answer to a control request was that of the process.
     """
 
-    def __init__(self) -> None:
-        """Start without a lost connection."""
+    def __init__(self, created_s: float) -> None:
+        """Start in doubt, as the registration may be that of a former process."""
         self.confirmed_s = -math.inf
-        self._lost_s = -math.inf
+        self.is_answer_certain = False
+        # Time after which a connection may be one to another process; infinite
+        # while none was lost.
+        self._doubtful_from_s = created_s
 
-    def record_loss(self, now_s: float) -> None:
-        """Record that a connection ended or could not be opened."""
-        self._lost_s = now_s
+    def record_loss(self, last_answer_s: float) -> None:
+        """Record that a connection ended or could not be opened.
+
+        Parameters
+        ----------
+        last_answer_s
+            Time at which the process was last known to run.
+        """
+        self._doubtful_from_s = min(self._doubtful_from_s, last_answer_s)
+
+    def trust(self) -> None:
+        """End the doubt: the registered process was seen to run."""
+        self._doubtful_from_s = math.inf
 
     def is_certain(self, opened_s: float) -> bool:
         """Return whether an answer is that of the known process.
@@ -42,7 +58,7 @@
         opened_s
             Time at which the connection of the answer was opened.
         """
-        is_older = opened_s < self._lost_s
-        if is_older or opened_s + _REGISTRATION_S < self.confirmed_s:
-            self._lost_s = -math.inf
-        return math.isinf(self._lost_s)
+        is_registered = opened_s + _REGISTRATION_S < self.confirmed_s
+        if opened_s < self._doubtful_from_s or is_registered:
+            self.trust()
+        return math.isinf(self._doubtful_from_s)
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -57,6 +57,7 @@
 from mimosapond.platform.store_peers import StorePeers
 from mimosapond.platform.store_registrations import StoreRegistrations
 from mimosapond.routing.commit_witnesses import CommitWitnesses
+from mimosapond.routing.pending_change_check import PendingChangeCheck
 from mimosapond.routing.holder_port import HolderFinder, RunsHere
 from mimosapond.routing.lead_proof import (
     AnswerProof,
@@ -173,7 +174,9 @@
             self._now,
             lambda: settings.has_token_check and self._directory.holds_any,
         )
-        self._witnesses = CommitWitnesses(self._now)
+        self._witnesses = CommitWitnesses(
+            self._now, PendingChangeCheck(self._claims)
+        )
         self._limits = ServingLimits(self._now)
         self._sessions = SessionRegistry(self._build_session_services())
         self._relayed_work_handler = RelayedWorkHandler(
--- a/mimosapond/routing/commit_witnesses.py
+++ b/mimosapond/routing/commit_witnesses.py
@@ -25,9 +25,11 @@
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_process import MemberProcess
 from mimosapond.routing.member_position_request import (
+    ReportedPosition,
     fetch_applied,
     fetch_received,
 )
+from mimosapond.routing.pending_change_check import ChangeCheck, NeverChecked
 
 # Time after which a second witness is asked as well.
 _HEDGE_DELAY_S: Final = 0.02
@@ -38,6 +40,7 @@
 # Pause before the witnesses are asked, and asked again.
 _RETRY_DELAY_S: Final = 0.005
 _MAX_RETRY_DELAY_S: Final = 0.05
+_NEVER_CHECKED: Final = NeverChecked()
 
 
 @final
@@ -60,9 +63,17 @@
 class CommitWitnesses:
     """Asks the witnesses of a group for the positions they received."""
 
-    def __init__(self, now: Now) -> None:
-        """Use a clock for the deadlines."""
+    def __init__(self, now: Now, changes: ChangeCheck = _NEVER_CHECKED) -> None:
+        """Use a clock for the deadlines.
+
+        Parameters
+        ----------
+        changes
+            Checks that no change is pending if the process of a witness may
+            have started again.
+        """
         self._now = now
+        self._changes = changes
 
     def may_confirm(self, group: Group, primary: Member) -> bool:
         """Return whether any replica could witness a commit now."""
@@ -114,9 +125,12 @@
                 delay_s = min(delay_s * 2, _MAX_RETRY_DELAY_S)
                 witnesses = find_witnesses(group, primary)
                 proof = await _ask_witnesses(requests, witnesses, position)
-                if isinstance(proof, MemberProcess):
+                if isinstance(proof, _Report) and (
+                    proof.is_process_certain
+                    or await self._changes.is_none_pending(group, primary)
+                ):
                     leader = primary.record.process
-                    group.acknowledgements.add(position, leader, proof)
+                    group.acknowledgements.add(position, leader, proof.process)
                     return True
                 if proof is _NoProof.impossible:
                     return False
@@ -132,6 +146,7 @@
 
     process: MemberProcess
     position: LogPosition
+    is_process_certain: bool
 
 
 @final
@@ -176,10 +191,12 @@
 
     async def _fetch(self, member: Member) -> _Report | None:
         process = member.record.process
-        position = await self._fetch_position(member)
-        return None if position is None else _Report(process, position)
+        found = await self._fetch_position(member)
+        if found is None:
+            return None
+        return _Report(process, found.position, found.is_process_certain)
 
-    async def _fetch_position(self, member: Member) -> LogPosition | None:
+    async def _fetch_position(self, member: Member) -> ReportedPosition | None:
         if self._now() < self._asks_applied_until_s:
             return await fetch_applied(
                 member, self._position, _ANSWER_TIMEOUT_S
@@ -208,20 +225,20 @@
 
 async def _ask_witnesses(
     requests: _PositionRequests, witnesses: list[Member], position: LogPosition
-) -> MemberProcess | _NoProof:
+) -> _Report | _NoProof:
     """Ask the witnesses one after another until one has a position.
 
     Returns
     -------
-    MemberProcess or _NoProof
-        The process that has it.
+    _Report or _NoProof
+        The report of the process that has it.
     """
     reports: list[_Report] = []
     for member in witnesses:
         reports += await requests.ask(member)
         for report in reports:
             if report.position.includes(position):
-                return report.process
+                return report
     if any(each.position.term > position.term for each in reports):
         return _NoProof.impossible
     return _NoProof.open
--- a/mimosapond/routing/member_position_request.py
+++ b/mimosapond/routing/member_position_request.py
@@ -2,7 +2,9 @@
 
 import contextlib
 from collections.abc import AsyncIterator
-from typing import Final
+from typing import Final, final
+
+import attrs
 
 from mimosapond.groups.connection_lease import ConnectionLease
 from mimosapond.groups.log_position import LogPosition
@@ -38,34 +40,46 @@
     return answer
 
 
-async def fetch_received(member: Member, limit_s: float) -> LogPosition | None:
-    """Return the position that a process has received, applied or not.
+@final
+@attrs.frozen
+class ReportedPosition:
+    """A position that a member reported.
+
+    Parameters
+    ----------
+    is_process_certain
+        Whether the registered process reported it, and not a later one.
+    """
+
+    position: LogPosition
+    is_process_certain: bool
+
+
+async def fetch_received(
+    member: Member, limit_s: float
+) -> ReportedPosition | None:
+    """Return the position that a member has received, applied or not.
 
     Parameters
     ----------
     limit_s
         As for ``fetch_member_status``.
-
-    Returns
-    -------
-    LogPosition | None
-        None without an answer, or if another process may have given it.
     """
     async with _borrowed(member, limit_s) as connection:
         if connection is None:
             return None
         answer = await connection.link.status(limit_s)
-        is_known = connection.leads_to_known_process()
+        is_certain = connection.leads_to_known_process()
     if not isinstance(answer, MemberStatus):
         return None
     member.load.record_contact(answer.received)
-    return answer.received if is_known else None
+    return ReportedPosition(answer.received, is_certain)
 
 
 async def fetch_applied(
     member: Member, position: LogPosition, limit_s: float
-) -> LogPosition | None:
-    """Return the position that a process has applied.
+) -> ReportedPosition | None:
+    """Return the position that a member has applied; None without an answer.
 
     An empty read-only transaction asks for it, which takes no slot.
 
@@ -75,20 +89,16 @@
         The position in question; the transaction begins only from there on.
     limit_s
         Limit for a connection to become free, and again for each answer.
-
-    Returns
-    -------
-    LogPosition | None
-        None without an answer, or if another process may have given it.
     """
     async with _borrowed(member, limit_s) as connection:
         if connection is None:
             return None
         applied = await _begin_from(connection, position, limit_s)
-        is_known = connection.leads_to_known_process()
-    if applied is not None:
-        member.load.record_contact(applied)
-    return applied if is_known else None
+        is_certain = connection.leads_to_known_process()
+    if applied is None:
+        return None
+    member.load.record_contact(applied)
+    return ReportedPosition(applied, is_certain)
 
 
 @contextlib.asynccontextmanager
