--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -391,7 +391,13 @@
         token = len(self.granted) + 2
         self.granted[token] = host
         lead = self.record.lead or NoLead()
-        return DutyClaim(token, math.inf, lead, self.record.witnesses)
+        return DutyClaim(
+            token,
+            math.inf,
+            lead,
+            self.record.witnesses,
+            self.record.is_withdrawn,
+        )
 
     def found(self) -> FoundRecord:
         """Return the record as it is now."""
--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -332,8 +332,9 @@
       | 4          | no longer | no successor of a can be read                | none     |
       | 6          | no longer | no successor of a can be read                | b        |
       | 6          | still     | no successor of a can be read                | none     |
-      | 0          | still     | the successor of a is listed and is ahead    | d        |
-      | 4          | still     | the successor of a is listed and is ahead    | d        |
+      | 0          | no longer | the successor of a is listed and is ahead    | d        |
+      | 4          | no longer | the successor of a is listed and is ahead    | d        |
+      | 4          | still     | the successor of a is listed and is ahead    | none     |
 
   Scenario: a host that has just started is not in rotation yet
     Given a group whose primary is p
@@ -426,6 +427,7 @@
     # received the last commits.
     Given a group whose primary is p
     And member d replaced member a and is unknown to this host
+    And member a is no longer a recorded witness
     And member b has received up to 1.11
     And member d has received up to 1.12
     And the registry <registry>
--- a/features/witness_roster.feature
+++ b/features/witness_roster.feature
@@ -162,15 +162,31 @@
       | 1.9  | none     |
       | 1.10 | a        |
 
-  # Guards against two members that lead in turn: of equal logs, that of a call which
-  # may have been accepted is promoted again.
-  Scenario: the member of a recorded lead is preferred
+  # Guards against two members that lead one after the other (LOST): a call that was
+  # accepted for one lets it acknowledge commits which the other lacks.
+  Scenario Outline: beside a lead that may begin only its member is promoted
     Given a group whose primary is p
+    And member d has been listed for 1 s
+    And member d has received up to <d>
+    And member b has received up to <b>
     And the last recorded lead is that of a, from 1.10 in a term after 1
     And the host saw member p lead
     And the members p are silent
     When a host replaces the lost primary
-    Then the promoted member is a
+    Then the promoted member is <promoted>
+
+    Examples:
+      | d    | b    | promoted |
+      | 1.10 | 1.10 | a        |
+      | 1.12 | 1.10 | a        |
+      | 1.12 | 1.11 | none     |
+
+  # Guards against the same beside a leaving primary, whose replicas are not paused.
+  Scenario: a leaving primary does not hand over beside a lead that may begin
+    Given a group whose primary is p
+    And the last recorded lead is that of a, from 1.10 in a term after 1
+    When the leaving primary hands over
+    Then the promotion calls name p
 
   # Guards against commits that are acknowledged by a process which started again
   # and so forgot its pause, before this host reads that it did (LOST).
@@ -180,9 +196,11 @@
     Then answers on a connection opened at <opened_s> s are <certainty>
 
     Examples:
-      | read_s | lost_s | opened_s | certainty  |
-      | 1      | never  | 2        | its own    |
-      | 1      | 3      | 2        | its own    |
-      | 1      | 3      | 4        | in doubt   |
-      | 4.2    | 3      | 4        | in doubt   |
-      | 4.6    | 3      | 4        | its own    |
+      | read_s | lost_s  | opened_s | certainty |
+      | 1      | never   | 2        | its own   |
+      | 1      | 3       | 2        | its own   |
+      | 1      | 3       | 4        | in doubt  |
+      | 5.4    | 3       | 4        | in doubt  |
+      | 5.6    | 3       | 4        | its own   |
+      | 1      | unknown | 2        | in doubt  |
+      | 4      | unknown | 2        | its own   |
--- a/mimosapond/failover/claim_port.py
+++ b/mimosapond/failover/claim_port.py
@@ -51,12 +51,15 @@
     witnesses
         Processes that a change under this claim has to ask; None if none were
         recorded or the record could not be read.
+    is_withdrawn
+        Whether the recorded lead cannot begin any more.
     """
 
     token: int
     expires_s: float
     lead: LeadRecord
     witnesses: frozenset[MemberProcess] | None = None
+    is_withdrawn: bool = False
 
     def known_witnesses(self, group: Group) -> frozenset[MemberProcess] | None:
         """Return the recorded witnesses, as far as this host knows them."""
--- a/mimosapond/failover/failover_coordinator.py
+++ b/mimosapond/failover/failover_coordinator.py
@@ -17,6 +17,7 @@
 from mimosapond.failover.group_pauser import GroupPauser
 from mimosapond.failover.group_statuses import GroupStatuses
 from mimosapond.failover.hand_over import HandOver
+from mimosapond.failover.pending_leads import PendingLeads
 from mimosapond.failover.promoter import Promoter
 from mimosapond.failover.promotion_log import (
     log_promotion_proof,
@@ -64,7 +65,10 @@
         self._witness_check = WitnessCheck(membership)
         self.roster: Final = WitnessRoster(claims, membership, now)
         self._steps = ChangeSteps(claims, promoter, now)
-        self._hand_over = HandOver(self._steps, membership, now)
+        self._pending_leads = PendingLeads(now)
+        self._hand_over = HandOver(
+            self._steps, membership, self._pending_leads, now
+        )
         self._now = now
 
     async def replace_lost_primary(self, group: Group) -> bool:
@@ -144,8 +148,16 @@
         paused = await self._pauser.pause(group, claim.token)
         leads = self._membership.leads_to_keep(group, claim.lead)
         candidate = paused.find_candidate(excluded, claim.lead, leads)
+        if candidate is not None:
+            candidate = self._pending_leads.restrict(
+                group, claim, paused, candidate, excluded
+            )
         if candidate is None or not self._witness_check.passes(
-            group, paused, claim.known_witnesses(group), recorded=claim.lead
+            group,
+            paused,
+            claim.known_witnesses(group),
+            recorded=claim.lead,
+            deposed=excluded,
         ):
             log_unsafe_promotion(group, paused)
             await self._steps.abort(group, claim, paused)
--- a/mimosapond/failover/group_statuses.py
+++ b/mimosapond/failover/group_statuses.py
@@ -50,6 +50,15 @@
         """Members that answered."""
         return [report.member for report in self._reports.values()]
 
+    @property
+    def reports(self) -> tuple[MemberReport, ...]:
+        """Reports of the members that answered."""
+        return tuple(self._reports.values())
+
+    def report_of(self, member_id: str) -> MemberReport | None:
+        """Return the report of a member; None if it did not answer."""
+        return self._reports.get(member_id)
+
     @property
     def positions(self) -> dict[str, str]:
         """Position that each member reported, by member id."""
@@ -112,8 +121,7 @@
             return None
         if not self.includes_all_replicas(deposed, recorded):
             return None
-        preferred_id = recorded.member_id if isinstance(recorded, Lead) else ''
-        return self.most_advanced(deposed, leads, preferred_id)
+        return self.most_advanced(deposed, leads)
 
     def newest_term(self, recorded: LeadRecord) -> int:
         """Return the newest term that may have begun.
@@ -175,15 +183,11 @@
         return max(candidates, key=_promotion_rank, default=None)
 
     def most_advanced(
-        self,
-        excluded: Member | None,
-        leads: Collection[Lead] = (),
-        preferred_id: str = '',
+        self, excluded: Member | None, leads: Collection[Lead] = ()
     ) -> MemberReport | None:
         """Return the replica with the most advanced log, or None without one.
 
-        Of equally advanced replicas, the preferred one is chosen, then one that
-        takes new work.
+        Of equally advanced replicas, one that takes new work is preferred.
 
         Parameters
         ----------
@@ -191,9 +195,6 @@
             Leads whose begin the log has to have. A primary that was the only
             witness of a commit before it was promoted may have it alone, if its
             replicas lagged behind then.
-        preferred_id
-            Member of a recorded lead: an earlier call that has been accepted
-            already may let it lead for a moment before the member chosen here.
         """
         candidates = [
             report
@@ -202,11 +203,7 @@
             and not report.status.is_primary
             and all(_has_begin(report, lead) for lead in leads)
         ]
-        return max(
-            candidates,
-            key=lambda report: _promotion_rank(report, preferred_id),
-            default=None,
-        )
+        return max(candidates, key=_promotion_rank, default=None)
 
     def _may_lead(self, silent: Member, recorded: LeadRecord) -> bool:
         """Return whether a silent member can be the primary.
@@ -239,12 +236,9 @@
     return max(terms, default=0)
 
 
-def _promotion_rank(
-    report: MemberReport, preferred_id: str = ''
-) -> tuple[object, ...]:
+def _promotion_rank(report: MemberReport) -> tuple[object, ...]:
     return (
         report.status.received,
-        report.member.member_id == preferred_id,
         report.member.accepts_new_work,
         report.member.member_id,
     )
--- a/mimosapond/failover/hand_over.py
+++ b/mimosapond/failover/hand_over.py
@@ -15,6 +15,7 @@
 from mimosapond.failover.group_membership import GroupMembership
 from mimosapond.failover.group_pauser import GroupPauser
 from mimosapond.failover.group_statuses import GroupStatuses
+from mimosapond.failover.pending_leads import PendingLeads
 from mimosapond.failover.promotion_log import log_promotion_proof
 from mimosapond.failover.replica_survey import (
     ReplicaSurvey,
@@ -34,9 +35,14 @@
     """
 
     def __init__(
-        self, steps: ChangeSteps, membership: GroupMembership, now: Now
+        self,
+        steps: ChangeSteps,
+        membership: GroupMembership,
+        pending_leads: PendingLeads,
+        now: Now,
     ) -> None:
         """Create a hand-over of the groups of a membership."""
+        self._pending_leads = pending_leads
         self._steps = steps
         self._survey = ReplicaSurvey(membership, now)
         self._pauser = GroupPauser(membership)
@@ -60,24 +66,32 @@
             )
             return False
         replicas = await self._survey.ask_replicas(group, leaving)
+        replicas.add(MemberReport(leaving, status))
         if replicas.has_paused_member:
             # A call of another change may still take effect.
-            replicas.add(MemberReport(leaving, status))
             await self._steps.withdraw_change(group, replicas)
             return False
         successor = choose_successor(replicas)
         if successor is None:
             return False
+        claim = await self._steps.claim(group, 'primary leaving')
+        if claim is None:
+            return False
+        pending = self._pending_leads.find(group, claim)
+        if pending is not None and pending.member_id != leaving.member_id:
+            await self._steps.abort(group, claim, replicas)
+            return False
         return await self._change(
-            group, MemberReport(leaving, status), successor.member
+            group, claim, MemberReport(leaving, status), successor.member
         )
 
     async def _change(
-        self, group: Group, leaving: MemberReport, successor: Member
+        self,
+        group: Group,
+        claim: DutyClaim,
+        leaving: MemberReport,
+        successor: Member,
     ) -> bool:
-        claim = await self._steps.claim(group, 'primary leaving')
-        if claim is None:
-            return False
         paused = await self._pauser.pause(
             group, claim.token, (successor, leaving.member)
         )
--- a/mimosapond/failover/witness_check.py
+++ b/mimosapond/failover/witness_check.py
@@ -38,6 +38,7 @@
         unpaused: Collection[Member] = (),
         *,
         recorded: LeadRecord = _LEAD_UNKNOWN,
+        deposed: Member | None = None,
     ) -> bool:
         """Return whether the answers include those of all witnesses needed.
 
@@ -54,16 +55,20 @@
             The primary and its successor, if both take part in the change.
         recorded
             The last recorded lead.
+        deposed
+            The former primary, if it was told to step down before. It has all
+            commits, and is not promoted.
         """
         primary_id = _lost_primary_id(group, answers, recorded)
         answered = {
-            member.record.process for member in (*answers.members, *unpaused)
+            member.record.process
+            for member in (*answers.members, *unpaused)
+            if member.load.identity.is_answer_certain
         }
         missing = [
             process
             for process in (witnesses or frozenset()) - answered
             if process.member_id != primary_id
-            and not _has_successor(group, answers, process)
         ]
         if not all(
             self._membership.has_ended(group, process) for process in missing
@@ -72,7 +77,10 @@
         return (
             not missing
             or bool(unpaused)
-            or self._is_log_lost(group, answers, primary_id)
+            or (
+                deposed is None
+                and self._is_log_lost(group, answers, primary_id)
+            )
         )
 
     def _is_log_lost(
@@ -114,23 +122,3 @@
     if isinstance(recorded, Lead) and recorded.member_id not in answered_ids:
         return recorded.member_id
     return group.last_primary_id
-
-
-def _has_successor(
-    group: Group, answers: GroupStatuses, process: MemberProcess
-) -> bool:
-    """Return whether the log of a member that left passed to one that answered.
-
-    The log of a leaving member is transferred to a new member at its address.
-    """
-    former = group.members.get(process.member_id)
-    if former is None or former.unlisted_since_s is None:
-        return False
-    return former.leaving_since_s is not None and any(
-        member is not former and _address(member) == _address(former)
-        for member in answers.members
-    )
-
-
-def _address(member: Member) -> tuple[str, int]:
-    return member.record.ip, member.record.port
--- a/mimosapond/platform/store_claims.py
+++ b/mimosapond/platform/store_claims.py
@@ -241,6 +241,7 @@
                     expires_s,
                     claim.lead or NoLead(),
                     claim.record.witnesses,
+                    claim.is_withdrawn,
                 )
             case ConditionFailed():
                 return DutyTaken('another host, at the same time')
