Require the begin of a lead from its own member as well

The example of primary_change.feature in which the member of the lead lacks its begin expected a promotion; such a log was lost or rolled back, so that none is safe.

--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -122,9 +122,15 @@
         self._member = member
         self._on_request = on_request
         self._state = SessionState.idle
-        self.is_open = True
+        self._is_closed = False
+        self._born_ms = member.born_ms
         self.name = member.member_id
 
+    @property
+    def is_open(self) -> bool:
+        """Whether it is not closed, and its process has not started again."""
+        return not self._is_closed and self._born_ms == self._member.born_ms
+
     @property
     def state(self) -> SessionState | None:
         """Session state after the last answer."""
@@ -222,7 +228,7 @@
 
     def close(self) -> None:
         """Mark the connection as closed."""
-        self.is_open = False
+        self._is_closed = True
 
     def _count_control_request(self) -> LinkLost | None:
         self._member.control_request_count += 1
--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -499,7 +499,8 @@
       | p      | 1.20  | 1    | 2.21     | b        |
       | p      | 1.20  | 2    | 2.21     | none     |
       | p      | 1.20  | 2    | 3.21     | b        |
-      | b      | 1.20  | 1    | 1.12     | b        |
+      | b      | 1.20  | 1    | 1.12     | none     |
+      | b      | 1.20  | 1    | 1.20     | b        |
       | gone   | 1.20  | 1    | 1.20     | none     |
 
   Scenario Outline: a host without the store needs to have seen the last primary
--- a/features/witness_explorer.py
+++ b/features/witness_explorer.py
@@ -115,8 +115,9 @@
         await asyncio.sleep(max(_EFFECT_S) + _CONFIRM_S + 1)
 
     async def is_none_pending(self, group: Group, primary: Member) -> bool:
-        """Return whether the store has no claim; see ``ChangeCheck``."""
-        return not self._is_changing
+        """Return whether no lead is pending or newer; see ``ChangeCheck``."""
+        is_primary = primary.member_id == self._primary.fake.member_id
+        return is_primary and not self._is_changing
 
     def _start_host(self) -> None:
         """Start the acknowledging host, or start it again."""
--- a/features/witness_roster.feature
+++ b/features/witness_roster.feature
@@ -204,3 +204,4 @@
       | 5.6    | 3       | 4        | its own   |
       | 1      | unknown | 2        | in doubt  |
       | 4      | unknown | 2        | its own   |
+      | 1      | -inf    | 2        | in doubt  |
--- a/mimosapond/failover/group_statuses.py
+++ b/mimosapond/failover/group_statuses.py
@@ -201,7 +201,7 @@
             for report in self._reports.values()
             if report.member is not excluded
             and not report.status.is_primary
-            and all(_has_begin(report, lead) for lead in leads)
+            and all(lead.is_in_log(report.status.received) for lead in leads)
         ]
         return max(candidates, key=_promotion_rank, default=None)
 
@@ -222,11 +222,6 @@
         return silent.member_id == last_id or silent.record.reports_primary
 
 
-def _has_begin(report: MemberReport, lead: Lead) -> bool:
-    is_own = report.member.member_id == lead.member_id
-    return is_own or lead.is_in_log(report.status.received)
-
-
 def newest_term(group: Group) -> int:
     """Return the highest term of a primary or a pause that was reported.
 
--- a/mimosapond/failover/pending_leads.py
+++ b/mimosapond/failover/pending_leads.py
@@ -58,7 +58,10 @@
         """
         lead = self.find(group, claim)
         report = paused.report_of(lead.member_id) if lead else None
-        if report is None:
+        if lead is None or report is None:
+            return candidate
+        if not lead.is_in_log(report.status.received):
+            # It has started again without its log.
             return candidate
         witnesses = claim.known_witnesses(group) or frozenset()
         is_most_advanced = all(
--- a/mimosapond/groups/process_identity.py
+++ b/mimosapond/groups/process_identity.py
@@ -61,4 +61,4 @@
         is_registered = opened_s + _REGISTRATION_S < self.confirmed_s
         if opened_s < self._doubtful_from_s or is_registered:
             self.trust()
-        return math.isinf(self._doubtful_from_s)
+        return self._doubtful_from_s == math.inf
