Record the primary that leads on when a change is withdrawn

A withdrawn lead stayed in the record with a mark. The primary that leads on is recorded in its place now, with what the withdrawn lead would have begun with.

A lead that may still begin is also withdrawn while no commit waits, as no member that joined can become a witness until then.

--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -326,7 +326,7 @@
         # What is read; None stands for a store that does not answer.
         self.found: FoundRecord | None = FoundRecord(GroupRecord(), 0, False)
         self.recorded_witnesses: frozenset[MemberProcess] | None = None
-        self.is_withdrawn = False
+        self.continued_id = ''
 
     async def claim(self, group: str) -> ClaimOutcome:
         """Return the outcome that the test set."""
@@ -344,9 +344,11 @@
         self.recorded_lead = lead
         return self.recording
 
-    async def withdraw_lead(self, group: str, claim: DutyClaim) -> bool:
-        """Record that the lead was withdrawn."""
-        self.is_withdrawn = True
+    async def withdraw_lead(
+        self, group: str, claim: DutyClaim, primary_id: str
+    ) -> bool:
+        """Keep the id of the primary that leads on."""
+        self.continued_id = primary_id
         return True
 
     async def read_record(self, group: str) -> FoundRecord | None:
@@ -402,7 +404,6 @@
             math.inf,
             lead,
             self.record.witnesses,
-            self.record.is_withdrawn,
         )
 
     def found(self) -> FoundRecord:
@@ -439,16 +440,19 @@
         """Record at the store, which has granted no other claim since."""
         if claim.token != max(self.store.granted):
             return LeadRecording.superseded
-        self.store.replace(
-            attrs.evolve(self.store.record, lead=lead, is_withdrawn=False)
-        )
+        self.store.replace(attrs.evolve(self.store.record, lead=lead))
         return LeadRecording.recorded
 
-    async def withdraw_lead(self, group: str, claim: DutyClaim) -> bool:
+    async def withdraw_lead(
+        self, group: str, claim: DutyClaim, primary_id: str
+    ) -> bool:
         """Withdraw the lead, if no other claim was granted since."""
         if claim.token != max(self.store.granted):
             return False
-        self.store.replace(attrs.evolve(self.store.record, is_withdrawn=True))
+        record = self.store.record
+        if record.lead is not None:
+            lead = record.lead.of(primary_id)
+            self.store.replace(attrs.evolve(record, lead=lead))
         return True
 
     async def read_record(self, group: str) -> FoundRecord | None:
--- a/features/steps/group_record_steps.py
+++ b/features/steps/group_record_steps.py
@@ -37,10 +37,10 @@
 
 @when('host {host} withdraws the lead of its last claim')
 def withdraw(context: Any, host: str) -> None:
-    """Withdraw the lead that came with the claim."""
+    """Let m9 lead on in place of the lead that came with the claim."""
     held = [each for each in context.outcomes if isinstance(each, DutyClaim)]
     context.loop.run_until_complete(
-        context.claims[host].withdraw_lead(context.group_name, held[-1])
+        context.claims[host].withdraw_lead(context.group_name, held[-1], 'm9')
     )
 
 
@@ -61,8 +61,8 @@
 def check_withdrawn(context: Any, result: str) -> None:
     """Read whether the recorded lead was withdrawn."""
     read(context, 'a')
-    is_withdrawn = context.found_record.record.is_withdrawn
-    assert is_withdrawn == (result == 'withdrawn')
+    leader_id = context.found_record.record.lead.member_id
+    assert (leader_id == 'm9') == (result == 'withdrawn')
 
 
 def _processes(names: str) -> frozenset[MemberProcess]:
--- a/features/steps/witness_roster_steps.py
+++ b/features/steps/witness_roster_steps.py
@@ -75,11 +75,10 @@
 
 @given('the recorded lead of {name} {state}')
 def record_lead(context: Any, name: str, state: str) -> None:
-    """Record a lead that may begin, cannot begin any more, or has begun."""
+    """Record a lead that may begin, or that has begun."""
     record = attrs.evolve(
         context.world.claims.found.record,
         lead=Lead(name, _BEGIN, 1),
-        is_withdrawn=state == 'was withdrawn',
     )
     context.world.claims.found = FoundRecord(record, 1, is_claimed=False)
 
@@ -213,11 +212,10 @@
     assert is_paused == (state == 'paused')
 
 
-@then('the lead was {state}')
-def check_withdrawal(context: Any, state: str) -> None:
-    """Check whether the recorded lead was withdrawn."""
-    is_withdrawn = context.world.claims.is_withdrawn
-    assert is_withdrawn == (state == 'withdrawn')
+@then('the recorded lead is that of {name}')
+def check_lead(context: Any, name: str) -> None:
+    """Check whether a primary was recorded that leads on."""
+    assert (context.world.claims.continued_id or 'another member') == name
 
 
 @given('a process whose registration was read at {read_s:g} s')
--- a/features/witness_roster.feature
+++ b/features/witness_roster.feature
@@ -36,7 +36,6 @@
       | 8        | the members p are silent                     | unchanged |
       | 8        | another host claims the group                | unchanged |
       | 8        | the recorded lead of b has not begun         | unchanged |
-      | 8        | the recorded lead of b was withdrawn         | a,b,d,p   |
       | 8        | the recorded lead of p has begun             | a,b,d,p   |
       | 8        | the store does not answer                    | unchanged |
 
@@ -112,13 +111,13 @@
     And an accepted call lets b lead <effect_ms> ms after the fence was raised
     When a host replaces the stalled primary
     Then member a is <state>
-    And the lead was <lead>
+    And the recorded lead is that of <lead>
 
     Examples:
-      | effect_ms | state  | lead          |
-      | 300       | paused | not withdrawn |
-      | 1200      | paused | not withdrawn |
-      | 5000      | resumed | withdrawn    |
+      | effect_ms | state   | lead            |
+      | 300       | paused  | another member  |
+      | 1200      | paused  | another member  |
+      | 5000      | resumed | p               |
 
   # Guards against a hand-over beside a change that another host left behind, whose
   # call may still be carried out (LOST).
--- a/mimosapond/failover/change_steps.py
+++ b/mimosapond/failover/change_steps.py
@@ -114,8 +114,9 @@
         status = await fetch_status(primary.member)
         if status is None or not status.leads_as(primary.status):
             return
-        if await self._claims.withdraw_lead(group.name, claim):
-            group.withdraw_lead()
+        primary_id = primary.member.member_id
+        if await self._claims.withdraw_lead(group.name, claim, primary_id):
+            group.withdraw_lead(primary_id)
         await self._resume(group, claim, paused.replicas)
 
     async def claim(self, group: Group, reason: str) -> DutyClaim | None:
--- a/mimosapond/failover/claim_port.py
+++ b/mimosapond/failover/claim_port.py
@@ -51,15 +51,12 @@
     witnesses
         Processes that a change under this claim has to ask; None if none were
         recorded or the record could not be read.
-    is_withdrawn
-        Whether the recorded lead cannot begin any more.
     """
 
     token: int
     expires_s: float
     lead: LeadRecord
     witnesses: frozenset[MemberProcess] | None = None
-    is_withdrawn: bool = False
 
     def known_witnesses(self, group: Group) -> frozenset[MemberProcess] | None:
         """Return the recorded witnesses, as far as this host knows them."""
@@ -133,8 +130,16 @@
             The claim under which the member is promoted.
         """
 
-    async def withdraw_lead(self, group: str, claim: DutyClaim) -> bool:
-        """Record that the recorded lead of a claim cannot begin any more.
+    async def withdraw_lead(
+        self, group: str, claim: DutyClaim, primary_id: str
+    ) -> bool:
+        """Record that a primary leads on in place of the recorded lead.
+
+        Parameters
+        ----------
+        claim
+            The claim with which the recorded lead was read. It cannot begin any
+            more.
 
         Returns
         -------
--- a/mimosapond/failover/failover_coordinator.py
+++ b/mimosapond/failover/failover_coordinator.py
@@ -114,9 +114,8 @@
         statuses = await self._pauser.fetch(group)
         if statuses.primary is None or statuses.primary.member is not primary:
             return False
-        record = group.record
-        if statuses.has_paused_member or (
-            record and record.is_change_pending(primary.member_id)
+        if statuses.has_paused_member or await self._is_change_pending(
+            group, primary
         ):
             return await self._steps.withdraw_change(group, statuses)
         if not statuses.is_complete or not await self._survey.is_cut_off(
@@ -166,6 +165,16 @@
         group.observations.add(self._now(), candidate.status.received)
         return await self._steps.promote(group, candidate, claim, paused)
 
+    async def _is_change_pending(self, group: Group, primary: Member) -> bool:
+        """Return whether the store has a lead that may still begin."""
+        record = group.record
+        if record is None or not record.is_change_pending(primary.member_id):
+            return False
+        found = await self.roster.read(group)
+        return found is not None and found.record.is_change_pending(
+            primary.member_id
+        )
+
     def _has_known_witnesses(
         self, group: Group, answers: GroupStatuses
     ) -> bool:
--- a/mimosapond/failover/pending_leads.py
+++ b/mimosapond/failover/pending_leads.py
@@ -31,7 +31,7 @@
     def find(self, group: Group, claim: DutyClaim) -> Lead | None:
         """Return the recorded lead of a claim if it may still begin."""
         lead = claim.lead
-        if not isinstance(lead, Lead) or claim.is_withdrawn:
+        if not isinstance(lead, Lead):
             return None
         seen = self._seen.get(group.name)
         if seen is None or seen[0] != lead:
@@ -58,7 +58,7 @@
         """
         lead = self.find(group, claim)
         report = paused.report_of(lead.member_id) if lead else None
-        if lead is None or report is None:
+        if lead is None or report is None or report.member is deposed:
             return candidate
         if not lead.is_in_log(report.status.received):
             # It has started again without its log.
--- a/mimosapond/failover/primary_monitor.py
+++ b/mimosapond/failover/primary_monitor.py
@@ -164,12 +164,20 @@
             )
 
     def _has_stalled_commits(self, primary: Member) -> bool:
-        """Return whether commits wait for a replica or for a witness."""
+        """Return whether commits wait for a replica or for a witness.
+
+        Beside a change that may still be carried out, no member that joined can
+        become a witness.
+        """
         ages_s = (
             primary.load.oldest_request_age_s(writes_only=True),
             self._group.confirmations.oldest_age_s(self._now()),
         )
-        return max(ages_s) > _STALLED_WRITE_AGE_S
+        record = self._group.record
+        is_pending = record is not None and record.is_change_pending(
+            primary.member_id
+        )
+        return is_pending or max(ages_s) > _STALLED_WRITE_AGE_S
 
     def _update_roster(self) -> None:
         """Start to bring the recorded witnesses up to date if it is due."""
--- a/mimosapond/failover/reserved_token_claims.py
+++ b/mimosapond/failover/reserved_token_claims.py
@@ -114,11 +114,13 @@
             return LeadRecording.unknown
         return await self._store.record_lead(group, claim, lead)
 
-    async def withdraw_lead(self, group: str, claim: DutyClaim) -> bool:
+    async def withdraw_lead(
+        self, group: str, claim: DutyClaim, primary_id: str
+    ) -> bool:
         """Withdraw a lead, unless the claim was made without the store."""
         if isinstance(claim.lead, LeadUnknown):
             return False
-        return await self._store.withdraw_lead(group, claim)
+        return await self._store.withdraw_lead(group, claim, primary_id)
 
     async def read_record(self, group: str) -> FoundRecord | None:
         """Return the record that the store has."""
--- a/mimosapond/failover/witness_roster.py
+++ b/mimosapond/failover/witness_roster.py
@@ -78,10 +78,9 @@
         self._next_s[group.name] = self._now() + _RETRY_INTERVAL_S * (
             1 + random.random()
         )
-        found = await self._claims.read_record(group.name)
+        found = await self.read(group)
         if found is None:
             return
-        group.record = found.record
         primary = group.primary
         if found.is_claimed or primary is None:
             return
@@ -92,6 +91,13 @@
             return
         await self._replace(group, primary, found, found.record.witnesses)
 
+    async def read(self, group: Group) -> FoundRecord | None:
+        """Read the record of a group; None if the store does not answer."""
+        found = await self._claims.read_record(group.name)
+        if found is not None:
+            group.record = found.record
+        return found
+
     async def _begin(self, group: Group, found: FoundRecord) -> None:
         """Record the first witnesses of a group.
 
--- a/mimosapond/groups/group.py
+++ b/mimosapond/groups/group.py
@@ -149,10 +149,11 @@
         self.primary_confirmed_s = max(asked_s, self.primary_confirmed_s)
         self.observations.add(asked_s, position)
 
-    def withdraw_lead(self) -> None:
-        """Record that the recorded lead cannot begin any more."""
-        if self.record is not None:
-            self.record = attrs.evolve(self.record, is_withdrawn=True)
+    def withdraw_lead(self, primary_id: str) -> None:
+        """Record that a primary leads on in place of the recorded lead."""
+        if self.record is not None and self.record.lead is not None:
+            lead = self.record.lead.of(primary_id)
+            self.record = attrs.evolve(self.record, lead=lead)
 
     def start_search(self, now_s: float) -> None:
         """Let requests wait for a primary, as this host only now seeks it."""
--- a/mimosapond/groups/group_record.py
+++ b/mimosapond/groups/group_record.py
@@ -19,25 +19,19 @@
     Parameters
     ----------
     lead
-        The last lead that was recorded before it began; None without one.
-    is_withdrawn
-        Whether the platform refuses every call that could begin this lead.
+        The last lead that was recorded before it began, or that of the primary
+        that leads on because it could not begin; None without one.
     witnesses
         Processes that a change of primary has to ask, as commits may have been
         acknowledged because one of them has it. None if none were recorded yet.
     """
 
     lead: Lead | None = None
-    is_withdrawn: bool = False
     witnesses: frozenset[MemberProcess] | None = None
 
     def is_change_pending(self, primary_id: str) -> bool:
         """Return whether a recorded lead may begin while a member leads."""
-        return (
-            self.lead is not None
-            and not self.is_withdrawn
-            and self.lead.member_id != primary_id
-        )
+        return self.lead is not None and self.lead.member_id != primary_id
 
     def has_witness(self, process: MemberProcess) -> bool:
         """Return whether a process may witness commits."""
--- a/mimosapond/groups/lead.py
+++ b/mimosapond/groups/lead.py
@@ -27,6 +27,14 @@
     begin: LogPosition
     newest_term: int
 
+    def of(self, member_id: str) -> 'Lead':
+        """Return the lead of a primary that leads on in place of this one.
+
+        This one cannot begin. Its member was chosen with all that the lead of
+        the primary began with.
+        """
+        return attrs.evolve(self, member_id=member_id)
+
     def is_in_log(self, received: LogPosition) -> bool:
         """Return whether a log up to a position is certain to have the begin.
 
--- a/mimosapond/platform/store_claims.py
+++ b/mimosapond/platform/store_claims.py
@@ -56,7 +56,6 @@
     holder: str = ''
     claimed_ms: int = 0
     lead: Lead | None = None
-    is_withdrawn: bool = False
     witnesses: tuple[MemberProcess, ...] | None = None
 
     @property
@@ -65,7 +64,6 @@
         witnesses = self.witnesses
         return GroupRecord(
             self.lead,
-            self.is_withdrawn,
             None if witnesses is None else frozenset(witnesses),
         )
 
@@ -139,9 +137,7 @@
         self, group: str, claim: DutyClaim, lead: Lead
     ) -> LeadRecording:
         """Record a lead in the row of the claim under which it begins."""
-        stored = attrs.evolve(
-            self._written[group], lead=lead, is_withdrawn=False
-        )
+        stored = attrs.evolve(self._written[group], lead=lead)
         written = await self._store.compare_and_set(
             _TABLE,
             StoredRow(group, _encode_claim(stored), claim.token),
@@ -155,8 +151,10 @@
             case Unavailable():
                 return LeadRecording.unknown
 
-    async def withdraw_lead(self, group: str, claim: DutyClaim) -> bool:
-        """Withdraw the lead of a claim that this host still holds."""
+    async def withdraw_lead(
+        self, group: str, claim: DutyClaim, primary_id: str
+    ) -> bool:
+        """Replace the lead of a claim that this host still holds."""
         found = await self._read(group)
         if isinstance(found, Unavailable):
             return False
@@ -165,7 +163,10 @@
         is_same_lead = (stored.lead or NoLead()) == claim.lead
         if active_holder(row, found.now_ms) != self._host or not is_same_lead:
             return False
-        return await self._replace(row, attrs.evolve(stored, is_withdrawn=True))
+        if stored.lead is None:
+            return True
+        lead = stored.lead.of(primary_id)
+        return await self._replace(row, attrs.evolve(stored, lead=lead))
 
     async def read_record(self, group: str) -> FoundRecord | None:
         """Return the record in the row of the group's claim."""
@@ -190,7 +191,6 @@
             return False
         stored = _StoredClaim(
             lead=found.record.lead,
-            is_withdrawn=found.record.is_withdrawn,
             witnesses=tuple(sorted(witnesses)),
         )
         return await self._replace(
@@ -241,7 +241,6 @@
                     expires_s,
                     claim.lead or NoLead(),
                     claim.record.witnesses,
-                    claim.is_withdrawn,
                 )
             case ConditionFailed():
                 return DutyTaken('another host, at the same time')
