Start hosts beside new members in two series of the live test

The series now lets those hosts end with the primary, while the others cannot read the store. A second series starts hosts and a member between a late promotion call and its effect. Primaries are lost for a moment only where a call is late, and all calls are late in some of the series.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -145,5 +145,6 @@
       | lose_replica_logs          | lose_log            |
       | join_before_late_promotion | applies_late, replace |
       | start_beside_join          | deaf, replace       |
+      | start_beside_late_promotion | applies_late, replace |
       | crowd                      | occupied, slow      |
       | primary_changes            | replace, lose_log, applies_late, occupied |
--- a/soak/primary_change_series.py
+++ b/soak/primary_change_series.py
@@ -72,21 +72,21 @@
     group = start.group()
     late_s = start.rng.uniform(_ESTABLISHED_S + 1, _MAX_LATE_S)
     yield _late_promotions(start, late_s)
-    yield from _lose_primary(start, group, start.after_s(0.1, 0.3))
+    yield from _lose_primary(start, group, start.after_s(0.1, 0.3), 1)
     yield _join(start, group, start.after_s(0, late_s - _ESTABLISHED_S))
 
 
 def _restart_during_late_promotion(start: SeriesStart) -> Series:
     """Start replicas again between a promotion call and its effect."""
     group = start.group()
-    late_s = start.rng.uniform(_MIN_LATE_S, _MAX_LATE_S)
-    yield _late_promotions(start, late_s)
-    yield from _lose_primary(start, group, start.after_s(0.1, 0.3))
+    late_s = start.rng.uniform(2 * _MIN_LATE_S, _MAX_LATE_S)
+    yield _late_promotions(start, late_s, late_s + 1)
+    yield from _lose_primary(start, group, start.after_s(0.1, 0.3), 1)
     manners = (start.rng.choice((_CRASH, 'lose_log')), _CRASH)
     for choice, manner in zip(_REPLICAS, manners, strict=True):
         yield _member_fault(
             group,
-            start.after_s(1, late_s),
+            start.after_s(2, late_s),
             choice,
             manner,
             start.rng.uniform(_MIN_MOMENT_S, _MAX_MOMENT_S),
@@ -94,24 +94,49 @@
 
 
 def _start_beside_join(start: SeriesStart) -> Series:
-    """Start hosts beside a new member that alone receives commits."""
+    """Start hosts beside a new member that alone receives commits.
+
+    The other hosts cannot read the store, so they do not know the new member
+    when they replace the primary. The hosts that know it end with the primary.
+    """
     group = start.group()
-    for choice in start.rng.sample(_REPLICAS, start.rng.randint(1, 2)):
+    started = start.hosts(2)
+    others = set(range(start.plan.hosts)).difference(started)
+    for choice in _REPLICAS:
         yield _member_fault(
-            group, start.at_s, choice, _DEAF, start.rng.uniform(4, 8)
-        )
-    yield _join(start, group, start.after_s(0, 1))
-    yield from _start_hosts(start)
-    if start.rng.random() < 1 / 2:
-        # The other hosts do not learn of the new member.
-        yield Fault(
-            start.after_s(0, 0.5),
-            FaultKind.store,
-            start.rng.uniform(3, 6),
-            start.hosts(start.plan.hosts // 2),
-            manner=start.rng.choice(('refuses', 'silent')),
+            group, start.at_s, choice, _DEAF, start.rng.uniform(5, 8)
         )
-    yield from _lose_primary(start, group, start.after_s(2, 5))
+    yield Fault(
+        start.after_s(0, 0.3),
+        FaultKind.store,
+        start.rng.uniform(5, 7),
+        tuple(others),
+        manner=start.rng.choice(('refuses', 'silent')),
+    )
+    yield _join(start, group, start.after_s(0.3, 0.5))
+    yield Fault(start.after_s(0.5, 0.8), FaultKind.kill, 0, started)
+    lost_s = start.after_s(1.5, 2.5)
+    yield Fault(lost_s, FaultKind.kill, 2, started)
+    yield _member_fault(
+        group,
+        lost_s,
+        MemberChoice.primary,
+        start.rng.choice((_CRASH, 'dark')),
+        start.rng.uniform(2, _MAX_LOSS_S),
+    )
+
+
+def _start_beside_late_promotion(start: SeriesStart) -> Series:
+    """Start hosts and a member between a promotion call and its effect.
+
+    The new member is not established by then at hosts that run all the time.
+    """
+    group = start.group()
+    yield _late_promotions(start, start.rng.uniform(5, _ESTABLISHED_S))
+    yield from _lose_primary(start, group, start.after_s(0.1, 0.3), 1)
+    yield _join(start, group, start.after_s(0.5, 1.2))
+    for host in start.hosts(_MAX_HOST_COUNT):
+        yield Fault(start.after_s(0.5, 1.8), FaultKind.kill, 0, (host,))
 
 
 def _crowd(start: SeriesStart) -> Series:
@@ -159,13 +184,6 @@
         )
 
 
-def _start_hosts(start: SeriesStart) -> Series:
-    """Kill or stop hosts, which start again at once."""
-    kind = start.rng.choice((FaultKind.kill, FaultKind.restart))
-    for host in start.hosts(_MAX_HOST_COUNT):
-        yield Fault(start.after_s(0, 1.5), kind, 0, (host,))
-
-
 def _occupy(start: SeriesStart, group: int) -> Series:
     for choice in (MemberChoice.primary, *_REPLICAS):
         for_s = start.rng.uniform(3, 6)
@@ -179,10 +197,12 @@
             )
 
 
-def _lose_primary(start: SeriesStart, group: int, at_s: float) -> Series:
+def _lose_primary(
+    start: SeriesStart, group: int, at_s: float, max_s: float = _MAX_LOSS_S
+) -> Series:
     """Crash a primary, make it unreachable, or cut it off from hosts."""
     moment_s = start.rng.uniform(_MIN_MOMENT_S, _MAX_MOMENT_S)
-    for_s = start.rng.choice((moment_s, start.duration_s(_MAX_LOSS_S)))
+    for_s = start.rng.choice((moment_s, start.duration_s(max_s)))
     manner = start.rng.choice((_CRASH, 'dark', 'cut', 'split'))
     if manner in {_CRASH, 'dark'}:
         yield _member_fault(group, at_s, MemberChoice.primary, manner, for_s)
@@ -210,12 +230,15 @@
     yield Fault(at_s, FaultKind.peer_cut, for_s, hosts, manner='both')
 
 
-def _late_promotions(start: SeriesStart, late_s: float) -> Fault:
-    for_s = start.rng.uniform(2, late_s + 1)
+def _late_promotions(
+    start: SeriesStart, late_s: float, for_s: float = 0
+) -> Fault:
+    # While all calls are late, nobody can overtake the first one.
+    chosen_s = start.rng.choice((start.rng.uniform(2, 4), late_s + 1))
     return Fault(
         start.at_s,
         FaultKind.promotion,
-        for_s,
+        for_s or chosen_s,
         manner='applies_late',
         delay_s=late_s,
     )
@@ -269,6 +292,7 @@
     _join_before_late_promotion,
     _restart_during_late_promotion,
     _start_beside_join,
+    _start_beside_late_promotion,
     _crowd,
 )
 PRIMARY_CHANGE_WEIGHTS: Final[
