Repeat a promotion call only for a member that is as it was reported

A call without an answer was repeated up to three times with the first status of the member. The status is read before each repetition, and a call that names the present primary is repeated only while it leads.

--- a/mimosapond/failover/promoter.py
+++ b/mimosapond/failover/promoter.py
@@ -8,7 +8,7 @@
 
 from mimosapond.boot_clock import Now
 from mimosapond.failover.claim_port import DutyClaim
-from mimosapond.failover.control_requests import MemberReport
+from mimosapond.failover.control_requests import MemberReport, fetch_status
 from mimosapond.failover.promotion_call_log import PromotionCallLog
 from mimosapond.failover.promotion_port import Promoted, PromotionPort
 from mimosapond.failover.promotion_port import PromotionRefused
@@ -62,6 +62,10 @@
     ) -> PromotionResult:
         """Promote a member and wait until it leads.
 
+        A call without an answer is repeated while the member has what it had. It
+        may have started again without its log, or have been replaced as the
+        primary, since it was asked.
+
         The caller holds the claim meanwhile, so that no other host starts a
         change before the member leads. Nothing is called under a claim that
         has expired: this host may have been suspended, and another one may
@@ -76,7 +80,12 @@
         """
         result = PromotionResult.not_called
         log = PromotionCallLog(group, candidate, claim.token, self._now)
-        for _ in range(_ATTEMPT_COUNT):
+        for attempt in range(_ATTEMPT_COUNT):
+            if attempt and not await _is_unchanged(candidate):
+                logger.bind(
+                    group=group.name, member=candidate.member.member_id
+                ).warning('promotion_not_repeated')
+                return result
             if self._now() >= claim.expires_s:
                 logger.bind(group=group.name, token=claim.token).warning(
                     'promotion_claim_expired'
@@ -109,3 +118,15 @@
                 return PromotionResult.leads
             await asyncio.sleep(_LEADERSHIP_POLL_INTERVAL_S)
         return PromotionResult.accepted
+
+
+async def _is_unchanged(candidate: MemberReport) -> bool:
+    """Return whether a member may still be promoted as it was reported."""
+    status = await fetch_status(candidate.member)
+    if status is None:
+        return False
+    if candidate.status.is_primary:
+        return status.leads_as(candidate.status)
+    has_log = status.received >= candidate.status.received
+    is_paused = status.paused_term == candidate.status.paused_term
+    return status.is_primary or (has_log and is_paused)
--- a/mimosapond/failover/witness_check.py
+++ b/mimosapond/failover/witness_check.py
@@ -88,22 +88,17 @@
     ) -> bool:
         """Return whether the log of the lost primary cannot come back.
 
-        A primary that crashed comes back as a primary. One that answers and
-        does not lead has started again without its log. One that has left took
-        its log with it, or passed it to a successor.
+        A primary that crashed comes back as a primary, also one that leaves. One
+        that answers and does not lead has started again without its log. Its
+        successor at its address, if it answers, has what is left of it.
         """
         primary = group.members.get(primary_id)
         if primary is None:
             return self._membership.absence_s(group, primary_id) > _LOST_AFTER_S
         successor = group.successor_of(primary)
-        has_drained = (
-            primary.leaving_since_s is not None
-            and self._membership.has_left(group, primary)
-        )
         return (
             primary in answers.members
             or successor in answers.members
-            or has_drained
             or self._membership.absence_s(group, primary_id) > _LOST_AFTER_S
         )
 
