--- a/mimosapond/failover/witness_roster.py
+++ b/mimosapond/failover/witness_roster.py
@@ -8,7 +8,7 @@
 import asyncio
 import random
 from collections import defaultdict
-from typing import Final, final
+from typing import Final, TypeAlias, final
 
 import attrs
 from loguru import logger
@@ -23,6 +23,7 @@
 from mimosapond.failover.group_membership import GroupMembership
 from mimosapond.groups.group import Group
 from mimosapond.groups.member import Member
+from mimosapond.groups.member_log import process_label
 from mimosapond.groups.member_process import MemberProcess
 from mimosapond.groups.member_status import MemberStatus
 
@@ -37,7 +38,7 @@
 _CATCH_UP_ATTEMPT_COUNT: Final = 5
 _CATCH_UP_INTERVAL_S: Final = 0.02
 
-_Processes = frozenset[MemberProcess]
+_Processes: TypeAlias = frozenset[MemberProcess]
 
 
 @final
@@ -159,7 +160,7 @@
         )
         logger.bind(
             group=group.name,
-            witnesses=[str(process) for process in sorted(witnesses)],
+            witnesses=[process_label(process) for process in sorted(witnesses)],
             is_recorded=is_recorded,
         ).info('witnesses_recorded')
         if is_recorded:
