--- a/features/change_explorer.py
+++ b/features/change_explorer.py
@@ -253,7 +253,7 @@
         host = ChangingHost(
             self._view(_CONFIRMING), self._promotions, self._now
         )
-        self._confirming = ConfirmingHost(host.view, self._now)
+        self._confirming = ConfirmingHost(host.view, self._now, host.claims)
         self._replace_work(_CONFIRMING, host.run(), self._watch_roster(host))
         self._group.note('the confirming host starts')
 
--- a/features/change_hosts.py
+++ b/features/change_hosts.py
@@ -26,6 +26,10 @@
 from mimosapond.groups.registration_poller import RegistrationPoller
 from mimosapond.platform.store_claims import StoreClaims
 from mimosapond.routing.commit_witnesses import CommitWitnesses
+from mimosapond.routing.pending_change_check import (
+    PendingChangeCheck,
+    RecordSource,
+)
 from mimosapond.routing.primary_probe import PrimaryProbe, ProbeResult
 from mimosapond.routing.relay_port import NoRelays
 
@@ -71,11 +75,11 @@
         """Start the host."""
         self.view = view
         self._probe = PrimaryProbe(now, NoRelays())
-        self._claims = ReservedTokenClaims(
+        self.claims = ReservedTokenClaims(
             StoreClaims(view.store, view.name, now), now, lambda: True
         )
         self._failover = FailoverCoordinator(
-            self._claims,
+            self.claims,
             Promoter(promotions, self._probe, now),
             GroupMembership(
                 DepartureDetector(view.directory, DRAIN_S, now),
@@ -90,7 +94,7 @@
         """Read registrations and reserve tokens until cancelled."""
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self.view.poller.run())
-            tasks.create_task(self._claims.run())
+            tasks.create_task(self.claims.run())
 
     async def look(self) -> bool:
         """Look for the primary, and keep the record of witnesses up to date.
@@ -140,10 +144,15 @@
 class ConfirmingHost:
     """A host that tells callers of commits."""
 
-    def __init__(self, view: HostView, now: Callable[[], float]) -> None:
-        """Start the host."""
+    def __init__(
+        self,
+        view: HostView,
+        now: Callable[[], float],
+        records: RecordSource,
+    ) -> None:
+        """Start the host, which reads the record of the group."""
         self.view = view
-        self._witnesses = CommitWitnesses(now)
+        self._witnesses = CommitWitnesses(now, PendingChangeCheck(records))
 
     async def run(self) -> None:
         """Read registrations until cancelled."""
--- a/features/change_process.py
+++ b/features/change_process.py
@@ -94,7 +94,7 @@
             born_ms(now_s),
             list(self.log) if keeps_log else [EMPTY],
             term=self.term if keeps_log else 0,
-            has_lost_log=not keeps_log,
+            has_lost_log=self.has_lost_log or not keeps_log,
         )
 
 
--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -323,6 +323,7 @@
         self.recording = LeadRecording.recorded
         self.recorded_lead: Lead | None = None
         self.claim_count = 0
+        self.on_claim: Callable[[], None] = _do_nothing
         # What is read; None stands for a store that does not answer.
         self.found: FoundRecord | None = FoundRecord(GroupRecord(), 0, False)
         self.recorded_witnesses: frozenset[MemberProcess] | None = None
@@ -331,6 +332,7 @@
     async def claim(self, group: str) -> ClaimOutcome:
         """Return the outcome that the test set."""
         self.claim_count += 1
+        self.on_claim()
         return self.outcome
 
     def use_outcome(self, outcome: ClaimOutcome) -> None:
--- a/features/steps/witness_roster_steps.py
+++ b/features/steps/witness_roster_steps.py
@@ -176,6 +176,19 @@
     )
 
 
+@given('b leads when the host claims the group')
+def lead_at_claim(context: Any) -> None:
+    """Let a late call take effect while the host claims."""
+    fakes = context.world.fakes
+    context.world.claims.on_claim = lambda: _lead_next_term(fakes, 'b')
+
+
+@then('a replica {is_known} known to be left paused')
+def check_left_paused(context: Any, is_known: str) -> None:
+    """Check whether the monitor of the group will end the change."""
+    assert context.world.group.is_left_paused == (is_known == 'is')
+
+
 @when('the record is brought up to date')
 def update(context: Any) -> None:
     """Read the record once, and change it if that is safe."""
--- a/features/witness_roster.feature
+++ b/features/witness_roster.feature
@@ -119,6 +119,30 @@
       | 1200      | paused  | another member  |
       | 5000      | resumed | p               |
 
+  # Guards against a primary that was replaced and is promoted again by the call that
+  # is to raise the fence (LOST): it lacks what its successor acknowledged.
+  Scenario: the fence is not raised with a member that leads no more
+    Given a group whose primary is p
+    And members a and b are paused
+    And b leads when the host claims the group
+    When a host replaces the stalled primary
+    Then the promotion calls name none
+
+  # Guards against a replica that stays paused, and a joined member that never becomes
+  # a witness, while another replica witnesses all commits.
+  Scenario Outline: a replica that was left paused is noticed
+    Given a group whose primary is p
+    And member d has been listed for 8 s
+    And <state>
+    When the record is brought up to date
+    Then a replica <is> known to be left paused
+
+    Examples:
+      | state                         | is     |
+      | member b is paused            | is     |
+      | all members answer            | is not |
+      | another host claims the group | is not |
+
   # Guards against a hand-over beside a change that another host left behind, whose
   # call may still be carried out (LOST).
   Scenario: a leaving primary does not hand over while replicas are paused
@@ -199,8 +223,8 @@
       | 1      | never   | 2        | its own   |
       | 1      | 3       | 2        | its own   |
       | 1      | 3       | 4        | in doubt  |
-      | 5.4    | 3       | 4        | in doubt  |
-      | 5.6    | 3       | 4        | its own   |
+      | 7.9    | 3       | 4        | in doubt  |
+      | 8.1    | 3       | 4        | its own   |
       | 1      | unknown | 2        | in doubt  |
-      | 4      | unknown | 2        | its own   |
+      | 6.1    | unknown | 2        | its own   |
       | 1      | -inf    | 2        | in doubt  |
--- a/mimosapond/failover/change_steps.py
+++ b/mimosapond/failover/change_steps.py
@@ -106,13 +106,17 @@
             log_aborted_change(group, claim.token, None, 'not_called')
             await self._turns.release(group.name)
             return
+        if not await _still_leads(primary):
+            # The call would promote it again, without what its successor has.
+            log_aborted_change(group, claim.token, primary, 'not_called')
+            await self._turns.release(group.name)
+            return
         result = await self._call_promotion(group, primary, claim)
         log_aborted_change(group, claim.token, primary, result.value)
         if result is not PromotionResult.leads:
             return
         await asyncio.sleep(PROMOTION_EFFECT_S)
-        status = await fetch_status(primary.member)
-        if status is None or not status.leads_as(primary.status):
+        if not await _still_leads(primary):
             return
         primary_id = primary.member.member_id
         if await self._claims.withdraw_lead(group.name, claim, primary_id):
@@ -175,3 +179,9 @@
             claim.token,
             lambda: expires_s - self._now() > CONTROL_TIMEOUT_S,
         )
+
+
+async def _still_leads(primary: MemberReport) -> bool:
+    """Return whether a primary leads in the term that it reported before."""
+    status = await fetch_status(primary.member)
+    return status is not None and status.leads_as(primary.status)
--- a/mimosapond/failover/control_requests.py
+++ b/mimosapond/failover/control_requests.py
@@ -31,10 +31,17 @@
 @final
 @attrs.frozen
 class MemberReport:
-    """A member and the status that it reported."""
+    """A member and the status that it reported.
+
+    Parameters
+    ----------
+    is_process_certain
+        Whether the process that is registered gave the answer.
+    """
 
     member: Member
     status: MemberStatus
+    is_process_certain: bool = True
 
 
 async def send_control_request(
@@ -142,7 +149,9 @@
     answers: Mapping[Member, ControlAnswer],
 ) -> dict[str, MemberReport]:
     return {
-        member.member_id: MemberReport(member, answer)
+        member.member_id: MemberReport(
+            member, answer, member.load.identity.is_answer_certain
+        )
         for member, answer in answers.items()
         if isinstance(answer, MemberStatus)
     }
--- a/mimosapond/failover/failover_coordinator.py
+++ b/mimosapond/failover/failover_coordinator.py
@@ -111,6 +111,7 @@
             If another change is pending, whether the claim for ending it was
             granted. Otherwise whether a promoted replica is seen to lead.
         """
+        group.is_left_paused = False
         statuses = await self._pauser.fetch(group)
         if statuses.primary is None or statuses.primary.member is not primary:
             return False
@@ -118,10 +119,12 @@
             group, primary
         ):
             return await self._steps.withdraw_change(group, statuses)
-        if not statuses.is_complete or not await self._survey.is_cut_off(
-            group, statuses
+        if not statuses.is_complete or not self._has_known_witnesses(
+            group, statuses, primary
         ):
             return False
+        if not await self._survey.is_cut_off(group, statuses):
+            return False
         claim = await self._steps.claim(
             group, 'primary cut off from its replicas'
         )
@@ -176,7 +179,10 @@
         )
 
     def _has_known_witnesses(
-        self, group: Group, answers: GroupStatuses
+        self,
+        group: Group,
+        answers: GroupStatuses,
+        deposed: Member | None = None,
     ) -> bool:
         """Return whether the witnesses that this host knows answered."""
         record = group.record
@@ -185,4 +191,5 @@
             answers,
             record.witnesses,
             recorded=record.lead or _NO_LEAD,
+            deposed=deposed,
         )
--- a/mimosapond/failover/primary_monitor.py
+++ b/mimosapond/failover/primary_monitor.py
@@ -177,7 +177,11 @@
         is_pending = record is not None and record.is_change_pending(
             primary.member_id
         )
-        return is_pending or max(ages_s) > _STALLED_WRITE_AGE_S
+        return (
+            is_pending
+            or self._group.is_left_paused
+            or max(ages_s) > _STALLED_WRITE_AGE_S
+        )
 
     def _update_roster(self) -> None:
         """Start to bring the recorded witnesses up to date if it is due."""
--- a/mimosapond/failover/witness_check.py
+++ b/mimosapond/failover/witness_check.py
@@ -61,10 +61,15 @@
         """
         primary_id = _lost_primary_id(group, answers, recorded)
         answered = {
+            report.member.record.process
+            for report in answers.reports
+            if report.is_process_certain
+        }
+        answered.update(
             member.record.process
-            for member in (*answers.members, *unpaused)
+            for member in unpaused
             if member.load.identity.is_answer_certain
-        }
+        )
         missing = [
             process
             for process in (witnesses or frozenset()) - answered
@@ -114,6 +119,8 @@
     if answers.silent_members:
         return answers.silent_members[0].member_id
     answered_ids = {member.member_id for member in answers.members}
-    if isinstance(recorded, Lead) and recorded.member_id not in answered_ids:
+    if not isinstance(recorded, Lead):
+        return group.last_primary_id
+    if recorded.member_id not in answered_ids:
         return recorded.member_id
-    return group.last_primary_id
+    return group.last_primary_id or recorded.member_id
--- a/mimosapond/failover/witness_roster.py
+++ b/mimosapond/failover/witness_roster.py
@@ -139,6 +139,7 @@
         answered = {each.member.record.process for each in reports}
         answered.add(primary.record.process)
         staying = witnesses & following
+        group.is_left_paused = any(each.status.paused_term for each in reports)
         if not _is_undisturbed(
             reports, status, staying - {primary.record.process}
         ):
@@ -212,7 +213,7 @@
     following = {
         each.member.record.process
         for each in reports
-        if each.status.term == status.term
+        if each.status.term == status.term and each.is_process_certain
     }
     return not staying or bool(staying & following)
 
--- a/mimosapond/groups/connection_dialing.py
+++ b/mimosapond/groups/connection_dialing.py
@@ -110,12 +110,14 @@
                 )
                 return DialFailed(reason)
             case _:
+                preceding_contact_s = self._load.last_contact_s
                 self._load.record_contact(None)
                 self._pace.record_success()
                 return PooledConnection(
                     outcome,
                     self._load,
                     opened_s=self._load.last_contact_s,
+                    preceding_contact_s=preceding_contact_s,
                     workspace=workspace,
                 )
 
--- a/mimosapond/groups/connection_pool.py
+++ b/mimosapond/groups/connection_pool.py
@@ -291,6 +291,9 @@
     def _end_dial(self, end: DialEnd) -> None:
         match end:
             case PooledConnection():
+                if self._idle.open_count - len(self._idle) > 1:
+                    # A request that waits hides the end of the process.
+                    end.record_doubt()
                 self._take_back(end)
             case DialRefused():
                 self._idle.open_count -= 1
--- a/mimosapond/groups/group.py
+++ b/mimosapond/groups/group.py
@@ -45,6 +45,8 @@
         # What the store had about the group when this host last read it.
         self.record: GroupRecord | None = None
         self.confirmations = PendingConfirmations()
+        # Whether a replica was paused while no host held the claim.
+        self.is_left_paused = False
         self.primary_confirmed_s = created_s
         self.primary_check_needed = asyncio.Event()
         self._primary: Member | None = None
--- a/mimosapond/groups/pooled_connection.py
+++ b/mimosapond/groups/pooled_connection.py
@@ -28,6 +28,8 @@
         Time of its last return to the pool by a borrower of its workspace.
     opened_s
         Time at which it was opened.
+    preceding_contact_s
+        Time of the last answer of the member before it was opened.
     workspace
         Workspace that it was opened for, whose statements alone it may carry;
         empty without one.
@@ -39,6 +41,7 @@
     prepared_names: dict[Shape, str] = attrs.field(factory=dict)
     idle_since_s: float = 0
     opened_s: float = 0
+    preceding_contact_s: float = 0
     workspace: str = ''
 
     async def ask(
@@ -57,6 +60,10 @@
         """Record that it ended, at some time after its last use."""
         self.load.identity.record_loss(max(self.opened_s, self.idle_since_s))
 
+    def record_doubt(self) -> None:
+        """Record that it may be the first one to another process."""
+        self.load.identity.record_loss(self.preceding_contact_s)
+
     def leads_to_known_process(self) -> bool:
         """Return whether the registered process gave the last answer."""
         return self.load.identity.is_certain(self.opened_s)
--- a/mimosapond/groups/process_identity.py
+++ b/mimosapond/groups/process_identity.py
@@ -8,9 +8,10 @@
 import math
 from typing import Final, final
 
-# Time after the start of a process within which its registration can be read:
-# an interval of heartbeats, and some time for the store.
-_REGISTRATION_S: Final = 1.5
+# Time after the start of a process within which its registration can be read, or
+# that of its former process has lapsed: three intervals of heartbeats, and some
+# time for the store.
+_REGISTRATION_S: Final = 4.0
 
 
 @final
