--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -94,6 +94,7 @@
     # Numbers of the control requests, counted from 1, that get no answer.
     unanswered_requests: set[int] = attrs.field(factory=set)
     control_request_count: int = 0
+    control_answer_count: int = 0
     refusal_count: int = 0
     # Time that a caller's statement takes.
     statement_s: float = 0
@@ -232,6 +233,8 @@
 
     def _count_control_request(self) -> LinkLost | None:
         self._member.control_request_count += 1
+        # What it answers was true before other events during the request.
+        self._member.control_answer_count += not self._member.is_silent
         self._on_request()
         is_unanswered = (
             self._member.control_request_count
