--- a/features/steps/witness_roster_steps.py
+++ b/features/steps/witness_roster_steps.py
@@ -189,6 +189,14 @@
     assert context.world.group.is_left_paused == (is_known == 'is')
 
 
+@given('the call gets no answer, and b starts again without its log')
+def lose_log_at_call(context: Any) -> None:
+    """Empty the log of b during the promotion call, and end its pause."""
+    fakes = context.world.fakes
+    context.world.promotions.is_silent = True
+    context.world.promotions.on_call = lambda: _lose_log(fakes['b'])
+
+
 @when('the record is brought up to date')
 def update(context: Any) -> None:
     """Read the record once, and change it if that is safe."""
@@ -254,6 +262,11 @@
     assert is_certain == (certainty == 'its own')
 
 
+def _lose_log(fake: FakeMember) -> None:
+    fake.position = _EMPTY_LOG
+    fake.paused_term = 0
+
+
 def _lead_next_term(fakes: dict[str, FakeMember], name: str) -> None:
     """Let a replica lead with what it has received."""
     for fake in fakes.values():
--- a/features/witness_roster.feature
+++ b/features/witness_roster.feature
@@ -185,6 +185,16 @@
       | 1.9  | none     |
       | 1.10 | a        |
 
+  # Guards against a member that is promoted by a repeated call after it started again
+  # without its log (LOST, seed 11020 of the explorer).
+  Scenario: a call is not repeated for a member that started again
+    Given a group whose primary is p
+    And the host saw member p lead
+    And the members p are silent
+    And the call gets no answer, and b starts again without its log
+    When a host replaces the lost primary
+    Then the promotion calls name b
+
   # Guards against two members that lead one after the other (LOST): a call that was
   # accepted for one lets it acknowledge commits which the other lacks.
   Scenario Outline: beside a lead that may begin only its member is promoted
