Say why a commit was not acknowledged as witnessed

Cause: commit_not_witnessed did not tell a commit that no witness had from one whose witness was in doubt, so the cost of the doubt could not be told from lost members. Change: confirm returns why, and the line has it as reason.

--- a/features/change_hosts.py
+++ b/features/change_hosts.py
@@ -25,7 +25,7 @@
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.registration_poller import RegistrationPoller
 from mimosapond.platform.store_claims import StoreClaims
-from mimosapond.routing.commit_witnesses import CommitWitnesses
+from mimosapond.routing.commit_witnesses import CommitWitnesses, Confirmation
 from mimosapond.routing.pending_change_check import (
     PendingChangeCheck,
     RecordSource,
@@ -165,6 +165,7 @@
         primary = self.view.group.members.get(member_id)
         if primary is None:
             return False
-        return await self._witnesses.confirm(
+        confirmation = await self._witnesses.confirm(
             self.view.group, primary, position, deadline_s
         )
+        return confirmation is Confirmation.witnessed
--- a/features/witness_explorer.py
+++ b/features/witness_explorer.py
@@ -29,7 +29,7 @@
 from mimosapond.groups.group_record import GroupRecord
 from mimosapond.groups.log_position import LogPosition
 from mimosapond.groups.member import Member
-from mimosapond.routing.commit_witnesses import CommitWitnesses
+from mimosapond.routing.commit_witnesses import CommitWitnesses, Confirmation
 
 _Log: TypeAlias = list[LogPosition]
 
@@ -170,13 +170,13 @@
 
     async def _confirm(self, primary: _Instance, position: LogPosition) -> None:
         group = self._directory.get_or_create(GROUP)
-        is_confirmed = await self._witnesses.confirm(
+        confirmation = await self._witnesses.confirm(
             group,
             group.members[primary.fake.member_id],
             position,
             self._now() + _CONFIRM_S,
         )
-        if not is_confirmed:
+        if confirmation is not Confirmation.witnessed:
             return
         self._note(f'{position} is confirmed')
         self._confirmed.append(position)
--- a/mimosapond/routing/commit_witnesses.py
+++ b/mimosapond/routing/commit_witnesses.py
@@ -43,6 +43,29 @@
 _NEVER_CHECKED: Final = NeverChecked()
 
 
+@final
+class Confirmation(enum.Enum):
+    """What became of the proof that a commit survives.
+
+    Attributes
+    ----------
+    witnessed
+        A witness has it.
+    not_seen
+        No witness was seen to have it before the deadline.
+    in_doubt
+        One that has it may have started again, and so may have forgotten that a
+        change of primary paused it.
+    undone
+        A newer term began without a proof that it has the commit.
+    """
+
+    witnessed = 'witnessed'
+    not_seen = 'not_seen'
+    in_doubt = 'in_doubt'
+    undone = 'undone'
+
+
 @final
 class _NoProof(enum.Enum):
     """Why no witness proves that a commit survives.
@@ -85,7 +108,7 @@
         primary: Member,
         position: LogPosition,
         deadline_s: float,
-    ) -> bool:
+    ) -> Confirmation:
         """Wait until a witness has a position.
 
         Groups whose members acknowledge without a replica need no witness.
@@ -99,13 +122,12 @@
 
         Returns
         -------
-        bool
-            False if no witness was seen to have it before the deadline, or
-            if a newer term began without a proof that it has the position.
+        Confirmation
+            Why the commit may be acknowledged, or may not.
         """
         if not group.needs_replica:
             group.acknowledgements.add(position, primary.record.process, None)
-            return True
+            return Confirmation.witnessed
         with group.confirmations.confirming(self._now()):
             return await self._await_proof(group, primary, position, deadline_s)
 
@@ -115,28 +137,43 @@
         primary: Member,
         position: LogPosition,
         deadline_s: float,
-    ) -> bool:
+    ) -> Confirmation:
         """Ask the witnesses until one has a position or none can have it."""
         requests = _PositionRequests(position, self._now)
         delay_s = _RETRY_DELAY_S
+        result = Confirmation.not_seen
         try:
             while self._now() < deadline_s:
                 await asyncio.sleep(delay_s)
                 delay_s = min(delay_s * 2, _MAX_RETRY_DELAY_S)
                 witnesses = find_witnesses(group, primary)
                 proof = await _ask_witnesses(requests, witnesses, position)
-                if isinstance(proof, _Report) and (
-                    proof.is_process_certain
-                    or await self._changes.is_none_pending(group, primary)
-                ):
-                    leader = primary.record.process
-                    group.acknowledgements.add(position, leader, proof.process)
-                    return True
                 if proof is _NoProof.impossible:
-                    return False
+                    return Confirmation.undone
+                if proof is not _NoProof.open:
+                    result = await self._judge(group, primary, position, proof)
+                if result is Confirmation.witnessed:
+                    return result
         finally:
             requests.abandon()
-        return False
+        return result
+
+    async def _judge(
+        self,
+        group: Group,
+        primary: Member,
+        position: LogPosition,
+        report: '_Report',
+    ) -> Confirmation:
+        """Return whether the report of a commit proves that it survives."""
+        if not (
+            report.is_process_certain
+            or await self._changes.is_none_pending(group, primary)
+        ):
+            return Confirmation.in_doubt
+        leader = primary.record.process
+        group.acknowledgements.add(position, leader, report.process)
+        return Confirmation.witnessed
 
 
 @final
--- a/mimosapond/routing/write_router.py
+++ b/mimosapond/routing/write_router.py
@@ -19,7 +19,7 @@
 from mimosapond.quotas.quota_port import NoQuotas, Quota
 from mimosapond.routing import failures
 from mimosapond.routing.admitted_connection import AdmittedConnection
-from mimosapond.routing.commit_witnesses import CommitWitnesses
+from mimosapond.routing.commit_witnesses import CommitWitnesses, Confirmation
 from mimosapond.routing.primary_path import (
     LocalPath,
     Path,
@@ -142,11 +142,12 @@
     async def _confirm(
         self, work: Work, member: Member, reply: Reply, position: LogPosition
     ) -> WriteOutcome:
-        if await self._witnesses.confirm(
+        confirmation = await self._witnesses.confirm(
             work.group, member, position, work.deadline_s
-        ):
+        )
+        if confirmation is Confirmation.witnessed:
             return reply, position
-        log_unwitnessed(work, member, position)
+        log_unwitnessed(work, member, position, confirmation)
         return failures.WRITE_UNANSWERED, None
 
     def _relay_outcome(
@@ -187,8 +188,16 @@
                 return failures.WRITE_UNANSWERED, None
 
 
-def log_unwitnessed(work: Work, member: Member, position: LogPosition) -> None:
-    """Log that a commit may not survive the loss of the primary."""
+def log_unwitnessed(
+    work: Work,
+    member: Member,
+    position: LogPosition,
+    confirmation: Confirmation,
+) -> None:
+    """Log that a commit may not survive the loss of the primary, and why."""
     logger.bind(
-        request=work.request_id, member=member.member_id, at=str(position)
+        request=work.request_id,
+        member=member.member_id,
+        at=str(position),
+        reason=confirmation.value,
     ).warning('commit_not_witnessed')
--- a/mimosapond/sessions/pinned_transaction.py
+++ b/mimosapond/sessions/pinned_transaction.py
@@ -21,7 +21,7 @@
 from mimosapond.boot_clock import Now
 from mimosapond.routing import failures
 from mimosapond.routing.admitted_connection import admission_request
-from mimosapond.routing.commit_witnesses import CommitWitnesses
+from mimosapond.routing.commit_witnesses import CommitWitnesses, Confirmation
 from mimosapond.routing.statement_runner import (
     RestoreFailed,
     log_answer,
@@ -100,11 +100,12 @@
         outcome = self._commit_outcome(answer)
         if not isinstance(outcome, WorkDone) or outcome.position is None:
             return outcome
-        if await self._witnesses.confirm(
+        confirmation = await self._witnesses.confirm(
             work.group, self._member, outcome.position, work.deadline_s
-        ):
+        )
+        if confirmation is Confirmation.witnessed:
             return outcome
-        log_unwitnessed(work, self._member, outcome.position)
+        log_unwitnessed(work, self._member, outcome.position, confirmation)
         return WorkUnanswered('no witness has the commit', was_sent=True)
 
     def abandon(self) -> None:
