End the doubt about the process of a witness with any answer on an older connection

Cause: a lost connection put all connections of a host to a member in doubt that had been opened since its own last use, and only a control request on an older one ended that. A hand-over or a change whose witness is in doubt is given up, and starts again after 1.5 s or more. The first connection to a replica was often opened with the commit that it had to witness, and the one that could end a doubt was closed as idle. Change: each answer on a connection to the known process shows until when it ran; connections that were opened before are known, whichever is lost. A connection that can end a doubt is lent first and kept, and a host keeps a connection to each replica. The scenarios 'a host keeps a connection to each replica' and 'a connection that can end a doubt is used first and kept' fail without the change; the outline on answers needs the new method.

--- a/features/holders.feature
+++ b/features/holders.feature
@@ -88,6 +88,25 @@
       | 12 stand-ins          | 1     |
       | all hosts, which hold | 1     |
 
+  # Guards against commits that end as unknown because the first connection to a witness
+  # was opened with the commit, so that no older one shows that the witness has not started again.
+  Scenario: a host keeps a connection to each replica
+    Given a group whose primary is p
+    And the host is one of all hosts, which hold
+    And it knows the primary, and has no connection yet
+    When 1 connections to p are used at once and p is monitored for 0.4 s
+    Then 1 connections to a are open
+    And 1 connections to b are open
+
+  # Guards against a doubt about the process of a member that lasts, as the connection that
+  # could end it is not used, or is closed as idle.
+  Scenario: a connection that can end a doubt is used first and kept
+    Given a group whose primary is p
+    And the host is one of all hosts, which hold
+    When 2 connections to p are used at once, and the first one can end a doubt
+    Then the first connection is lent before the second one
+    And the first connection is not closed as idle
+
   # Guards against a herd of hosts that know none of the others yet.
   Scenario: a host that knows no other host yet holds nothing
     Given a host that has not read the announcements
--- a/features/steps/connection_share_steps.py
+++ b/features/steps/connection_share_steps.py
@@ -21,6 +21,8 @@
     StandInShare,
     connection_limit_count,
 )
+from mimosapond.groups.log_position import LogPosition
+from mimosapond.groups.member_port import MemberConnection
 from mimosapond.routing.relay_port import NoRelays
 
 _GROUP: Final = 'orders'
@@ -30,6 +32,7 @@
 # that holders leave, is one connection.
 _MIN_RATIO: Final = 5
 _LIMIT_COUNT: Final = 8
+_BORROW_S: Final = 1.0
 _SHARES: Final = MappingProxyType(
     {
         '6 holders': HolderShare(6),
@@ -156,8 +159,56 @@
             await monitor.run()
 
 
-@then('{count:d} connections to p are open')
-def check_open(context: Any, count: int) -> None:
+@then('{count:d} connections to {name} are open')
+def check_open(context: Any, count: int, name: str) -> None:
     """Count them after the monitor ended."""
-    pool = context.world.group.members['p'].pool
+    pool = context.world.group.members[name].pool
     assert pool.open_count == count, pool.open_count
+
+
+@given('it knows the primary, and has no connection yet')
+def know_primary(context: Any) -> None:
+    """Let the host learn of the primary without a search."""
+    group = context.world.group
+    group.confirm_primary(group.members['p'], boot_time_s(), LogPosition(1, 10))
+
+
+@when('2 connections to p are used at once, and the first one can end a doubt')
+def use_in_doubt(context: Any) -> None:
+    """Raise a doubt that only the connection which was opened first can end."""
+    context.lent = asyncio.run(_use_in_doubt(context.world))
+
+
+async def _use_in_doubt(world: GroupWorld) -> list[MemberConnection]:
+    """Return the connections in the order of their loans."""
+    member = world.group.members['p']
+    member.pool.limit_count = _LIMIT_COUNT
+    member.load.identity.trust()
+    first = await member.pool.borrow(1, _BORROW_S)
+    await asyncio.sleep(_STEP_S / 10)
+    # The first one waits for an answer, so that this one may lead elsewhere.
+    second = await member.pool.borrow(1, _BORROW_S)
+    lent = [first.link, second.link]
+    first.release()
+    second.release()
+    for _ in range(2):
+        lease = await member.pool.borrow(1, _BORROW_S)
+        lent.append(lease.link)
+        lease.release()
+        member.pool.trim(1, -_STEP_S)
+    return lent
+
+
+@then('the first connection is lent before the second one')
+def check_lent(context: Any) -> None:
+    """Compare the connection of the third loan with that of the first."""
+    first, second, third, _ = context.lent
+    assert third is first
+    assert third is not second
+
+
+@then('the first connection is not closed as idle')
+def check_kept(context: Any) -> None:
+    """Compare that of the loan after the idle connections were closed."""
+    first, _, _, last = context.lent
+    assert last is first
--- a/features/steps/witness_roster_steps.py
+++ b/features/steps/witness_roster_steps.py
@@ -12,6 +12,7 @@
     record_all_witnesses,
 )
 from features.group_fakes import FakeMember
+from features.holder_builders import TestClock
 from mimosapond.boot_clock import boot_time_s
 from mimosapond.failover.claim_port import FoundRecord
 from mimosapond.groups.group_record import GroupRecord
@@ -242,7 +243,9 @@
 @given('a process whose registration was read at {read_s:g} s')
 def confirm_process(context: Any, read_s: float) -> None:
     """Note when the process was last read."""
-    context.identity = ProcessIdentity(0)
+    context.clock = TestClock()
+    context.clock.now_s = 0
+    context.identity = ProcessIdentity(context.clock)
     context.identity.confirmed_s = read_s
 
 
@@ -255,6 +258,42 @@
         context.identity.record_loss(float(lost_s))
 
 
+@given(
+    'a connection to it, opened at {opened_s:g} s, answered a request that was '
+    'sent at {sent_s:g} s'
+)
+def answer_without_doubt(context: Any, opened_s: float, sent_s: float) -> None:
+    """Let the process answer while nothing is in doubt."""
+    context.identity.trust()
+    context.opened_s = opened_s
+    context.identity.record_answer(opened_s, sent_s)
+
+
+@given(
+    'another connection, which was last used at {used_s:g} s, is lost at '
+    '{lost_s:g} s'
+)
+def lose_other_connection(context: Any, used_s: float, lost_s: float) -> None:
+    """Record the loss at its time."""
+    context.clock.now_s = lost_s
+    context.identity.record_loss(used_s)
+
+
+@given('the first connection answers a request that was sent at {sent_s:g} s')
+def answer_after_loss(context: Any, sent_s: float) -> None:
+    """Let the process answer on the connection that it had before."""
+    context.identity.record_answer(context.opened_s, sent_s)
+
+
+@given(
+    'a connection that was opened at {opened_s:g} s answers a request that was '
+    'sent at {sent_s:g} s'
+)
+def answer_in_doubt(context: Any, opened_s: float, sent_s: float) -> None:
+    """Let a connection answer that may lead to another process."""
+    context.identity.record_answer(opened_s, sent_s)
+
+
 @then('answers on a connection opened at {opened_s:g} s are {certainty}')
 def check_certainty(context: Any, opened_s: float, certainty: str) -> None:
     """Check whether an answer counts for the process."""
--- a/features/witness_roster.feature
+++ b/features/witness_roster.feature
@@ -238,3 +238,28 @@
       | 1      | unknown | 2        | in doubt  |
       | 6.1    | unknown | 2        | its own   |
       | 1      | -inf    | 2        | in doubt  |
+
+  # Guards against commits that end as unknown because one of several connections
+  # closed: the others, from before the last answer of the process, lead to it.
+  Scenario Outline: an answer shows which connections lead to the process
+    Given a process whose registration was read at 1 s
+    And a connection to it, opened at 1 s, answered a request that was sent at 5 s
+    And another connection, which was last used at 3 s, is lost at 6 s
+    And the first connection answers a request that was sent at <sent_s> s
+    Then answers on a connection opened at <opened_s> s are <certainty>
+
+    Examples:
+      | sent_s | opened_s | certainty |
+      | 5      | 4        | its own   |
+      | 5      | 5.5      | in doubt  |
+      | 5.9    | 5.5      | its own   |
+      | 5.9    | 6.5      | in doubt  |
+      | 7      | 6.5      | its own   |
+
+  # Guards against answers of another process that end the doubt about it.
+  Scenario: an answer on a connection in doubt shows nothing
+    Given a process whose registration was read at 1 s
+    And a connection to it, opened at 1 s, answered a request that was sent at 5 s
+    And another connection, which was last used at 3 s, is lost at 6 s
+    And a connection that was opened at 6.5 s answers a request that was sent at 7 s
+    Then answers on a connection opened at 6.5 s are in doubt
--- a/mimosapond/failover/control_requests.py
+++ b/mimosapond/failover/control_requests.py
@@ -192,7 +192,7 @@
     if isinstance(connection, NoConnection):
         return connection
     try:
-        answer = await call(connection.link)
+        answer = await connection.observe(call(connection.link))
         is_certain = connection.leads_to_known_process()
     finally:
         connection.release()
--- a/mimosapond/failover/primary_monitor.py
+++ b/mimosapond/failover/primary_monitor.py
@@ -209,9 +209,17 @@
         )
 
     def _probe_replicas(self, primary: Member) -> None:
-        """Start probes of unreachable and suspect replicas in the background."""
+        """Start probes of replicas in the background that are due.
+
+        These are unreachable and suspect ones, and those without a connection:
+        only an older connection shows that a witness has not started again.
+        """
         for member in tuple(self._group.members.values()):
-            is_due = member.load.is_unreachable or self._is_suspect(member)
+            is_due = (
+                member.load.is_unreachable
+                or self._is_suspect(member)
+                or not member.pool.open_count
+            )
             if member is not primary and is_due:
                 self._start_replica_probe(member)
 
--- a/mimosapond/groups/connection_lease.py
+++ b/mimosapond/groups/connection_lease.py
@@ -1,13 +1,15 @@
 """Exclusive use of a pooled connection by one borrower."""
 
 from collections.abc import Awaitable, Callable
-from typing import final
+from typing import TypeVar, final
 
 from mimosapond.groups.member_answer import MemberAnswer
 from mimosapond.groups.member_port import MemberConnection
 from mimosapond.groups.pooled_connection import PooledConnection
 from mimosapond.statements.statement import Shape
 
+_Answer = TypeVar('_Answer')
+
 
 @final
 class LeaseEndedError(Exception):
@@ -49,7 +51,7 @@
         return self._require_connection().workspace
 
     def leads_to_known_process(self) -> bool:
-        """Return whether the registered process gave the last answer."""
+        """Return whether the connection leads to the registered process."""
         return self._require_connection().leads_to_known_process()
 
     @property
@@ -68,6 +70,10 @@
         """Await a request and record its answer in the member's load."""
         return await self._require_connection().ask(call, is_write=is_write)
 
+    async def observe(self, call: Awaitable[_Answer]) -> _Answer:
+        """Await a request that does not count as load of the member."""
+        return await self._require_connection().observe(call)
+
     def release(self) -> None:
         """Return the connection to the pool; a second call does nothing."""
         if self._connection is not None:
--- a/mimosapond/groups/idle_connections.py
+++ b/mimosapond/groups/idle_connections.py
@@ -3,7 +3,7 @@
 import bisect
 import enum
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final, final
 
 from mimosapond.boot_clock import Now
@@ -143,7 +143,8 @@
         Returns
         -------
         PooledConnection | None
-            The most recently used one; None if there is none.
+            The most recently used one, but before it one that can end a doubt
+            about the process of the member; None if there is none.
         """
         self._close_broken()
         usable = [
@@ -154,8 +155,10 @@
         if not usable:
             return None
         usable.sort(key=lambda connection: not connection.workspace)
-        chosen = next(
-            (one for one in usable if one.session_values == values), usable[0]
+        chosen = (
+            _first(usable, lambda one: one.may_end_doubt())
+            or _first(usable, lambda one: one.session_values == values)
+            or usable[0]
         )
         self._connections.remove(chosen)
         return chosen
@@ -169,11 +172,14 @@
             Number of open connections that are kept however long they idle.
         idle_before_s
             Connections beyond that number that are idle since an earlier time
-            are closed.
+            are closed, unless they can still show which process runs.
         """
         self._close_broken()
         for connection in tuple(self._connections):
-            is_expired = connection.idle_since_s < idle_before_s
+            is_expired = (
+                connection.idle_since_s < idle_before_s
+                and not connection.may_end_doubt()
+            )
             if self.is_over_limit or (
                 is_expired and self.open_count > keep_count
             ):
@@ -197,3 +203,10 @@
         if not self.open_count:
             # Nothing would show that the process ends.
             connection.record_loss()
+
+
+def _first(
+    connections: Iterable[PooledConnection],
+    fits: Callable[[PooledConnection], bool],
+) -> PooledConnection | None:
+    return next((one for one in connections if fits(one)), None)
--- a/mimosapond/groups/member_load.py
+++ b/mimosapond/groups/member_load.py
@@ -59,7 +59,7 @@
         self.position: LogPosition | None = None
         self.term = 0
         self.last_contact_s = -math.inf
-        self.identity = ProcessIdentity(now())
+        self.identity = ProcessIdentity(now)
         # Whether an attempt to connect has failed since the last contact.
         self.is_unreachable = False
         self.avoid_until_s: float = 0
@@ -68,6 +68,10 @@
         # Called whenever a request is no longer in flight.
         self.on_finish: Callable[[], None] = _do_nothing
 
+    def now(self) -> float:
+        """Return the time on the clock of all times of this member."""
+        return self._now()
+
     @property
     def in_flight_count(self) -> int:
         """Number of requests without an answer yet."""
--- a/mimosapond/groups/pooled_connection.py
+++ b/mimosapond/groups/pooled_connection.py
@@ -1,17 +1,19 @@
 """A connection of a pool, with the state that the member keeps for it."""
 
 from collections.abc import Awaitable
-from typing import final
+from typing import TypeVar, final
 
 import attrs
 from loguru import logger
 
-from mimosapond.groups.member_answer import MemberAnswer
+from mimosapond.groups.member_answer import LinkLost, MemberAnswer
 from mimosapond.groups.member_load import MemberLoad
 from mimosapond.groups.member_port import MemberConnection
 from mimosapond.statements.reply import SessionState
 from mimosapond.statements.statement import Shape
 
+_Answer = TypeVar('_Answer')
+
 
 @final
 @attrs.define(eq=False)
@@ -50,12 +52,20 @@
         """Await a request and record its answer in the member's load."""
         request = self.load.start(is_write=is_write)
         try:
-            answer = await call
+            answer = await self.observe(call)
         finally:
             self.load.finish(request)
         self.load.record(request, answer)
         return answer
 
+    async def observe(self, call: Awaitable[_Answer]) -> _Answer:
+        """Await a request, whose answer shows that the process runs."""
+        sent_s = self.load.now()
+        answer = await call
+        if not isinstance(answer, LinkLost):
+            self.load.identity.record_answer(self.opened_s, sent_s)
+        return answer
+
     def record_loss(self) -> None:
         """Record that it ended, at some time after its last use."""
         self.load.identity.record_loss(max(self.opened_s, self.idle_since_s))
@@ -65,9 +75,14 @@
         self.load.identity.record_loss(self.preceding_contact_s)
 
     def leads_to_known_process(self) -> bool:
-        """Return whether the registered process gave the last answer."""
+        """Return whether it leads to the registered process."""
         return self.load.identity.is_certain(self.opened_s)
 
+    def may_end_doubt(self) -> bool:
+        """Return whether an answer shows which process other ones lead to."""
+        identity = self.load.identity
+        return identity.is_in_doubt and self.leads_to_known_process()
+
     def has_unfinished_work(self) -> bool:
         """Return whether it is open but not idle, and log it if so."""
         link = self.link
--- a/mimosapond/groups/process_identity.py
+++ b/mimosapond/groups/process_identity.py
@@ -8,6 +8,8 @@
 import math
 from typing import Final, final
 
+from mimosapond.boot_clock import Now
+
 # Time after the start of a process within which its registration can be read, or
 # that of its former process has lapsed: three intervals of heartbeats, and some
 # time for the store.
@@ -19,7 +21,7 @@
     """Tells the connections to a known process from those to a later one.
 
     The end of a process ends all its connections. If no connection was lost, or
-    one from before the loss still answers, it is the process that was known.
+    if one from before the loss still answers, it is the process that was known.
 
     Attributes
     ----------
@@ -29,13 +31,29 @@
         Whether the last answer to a control request was that of the process.
     """
 
-    def __init__(self, created_s: float) -> None:
-        """Start in doubt, as the registration may be that of a former process."""
+    def __init__(self, now: Now) -> None:
+        """Start in doubt, as the registration may be that of a former process.
+
+        Parameters
+        ----------
+        now
+            Clock of all times.
+        """
+        self._now = now
         self.confirmed_s = -math.inf
         self.is_answer_certain = False
         # Time after which a connection may be one to another process; infinite
         # while none was lost.
-        self._doubtful_from_s = created_s
+        self._doubtful_from_s = -math.inf
+        # Time at which a loss was last recorded.
+        self._lost_s = now()
+        # Time at which the process was last known to run.
+        self._running_s = -math.inf
+
+    @property
+    def is_in_doubt(self) -> bool:
+        """Whether a connection may lead to another process."""
+        return self._doubtful_from_s < math.inf
 
     def record_loss(self, last_answer_s: float) -> None:
         """Record that a connection ended or could not be opened.
@@ -43,23 +61,42 @@
         Parameters
         ----------
         last_answer_s
-            Time at which the process was last known to run.
+            Time at which the process was last known to run, as far as that
+            connection shows.
+        """
+        running_s = max(last_answer_s, self._running_s)
+        self._doubtful_from_s = min(self._doubtful_from_s, running_s)
+        self._lost_s = self._now()
+
+    def record_answer(self, opened_s: float, sent_s: float) -> None:
+        """Learn from any answer of the known process that it still runs.
+
+        Parameters
+        ----------
+        opened_s
+            Time at which the connection of the answer was opened.
+        sent_s
+            Time at which the request was sent.
         """
-        self._doubtful_from_s = min(self._doubtful_from_s, last_answer_s)
+        if not self.is_certain(opened_s):
+            return
+        self._running_s = max(self._running_s, sent_s)
+        if sent_s > self._lost_s:
+            self.trust()
+        else:
+            self._doubtful_from_s = max(self._doubtful_from_s, sent_s)
 
     def trust(self) -> None:
         """End the doubt: the registered process was seen to run."""
         self._doubtful_from_s = math.inf
 
     def is_certain(self, opened_s: float) -> bool:
-        """Return whether an answer is that of the known process.
+        """Return whether a connection leads to the known process.
 
         Parameters
         ----------
         opened_s
-            Time at which the connection of the answer was opened.
+            Time at which the connection was opened.
         """
-        is_registered = opened_s + _REGISTRATION_S < self.confirmed_s
-        if opened_s < self._doubtful_from_s or is_registered:
-            self.trust()
-        return self._doubtful_from_s == math.inf
+        registered_until_s = self.confirmed_s - _REGISTRATION_S
+        return opened_s <= max(self._doubtful_from_s, registered_until_s)
--- a/mimosapond/routing/member_position_request.py
+++ b/mimosapond/routing/member_position_request.py
@@ -33,7 +33,7 @@
     async with _borrowed(member, limit_s) as connection:
         if connection is None:
             return None
-        answer = await connection.link.status(limit_s)
+        answer = await connection.observe(connection.link.status(limit_s))
     if not isinstance(answer, MemberStatus):
         return None
     member.load.record_contact(answer.received)
@@ -68,7 +68,7 @@
     async with _borrowed(member, limit_s) as connection:
         if connection is None:
             return None
-        answer = await connection.link.status(limit_s)
+        answer = await connection.observe(connection.link.status(limit_s))
         is_certain = connection.leads_to_known_process()
     if not isinstance(answer, MemberStatus):
         return None
@@ -119,9 +119,8 @@
 async def _begin_from(
     connection: ConnectionLease, position: LogPosition, limit_s: float
 ) -> LogPosition | None:
-    answer = await connection.link.begin(
-        Begin(is_read_only=True), position, limit_s
-    )
+    begin = connection.link.begin(Begin(is_read_only=True), position, limit_s)
+    answer = await connection.observe(begin)
     if isinstance(answer, LinkLost):
         return None
     if isinstance(answer, Completed):
