Promote no member that is behind another one that answered

Cause: a promoted member must have what the recorded lead began with. A log in the term of that begin has it by its number; one in a later term only if this term began after the newest one that may have begun before. That bound is too high after a recorded lead that never began, as the next change counts its term. The members with all commits since were then passed over, and a former primary that was cut off meanwhile, with commits of its own that nobody had acknowledged, was the only one left. Change: the most advanced member is chosen first, and is promoted only if it has the begin. A group whose bound is too high stays without a primary instead; the next commit corrects the bound. The scenario 'a member that is behind another one is not promoted' promotes b without the change.

--- a/features/change_explorer.py
+++ b/features/change_explorer.py
@@ -71,6 +71,7 @@
             self._group,
             self._random,
             are_late=ChangeFault.late_promotion in self._faults,
+            are_lost=ChangeFault.lost_calls in self._faults,
         )
         self._start(self._group.run())
         self._start_hosts()
--- a/features/change_fault.py
+++ b/features/change_fault.py
@@ -22,6 +22,9 @@
     lost_replica = 'lost replica'
     # Promotions take effect after the call; calls may be carried out late.
     late_promotion = 'late promotion'
+    # Most promotion calls get no answer and are carried out late, also those that
+    # name the primary to raise the fence.
+    lost_calls = 'lost calls'
     # Any promotion that takes effect ends the pauses of all members.
     ending_pauses = 'ending pauses'
     # A second host changes the primary.
--- a/features/change_platform.py
+++ b/features/change_platform.py
@@ -33,6 +33,7 @@
 # Share of the promotion calls without an answer, and the time until these are
 # carried out; the last time stands for never.
 _UNANSWERED_RATIO: Final = 0.2
+_MANY_UNANSWERED_RATIO: Final = 0.85
 _NEVER_S: Final = 1e9
 _LATE_S: Final = (0, 2, 5, 12, _NEVER_S)
 
@@ -135,7 +136,12 @@
     """
 
     def __init__(
-        self, group: ChangeGroup, draws: random.Random, *, are_late: bool
+        self,
+        group: ChangeGroup,
+        draws: random.Random,
+        *,
+        are_late: bool,
+        are_lost: bool,
     ) -> None:
         """Promote members of a group.
 
@@ -144,10 +150,13 @@
         are_late
             Whether promotions take effect some time after the call, and calls
             without an answer may be carried out later.
+        are_lost
+            Whether most calls get no answer.
         """
         self._group = group
         self._draws = draws
         self._are_late = are_late
+        self._unanswered_ratio = _unanswered_ratio(are_late, are_lost)
         self._newest_token = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self.pending_ids: list[str] = []
@@ -159,7 +168,10 @@
     ) -> PromotionOutcome:
         """Make the member the primary some time later."""
         await asyncio.sleep(_CALL_S)
-        is_lost = self._are_late and self._draws.random() < _UNANSWERED_RATIO
+        is_lost = (
+            self._unanswered_ratio > 0
+            and self._draws.random() < self._unanswered_ratio
+        )
         if self.is_silent or is_lost:
             late_s = self._draws.choice(_LATE_S)
             self._group.note(f'call for {member_id}, {token}, lost: {late_s}')
@@ -203,3 +215,9 @@
             await asyncio.sleep(self._draws.choice(_EFFECTS_S))
         self.pending_ids.remove(member_id)
         self._group.lead(member_id, called_s)
+
+
+def _unanswered_ratio(are_late: bool, are_lost: bool) -> float:
+    if are_lost:
+        return _MANY_UNANSWERED_RATIO
+    return _UNANSWERED_RATIO if are_late else 0
--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -518,6 +518,25 @@
       | saw       | b        |
       | never saw | none     |
 
+  Scenario Outline: a member that is behind another one is not promoted
+    # Guards against lost commits (LOST, issue 47): the record of a lead that began in an
+    # earlier term than it allows made a former primary look like the only member that
+    # has its begin, and the members that had all commits since were passed over.
+    Given a group whose primary is p
+    And the last recorded lead is that of p, from 1.16 in a term after <term>
+    And member a has received up to <a>
+    And member b has received up to 1.19
+    And the members p are silent
+    When a host replaces the lost primary
+    Then the promoted member is <promoted>
+
+    Examples:
+      | term | a    | promoted |
+      | 2    | 2.17 | none     |
+      | 1    | 2.17 | a        |
+      | 2    | 1.18 | b        |
+      | 2    | 3.17 | a        |
+
   Scenario: a lead is recorded before it begins
     # Guards against a lead that no host which starts later learns of.
     Given a group whose primary is p
--- a/mimosapond/failover/group_statuses.py
+++ b/mimosapond/failover/group_statuses.py
@@ -187,7 +187,9 @@
     ) -> MemberReport | None:
         """Return the replica with the most advanced log, or None without one.
 
-        Of equally advanced replicas, one that takes new work is preferred.
+        Of equally advanced replicas, one that takes new work is preferred. None
+        if its log may lack the begin of a lead: a less advanced one that has it
+        may lack what was acknowledged since.
 
         Parameters
         ----------
@@ -199,11 +201,15 @@
         candidates = [
             report
             for report in self._reports.values()
-            if report.member is not excluded
-            and not report.status.is_primary
-            and all(lead.is_in_log(report.status.received) for lead in leads)
+            if report.member is not excluded and not report.status.is_primary
         ]
-        return max(candidates, key=_promotion_rank, default=None)
+        chosen = max(candidates, key=_promotion_rank, default=None)
+        if chosen is None:
+            return None
+        received = chosen.status.received
+        return (
+            chosen if all(each.is_in_log(received) for each in leads) else None
+        )
 
     def _may_lead(self, silent: Member, recorded: LeadRecord) -> bool:
         """Return whether a silent member can be the primary.
