Record in which term a lead began

Cause: the term of a recorded lead was taken to be one above the newest term that may have begun before it. After a lead that never began, or one that was withdrawn, the next change counted a term that did not exist, and so did each change after that one. The logs of the real term were then not accepted as ones that have the begin of the lead. Change: the record has the term of a lead once its member leads: from the promoting host, from the host that withdraws a change, or from one that keeps the record up to date. The next change takes it in place of the guess. settle_lead and replace_record take the place of two methods that each wrote a part of the record; the types of a recorded lead have a module of their own. Evidence: the scenarios 'the bound of a lead counts no term that did not begin' (the change before recorded 3 where term 2 led), 'the term of a lead is recorded once its member leads' and 'the term of a lead that began late is recorded' need the new field.

--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -16,7 +16,11 @@
     DutyTaken,
     DutyUnknown,
     FoundRecord,
+)
+from mimosapond.failover.lead_record import (
+    LeadRecord,
     LeadRecording,
+    LeadUnknown,
     NoLead,
 )
 from mimosapond.failover.promotion_port import (
@@ -330,7 +334,7 @@
         # What is read; None stands for a store that does not answer.
         self.found: FoundRecord | None = FoundRecord(GroupRecord(), 0, False)
         self.recorded_witnesses: frozenset[MemberProcess] | None = None
-        self.continued_id = ''
+        self.settled_lead: LeadRecord = LeadUnknown()
 
     async def claim(self, group: str) -> ClaimOutcome:
         """Return the outcome that the test set."""
@@ -349,25 +353,23 @@
         self.recorded_lead = lead
         return self.recording
 
-    async def withdraw_lead(
-        self, group: str, claim: DutyClaim, primary_id: str
+    async def settle_lead(
+        self, group: str, known: LeadRecord, lead: LeadRecord
     ) -> bool:
-        """Keep the id of the primary that leads on."""
-        self.continued_id = primary_id
+        """Keep the lead of the primary that leads."""
+        self.settled_lead = lead
         return True
 
     async def read_record(self, group: str) -> FoundRecord | None:
         """Return the record that the test set."""
         return self.found
 
-    async def record_witnesses(
-        self,
-        group: str,
-        found: FoundRecord,
-        witnesses: frozenset[MemberProcess],
+    async def replace_record(
+        self, group: str, found: FoundRecord, record: GroupRecord
     ) -> bool:
-        """Keep the witnesses."""
-        self.recorded_witnesses = witnesses
+        """Keep the witnesses and the lead."""
+        self.recorded_witnesses = record.witnesses
+        self.settled_lead = record.lead or NoLead()
         return True
 
     async def reserve(self) -> int | None:
@@ -448,32 +450,29 @@
         self.store.replace(attrs.evolve(self.store.record, lead=lead))
         return LeadRecording.recorded
 
-    async def withdraw_lead(
-        self, group: str, claim: DutyClaim, primary_id: str
+    async def settle_lead(
+        self, group: str, known: LeadRecord, lead: LeadRecord
     ) -> bool:
-        """Withdraw the lead, if no other claim was granted since."""
-        if claim.token != max(self.store.granted):
-            return False
+        """Replace the lead, if no other claim was granted since."""
         record = self.store.record
-        if record.lead is not None:
-            lead = record.lead.of(primary_id)
-            self.store.replace(attrs.evolve(record, lead=lead))
+        is_last = self.store.granted[max(self.store.granted)] == self.host
+        if not is_last or (record.lead or NoLead()) != known:
+            return False
+        settled = record.settled(lead if isinstance(lead, Lead) else None)
+        self.store.replace(settled)
         return True
 
     async def read_record(self, group: str) -> FoundRecord | None:
         """Read from the store."""
         return self.store.found()
 
-    async def record_witnesses(
-        self,
-        group: str,
-        found: FoundRecord,
-        witnesses: frozenset[MemberProcess],
+    async def replace_record(
+        self, group: str, found: FoundRecord, record: GroupRecord
     ) -> bool:
         """Write to the store if nothing has changed since it was read."""
         if found != self.store.found() or found.is_claimed:
             return False
-        self.store.replace(attrs.evolve(self.store.record, witnesses=witnesses))
+        self.store.replace(record)
         return True
 
     async def reserve(self) -> None:
--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -555,6 +555,33 @@
     When a host replaces the lost primary
     Then the lead of b from 1.12 in a term after 2 was recorded
 
+  Scenario Outline: the bound of a lead counts no term that did not begin
+    # Guards against a group that nobody may lead any more (promotion_not_safe with nobody
+    # silent, issue 47): the bound of each lead was one term too high after a recorded
+    # lead that had not begun, so that no log counted as one of its term.
+    Given a group whose primary is p
+    And the last recorded lead is that of p, from 1.10 in a term after 1
+    And it is known to have begun in term <begun>
+    And member b has received up to 1.12
+    And the members p are silent
+    When a host replaces the lost primary
+    Then the lead of b from 1.12 in a term after <bound> was recorded
+
+    Examples:
+      | begun | bound |
+      | 1     | 1     |
+      | 2     | 2     |
+
+  Scenario: the term of a lead is recorded once its member leads
+    # Guards against the same beside the next change.
+    Given a group whose primary is p
+    And the last recorded lead is that of p, from 1.10 in a term after 3
+    And member b has received up to 1.12
+    And the members p are silent
+    When a host replaces the lost primary
+    Then the lead of b from 1.12 in a term after 4 was recorded
+    And it was recorded that b leads term 2 and none before it but term 1
+
   Scenario Outline: a lead that could not be recorded
     # Guards against a promotion by a host whose claim was followed by another
     # one, and against a group without a primary while the store is silent.
--- a/features/steps/group_record_steps.py
+++ b/features/steps/group_record_steps.py
@@ -1,12 +1,15 @@
 """Steps of platform_store.feature for the records of groups."""
 
-from typing import Any
+from typing import Any, Final
 
+import attrs
 from behave import then, when
 
 from mimosapond.failover.claim_port import DutyClaim
 from mimosapond.groups.member_process import MemberProcess
 
+_TERM: Final = 2
+
 
 @when('host {host} reads the record')
 def read(context: Any, host: str) -> None:
@@ -19,10 +22,10 @@
 @when('host {host} records the witnesses {names} in what it read')
 def record_in_found(context: Any, host: str, names: str) -> None:
     """Write witnesses to the row as it was read."""
+    found = context.found_record
+    record = attrs.evolve(found.record, witnesses=_processes(names))
     context.is_recorded = context.loop.run_until_complete(
-        context.claims[host].record_witnesses(
-            context.group_name, context.found_record, _processes(names)
-        )
+        context.claims[host].replace_record(context.group_name, found, record)
     )
 
 
@@ -39,8 +42,11 @@
 def withdraw(context: Any, host: str) -> None:
     """Let m9 lead on in place of the lead that came with the claim."""
     held = [each for each in context.outcomes if isinstance(each, DutyClaim)]
+    known = held[-1].lead
     context.loop.run_until_complete(
-        context.claims[host].withdraw_lead(context.group_name, held[-1], 'm9')
+        context.claims[host].settle_lead(
+            context.group_name, known, known.of('m9', _TERM)
+        )
     )
 
 
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -22,12 +22,8 @@
     SourceState,
 )
 from mimosapond.configuration.source_contact import SourceContact
-from mimosapond.failover.claim_port import (
-    DutyClaim,
-    DutyTaken,
-    LeadRecording,
-    NoLead,
-)
+from mimosapond.failover.claim_port import DutyClaim, DutyTaken
+from mimosapond.failover.lead_record import LeadRecording, NoLead
 from mimosapond.groups.lead import Lead
 from mimosapond.groups.registration_source import Registrations
 from mimosapond.peers.peer import Peer
--- a/features/steps/primary_change_claims_steps.py
+++ b/features/steps/primary_change_claims_steps.py
@@ -6,6 +6,7 @@
 from types import MappingProxyType
 from typing import Any, Final
 
+import attrs
 from behave import given, step, then, when
 
 from features.group_builders import GROUP, parse_position
@@ -16,10 +17,8 @@
     ClaimOutcome,
     DutyTaken,
     DutyUnknown,
-    LeadRecording,
-    LeadUnknown,
-    NoLead,
 )
+from mimosapond.failover.lead_record import LeadRecording, LeadUnknown, NoLead
 from mimosapond.failover.promotion_port import PromotionRefused
 from mimosapond.groups.lead import Lead
 
@@ -78,6 +77,27 @@
     context.world.claims.outcome = DutyClaim(_TOKEN, math.inf, lead)
 
 
+@given('it is known to have begun in term {term:d}')
+def set_recorded_term(context: Any, term: int) -> None:
+    """Let the recorded lead have its term."""
+    claim = context.world.claims.outcome
+    lead = attrs.evolve(claim.lead, term=term)
+    context.world.claims.outcome = attrs.evolve(claim, lead=lead)
+
+
+@then(
+    'it was recorded that {name} leads term {term:d} and none before it but '
+    'term {newest_term:d}'
+)
+def check_settled_lead(
+    context: Any, name: str, term: int, newest_term: int
+) -> None:
+    """Compare the lead that was recorded once its member led."""
+    lead = context.world.claims.settled_lead
+    found = (lead.member_id, lead.term, lead.newest_term)
+    assert found == (name, term, newest_term), lead
+
+
 @given('the store is silent, so that the last recorded lead is not known')
 def hide_recorded_lead(context: Any) -> None:
     """Let the host claim with a token that it reserved before."""
--- a/features/steps/witness_roster_steps.py
+++ b/features/steps/witness_roster_steps.py
@@ -237,7 +237,16 @@
 @then('the recorded lead is that of {name}')
 def check_lead(context: Any, name: str) -> None:
     """Check whether a primary was recorded that leads on."""
-    assert (context.world.claims.continued_id or 'another member') == name
+    lead = context.world.claims.settled_lead
+    found = lead.member_id if isinstance(lead, Lead) else 'another member'
+    assert found == name, lead
+
+
+@then('its recorded term is {term:d}')
+def check_term(context: Any, term: int) -> None:
+    """Compare the term of the recorded lead."""
+    lead = context.world.claims.settled_lead
+    assert lead.term == term, lead
 
 
 @given('a process whose registration was read at {read_s:g} s')
--- a/features/witness_roster.feature
+++ b/features/witness_roster.feature
@@ -39,6 +39,16 @@
       | 8        | the recorded lead of p has begun             | a,b,d,p   |
       | 8        | the store does not answer                    | unchanged |
 
+  # Guards against a lead whose term the next change has to guess, as the host that called
+  # for it did not see it begin.
+  Scenario: the term of a lead that began late is recorded
+    Given a group whose primary is p
+    And member d has been listed for 6 s
+    And the recorded lead of p has begun
+    When the record is brought up to date
+    Then the recorded lead is that of p
+    And its recorded term is 1
+
   # Guards against lost commits that only a replica had which left, or which started
   # again without its log (review/9).
   Scenario Outline: a process leaves the record once another witness has its commits
@@ -107,6 +117,7 @@
   # later calls only.
   Scenario Outline: replicas are resumed after accepted promotion calls took effect
     Given a group whose primary is p
+    And the last recorded lead is that of b, from 1.10 in a term after 1
     And members a and b are paused
     And an accepted call lets b lead <effect_ms> ms after the fence was raised
     When a host replaces the stalled primary
--- a/mimosapond/failover/change_steps.py
+++ b/mimosapond/failover/change_steps.py
@@ -20,6 +20,7 @@
 from mimosapond.failover.promotion_log import log_aborted_change
 from mimosapond.failover.promotion_turns import PromotionTurns
 from mimosapond.groups.group import Group
+from mimosapond.groups.lead import Lead
 from mimosapond.groups.member import Member
 
 # Time after which a promotion call that the platform has accepted has taken
@@ -59,7 +60,8 @@
         bool
             Whether the member is seen to lead.
         """
-        if not await self._leads.record(group, candidate, claim, paused):
+        lead = await self._leads.record(group, candidate, claim, paused)
+        if lead is None:
             return False
         result = await self._call_promotion(group, candidate, claim)
         if result is PromotionResult.leads:
@@ -71,6 +73,7 @@
                 if member is not candidate.member
             )
             await self._resume(group, claim, others)
+            await self._settle(group, candidate.member, lead)
         return result is PromotionResult.leads
 
     async def withdraw_change(
@@ -118,9 +121,10 @@
         await asyncio.sleep(PROMOTION_EFFECT_S)
         if not await _still_leads(primary):
             return
-        primary_id = primary.member.member_id
-        if await self._claims.withdraw_lead(group.name, claim, primary_id):
-            group.withdraw_lead(primary_id)
+        lead = claim.lead
+        if isinstance(lead, Lead):
+            lead = lead.of(primary.member.member_id, primary.status.term)
+        await self._leads.settle(group, claim.lead, lead)
         await self._resume(group, claim, paused.replicas)
 
     async def claim(self, group: Group, reason: str) -> DutyClaim | None:
@@ -157,6 +161,12 @@
             await self._turns.record_call(group.name, claim)
         return result
 
+    async def _settle(self, group: Group, leader: Member, lead: Lead) -> None:
+        """Record the term in which a promoted member leads."""
+        status = await fetch_status(leader)
+        if status is not None and status.is_primary:
+            await self._leads.settle(group, lead, lead.began_in(status.term))
+
     async def _resume(
         self, group: Group, claim: DutyClaim, members: Iterable[Member]
     ) -> None:
--- a/mimosapond/failover/claim_port.py
+++ b/mimosapond/failover/claim_port.py
@@ -4,11 +4,11 @@
 claim on a group may replace the primary of that group.
 """
 
-import enum
 from typing import Final, Protocol, TypeAlias, final
 
 import attrs
 
+from mimosapond.failover.lead_record import LeadRecord, LeadRecording
 from mimosapond.groups.group import Group
 from mimosapond.groups.group_record import GroupRecord
 from mimosapond.groups.lead import Lead
@@ -20,21 +20,6 @@
 CLAIM_DURATION_S: Final = 4.0
 
 
-@final
-@attrs.frozen
-class NoLead:
-    """No change of primary was ever recorded for the group."""
-
-
-@final
-@attrs.frozen
-class LeadUnknown:
-    """The record of changes of primary could not be read."""
-
-
-LeadRecord: TypeAlias = Lead | NoLead | LeadUnknown
-
-
 @final
 @attrs.frozen
 class DutyClaim:
@@ -65,17 +50,6 @@
         return group.record.witnesses
 
 
-@final
-class LeadRecording(enum.Enum):
-    """Result of recording a lead."""
-
-    recorded = 'recorded'
-    # Another host holds the claim by now.
-    superseded = 'superseded'
-    # There was no answer, so the lead may be recorded or not.
-    unknown = 'unknown'
-
-
 @final
 @attrs.frozen
 class FoundRecord:
@@ -130,16 +104,17 @@
             The claim under which the member is promoted.
         """
 
-    async def withdraw_lead(
-        self, group: str, claim: DutyClaim, primary_id: str
+    async def settle_lead(
+        self, group: str, known: LeadRecord, lead: LeadRecord
     ) -> bool:
-        """Record that a primary leads on in place of the recorded lead.
+        """Record the lead of a primary that no earlier call can replace.
 
         Parameters
         ----------
-        claim
-            The claim with which the recorded lead was read. It cannot begin any
-            more.
+        known
+            The lead that this host recorded, or read with its claim.
+        lead
+            The lead of the present primary.
 
         Returns
         -------
@@ -151,13 +126,10 @@
     async def read_record(self, group: str) -> FoundRecord | None:
         """Return the record of a group; None if the store did not answer."""
 
-    async def record_witnesses(
-        self,
-        group: str,
-        found: FoundRecord,
-        witnesses: frozenset[MemberProcess],
+    async def replace_record(
+        self, group: str, found: FoundRecord, record: GroupRecord
     ) -> bool:
-        """Replace the witnesses of a group.
+        """Replace the record of a group.
 
         Parameters
         ----------
@@ -167,7 +139,7 @@
         Returns
         -------
         bool
-            Whether they are known to be recorded.
+            Whether the new one is known to be stored.
         """
 
     async def reserve(self) -> int | None:
--- a/mimosapond/failover/failover_coordinator.py
+++ b/mimosapond/failover/failover_coordinator.py
@@ -11,7 +11,8 @@
 
 from mimosapond.boot_clock import Now
 from mimosapond.failover.change_steps import ChangeSteps
-from mimosapond.failover.claim_port import ClaimPort, DutyClaim, NoLead
+from mimosapond.failover.claim_port import ClaimPort, DutyClaim
+from mimosapond.failover.lead_record import NoLead
 from mimosapond.failover.control_requests import step_down
 from mimosapond.failover.group_membership import GroupMembership
 from mimosapond.failover.group_pauser import GroupPauser
--- a/mimosapond/failover/group_membership.py
+++ b/mimosapond/failover/group_membership.py
@@ -14,7 +14,7 @@
     UNLISTED_SILENCE_TIMEOUT_S,
     DepartureDetector,
 )
-from mimosapond.failover.claim_port import LeadRecord, LeadUnknown
+from mimosapond.failover.lead_record import LeadRecord, LeadUnknown
 from mimosapond.groups.group import Group
 from mimosapond.groups.group_directory import GroupDirectory
 from mimosapond.groups.lead import Lead
--- a/mimosapond/failover/group_statuses.py
+++ b/mimosapond/failover/group_statuses.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection, Mapping
 from typing import Final, final
 
-from mimosapond.failover.claim_port import LeadRecord, LeadUnknown
+from mimosapond.failover.lead_record import LeadRecord, LeadUnknown
 from mimosapond.failover.group_membership import MembershipKnowledge
 from mimosapond.failover.control_requests import MemberReport
 from mimosapond.groups.group import Group
@@ -132,7 +132,7 @@
         if isinstance(recorded, Lead) and (
             recorded.member_id not in self._reports
         ):
-            terms.append(recorded.newest_term + 1)
+            terms.append(recorded.latest_term)
         return max(terms, default=0)
 
     def includes_all_replicas(
--- a/mimosapond/failover/lead_recorder.py
+++ b/mimosapond/failover/lead_recorder.py
@@ -8,11 +8,8 @@
 
 from loguru import logger
 
-from mimosapond.failover.claim_port import (
-    ClaimPort,
-    DutyClaim,
-    LeadRecording,
-)
+from mimosapond.failover.claim_port import ClaimPort, DutyClaim
+from mimosapond.failover.lead_record import LeadRecord, LeadRecording
 from mimosapond.failover.control_requests import MemberReport
 from mimosapond.failover.group_statuses import GroupStatuses
 from mimosapond.groups.group import Group
@@ -33,7 +30,7 @@
         candidate: MemberReport,
         claim: DutyClaim,
         paused: GroupStatuses,
-    ) -> bool:
+    ) -> Lead | None:
         """Record the lead of a member that is promoted next.
 
         Parameters
@@ -43,9 +40,10 @@
 
         Returns
         -------
-        bool
-            Whether the member may be promoted. Not if another host holds the
-            claim by now. An outage of the store does not prevent a change.
+        Lead or None
+            The lead with which the member may be promoted. None if another host
+            holds the claim by now. An outage of the store does not prevent a
+            change.
         """
         newest_term = max(paused.newest_term(claim.lead), candidate.status.term)
         lead = Lead(
@@ -56,4 +54,17 @@
             logger.bind(
                 group=group.name, lead=str(lead), outcome=recording.value
             ).warning('lead_not_recorded')
-        return recording is not LeadRecording.superseded
+        return None if recording is LeadRecording.superseded else lead
+
+    async def settle(
+        self, group: Group, known: LeadRecord, lead: LeadRecord
+    ) -> None:
+        """Record the lead of a primary that no earlier call can replace.
+
+        Parameters
+        ----------
+        known
+            The lead that this host recorded, or read with its claim.
+        """
+        if await self._claims.settle_lead(group.name, known, lead):
+            group.settle_lead(lead if isinstance(lead, Lead) else None)
--- a/mimosapond/failover/reserved_token_claims.py
+++ b/mimosapond/failover/reserved_token_claims.py
@@ -21,11 +21,14 @@
     ClaimPort,
     DutyUnknown,
     FoundRecord,
+)
+from mimosapond.failover.lead_record import (
+    LeadRecord,
     LeadRecording,
     LeadUnknown,
 )
+from mimosapond.groups.group_record import GroupRecord
 from mimosapond.groups.lead import Lead
-from mimosapond.groups.member_process import MemberProcess
 
 # Upper limit of a random delay before a reserved token is used, so that hosts
 # that lose a primary at the same time act one after another.
@@ -114,26 +117,23 @@
             return LeadRecording.unknown
         return await self._store.record_lead(group, claim, lead)
 
-    async def withdraw_lead(
-        self, group: str, claim: DutyClaim, primary_id: str
+    async def settle_lead(
+        self, group: str, known: LeadRecord, lead: LeadRecord
     ) -> bool:
-        """Withdraw a lead, unless the claim was made without the store."""
-        if isinstance(claim.lead, LeadUnknown):
+        """Settle a lead, unless the claim was made without the store."""
+        if isinstance(known, LeadUnknown):
             return False
-        return await self._store.withdraw_lead(group, claim, primary_id)
+        return await self._store.settle_lead(group, known, lead)
 
     async def read_record(self, group: str) -> FoundRecord | None:
         """Return the record that the store has."""
         return await self._store.read_record(group)
 
-    async def record_witnesses(
-        self,
-        group: str,
-        found: FoundRecord,
-        witnesses: frozenset[MemberProcess],
+    async def replace_record(
+        self, group: str, found: FoundRecord, record: GroupRecord
     ) -> bool:
-        """Replace the witnesses in the store."""
-        return await self._store.record_witnesses(group, found, witnesses)
+        """Replace the record in the store."""
+        return await self._store.replace_record(group, found, record)
 
     async def reserve(self) -> int | None:
         """Return the reserved token, or None if there is none yet."""
--- a/mimosapond/failover/witness_check.py
+++ b/mimosapond/failover/witness_check.py
@@ -8,7 +8,7 @@
 from collections.abc import Collection
 from typing import Final, final
 
-from mimosapond.failover.claim_port import LeadRecord, LeadUnknown
+from mimosapond.failover.lead_record import LeadRecord, LeadUnknown
 from mimosapond.failover.group_membership import GroupMembership
 from mimosapond.failover.group_statuses import GroupStatuses
 from mimosapond.groups.group import Group
--- a/mimosapond/failover/witness_roster.py
+++ b/mimosapond/failover/witness_roster.py
@@ -22,6 +22,8 @@
 )
 from mimosapond.failover.group_membership import GroupMembership
 from mimosapond.groups.group import Group
+from mimosapond.groups.group_record import GroupRecord
+from mimosapond.groups.lead import UNKNOWN_TERM
 from mimosapond.groups.member import Member
 from mimosapond.groups.member_log import process_label
 from mimosapond.groups.member_process import MemberProcess
@@ -70,8 +72,10 @@
         if record is None or record.witnesses is None:
             return True
         age_s = group.confirmations.oldest_age_s(self._now())
-        return age_s > _STALLED_COMMIT_S or bool(
-            self._next_witnesses(group, record.witnesses) != record.witnesses
+        return (
+            age_s > _STALLED_COMMIT_S
+            or _is_term_missing(record, group.primary)
+            or self._next_witnesses(group, record.witnesses) != record.witnesses
         )
 
     async def update(self, group: Group) -> None:
@@ -79,13 +83,12 @@
         self._next_s[group.name] = self._now() + _RETRY_INTERVAL_S * (
             1 + random.random()
         )
-        found = await self.read(group)
-        if found is None:
-            return
         primary = group.primary
-        if found.is_claimed or primary is None:
-            return
-        if found.record.is_change_pending(primary.member_id):
+        found = await self._read_unchanging(group, primary)
+        if found is not None and _is_term_missing(found.record, primary):
+            await self._record_term(group, primary, found)
+            found = await self._read_unchanging(group, primary)
+        if found is None or primary is None:
             return
         if found.record.witnesses is None:
             await self._begin(group, found)
@@ -99,6 +102,17 @@
             group.record = found.record
         return found
 
+    async def _read_unchanging(
+        self, group: Group, primary: Member | None
+    ) -> FoundRecord | None:
+        """Return the record of a group; None if its primary may change."""
+        found = await self.read(group)
+        if found is None or found.is_claimed or primary is None:
+            return None
+        if found.record.is_change_pending(primary.member_id):
+            return None
+        return found
+
     async def _begin(self, group: Group, found: FoundRecord) -> None:
         """Record the first witnesses of a group.
 
@@ -153,11 +167,24 @@
         if following != witnesses:
             await self._record(group, found, following)
 
+    async def _record_term(
+        self, group: Group, primary: Member | None, found: FoundRecord
+    ) -> None:
+        """Record the term of a lead that the promoting host did not see."""
+        status = None if primary is None else await fetch_status(primary)
+        lead = found.record.lead
+        if lead is None or status is None or not status.is_primary:
+            return
+        record = attrs.evolve(found.record, lead=lead.began_in(status.term))
+        if await self._claims.replace_record(group.name, found, record):
+            group.record = record
+
     async def _record(
         self, group: Group, found: FoundRecord, witnesses: _Processes
     ) -> None:
-        is_recorded = await self._claims.record_witnesses(
-            group.name, found, witnesses
+        record = attrs.evolve(found.record, witnesses=witnesses)
+        is_recorded = await self._claims.replace_record(
+            group.name, found, record
         )
         logger.bind(
             group=group.name,
@@ -165,7 +192,7 @@
             is_recorded=is_recorded,
         ).info('witnesses_recorded')
         if is_recorded:
-            group.record = attrs.evolve(found.record, witnesses=witnesses)
+            group.record = record
 
     def _next_witnesses(
         self, group: Group, witnesses: _Processes
@@ -190,6 +217,17 @@
         return self._now() - member.listed_since_s >= MIN_LISTED_S
 
 
+def _is_term_missing(record: GroupRecord, primary: Member | None) -> bool:
+    """Return whether a primary leads whose term is not recorded."""
+    lead = record.lead
+    return (
+        lead is not None
+        and primary is not None
+        and lead.member_id == primary.member_id
+        and lead.term == UNKNOWN_TERM
+    )
+
+
 def _is_undisturbed(
     reports: tuple[MemberReport, ...],
     status: MemberStatus,
--- a/mimosapond/groups/group.py
+++ b/mimosapond/groups/group.py
@@ -3,7 +3,6 @@
 import asyncio
 from typing import Final, final
 
-import attrs
 from loguru import logger
 
 from mimosapond.boot_clock import boot_time_s
@@ -151,11 +150,10 @@
         self.primary_confirmed_s = max(asked_s, self.primary_confirmed_s)
         self.observations.add(asked_s, position)
 
-    def withdraw_lead(self, primary_id: str) -> None:
-        """Record that a primary leads on in place of the recorded lead."""
-        if self.record is not None and self.record.lead is not None:
-            lead = self.record.lead.of(primary_id)
-            self.record = attrs.evolve(self.record, lead=lead)
+    def settle_lead(self, lead: Lead | None) -> None:
+        """Record that a primary leads which no earlier call can replace."""
+        if self.record is not None:
+            self.record = self.record.settled(lead)
 
     def start_search(self, now_s: float) -> None:
         """Let requests wait for a primary, as this host only now seeks it."""
--- a/mimosapond/groups/group_record.py
+++ b/mimosapond/groups/group_record.py
@@ -33,6 +33,10 @@
         """Return whether a recorded lead may begin while a member leads."""
         return self.lead is not None and self.lead.member_id != primary_id
 
+    def settled(self, lead: Lead | None) -> 'GroupRecord':
+        """Return the record with the lead of a primary that leads on."""
+        return attrs.evolve(self, lead=lead)
+
     def has_witness(self, process: MemberProcess) -> bool:
         """Return whether a process may witness commits."""
         return self.witnesses is not None and process in self.witnesses
--- a/mimosapond/groups/lead.py
+++ b/mimosapond/groups/lead.py
@@ -1,11 +1,14 @@
 """How the lead of a primary began."""
 
-from typing import final
+from typing import Final, final
 
 import attrs
 
 from mimosapond.groups.log_position import LogPosition
 
+# Term of a lead that nobody has seen.
+UNKNOWN_TERM: Final = 0
+
 
 @final
 @attrs.frozen
@@ -21,19 +24,39 @@
     newest_term
         Newest term that may have begun before; the lead has a newer one. For a
         primary that was only seen to lead, the term of ``begin``.
+    term
+        Term of the lead; ``UNKNOWN_TERM`` until its member was seen to lead.
     """
 
     member_id: str
     begin: LogPosition
     newest_term: int
+    term: int = UNKNOWN_TERM
+
+    @property
+    def latest_term(self) -> int:
+        """The latest term that the lead may have."""
+        return self.term or self.newest_term + 1
 
-    def of(self, member_id: str) -> 'Lead':
+    def began_in(self, term: int) -> 'Lead':
+        """Return the lead once its term is known."""
+        newest_term = max(term - 1, self.begin.term)
+        return attrs.evolve(
+            self, newest_term=min(newest_term, self.newest_term), term=term
+        )
+
+    def of(self, member_id: str, term: int) -> 'Lead':
         """Return the lead of a primary that leads on in place of this one.
 
         This one cannot begin. Its member was chosen with all that the lead of
         the primary began with.
+
+        Parameters
+        ----------
+        term
+            Term in which the primary leads.
         """
-        return attrs.evolve(self, member_id=member_id)
+        return attrs.evolve(self, member_id=member_id).began_in(term)
 
     def is_in_log(self, received: LogPosition) -> bool:
         """Return whether a log up to a position is certain to have the begin.
--- a/mimosapond/platform/store_claims.py
+++ b/mimosapond/platform/store_claims.py
@@ -24,9 +24,8 @@
     DutyTaken,
     DutyUnknown,
     FoundRecord,
-    LeadRecording,
-    NoLead,
 )
+from mimosapond.failover.lead_record import LeadRecord, LeadRecording, NoLead
 from mimosapond.groups.group_record import GroupRecord
 from mimosapond.groups.lead import Lead
 from mimosapond.groups.member_process import MemberProcess
@@ -67,6 +66,15 @@
             None if witnesses is None else frozenset(witnesses),
         )
 
+    def with_record(self, record: GroupRecord) -> '_StoredClaim':
+        """Return the claim with another record."""
+        witnesses = record.witnesses
+        return attrs.evolve(
+            self,
+            lead=record.lead,
+            witnesses=None if witnesses is None else tuple(sorted(witnesses)),
+        )
+
 
 @final
 class StoreClaims:
@@ -151,22 +159,24 @@
             case Unavailable():
                 return LeadRecording.unknown
 
-    async def withdraw_lead(
-        self, group: str, claim: DutyClaim, primary_id: str
+    async def settle_lead(
+        self, group: str, known: LeadRecord, lead: LeadRecord
     ) -> bool:
-        """Replace the lead of a claim that this host still holds."""
+        """Replace the lead in the row of a claim that this host holds."""
         found = await self._read(group)
         if isinstance(found, Unavailable):
             return False
         row = _find_row(found, group)
         stored = _decode_row(row)
-        is_same_lead = (stored.lead or NoLead()) == claim.lead
+        is_same_lead = (stored.lead or NoLead()) == known
         if active_holder(row, found.now_ms) != self._host or not is_same_lead:
             return False
-        if stored.lead is None:
+        settled = stored.record.settled(
+            lead if isinstance(lead, Lead) else None
+        )
+        if settled == stored.record:
             return True
-        lead = stored.lead.of(primary_id)
-        return await self._replace(row, attrs.evolve(stored, lead=lead))
+        return await self._replace(row, stored.with_record(settled))
 
     async def read_record(self, group: str) -> FoundRecord | None:
         """Return the record in the row of the group's claim."""
@@ -180,21 +190,15 @@
             is_claimed=bool(active_holder(row, found.now_ms)),
         )
 
-    async def record_witnesses(
-        self,
-        group: str,
-        found: FoundRecord,
-        witnesses: frozenset[MemberProcess],
+    async def replace_record(
+        self, group: str, found: FoundRecord, record: GroupRecord
     ) -> bool:
-        """Replace the witnesses, if the row is as it was found."""
+        """Replace the record, if the row is as it was found."""
         if found.is_claimed:
             return False
-        stored = _StoredClaim(
-            lead=found.record.lead,
-            witnesses=tuple(sorted(witnesses)),
-        )
         return await self._replace(
-            StoredRow(group, None, found.version), stored
+            StoredRow(group, None, found.version),
+            _StoredClaim().with_record(record),
         )
 
     async def release(self, group: str) -> None:
