Acknowledge the commits of a term once no late call can replace its primary

Cause: a promotion that takes effect ends the pauses, so its primary acknowledges commits. Calls with higher tokens may still be under way: the one that named the former primary, to raise the fence, promotes it again without these commits, and so does a later change whose member was chosen before. Each host looked at pauses and witnesses only, which show nothing of such calls. Change: every call is recorded before it is made, also one that raises the fence, and the calls are forgotten once one was answered and its primary leads on. A host reads the record once for each term before it tells a caller of a commit of that term, and tells none while another member was named after the call by which its primary may lead. The monitor ends what is pending, as before. While the store does not answer a host, terms count as settled there (design.md, section 15).

--- a/features/change_explorer.feature
+++ b/features/change_explorer.feature
@@ -15,3 +15,12 @@
   Scenario: no explored order of late promotions loses a confirmed commit
     Then no confirmed commit is lost beside late promotion, second host, changing restart, replica restart events in the whole orders 230 to 249
     And no confirmed commit is lost beside late promotion, second host, changing restart events in the whole orders 55 to 55
+
+  # Guards against a call that names the primary to raise the fence, and that is carried out
+  # after an earlier late call has replaced this primary (LOST, issue 47): it leads again without
+  # what its successor acknowledged.
+  Scenario: no explored order of promotion calls without answers loses a confirmed commit
+    Then no confirmed commit is lost beside late promotion, lost calls, second host, ending pauses events in the whole orders 0 to 19
+    And no confirmed commit is lost beside late promotion, lost calls, second host, ending pauses events in the whole orders 194 to 194
+    And no confirmed commit is lost beside late promotion, lost calls, second host, ending pauses events in the whole orders 273 to 273
+    And no confirmed commit is lost beside late promotion, lost calls, second host, ending pauses events in the whole orders 495 to 495
--- a/features/change_hosts.py
+++ b/features/change_hosts.py
@@ -152,7 +152,12 @@
     ) -> None:
         """Start the host, which reads the record of the group."""
         self.view = view
-        self._witnesses = CommitWitnesses(now, PendingChangeCheck(records))
+        self._witnesses = CommitWitnesses(
+            now,
+            PendingChangeCheck(
+                records, now, lambda: self.view.directory.is_current
+            ),
+        )
 
     async def run(self) -> None:
         """Read registrations until cancelled."""
--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -335,6 +335,8 @@
         self.found: FoundRecord | None = FoundRecord(GroupRecord(), 0, False)
         self.recorded_witnesses: frozenset[MemberProcess] | None = None
         self.settled_lead: LeadRecord = LeadUnknown()
+        self.recorded_call_id = ''
+        self.read_count = 0
 
     async def claim(self, group: str) -> ClaimOutcome:
         """Return the outcome that the test set."""
@@ -353,6 +355,13 @@
         self.recorded_lead = lead
         return self.recording
 
+    async def record_call(
+        self, group: str, claim: DutyClaim, member_id: str
+    ) -> LeadRecording:
+        """Keep the id, and return the result that the test set."""
+        self.recorded_call_id = member_id
+        return self.recording
+
     async def settle_lead(
         self, group: str, known: LeadRecord, lead: LeadRecord
     ) -> bool:
@@ -362,6 +371,7 @@
 
     async def read_record(self, group: str) -> FoundRecord | None:
         """Return the record that the test set."""
+        self.read_count += 1
         return self.found
 
     async def replace_record(
@@ -447,7 +457,17 @@
         """Record at the store, which has granted no other claim since."""
         if claim.token != max(self.store.granted):
             return LeadRecording.superseded
-        self.store.replace(attrs.evolve(self.store.record, lead=lead))
+        called = self.store.record.called(lead.member_id)
+        self.store.replace(attrs.evolve(called, lead=lead))
+        return LeadRecording.recorded
+
+    async def record_call(
+        self, group: str, claim: DutyClaim, member_id: str
+    ) -> LeadRecording:
+        """Record at the store, which has granted no other claim since."""
+        if claim.token != max(self.store.granted):
+            return LeadRecording.superseded
+        self.store.replace(self.store.record.called(member_id))
         return LeadRecording.recorded
 
     async def settle_lead(
--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -126,6 +126,24 @@
       | 5000 ms pass on the store's clock | not withdrawn |
 
 
+  # Guards against a call that a later host takes for one that was never made, and
+  # against calls that count for ever (issue 47).
+  Scenario: recorded calls reach each later read until the lead is settled
+    Given a table store and the hosts a and b
+    When host a claims the group
+    And host a records the lead of m1 from 2.7
+    And host b reads the record
+    Then the calls in the record name m1
+    When host a releases the group
+    And host b claims the group
+    And host b records a call for m9
+    And host b records the witnesses m1,m2
+    And host a reads the record
+    Then the calls in the record name m1,m9
+    When host b withdraws the lead of its last claim
+    And host a reads the record
+    Then the calls in the record name nobody
+
   Scenario: a lead is not known to be recorded while the store is silent
     Given a table store and the hosts a and b
     When host a claims the group
--- a/features/steps/group_record_steps.py
+++ b/features/steps/group_record_steps.py
@@ -50,6 +50,22 @@
     )
 
 
+@when('host {host} records a call for {member}')
+def record_call(context: Any, host: str, member: str) -> None:
+    """Record a call under the last claim that was held."""
+    held = [each for each in context.outcomes if isinstance(each, DutyClaim)]
+    context.loop.run_until_complete(
+        context.claims[host].record_call(context.group_name, held[-1], member)
+    )
+
+
+@then('the calls in the record name {names}')
+def check_calls(context: Any, names: str) -> None:
+    """Compare the calls that were read last."""
+    found = ','.join(context.found_record.record.called_ids) or 'nobody'
+    assert found == names, found
+
+
 @then('the last claim has the witnesses {names}')
 def check_witnesses(context: Any, names: str) -> None:
     """Compare the witnesses that came with the claim."""
--- a/features/steps/witness_roster_steps.py
+++ b/features/steps/witness_roster_steps.py
@@ -21,6 +21,7 @@
 from mimosapond.groups.member_process import MemberProcess
 from mimosapond.groups.process_identity import ProcessIdentity
 from mimosapond.routing.commit_witnesses import find_witnesses
+from mimosapond.routing.pending_change_check import PendingChangeCheck
 
 _MS_PER_S: Final = 1000
 _BORN_AGAIN_MS: Final = 7
@@ -242,6 +243,65 @@
     assert found == name, lead
 
 
+@given('a recorded lead of {name}, and calls that named {names}')
+def record_calls(context: Any, name: str, names: str) -> None:
+    """Record a lead and promotion calls."""
+    context.record = GroupRecord(
+        None if name == 'nobody' else Lead(name, _BEGIN, 1),
+        called_ids=() if names == 'none' else tuple(names.split(',')),
+    )
+
+
+@then('beside the primary {name}, a change is {state}')
+def check_pending(context: Any, name: str, state: str) -> None:
+    """Check whether a recorded call may put another member in the lead."""
+    is_pending = context.record.is_change_pending(name)
+    assert is_pending == (state == 'pending'), context.record
+
+
+@given('the store {answers}')
+def set_reach(context: Any, answers: str) -> None:
+    """Let the host check terms with the record, or without the store."""
+    claims = context.world.claims
+    claims.found = FoundRecord(context.record, 1, is_claimed=False)
+    context.clock = TestClock()
+    context.check = PendingChangeCheck(
+        claims, context.clock, lambda: answers == 'answers'
+    )
+
+
+@then('a commit of term {term:d} is {result}')
+def check_told(context: Any, term: int, result: str) -> None:
+    """Check whether the primary of the term counts as settled."""
+    group = context.world.group
+    is_settled = asyncio.run(
+        context.check.is_settled(group, group.members['p'], term)
+    )
+    assert is_settled == (result == 'told')
+
+
+@then('after the calls are forgotten, one of term {term:d} is {result}')
+def check_told_later(context: Any, term: int, result: str) -> None:
+    """Check it once the record names no call any more."""
+    claims = context.world.claims
+    record = context.record.settled(context.record.lead)
+    claims.found = FoundRecord(record, 2, is_claimed=False)
+    context.clock.now_s += 1
+    check_told(context, term, result)
+
+
+@then('the record was read {count:d} times')
+def check_reads(context: Any, count: int) -> None:
+    """Compare the number of reads of the store."""
+    assert context.world.claims.read_count == count
+
+
+@then('a call that names {name} was recorded')
+def check_recorded_call(context: Any, name: str) -> None:
+    """Compare the call that was recorded."""
+    assert context.world.claims.recorded_call_id == name
+
+
 @then('its recorded term is {term:d}')
 def check_term(context: Any, term: int) -> None:
     """Compare the term of the recorded lead."""
--- a/features/witness_explorer.py
+++ b/features/witness_explorer.py
@@ -119,6 +119,12 @@
         is_primary = primary.member_id == self._primary.fake.member_id
         return is_primary and not self._is_changing
 
+    async def is_settled(
+        self, group: Group, primary: Member, term: int
+    ) -> bool:
+        """Return True, as this platform carries out calls in their order."""
+        return True
+
     def _start_host(self) -> None:
         """Start the acknowledging host, or start it again."""
         for each in self._confirmations:
--- a/features/witness_roster.feature
+++ b/features/witness_roster.feature
@@ -274,3 +274,53 @@
     And another connection, which was last used at 3 s, is lost at 6 s
     And a connection that was opened at 6.5 s answers a request that was sent at 7 s
     Then answers on a connection opened at 6.5 s are in doubt
+
+  # Guards against a primary that is taken for settled while a recorded call may put another
+  # member in the lead, and against one that is never settled (issue 47).
+  Scenario Outline: the calls that were recorded tell whether another member may lead
+    Given a recorded lead of <lead>, and calls that named <calls>
+    Then beside the primary <primary>, a change is <state>
+
+    Examples:
+      | lead   | calls | primary | state       |
+      | nobody | none  | a       | not pending |
+      | nobody | a     | a       | not pending |
+      | nobody | a     | b       | pending     |
+      | a      | none  | a       | not pending |
+      | b      | b     | a       | pending     |
+      | b      | b     | b       | not pending |
+      | b      | b,a   | b       | pending     |
+      | b      | a,b   | b       | not pending |
+      | b      | b,a,b | b       | pending     |
+      | c      | b,a,c | a       | pending     |
+
+  # Guards against commits that are told though a late call may put another member in the
+  # lead, which lacks them (LOST, issue 47), and against reads of the store for each commit.
+  Scenario Outline: the commits of a term are told once its primary is settled
+    Given a group whose primary is p
+    And a recorded lead of p, and calls that named <calls>
+    And the store <answers>
+    Then a commit of term 2 is <first>
+    And after the calls are forgotten, one of term 2 is told
+    And the record was read <count> times
+
+    Examples:
+      | calls | answers         | first    | count |
+      | p     | answers         | told     | 1     |
+      | p,a   | answers         | not told | 2     |
+      | p,a   | is out of reach | told     | 0     |
+
+  # Guards against a fence that is raised by a call which no host learns of.
+  Scenario Outline: a call that raises the fence is recorded before it is made
+    Given a group whose primary is p
+    And members a and b are paused
+    And recording a lead gives <result>
+    When a host replaces the stalled primary
+    Then a call that names p was recorded
+    And the promotion calls name <called>
+
+    Examples:
+      | result     | called |
+      | recorded   | p      |
+      | unknown    | p      |
+      | superseded | none   |
--- a/mimosapond/failover/change_steps.py
+++ b/mimosapond/failover/change_steps.py
@@ -105,18 +105,13 @@
         until a host finds that writes are stalled and resumes them.
         """
         primary = paused.primary
-        if primary is None:
-            log_aborted_change(group, claim.token, None, 'not_called')
-            await self._turns.release(group.name)
-            return
-        if not await _still_leads(primary):
-            # The call would promote it again, without what its successor has.
+        if primary is None or not await _still_leads(primary):
+            # A call for a former primary would promote it again, without what its
+            # successor has.
             log_aborted_change(group, claim.token, primary, 'not_called')
             await self._turns.release(group.name)
             return
-        result = await self._call_promotion(group, primary, claim)
-        log_aborted_change(group, claim.token, primary, result.value)
-        if result is not PromotionResult.leads:
+        if not await self._raise_fence(group, claim, primary):
             return
         await asyncio.sleep(PROMOTION_EFFECT_S)
         if not await _still_leads(primary):
@@ -153,6 +148,22 @@
         await self._turns.release(group.name)
         return None
 
+    async def _raise_fence(
+        self, group: Group, claim: DutyClaim, primary: MemberReport
+    ) -> bool:
+        """Name the primary in a call that makes the platform refuse older ones.
+
+        Returns
+        -------
+        bool
+            Whether the call was answered, and the primary leads.
+        """
+        outcome = PromotionResult.not_called
+        if await self._leads.record_call(group, primary.member, claim):
+            outcome = await self._call_promotion(group, primary, claim)
+        log_aborted_change(group, claim.token, primary, outcome.value)
+        return outcome is PromotionResult.leads
+
     async def _call_promotion(
         self, group: Group, candidate: MemberReport, claim: DutyClaim
     ) -> PromotionResult:
--- a/mimosapond/failover/claim_port.py
+++ b/mimosapond/failover/claim_port.py
@@ -104,6 +104,17 @@
             The claim under which the member is promoted.
         """
 
+    async def record_call(
+        self, group: str, claim: DutyClaim, member_id: str
+    ) -> LeadRecording:
+        """Record a promotion call that begins no new lead, before it is made.
+
+        Parameters
+        ----------
+        member_id
+            The primary, which the call names to raise the fence.
+        """
+
     async def settle_lead(
         self, group: str, known: LeadRecord, lead: LeadRecord
     ) -> bool:
--- a/mimosapond/failover/lead_recorder.py
+++ b/mimosapond/failover/lead_recorder.py
@@ -14,6 +14,7 @@
 from mimosapond.failover.group_statuses import GroupStatuses
 from mimosapond.groups.group import Group
 from mimosapond.groups.lead import Lead
+from mimosapond.groups.member import Member
 
 
 @final
@@ -56,6 +57,29 @@
             ).warning('lead_not_recorded')
         return None if recording is LeadRecording.superseded else lead
 
+    async def record_call(
+        self, group: Group, primary: Member, claim: DutyClaim
+    ) -> bool:
+        """Record a call that names the primary, to raise the fence.
+
+        If it is carried out late, it may promote this member once more.
+
+        Returns
+        -------
+        bool
+            Whether it may be made, as for ``record``.
+        """
+        recording = await self._claims.record_call(
+            group.name, claim, primary.member_id
+        )
+        if recording is not LeadRecording.recorded:
+            logger.bind(
+                group=group.name,
+                member=primary.member_id,
+                outcome=recording.value,
+            ).warning('call_not_recorded')
+        return recording is not LeadRecording.superseded
+
     async def settle(
         self, group: Group, known: LeadRecord, lead: LeadRecord
     ) -> None:
--- a/mimosapond/failover/reserved_token_claims.py
+++ b/mimosapond/failover/reserved_token_claims.py
@@ -117,6 +117,14 @@
             return LeadRecording.unknown
         return await self._store.record_lead(group, claim, lead)
 
+    async def record_call(
+        self, group: str, claim: DutyClaim, member_id: str
+    ) -> LeadRecording:
+        """Record a call, unless the claim was made without the store."""
+        if isinstance(claim.lead, LeadUnknown):
+            return LeadRecording.unknown
+        return await self._store.record_call(group, claim, member_id)
+
     async def settle_lead(
         self, group: str, known: LeadRecord, lead: LeadRecord
     ) -> bool:
--- a/mimosapond/platform/composition.py
+++ b/mimosapond/platform/composition.py
@@ -175,7 +175,10 @@
             lambda: settings.has_token_check and self._directory.holds_any,
         )
         self._witnesses = CommitWitnesses(
-            self._now, PendingChangeCheck(self._claims)
+            self._now,
+            PendingChangeCheck(
+                self._claims, self._now, lambda: self._directory.is_current
+            ),
         )
         self._limits = ServingLimits(self._now)
         self._sessions = SessionRegistry(self._build_session_services())
--- a/mimosapond/platform/store_claims.py
+++ b/mimosapond/platform/store_claims.py
@@ -56,6 +56,7 @@
     claimed_ms: int = 0
     lead: Lead | None = None
     witnesses: tuple[MemberProcess, ...] | None = None
+    called_ids: tuple[str, ...] = ()
 
     @property
     def record(self) -> GroupRecord:
@@ -64,6 +65,7 @@
         return GroupRecord(
             self.lead,
             None if witnesses is None else frozenset(witnesses),
+            self.called_ids,
         )
 
     def with_record(self, record: GroupRecord) -> '_StoredClaim':
@@ -73,6 +75,7 @@
             self,
             lead=record.lead,
             witnesses=None if witnesses is None else tuple(sorted(witnesses)),
+            called_ids=record.called_ids,
         )
 
 
@@ -145,19 +148,15 @@
         self, group: str, claim: DutyClaim, lead: Lead
     ) -> LeadRecording:
         """Record a lead in the row of the claim under which it begins."""
-        stored = attrs.evolve(self._written[group], lead=lead)
-        written = await self._store.compare_and_set(
-            _TABLE,
-            StoredRow(group, _encode_claim(stored), claim.token),
-            _CALL_TIMEOUT_S,
-        )
-        match written:
-            case StoredRows():
-                return LeadRecording.recorded
-            case ConditionFailed():
-                return LeadRecording.superseded
-            case Unavailable():
-                return LeadRecording.unknown
+        record = self._written[group].record.called(lead.member_id)
+        return await self._record(group, claim, attrs.evolve(record, lead=lead))
+
+    async def record_call(
+        self, group: str, claim: DutyClaim, member_id: str
+    ) -> LeadRecording:
+        """Record a call in the row of the claim under which it is made."""
+        record = self._written[group].record.called(member_id)
+        return await self._record(group, claim, record)
 
     async def settle_lead(
         self, group: str, known: LeadRecord, lead: LeadRecord
@@ -218,6 +217,24 @@
                 'duty_not_released'
             )
 
+    async def _record(
+        self, group: str, claim: DutyClaim, record: GroupRecord
+    ) -> LeadRecording:
+        """Write a record on the condition that nobody has claimed since."""
+        stored = self._written[group].with_record(record)
+        written = await self._store.compare_and_set(
+            _TABLE,
+            StoredRow(group, _encode_claim(stored), claim.token),
+            _CALL_TIMEOUT_S,
+        )
+        match written:
+            case StoredRows():
+                return LeadRecording.recorded
+            case ConditionFailed():
+                return LeadRecording.superseded
+            case Unavailable():
+                return LeadRecording.unknown
+
     async def _replace(self, row: StoredRow, claim: _StoredClaim) -> bool:
         """Return whether a row was replaced, as far as is known."""
         written = await self._store.compare_and_set(
--- a/mimosapond/routing/commit_witnesses.py
+++ b/mimosapond/routing/commit_witnesses.py
@@ -58,12 +58,15 @@
         change of primary paused it.
     undone
         A newer term began without a proof that it has the commit.
+    not_settled
+        An earlier promotion call may still replace its primary.
     """
 
     witnessed = 'witnessed'
     not_seen = 'not_seen'
     in_doubt = 'in_doubt'
     undone = 'undone'
+    not_settled = 'not_settled'
 
 
 @final
@@ -171,6 +174,8 @@
             or await self._changes.is_none_pending(group, primary)
         ):
             return Confirmation.in_doubt
+        if not await self._changes.is_settled(group, primary, position.term):
+            return Confirmation.not_settled
         leader = primary.record.process
         group.acknowledgements.add(position, leader, report.process)
         return Confirmation.witnessed
