Carry out late the calls that raise the fence in the live test

Change: series raise_fence_late: calls late for longer than a claim, a primary that is down for two to three seconds, and that receives nothing afterwards.

--- a/soak/primary_change_series.py
+++ b/soak/primary_change_series.py
@@ -26,6 +26,8 @@
 # Longer than a series, so that the old member does not drain meanwhile.
 _LONG_OVERLAP_S: Final = 15.0
 _DRAIN_S: Final = 7.5
+# Time for which the claim of a change excludes others.
+_CLAIM_S: Final = 4.0
 _MAX_HOST_COUNT: Final = 3
 # Connections, out of 16 that a member accepts, that others hold.
 _OCCUPIED_COUNTS: Final = (12, 14, 16)
@@ -94,6 +96,31 @@
     )
 
 
+def _raise_fence_late(start: SeriesStart) -> Series:
+    """Carry out late the calls that name the primary, to raise the fence.
+
+    An earlier late call has replaced this primary by then, and it receives nothing
+    from its successor.
+    """
+    group = start.group()
+    late_s = start.rng.uniform(_ESTABLISHED_S - 2, _ESTABLISHED_S)
+    yield _late_promotions(start, late_s, late_s + _CLAIM_S)
+    yield _member_fault(
+        group,
+        start.after_s(0.1, 0.3),
+        MemberChoice.primary,
+        _CRASH,
+        start.rng.uniform(2, 3),
+    )
+    yield _member_fault(
+        group,
+        start.at_s + late_s - 1,
+        MemberChoice.primary,
+        _DEAF,
+        late_s + _CLAIM_S,
+    )
+
+
 def _start_beside_join(start: SeriesStart) -> Series:
     """Start hosts beside a new member that alone receives commits.
 
@@ -292,6 +319,7 @@
     _promote_late,
     _join_before_late_promotion,
     _restart_during_late_promotion,
+    _raise_fence_late,
     _start_beside_join,
     _start_beside_late_promotion,
     _crowd,
