Give the rows of claims and the probes of members modules of their own

Change: platform/claim_rows has the form of a row, failover/member_probes the probes; nothing is decided differently.

--- a/features/foreign_entry_decoders.py
+++ b/features/foreign_entry_decoders.py
@@ -8,7 +8,7 @@
 from mimosapond.platform.position_codec import decode_position
 from mimosapond.platform.registration_codec import decode_registration
 from mimosapond.platform.status_codec import decode_status
-from mimosapond.platform.store_claims import active_holder
+from mimosapond.platform.claim_rows import active_holder
 from mimosapond.platform.store_rows import (
     StoredRow,
     decode_rows,
--- a/mimosapond/failover/primary_monitor.py
+++ b/mimosapond/failover/primary_monitor.py
@@ -9,6 +9,7 @@
 
 from mimosapond.boot_clock import Now
 from mimosapond.failover.member_fanout import gather_answers
+from mimosapond.failover.member_probes import MemberProbes
 from mimosapond.failover.failover_coordinator import FailoverCoordinator
 from mimosapond.groups.connection_share import HolderShare
 from mimosapond.groups.group import Group
@@ -23,19 +24,9 @@
 _REST_INTERVAL_S: Final = 0.5
 # Time between two searches while another host reaches the primary.
 _RELAYED_SEARCH_INTERVAL_S: Final = 0.25
-# Time without contact after which a primary with requests in flight is probed.
-_SILENCE_TIMEOUT_S: Final = 0.2
-# A probe is an empty transaction, which waits for no slot, so its answer takes
-# a few milliseconds.
-_FIRST_PROBE_TIMEOUT_S: Final = 0.15
-# The second probe opens a new connection, so its timeout exceeds the timeout
-# for connecting.
-_SECOND_PROBE_TIMEOUT_S: Final = 0.35
 # Interval of the probes of a primary without requests, so that log positions
 # for reads of a bounded age are known.
 _IDLE_PROBE_INTERVAL_S: Final = 0.5
-# Minimum time between two probes of a replica.
-_REPLICA_PROBE_INTERVAL_S: Final = 0.5
 # Time without a reachable primary after which it is considered lost.
 _LOST_AFTER_S: Final = 0.15
 # Age of an unanswered write after which it is checked whether the primary
@@ -93,8 +84,7 @@
         self._lost_since_s: float | None = None
         self._failover_backoff_s = _FAILOVER_BACKOFF_S
         self._next_failover_s: float = 0
-        self._replica_probed_s: dict[str, float] = {}
-        self._replica_probes: set[asyncio.Task[ProbeResult]] = set()
+        self._member_probes = MemberProbes(group, probe, now)
 
     async def run(self) -> None:
         """Monitor the primary until cancelled."""
@@ -115,7 +105,7 @@
             return
         self._lost_since_s = None
         self._close_idle_connections()
-        self._probe_replicas(primary)
+        self._member_probes.start_due(primary)
         self._update_roster()
         if primary.record.is_leaving:
             await self._attempt_failover(
@@ -151,11 +141,13 @@
             self._now() - newest.asked_s if newest else _IDLE_PROBE_INTERVAL_S
         )
         if (
-            self._is_suspect(primary)
+            self._member_probes.is_suspect(primary)
             or observation_age_s > _IDLE_PROBE_INTERVAL_S
         ):
-            result = await self._probe_twice(primary)
-            if result is ProbeResult.silent and self._is_silent(primary):
+            result = await self._member_probes.ask_twice(primary)
+            if result is ProbeResult.silent and self._member_probes.is_silent(
+                primary
+            ):
                 self._group.suspect_primary(primary, 'no answer')
                 return
         if self._has_stalled_commits(primary):
@@ -192,70 +184,6 @@
                 self._failover.roster.update(self._group)
             )
 
-    async def _probe_twice(self, member: Member) -> ProbeResult:
-        """Probe a member, and again on a new connection if that failed.
-
-        The idle connections are closed before the second probe, as a network
-        failure may have broken them without notice.
-        """
-        result = await self._probe.ask(
-            self._group, member, _FIRST_PROBE_TIMEOUT_S
-        )
-        if result in {ProbeResult.leads, ProbeResult.follows}:
-            return result
-        member.pool.close_idle()
-        return await self._probe.ask(
-            self._group, member, _SECOND_PROBE_TIMEOUT_S
-        )
-
-    def _probe_replicas(self, primary: Member) -> None:
-        """Start probes of replicas in the background that are due.
-
-        These are unreachable and suspect ones, and those without a connection:
-        only an older connection shows that a witness has not started again.
-        """
-        for member in tuple(self._group.members.values()):
-            is_due = (
-                member.load.is_unreachable
-                or self._is_suspect(member)
-                or not member.pool.open_count
-            )
-            if member is not primary and is_due:
-                self._start_replica_probe(member)
-
-    def _start_replica_probe(self, member: Member) -> None:
-        last_s = self._replica_probed_s.get(
-            member.member_id, -_REPLICA_PROBE_INTERVAL_S
-        )
-        if self._now() - last_s < _REPLICA_PROBE_INTERVAL_S:
-            return
-        self._replica_probed_s[member.member_id] = self._now()
-        task = asyncio.create_task(self._probe_twice(member))
-        self._replica_probes.add(task)
-        task.add_done_callback(self._replica_probes.discard)
-
-    def _is_suspect(self, member: Member) -> bool:
-        """Return whether a member may be unreachable.
-
-        A silent member is suspect if it has an old request in flight, or if
-        another member is unreachable, as a partition often cuts off several
-        members together.
-        """
-        if member.unlisted_since_s is not None or not self._is_silent(member):
-            return False
-        is_another_unreachable = any(
-            other.load.is_unreachable
-            for other in self._group.members.values()
-            if other is not member and other.unlisted_since_s is None
-        )
-        return (
-            is_another_unreachable
-            or member.load.oldest_request_age_s() > _SILENCE_TIMEOUT_S
-        )
-
-    def _is_silent(self, member: Member) -> bool:
-        return not member.load.had_contact_within(_SILENCE_TIMEOUT_S)
-
     async def _search(self) -> None:
         group = self._group
         if self._lost_since_s is None:
--- a/mimosapond/platform/store_claims.py
+++ b/mimosapond/platform/store_claims.py
@@ -3,17 +3,16 @@
 The version that the store assigns to the write of a claim is the fencing
 token. Versions come from a single counter of the store, so no token is used
 twice and each claim has a higher token than all earlier ones. The row also keeps
-the record of the group: its last lead and its witnesses. A lead is written on the
-condition that the row is still at the version of the claim, so a host whose
-claim was followed by another one cannot write it. Witnesses are written on the
-condition that the row is unchanged since it was read without a claim.
+the record of the group: its last lead, its witnesses, and the calls that were made
+since. A lead or a call is written on the condition that the row is still at the
+version of the claim, so a host whose claim was followed by another one cannot write
+it. Witnesses are written on the condition that the row is unchanged since it was
+read without a claim.
 """
 
-import json
 from typing import Final, final
 
 import attrs
-from cattrs.preconf.json import make_converter
 from loguru import logger
 
 from mimosapond.boot_clock import Now
@@ -28,8 +27,12 @@
 from mimosapond.failover.lead_record import LeadRecord, LeadRecording, NoLead
 from mimosapond.groups.group_record import GroupRecord
 from mimosapond.groups.lead import Lead
-from mimosapond.groups.member_process import MemberProcess
-from mimosapond.json_decoding import UndecodableJson, decode_json_object
+from mimosapond.platform.claim_rows import (
+    StoredClaim,
+    active_holder,
+    decode_claim,
+    encode_claim,
+)
 from mimosapond.platform.store_client import StoreClient
 from mimosapond.platform.store_rows import (
     ConditionFailed,
@@ -39,44 +42,8 @@
 )
 
 _TABLE: Final = 'mimosapond-duties'
-_MS_PER_S: Final = 1000
-_CLAIM_DURATION_MS: Final = CLAIM_DURATION_S * _MS_PER_S
 _CALL_TIMEOUT_S: Final = 0.8
 _RESERVATION_PREFIX: Final = 'reserve/'
-# Fields that a newer version of the product adds are ignored.
-_CONVERTER: Final = make_converter(detailed_validation=False)
-
-
-@final
-@attrs.frozen
-class _StoredClaim:
-    """A claim in a row; a released one has no holder."""
-
-    holder: str = ''
-    claimed_ms: int = 0
-    lead: Lead | None = None
-    witnesses: tuple[MemberProcess, ...] | None = None
-    called_ids: tuple[str, ...] = ()
-
-    @property
-    def record(self) -> GroupRecord:
-        """What the claim keeps about the group."""
-        witnesses = self.witnesses
-        return GroupRecord(
-            self.lead,
-            None if witnesses is None else frozenset(witnesses),
-            self.called_ids,
-        )
-
-    def with_record(self, record: GroupRecord) -> '_StoredClaim':
-        """Return the claim with another record."""
-        witnesses = record.witnesses
-        return attrs.evolve(
-            self,
-            lead=record.lead,
-            witnesses=None if witnesses is None else tuple(sorted(witnesses)),
-            called_ids=record.called_ids,
-        )
 
 
 @final
@@ -97,7 +64,7 @@
         self._host = host
         self._now = now
         # The last claim of this host on each group, as it was written.
-        self._written: dict[str, _StoredClaim] = {}
+        self._written: dict[str, StoredClaim] = {}
 
     async def reserve(self) -> int | None:
         """Reserve a token for use while the store is unavailable.
@@ -140,7 +107,7 @@
         if holder not in {'', self._host}:
             return DutyTaken(holder)
         self._written[group] = attrs.evolve(
-            _decode_row(row), holder=self._host, claimed_ms=found.now_ms
+            decode_claim(row), holder=self._host, claimed_ms=found.now_ms
         )
         return await self._write_claim(row, self._written[group], expires_s)
 
@@ -166,7 +133,7 @@
         if isinstance(found, Unavailable):
             return False
         row = _find_row(found, group)
-        stored = _decode_row(row)
+        stored = decode_claim(row)
         is_same_lead = (stored.lead or NoLead()) == known
         if active_holder(row, found.now_ms) != self._host or not is_same_lead:
             return False
@@ -184,7 +151,7 @@
             return None
         row = _find_row(found, group)
         return FoundRecord(
-            _decode_row(row).record,
+            decode_claim(row).record,
             row.version,
             is_claimed=bool(active_holder(row, found.now_ms)),
         )
@@ -197,7 +164,7 @@
             return False
         return await self._replace(
             StoredRow(group, None, found.version),
-            _StoredClaim().with_record(record),
+            StoredClaim().with_record(record),
         )
 
     async def release(self, group: str) -> None:
@@ -211,7 +178,7 @@
         row = _find_row(found, group)
         if active_holder(row, found.now_ms) != self._host:
             return
-        released = attrs.evolve(_decode_row(row), holder='', claimed_ms=0)
+        released = attrs.evolve(decode_claim(row), holder='', claimed_ms=0)
         if not await self._replace(row, released):
             logger.bind(group=group, reason='not written').warning(
                 'duty_not_released'
@@ -224,7 +191,7 @@
         stored = self._written[group].with_record(record)
         written = await self._store.compare_and_set(
             _TABLE,
-            StoredRow(group, _encode_claim(stored), claim.token),
+            StoredRow(group, encode_claim(stored), claim.token),
             _CALL_TIMEOUT_S,
         )
         match written:
@@ -235,11 +202,11 @@
             case Unavailable():
                 return LeadRecording.unknown
 
-    async def _replace(self, row: StoredRow, claim: _StoredClaim) -> bool:
+    async def _replace(self, row: StoredRow, claim: StoredClaim) -> bool:
         """Return whether a row was replaced, as far as is known."""
         written = await self._store.compare_and_set(
             _TABLE,
-            StoredRow(row.key, _encode_claim(claim), row.version),
+            StoredRow(row.key, encode_claim(claim), row.version),
             _CALL_TIMEOUT_S,
         )
         return isinstance(written, StoredRows)
@@ -248,11 +215,11 @@
         return await self._store.read_row(_TABLE, row_key, _CALL_TIMEOUT_S)
 
     async def _write_claim(
-        self, row: StoredRow, claim: _StoredClaim, expires_s: float
+        self, row: StoredRow, claim: StoredClaim, expires_s: float
     ) -> ClaimOutcome:
         written = await self._store.compare_and_set(
             _TABLE,
-            StoredRow(row.key, _encode_claim(claim), row.version),
+            StoredRow(row.key, encode_claim(claim), row.version),
             _CALL_TIMEOUT_S,
         )
         match written:
@@ -274,34 +241,3 @@
         if row.key == row_key:
             return row
     return StoredRow(row_key, None, 0)
-
-
-def active_holder(row: StoredRow, now_ms: int) -> str:
-    """Return the host that holds an unexpired claim; empty if none does.
-
-    A row that another program wrote, or that claims a time to come, holds
-    nothing: it would block every change of the group.
-    """
-    claim = _decode_row(row)
-    age_ms = now_ms - claim.claimed_ms
-    return claim.holder if 0 <= age_ms <= _CLAIM_DURATION_MS else ''
-
-
-def _encode_claim(claim: _StoredClaim) -> bytes:
-    body = _CONVERTER.unstructure(claim)
-    return json.dumps(body).encode()
-
-
-def _decode_row(row: StoredRow) -> _StoredClaim:
-    """Return the claim in a row; one without a holder if there is none."""
-    if row.content is None:
-        return _StoredClaim()
-    body = decode_json_object(row.content)
-    if isinstance(body, UndecodableJson):
-        logger.bind(row=row.key).warning('claim_unreadable')
-        return _StoredClaim()
-    try:
-        return _CONVERTER.structure(body, _StoredClaim)
-    except (AttributeError, KeyError, TypeError, ValueError):
-        logger.bind(row=row.key).warning('claim_unreadable')
-        return _StoredClaim()
