Count the terms before a lead that began later than its record allows

Cause: where other leads began between the record of a lead and its begin, the bound on the terms before it stayed as recorded, so that a log of one of those terms counted as one that has the begin. Found by reading; no run showed it. Change: once the term of a lead is known, all earlier terms count as before it. Result: the example with term 3 and a log of term 2 fails without the change.

--- a/features/steps/witness_roster_steps.py
+++ b/features/steps/witness_roster_steps.py
@@ -9,6 +9,7 @@
 from features.group_builders import (
     build_record,
     build_world,
+    parse_position,
     record_all_witnesses,
 )
 from features.group_fakes import FakeMember
@@ -252,6 +253,20 @@
     )
 
 
+@given('it is found that this lead began in term {term:d}')
+def find_term(context: Any, term: int) -> None:
+    """Note the term of the recorded lead."""
+    lead = context.record.lead.began_in(term)
+    context.record = context.record.settled(lead)
+
+
+@then('a log up to {received} {has} its begin')
+def check_begin(context: Any, received: str, has: str) -> None:
+    """Check whether a log is certain to have the begin of the lead."""
+    is_in_log = context.record.lead.is_in_log(parse_position(received))
+    assert is_in_log == (has == 'has'), context.record.lead
+
+
 @then('beside the primary {name}, a change is {state}')
 def check_pending(context: Any, name: str, state: str) -> None:
     """Check whether a recorded call may put another member in the lead."""
--- a/features/witness_roster.feature
+++ b/features/witness_roster.feature
@@ -324,3 +324,20 @@
       | recorded   | p      |
       | unknown    | p      |
       | superseded | none   |
+
+  # Guards against a log of another primary, which led before and lacks the begin, and
+  # against logs of the lead itself that are passed over (issue 47).
+  Scenario Outline: a log has the begin of a lead whose term is known
+    Given a recorded lead of a, and calls that named none
+    And it is found that this lead began in term <term>
+    Then a log up to <received> <has> its begin
+
+    Examples:
+      | term | received | has   |
+      | 2    | 1.9      | lacks |
+      | 2    | 1.10     | has   |
+      | 2    | 2.1      | has   |
+      | 3    | 2.12     | lacks |
+      | 3    | 3.12     | has   |
+      | 1    | 1.9      | lacks |
+      | 1    | 1.11     | has   |
--- a/mimosapond/groups/lead.py
+++ b/mimosapond/groups/lead.py
@@ -41,9 +41,7 @@
     def began_in(self, term: int) -> 'Lead':
         """Return the lead once its term is known."""
         newest_term = max(term - 1, self.begin.term)
-        return attrs.evolve(
-            self, newest_term=min(newest_term, self.newest_term), term=term
-        )
+        return attrs.evolve(self, newest_term=newest_term, term=term)
 
     def of(self, member_id: str, term: int) -> 'Lead':
         """Return the lead of a primary that leads on in place of this one.
