Do not rely on the pause of a replica that may be resumed late

Cause: a request to resume has no token and ends any pause. One that got no answer may be carried out after its change; if a later change has paused the replica by then, it receives again after it answered the pause, and a primary that is cut off acknowledges commits which the promoted member lacks (LOST). After a promotion, it was sent also to replicas whose pause the promotion had ended. Change: requests to resume are recorded with the group before they are sent, and forgotten once answered. For 25 s, a change does not count the answer of a process that one may still resume. Replicas that are not paused get none.

--- a/features/change_connections.py
+++ b/features/change_connections.py
@@ -25,6 +25,10 @@
 _DIAL_S: Final = 0.001
 # Share of the answers that are lost after the process has acted.
 _LOSS_RATIO: Final = 0.02
+# Share of the requests to resume that are carried out late, and the least and the
+# longest time until then.
+_LATE_RATIO: Final = 0.9
+_LATE_S: Final = (0.3, 6)
 
 
 @final
@@ -32,12 +36,24 @@
     """A connection to one process; see ``MemberConnection``."""
 
     def __init__(
-        self, process: Process, host: str, draws: random.Random
+        self,
+        process: Process,
+        host: str,
+        draws: random.Random,
+        *,
+        resumes_late: bool,
     ) -> None:
-        """Open an idle connection."""
+        """Open an idle connection.
+
+        Parameters
+        ----------
+        resumes_late
+            Whether requests to resume may be carried out late.
+        """
         self._process = process
         self._host = host
         self._draws = draws
+        self._resumes_late = resumes_late
         self._is_closed = False
         self.state = SessionState.idle
         self.name = process.member_id
@@ -82,7 +98,12 @@
 
     async def resume(self, limit_s: float) -> StatusAnswer:
         """End a pause, whichever term it has."""
-        return await self._request(limit_s, self._resume)
+        if not self._resumes_late or self._draws.random() >= _LATE_RATIO:
+            return await self._request(limit_s, self._resume)
+        late_s = self._draws.uniform(*_LATE_S)
+        asyncio.get_running_loop().call_later(late_s, self._resume_late)
+        await asyncio.sleep(limit_s)
+        return self._lose()
 
     async def step_down(self, term: int, limit_s: float) -> StatusAnswer:
         """Become a replica, if the term is lower."""
@@ -124,6 +145,11 @@
         self._process.paused_term = 0
         return self._process.status
 
+    def _resume_late(self) -> None:
+        """Carry the request out, unless the process has ended meanwhile."""
+        if self._process.is_running:
+            self._resume()
+
     def _step_down(self, term: int) -> MemberStatus:
         if term > self._process.term:
             self._process.is_primary = False
@@ -135,12 +161,24 @@
     """Opens the connections of a host; see ``MemberDialer``."""
 
     def __init__(
-        self, processes: dict[str, Process], host: str, draws: random.Random
+        self,
+        processes: dict[str, Process],
+        host: str,
+        draws: random.Random,
+        *,
+        resumes_late: bool,
     ) -> None:
-        """Dial the present processes by member id."""
+        """Dial the present processes by member id.
+
+        Parameters
+        ----------
+        resumes_late
+            Whether requests to resume may be carried out late.
+        """
         self._processes = processes
         self._host = host
         self._draws = draws
+        self._resumes_late = resumes_late
 
     async def dial(
         self, record: MemberRecord, workspace: str = ''
@@ -153,4 +191,6 @@
         if process.is_full:
             kind = RejectionKind.too_many_connections
             return Rejected(kind, 'full', SessionState.idle, None)
-        return ProcessConnection(process, self._host, self._draws)
+        return ProcessConnection(
+            process, self._host, self._draws, resumes_late=self._resumes_late
+        )
--- a/features/change_explorer.feature
+++ b/features/change_explorer.feature
@@ -24,3 +24,11 @@
     And no confirmed commit is lost beside late promotion, lost calls, second host, ending pauses events in the whole orders 194 to 194
     And no confirmed commit is lost beside late promotion, lost calls, second host, ending pauses events in the whole orders 273 to 273
     And no confirmed commit is lost beside late promotion, lost calls, second host, ending pauses events in the whole orders 495 to 495
+
+  # Guards against a request to resume of an earlier change that ends the pause of a witness
+  # late (LOST, issue 47): the primary, which is cut off, acknowledges commits because of it.
+  Scenario: no explored order of requests to resume without answers loses a confirmed commit
+    Then no confirmed commit is lost beside late resumes, second host, late promotion events in the whole orders 0 to 9
+    And no confirmed commit is lost beside late resumes, second host, late promotion events in the whole orders 1283 to 1283
+    And no confirmed commit is lost beside late resumes, second host, late promotion events in the whole orders 1334 to 1334
+    And no confirmed commit is lost beside late resumes, second host, late promotion events in the whole orders 2115 to 2115
--- a/features/change_explorer.py
+++ b/features/change_explorer.py
@@ -108,7 +108,14 @@
         self._host_tasks[name] = [self._start(work) for work in works]
 
     def _view(self, name: str) -> HostView:
-        return HostView(name, self._group, self._store, self._random, self._now)
+        return HostView(
+            name,
+            self._group,
+            self._store,
+            self._random,
+            self._now,
+            resumes_late=ChangeFault.late_resumes in self._faults,
+        )
 
     def _act(self) -> None:
         events: tuple[tuple[Callable[[], None], int], ...] = (
--- a/features/change_fault.py
+++ b/features/change_fault.py
@@ -25,6 +25,8 @@
     # Most promotion calls get no answer and are carried out late, also those that
     # name the primary to raise the fence.
     lost_calls = 'lost calls'
+    # Most requests to resume get no answer and are carried out late.
+    late_resumes = 'late resumes'
     # Any promotion that takes effect ends the pauses of all members.
     ending_pauses = 'ending pauses'
     # A second host changes the primary.
--- a/features/change_hosts.py
+++ b/features/change_hosts.py
@@ -45,12 +45,23 @@
         store: ChangeStore,
         draws: random.Random,
         now: Callable[[], float],
+        *,
+        resumes_late: bool,
     ) -> None:
-        """Start a host, which has read nothing yet."""
+        """Start a host, which has read nothing yet.
+
+        Parameters
+        ----------
+        resumes_late
+            Whether its requests to resume may be carried out late.
+        """
         self.name = name
         self.store = HostStore(store, group, name)
         self.directory = GroupDirectory(
-            ProcessDialer(group.processes, name, draws), now
+            ProcessDialer(
+                group.processes, name, draws, resumes_late=resumes_late
+            ),
+            now,
         )
         self.directory.apply_limits(build_configuration(build_route()))
         self.poller = RegistrationPoller(self.store, self.directory)
--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -95,8 +95,11 @@
     executed_statements: list[str] = attrs.field(factory=list)
     session_values: dict[str, str] = attrs.field(factory=dict)
     pause_count: int = 0
+    resume_count: int = 0
     # Numbers of the control requests, counted from 1, that get no answer.
     unanswered_requests: set[int] = attrs.field(factory=set)
+    # Whether requests to resume get no answer and have no effect yet.
+    delays_resumes: bool = False
     control_request_count: int = 0
     control_answer_count: int = 0
     refusal_count: int = 0
@@ -221,6 +224,10 @@
 
     async def resume(self, limit_s: float) -> StatusAnswer:
         """End a pause, whichever term it has."""
+        self._member.resume_count += 1
+        if self._member.delays_resumes:
+            self.close()
+            return LinkLost('silent')
         self._member.paused_term = 0
         status = self._member.status
         return self._count_control_request() or status
@@ -336,6 +343,9 @@
         self.recorded_witnesses: frozenset[MemberProcess] | None = None
         self.settled_lead: LeadRecord = LeadUnknown()
         self.recorded_call_id = ''
+        # Processes whose requests to resume were recorded and not forgotten.
+        self.resumed: frozenset[MemberProcess] = frozenset()
+        self.resume_recording = LeadRecording.recorded
         self.read_count = 0
 
     async def claim(self, group: str) -> ClaimOutcome:
@@ -369,6 +379,19 @@
         self.settled_lead = lead
         return True
 
+    async def record_resumes(
+        self, group: str, processes: frozenset[MemberProcess]
+    ) -> LeadRecording:
+        """Keep the processes, and return the result that the test set."""
+        self.resumed |= processes
+        return self.resume_recording
+
+    async def forget_resumes(
+        self, group: str, processes: frozenset[MemberProcess]
+    ) -> None:
+        """Remove the processes."""
+        self.resumed -= processes
+
     async def read_record(self, group: str) -> FoundRecord | None:
         """Return the record that the test set."""
         self.read_count += 1
@@ -482,6 +505,17 @@
         self.store.replace(settled)
         return True
 
+    async def record_resumes(
+        self, group: str, processes: frozenset[MemberProcess]
+    ) -> LeadRecording:
+        """Record nothing, as each request is answered."""
+        return LeadRecording.recorded
+
+    async def forget_resumes(
+        self, group: str, processes: frozenset[MemberProcess]
+    ) -> None:
+        """Do nothing, as nothing was recorded."""
+
     async def read_record(self, group: str) -> FoundRecord | None:
         """Read from the store."""
         return self.store.found()
--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -144,6 +144,45 @@
     And host a reads the record
     Then the calls in the record name nobody
 
+  # Guards against commits that a primary acknowledges through a replica whose pause was ended
+  # late by an earlier request (LOST, issue 47).
+  Scenario Outline: requests to resume reach each later claim
+    Given a table store and the hosts a and b
+    When host a claims the group
+    And host a records requests to resume m1,m2
+    And host a forgets its requests to resume m2
+    And <event>
+    And host b claims the group
+    Then the last claim has requests to resume <names>
+
+    Examples:
+      | event                                           | names |
+      | host a releases the group                       | m1    |
+      | 5000 ms pass on the store's clock               | m1    |
+      | 26000 ms pass on the store's clock              | none  |
+
+  # Guards against an answer to a later request that hides an earlier one without an answer.
+  Scenario: a later request that was answered leaves an earlier one recorded
+    Given a table store and the hosts a and b
+    When host a claims the group
+    And host a records requests to resume m1
+    And 1000 ms pass on the store's clock
+    And host a claims the group
+    And host a records requests to resume m1,m2
+    And host a forgets its requests to resume m1,m2
+    And host a releases the group
+    And host b claims the group
+    Then the last claim has requests to resume m1
+
+  # Guards against requests that another host, which has claimed since, does not know of.
+  Scenario: requests to resume are recorded under a claim that is held
+    Given a table store and the hosts a and b
+    When host a claims the group
+    And 4500 ms pass on the store's clock
+    And host b claims the group
+    And host a records requests to resume m1
+    Then recording the lead gave superseded
+
   Scenario: a lead is not known to be recorded while the store is silent
     Given a table store and the hosts a and b
     When host a claims the group
--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -79,6 +79,48 @@
       | is held by another host   | paused    |
       | the store does not answer | paused    |
 
+  Scenario Outline: a witness that may be resumed late does not count as paused
+    # Guards against lost commits (LOST, issue 47): a request to resume has no token. One of
+    # an earlier change, carried out late, lets the witness receive again after it answered
+    # the pause, and the primary that is cut off acknowledges commits because of it.
+    Given a group whose primary is p
+    And the host saw member p lead
+    And a request to resume <process> may still be carried out
+    And the members p are silent
+    When a host replaces the lost primary
+    Then the promoted member is <promoted>
+
+    Examples:
+      | process                | promoted |
+      | a                      | none     |
+      | the former one of a    | b        |
+
+  Scenario Outline: requests to resume are recorded while they may be carried out
+    # Guards against the same: hosts that change the primary later learn of such a request
+    # from the store only.
+    Given a group whose primary is p
+    And members a and b are paused
+    And <event>
+    When a host replaces the stalled primary
+    Then the members <sent> got a request to resume
+    And requests to resume <recorded> are recorded
+
+    Examples:
+      | event                                                | sent | recorded |
+      | all members answer                                   | a,b  | none     |
+      | member a does not answer requests to resume          | a,b  | a        |
+      | the store does not answer when requests are recorded | a,b  | none     |
+      | another host claims before requests are recorded     | none | a,b      |
+      | member b is not paused any more                      | a    | none     |
+
+  Scenario: replicas whose pause a promotion has ended get no request to resume
+    # Guards against the same: such a request changes nothing, unless it is carried out late.
+    Given a group whose primary is p
+    And each promotion ends the pauses of all members
+    And the members p are silent
+    When a host replaces the lost primary
+    Then the members none got a request to resume
+
   Scenario: a host that was suspended does not promote under its old claim
     # Guards against a host that slept for longer than its claim lasts, and then
     # promotes beside the next holder: not every platform checks the tokens.
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -25,6 +25,7 @@
 from mimosapond.failover.claim_port import DutyClaim, DutyTaken
 from mimosapond.failover.lead_record import LeadRecording, NoLead
 from mimosapond.groups.lead import Lead
+from mimosapond.groups.member_process import MemberProcess
 from mimosapond.groups.registration_source import Registrations
 from mimosapond.peers.peer import Peer
 from mimosapond.peers.peer_source import Peers, PeersUnavailable
@@ -148,6 +149,34 @@
     return Lead(member, position, position.term)
 
 
+@when('host {host} records requests to resume {names}')
+def record_resumes(context: Any, host: str, names: str) -> None:
+    """Record requests as before they are sent."""
+    context.recording = _run(
+        context, context.claims[host].record_resumes(_GROUP, _processes(names))
+    )
+
+
+@when('host {host} forgets its requests to resume {names}')
+def forget_resumes(context: Any, host: str, names: str) -> None:
+    """Forget requests as after their answers."""
+    _run(
+        context, context.claims[host].forget_resumes(_GROUP, _processes(names))
+    )
+
+
+@then('the last claim has requests to resume {names}')
+def check_resumes(context: Any, names: str) -> None:
+    """Compare the processes whose pauses may end."""
+    resumable = context.outcomes[-1].resumable
+    found = ','.join(sorted(each.member_id for each in resumable))
+    assert (found or 'none') == names, resumable
+
+
+def _processes(names: str) -> frozenset[MemberProcess]:
+    return frozenset(MemberProcess(name) for name in names.split(','))
+
+
 @then('recording the lead gave {result}')
 def check_recording(context: Any, result: str) -> None:
     """Compare the result of the last recording."""
--- a/features/steps/primary_change_claims_steps.py
+++ b/features/steps/primary_change_claims_steps.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 from typing import Any, Final
 
@@ -10,7 +10,7 @@
 from behave import given, step, then, when
 
 from features.group_builders import GROUP, parse_position
-from features.group_fakes import FakeClaimStore, FakeHostClaims
+from features.group_fakes import FakeClaimStore, FakeHostClaims, FakeMember
 from mimosapond.boot_clock import boot_time_s
 from mimosapond.failover.claim_port import (
     DutyClaim,
@@ -21,12 +21,14 @@
 from mimosapond.failover.lead_record import LeadRecording, LeadUnknown, NoLead
 from mimosapond.failover.promotion_port import PromotionRefused
 from mimosapond.groups.lead import Lead
+from mimosapond.groups.member_process import MemberProcess
 
 _TOKEN: Final = 7
 # Lower and higher than the token of the claim that the fake grants.
 _EARLIER_TOKEN: Final = 5
 _NEWER_TOKEN: Final = 9
 _CALL_TIMEOUT_S: Final = 1.0
+_FORMER_START_MS: Final = 5
 # Longer than the steps of a change before its promotion call.
 _CLAIM_LEFT_S: Final = 0.3
 _RENEWAL_OUTCOMES: Final[Mapping[str, ClaimOutcome]] = MappingProxyType(
@@ -51,6 +53,67 @@
     context.world.promotions.on_call = lambda: pause_under_newer_claim(context)
 
 
+@given('a request to resume {process} may still be carried out')
+def record_resume(context: Any, process: str) -> None:
+    """Let the claim name a process whose pause may end."""
+    born_ms = _FORMER_START_MS if process.startswith('the former') else 0
+    resumable = frozenset((MemberProcess('a', born_ms),))
+    claims = context.world.claims
+    claims.outcome = attrs.evolve(claims.outcome, resumable=resumable)
+
+
+@given('member a does not answer requests to resume')
+def delay_resumes(context: Any) -> None:
+    """Let the requests have no effect yet."""
+    context.world.fakes['a'].delays_resumes = True
+
+
+@given('the store does not answer when requests are recorded')
+def lose_recording(context: Any) -> None:
+    """Let the host not know whether the requests are recorded."""
+    context.world.claims.resume_recording = LeadRecording.unknown
+
+
+@given('another host claims before requests are recorded')
+def supersede_recording(context: Any) -> None:
+    """Let another host hold the claim by then."""
+    context.world.claims.resume_recording = LeadRecording.superseded
+
+
+@given('member b is not paused any more')
+def end_pause(context: Any) -> None:
+    """End the pause of b."""
+    context.world.fakes['b'].paused_term = 0
+
+
+@given('each promotion ends the pauses of all members')
+def end_pauses(context: Any) -> None:
+    """End the pauses when the platform is called."""
+    world = context.world
+    world.promotions.on_call = lambda: _end_pauses(world.fakes.values())
+
+
+def _end_pauses(fakes: Iterable[FakeMember]) -> None:
+    for fake in fakes:
+        fake.paused_term = 0
+
+
+@then('the members {names} got a request to resume')
+def check_resumes(context: Any, names: str) -> None:
+    """Compare the members that were asked to receive again."""
+    fakes = context.world.fakes.values()
+    found = [fake.member_id for fake in fakes if fake.resume_count]
+    assert (','.join(sorted(found)) or 'none') == names, found
+
+
+@then('requests to resume {names} are recorded')
+def check_recorded_resumes(context: Any, names: str) -> None:
+    """Compare the processes whose requests were not forgotten."""
+    resumed = context.world.claims.resumed
+    found = sorted(process.member_id for process in resumed)
+    assert (','.join(found) or 'none') == names, found
+
+
 @given('the claim expires during the promotion call and {next_holder}')
 def expire_claim(context: Any, next_holder: str) -> None:
     """Grant a claim that has expired before the replicas are resumed."""
--- a/mimosapond/failover/change_steps.py
+++ b/mimosapond/failover/change_steps.py
@@ -1,7 +1,6 @@
 """Steps that every change of a group's primary has in common."""
 
 import asyncio
-from collections.abc import Iterable
 from typing import Final, final
 
 from loguru import logger
@@ -9,16 +8,15 @@
 from mimosapond.boot_clock import Now
 from mimosapond.failover.claim_port import ClaimPort, DutyClaim
 from mimosapond.failover.control_requests import (
-    CONTROL_TIMEOUT_S,
     MemberReport,
     fetch_status,
-    resume_all,
 )
 from mimosapond.failover.group_statuses import GroupStatuses, newest_term
 from mimosapond.failover.lead_recorder import LeadRecorder
 from mimosapond.failover.promoter import Promoter, PromotionResult
 from mimosapond.failover.promotion_log import log_aborted_change
 from mimosapond.failover.promotion_turns import PromotionTurns
+from mimosapond.failover.replica_resumer import ReplicaResumer
 from mimosapond.groups.group import Group
 from mimosapond.groups.lead import Lead
 from mimosapond.groups.member import Member
@@ -26,8 +24,6 @@
 # Time after which a promotion call that the platform has accepted has taken
 # effect.
 PROMOTION_EFFECT_S: Final = 1.5
-# Covers borrowing a connection, the status request and the resume request.
-_RESUME_TIMEOUT_S: Final = 3 * CONTROL_TIMEOUT_S
 
 
 @final
@@ -44,7 +40,7 @@
         self._claims = claims
         self._turns = PromotionTurns(claims, now)
         self._promoter = promoter
-        self._now = now
+        self._resumer = ReplicaResumer(claims, now)
 
     async def promote(
         self,
@@ -72,7 +68,7 @@
                 for member in paused.members
                 if member is not candidate.member
             )
-            await self._resume(group, claim, others)
+            await self._resumer.resume(group, claim, others)
             await self._settle(group, candidate.member, lead)
         return result is PromotionResult.leads
 
@@ -120,7 +116,7 @@
         if isinstance(lead, Lead):
             lead = lead.of(primary.member.member_id, primary.status.term)
         await self._leads.settle(group, claim.lead, lead)
-        await self._resume(group, claim, paused.replicas)
+        await self._resumer.resume(group, claim, paused.replicas)
 
     async def claim(self, group: Group, reason: str) -> DutyClaim | None:
         """Return a claim whose token is above all terms of the group.
@@ -178,29 +174,6 @@
         if status is not None and status.is_primary:
             await self._leads.settle(group, lead, lead.began_in(status.term))
 
-    async def _resume(
-        self, group: Group, claim: DutyClaim, members: Iterable[Member]
-    ) -> None:
-        """Let members that were paused under the claim receive again.
-
-        A claim that is about to expire is renewed first. Members that stay
-        paused are resumed by the next host that finds writes stalled.
-        """
-        expires_s = claim.expires_s
-        if expires_s - self._now() < _RESUME_TIMEOUT_S:
-            renewed = await self._claims.claim(group.name)
-            logger.bind(group=group.name, outcome=str(renewed)).info(
-                'duty_renewed'
-            )
-            if not isinstance(renewed, DutyClaim):
-                return
-            expires_s = renewed.expires_s
-        await resume_all(
-            members,
-            claim.token,
-            lambda: expires_s - self._now() > CONTROL_TIMEOUT_S,
-        )
-
 
 async def _still_leads(primary: MemberReport) -> bool:
     """Return whether a primary leads in the term that it reported before."""
--- a/mimosapond/failover/claim_port.py
+++ b/mimosapond/failover/claim_port.py
@@ -36,12 +36,15 @@
     witnesses
         Processes that a change under this claim has to ask; None if none were
         recorded or the record could not be read.
+    resumable
+        Processes whose pause an earlier request may still end.
     """
 
     token: int
     expires_s: float
     lead: LeadRecord
     witnesses: frozenset[MemberProcess] | None = None
+    resumable: frozenset[MemberProcess] = frozenset()
 
     def known_witnesses(self, group: Group) -> frozenset[MemberProcess] | None:
         """Return the recorded witnesses, as far as this host knows them."""
@@ -134,6 +137,16 @@
             the group since.
         """
 
+    async def record_resumes(
+        self, group: str, processes: frozenset[MemberProcess]
+    ) -> LeadRecording:
+        """Record requests to resume processes, before they are sent."""
+
+    async def forget_resumes(
+        self, group: str, processes: frozenset[MemberProcess]
+    ) -> None:
+        """Forget the last requests that this host recorded for processes."""
+
     async def read_record(self, group: str) -> FoundRecord | None:
         """Return the record of a group; None if the store did not answer."""
 
--- a/mimosapond/failover/control_requests.py
+++ b/mimosapond/failover/control_requests.py
@@ -107,7 +107,7 @@
     members: Iterable[Member],
     term: int,
     claim_covers_request: Callable[[], bool],
-) -> None:
+) -> list[Member]:
     """Let replicas receive again, unless a newer claim paused them.
 
     Parameters
@@ -118,6 +118,11 @@
         Returns whether a member can still carry out a request before the
         claim of this host expires. A request that is carried out after that
         could end the pause of the next holder.
+
+    Returns
+    -------
+    list of Member
+        Members that may carry the request out later, as they did not answer it.
     """
     asked = tuple(members)
     answers = await _send_to_all(
@@ -125,6 +130,9 @@
         lambda connection: _resume(connection, term, claim_covers_request),
     )
     log_resume(term, asked, answers)
+    return [
+        member for member in asked if _may_be_carried_out(answers.get(member))
+    ]
 
 
 async def fetch_all_statuses(
@@ -163,6 +171,8 @@
     claim_covers_request: Callable[[], bool],
 ) -> StatusAnswer:
     status = await connection.status(CONTROL_TIMEOUT_S)
+    if isinstance(status, LinkLost):
+        return LinkLost(status.reason, was_sent=False)
     if not isinstance(status, MemberStatus) or status.paused_term > term:
         return status
     if not claim_covers_request():
@@ -205,3 +215,14 @@
 
 def _is_busy(answer: ControlAnswer) -> bool:
     return isinstance(answer, Rejected) and answer.kind is RejectionKind.busy
+
+
+def _may_be_carried_out(answer: ControlAnswer | None) -> bool:
+    """Return whether a request without an answer may still have an effect.
+
+    Parameters
+    ----------
+    answer
+        None if the answer was not awaited.
+    """
+    return answer is None or (isinstance(answer, LinkLost) and answer.was_sent)
--- a/mimosapond/failover/failover_coordinator.py
+++ b/mimosapond/failover/failover_coordinator.py
@@ -161,6 +161,7 @@
             claim.known_witnesses(group),
             recorded=claim.lead,
             deposed=excluded,
+            resumable=claim.resumable,
         ):
             log_unsafe_promotion(group, paused)
             await self._steps.abort(group, claim, paused)
--- a/mimosapond/failover/hand_over.py
+++ b/mimosapond/failover/hand_over.py
@@ -126,7 +126,11 @@
         """
         successor, leaving = unpaused
         if not paused.is_complete or not self._witness_check.passes(
-            group, paused, claim.known_witnesses(group), unpaused
+            group,
+            paused,
+            claim.known_witnesses(group),
+            unpaused,
+            resumable=claim.resumable,
         ):
             return None
         return await self._survey.await_catch_up(leaving, successor)
--- a/mimosapond/failover/reserved_token_claims.py
+++ b/mimosapond/failover/reserved_token_claims.py
@@ -29,6 +29,7 @@
 )
 from mimosapond.groups.group_record import GroupRecord
 from mimosapond.groups.lead import Lead
+from mimosapond.groups.member_process import MemberProcess
 
 # Upper limit of a random delay before a reserved token is used, so that hosts
 # that lose a primary at the same time act one after another.
@@ -133,6 +134,18 @@
             return False
         return await self._store.settle_lead(group, known, lead)
 
+    async def record_resumes(
+        self, group: str, processes: frozenset[MemberProcess]
+    ) -> LeadRecording:
+        """Record requests at the store."""
+        return await self._store.record_resumes(group, processes)
+
+    async def forget_resumes(
+        self, group: str, processes: frozenset[MemberProcess]
+    ) -> None:
+        """Forget requests at the store."""
+        await self._store.forget_resumes(group, processes)
+
     async def read_record(self, group: str) -> FoundRecord | None:
         """Return the record that the store has."""
         return await self._store.read_record(group)
--- a/mimosapond/failover/witness_check.py
+++ b/mimosapond/failover/witness_check.py
@@ -39,6 +39,7 @@
         *,
         recorded: LeadRecord = _LEAD_UNKNOWN,
         deposed: Member | None = None,
+        resumable: Collection[MemberProcess] = (),
     ) -> bool:
         """Return whether the answers include those of all witnesses needed.
 
@@ -58,12 +59,15 @@
         deposed
             The former primary, if it was told to step down before. It has all
             commits, and is not promoted.
+        resumable
+            Processes whose pause may end, so that their answers do not count.
         """
         primary_id = _lost_primary_id(group, answers, recorded)
         answered = {
             report.member.record.process
             for report in answers.reports
             if report.is_process_certain
+            and report.member.record.process not in resumable
         }
         answered.update(
             member.record.process
--- a/mimosapond/groups/group_record.py
+++ b/mimosapond/groups/group_record.py
@@ -6,6 +6,7 @@
 
 from mimosapond.groups.lead import Lead
 from mimosapond.groups.member_process import MemberProcess
+from mimosapond.groups.resume_request import ResumeRequest
 
 
 @final
@@ -27,11 +28,14 @@
     called_ids
         Members that promotion calls named since no earlier call could be
         carried out any more, in the order of their tokens.
+    resume_requests
+        Requests that may still end the pause of a process.
     """
 
     lead: Lead | None = None
     witnesses: frozenset[MemberProcess] | None = None
     called_ids: tuple[str, ...] = ()
+    resume_requests: tuple[ResumeRequest, ...] = ()
 
     def is_change_pending(self, primary_id: str) -> bool:
         """Return whether another member may lead by a call that was recorded.
@@ -57,6 +61,14 @@
         """Return the record of a primary that no earlier call can replace."""
         return attrs.evolve(self, lead=lead, called_ids=())
 
+    def pending_resumes(self, now_ms: int) -> tuple[ResumeRequest, ...]:
+        """Return the requests that may take effect at a time of the store."""
+        return tuple(
+            each
+            for each in self.resume_requests
+            if each.may_take_effect(now_ms)
+        )
+
     def has_witness(self, process: MemberProcess) -> bool:
         """Return whether a process may witness commits."""
         return self.witnesses is not None and process in self.witnesses
--- a/mimosapond/platform/claim_rows.py
+++ b/mimosapond/platform/claim_rows.py
@@ -14,6 +14,7 @@
 from mimosapond.groups.group_record import GroupRecord
 from mimosapond.groups.lead import Lead
 from mimosapond.groups.member_process import MemberProcess
+from mimosapond.groups.resume_request import ResumeRequest
 from mimosapond.json_decoding import UndecodableJson, decode_json_object
 from mimosapond.platform.store_rows import StoredRow
 
@@ -33,6 +34,7 @@
     lead: Lead | None = None
     witnesses: tuple[MemberProcess, ...] | None = None
     called_ids: tuple[str, ...] = ()
+    resume_requests: tuple[ResumeRequest, ...] = ()
 
     @property
     def record(self) -> GroupRecord:
@@ -42,6 +44,7 @@
             self.lead,
             None if witnesses is None else frozenset(witnesses),
             self.called_ids,
+            self.resume_requests,
         )
 
     def with_record(self, record: GroupRecord) -> 'StoredClaim':
@@ -52,6 +55,7 @@
             lead=record.lead,
             witnesses=None if witnesses is None else tuple(sorted(witnesses)),
             called_ids=record.called_ids,
+            resume_requests=record.resume_requests,
         )
 
 
--- a/mimosapond/platform/store_claims.py
+++ b/mimosapond/platform/store_claims.py
@@ -27,6 +27,8 @@
 from mimosapond.failover.lead_record import LeadRecord, LeadRecording, NoLead
 from mimosapond.groups.group_record import GroupRecord
 from mimosapond.groups.lead import Lead
+from mimosapond.groups.member_process import MemberProcess
+from mimosapond.groups.resume_request import ResumeRequest
 from mimosapond.platform.claim_rows import (
     StoredClaim,
     active_holder,
@@ -65,6 +67,8 @@
         self._now = now
         # The last claim of this host on each group, as it was written.
         self._written: dict[str, StoredClaim] = {}
+        # The last requests to resume of this host.
+        self._resumes: dict[str, tuple[ResumeRequest, ...]] = {}
 
     async def reserve(self) -> int | None:
         """Reserve a token for use while the store is unavailable.
@@ -106,8 +110,12 @@
         holder = active_holder(row, found.now_ms)
         if holder not in {'', self._host}:
             return DutyTaken(holder)
+        stored = decode_claim(row)
         self._written[group] = attrs.evolve(
-            decode_claim(row), holder=self._host, claimed_ms=found.now_ms
+            stored,
+            holder=self._host,
+            claimed_ms=found.now_ms,
+            resume_requests=stored.record.pending_resumes(found.now_ms),
         )
         return await self._write_claim(row, self._written[group], expires_s)
 
@@ -144,6 +152,48 @@
             return True
         return await self._replace(row, stored.with_record(settled))
 
+    async def record_resumes(
+        self, group: str, processes: frozenset[MemberProcess]
+    ) -> LeadRecording:
+        """Record requests in the row of a claim that this host holds."""
+        found = await self._read(group)
+        if isinstance(found, Unavailable):
+            return LeadRecording.unknown
+        row = _find_row(found, group)
+        if active_holder(row, found.now_ms) != self._host:
+            return LeadRecording.superseded
+        self._resumes[group] = tuple(
+            ResumeRequest(process, found.now_ms)
+            for process in sorted(processes)
+        )
+        stored = decode_claim(row)
+        pending = stored.record.pending_resumes(found.now_ms)
+        return await self._write(
+            row,
+            attrs.evolve(
+                stored, resume_requests=(*pending, *self._resumes[group])
+            ),
+        )
+
+    async def forget_resumes(
+        self, group: str, processes: frozenset[MemberProcess]
+    ) -> None:
+        """Forget requests, unless another host holds the claim by now."""
+        found = await self._read(group)
+        if isinstance(found, Unavailable):
+            return
+        row = _find_row(found, group)
+        if active_holder(row, found.now_ms) not in {'', self._host}:
+            return
+        stored = decode_claim(row)
+        answered = {
+            each for each in self._resumes[group] if each.process in processes
+        }
+        pending = tuple(
+            each for each in stored.resume_requests if each not in answered
+        )
+        await self._write(row, attrs.evolve(stored, resume_requests=pending))
+
     async def read_record(self, group: str) -> FoundRecord | None:
         """Return the record in the row of the group's claim."""
         found = await self._read(group)
@@ -188,10 +238,16 @@
         self, group: str, claim: DutyClaim, record: GroupRecord
     ) -> LeadRecording:
         """Write a record on the condition that nobody has claimed since."""
-        stored = self._written[group].with_record(record)
+        return await self._write(
+            StoredRow(group, None, claim.token),
+            self._written[group].with_record(record),
+        )
+
+    async def _write(self, row: StoredRow, claim: StoredClaim) -> LeadRecording:
+        """Replace a row that has not changed since it was read."""
         written = await self._store.compare_and_set(
             _TABLE,
-            StoredRow(group, encode_claim(stored), claim.token),
+            StoredRow(row.key, encode_claim(claim), row.version),
             _CALL_TIMEOUT_S,
         )
         match written:
@@ -204,12 +260,7 @@
 
     async def _replace(self, row: StoredRow, claim: StoredClaim) -> bool:
         """Return whether a row was replaced, as far as is known."""
-        written = await self._store.compare_and_set(
-            _TABLE,
-            StoredRow(row.key, encode_claim(claim), row.version),
-            _CALL_TIMEOUT_S,
-        )
-        return isinstance(written, StoredRows)
+        return await self._write(row, claim) is LeadRecording.recorded
 
     async def _read(self, row_key: str) -> StoredRows | Unavailable:
         return await self._store.read_row(_TABLE, row_key, _CALL_TIMEOUT_S)
@@ -229,6 +280,7 @@
                     expires_s,
                     claim.lead or NoLead(),
                     claim.record.witnesses,
+                    frozenset(each.process for each in claim.resume_requests),
                 )
             case ConditionFailed():
                 return DutyTaken('another host, at the same time')
