--- a/features/database_group.feature
+++ b/features/database_group.feature
@@ -112,6 +112,18 @@
     And the group has committed ""
     And the group records ""
 
+  # Guards against a stand-in whose requests to resume are all carried out at once: hosts that
+  # rely on the pause of a replica would lose commits beside others only (LOST, issue 47).
+  Scenario: a request to resume is carried out late
+    Given a database group
+    When the fault "late_resume" is set at "m2"
+    And caller "a" sends "- PAUSE 5" to "m2"
+    Then caller "a" gets "DATAROW replica 1 1.0 5 */COMPLETE */READY I 1.0"
+    When caller "a" sends "- RESUME" to "m2" without reading the answer
+    And caller "b" sends "- STATUS" to "m2"
+    Then caller "b" gets "DATAROW replica 1 1.0 5 */COMPLETE */READY I 1.0"
+    And member "m2" eventually reports "replica 1 1.0 0 *"
+
   # Guards against positions of a new term that include commits which the
   # promotion rolled back.
   Scenario: a promotion rolls back commits that the new primary lacks
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -147,4 +147,5 @@
       | start_beside_join          | deaf, replace       |
       | start_beside_late_promotion | applies_late, replace |
       | crowd                      | occupied, slow      |
+      | resume_late                | late_resume, crash  |
       | primary_changes            | replace, lose_log, applies_late, occupied |
--- a/soak/fault.py
+++ b/soak/fault.py
@@ -57,8 +57,9 @@
         Kind of the fault at a stand-in, or field of the fault proxy's settings.
     ratio
         Strength of a member fault: the probability per answer of faults that
-        affect answers, the factor of the statement cost for ``slow``, or the
-        number of connections for ``occupied``.
+        affect answers, the factor of the statement cost for ``slow``, the
+        number of connections for ``occupied``, or the delay in seconds for
+        ``late_resume``.
     delay_s
         Delay of calls that are carried out late; for ``replace``, time from the
         start of the new member until the old one drains.
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -12,7 +12,10 @@
 from soak.fault import Fault, FaultKind
 from soak.layout import DATA_CENTRE_COUNT, MEMBER_COUNT
 from soak.plan import SoakPlan
-from soak.primary_change_series import PRIMARY_CHANGE_WEIGHTS
+from soak.primary_change_series import (
+    NAMED_WEIGHTS,
+    PRIMARY_CHANGE_WEIGHTS,
+)
 from soak.series_start import Series, SeriesStart
 
 _FAULT_FREE_START_S: Final = 2.0
@@ -96,6 +99,7 @@
         for series, weight in (
             *_SERIES_WEIGHTS.items(),
             *PRIMARY_CHANGE_WEIGHTS.items(),
+            *NAMED_WEIGHTS.items(),
         )
     }
     names = plan.series_names
--- a/soak/primary_change_series.py
+++ b/soak/primary_change_series.py
@@ -121,6 +121,35 @@
     )
 
 
+def _resume_late(start: SeriesStart) -> Series:
+    """Carry requests to resume out late, beside changes that follow quickly.
+
+    Replicas that one change paused are resumed while a later change relies on
+    their pause. Hosts on the other side of a cut go on using the primary.
+    """
+    group = start.group()
+    late_s = start.rng.uniform(1, _CLAIM_S)
+    for choice in _REPLICAS:
+        yield Fault(
+            start.at_s,
+            FaultKind.member,
+            _MAX_LATE_S,
+            members=((group, choice),),
+            manner='late_resume',
+            ratio=late_s,
+        )
+    yield _member_fault(
+        group,
+        start.after_s(0.1, 0.3),
+        MemberChoice.primary,
+        _CRASH,
+        start.rng.uniform(2, 3),
+    )
+    for number in range(3):
+        at_s = start.after_s(3, 4) + late_s * number
+        yield from _lose_primary(start, group, at_s)
+
+
 def _start_beside_join(start: SeriesStart) -> Series:
     """Start hosts beside a new member that alone receives commits.
 
@@ -324,6 +353,11 @@
     _start_beside_late_promotion,
     _crowd,
 )
+# Series that are drawn only if a plan names them, so that the schedules of other seeds
+# stay as they are.
+NAMED_WEIGHTS: Final[Mapping[Callable[[SeriesStart], Series], float]] = (
+    MappingProxyType({_resume_late: 1})
+)
 PRIMARY_CHANGE_WEIGHTS: Final[
     Mapping[Callable[[SeriesStart], Series], float]
 ] = MappingProxyType({**dict.fromkeys(_COMBINED, 1), _combine: 4})
--- a/standins/database_group/fault_call.py
+++ b/standins/database_group/fault_call.py
@@ -18,7 +18,8 @@
         Duration; by default, the fault lasts until it is set again.
     ratio
         Probability with which an answer is affected; for ``slow``, the factor
-        by which the duration of requests is multiplied.
+        by which the duration of requests is multiplied; for ``late_resume``,
+        the delay in seconds.
     replace_after_s
         Only for ``drain``: time from the stop of the member until a
         replacement with the same log and a new id starts at its address; by
--- a/standins/database_group/fault_injector.py
+++ b/standins/database_group/fault_injector.py
@@ -17,7 +17,15 @@
 _DROP_AFTER_S: Final = 3.0
 # Faults that the member checks itself while they are in force.
 _TIMED_KINDS: Final = frozenset(
-    ('answer_lost', 'answer_cut', 'answer_split', 'slow', 'deaf', 'occupied'),
+    (
+        'answer_lost',
+        'answer_cut',
+        'answer_split',
+        'slow',
+        'deaf',
+        'occupied',
+        'late_resume',
+    ),
 )
 
 
