Keep requests to resume apart that the store did not record

Cause: a host that could not record requests kept those that it had recorded before, and the answer to the new ones removed them from the store while the former ones could still be carried out; without former ones, it failed with a KeyError. After a change with a reserved token, the store, once it answers again, has no claim of this host, so that no replica was asked to receive again. Change: each attempt to record begins without requests; under a claim made without the store, they count as not recorded, and are sent. `_renew` returns the claim in place of a time.

--- a/features/group_fakes.py
+++ b/features/group_fakes.py
@@ -380,7 +380,7 @@
         return True
 
     async def record_resumes(
-        self, group: str, processes: frozenset[MemberProcess]
+        self, group: str, claim: DutyClaim, processes: frozenset[MemberProcess]
     ) -> LeadRecording:
         """Keep the processes, and return the result that the test set."""
         self.resumed |= processes
@@ -506,7 +506,7 @@
         return True
 
     async def record_resumes(
-        self, group: str, processes: frozenset[MemberProcess]
+        self, group: str, claim: DutyClaim, processes: frozenset[MemberProcess]
     ) -> LeadRecording:
         """Record nothing, as each request is answered."""
         return LeadRecording.recorded
--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -174,6 +174,25 @@
     And host b claims the group
     Then the last claim has requests to resume m1
 
+  # Guards against the answer to a request that the store did not record, which removes an
+  # earlier one that got no answer.
+  Scenario Outline: an answer to an unrecorded request leaves an earlier one recorded
+    Given a table store and the hosts a and b
+    When host a claims the group
+    And <earlier>
+    And the table store silent
+    And host a records requests to resume m1
+    And the table store works again
+    And host a forgets its requests to resume m1
+    And host a releases the group
+    And host b claims the group
+    Then the last claim has requests to resume <names>
+
+    Examples:
+      | earlier                                | names |
+      | host a records requests to resume m1   | m1    |
+      | 1 ms pass on the store's clock         | none  |
+
   # Guards against requests that another host, which has claimed since, does not know of.
   Scenario: requests to resume are recorded under a claim that is held
     Given a table store and the hosts a and b
--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -290,6 +290,14 @@
     When the store is down and a host claims with a reserved token
     Then the claim has the reserved token
 
+  Scenario: requests to resume under a reserved token do not depend on the store
+    # Guards against replicas that stay paused after a change with a reserved token: the
+    # store answers again, and has a claim of another host.
+    Given a group whose primary is p
+    And another host claims before requests are recorded
+    When the store is down and a host claims with a reserved token
+    Then it is not known whether requests to resume are recorded
+
   Scenario Outline: a primary that reaches no replica is replaced
     # Guards against lost commits (LOST on scale-1): a crashed replica had
     # commits that the other replica lacked.
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -151,9 +151,11 @@
 
 @when('host {host} records requests to resume {names}')
 def record_resumes(context: Any, host: str, names: str) -> None:
-    """Record requests as before they are sent."""
+    """Record requests as before they are sent, under the first claim."""
+    held = [each for each in context.outcomes if isinstance(each, DutyClaim)]
     context.recording = _run(
-        context, context.claims[host].record_resumes(_GROUP, _processes(names))
+        context,
+        context.claims[host].record_resumes(_GROUP, held[0], _processes(names)),
     )
 
 
--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -22,6 +22,7 @@
 from mimosapond.entry.reachability import Reachability
 from mimosapond.entry.rotation_tracker import RotationTracker
 from mimosapond.failover.claim_port import DutyClaim
+from mimosapond.failover.lead_record import LeadRecording
 from mimosapond.failover.primary_monitor import PrimaryMonitor
 from mimosapond.failover.reserved_token_claims import ReservedTokenClaims
 from mimosapond.groups.group_directory import GroupDirectory
@@ -229,6 +230,18 @@
     return outcome
 
 
+@then('it is not known whether requests to resume are recorded')
+def check_unrecorded(context: Any) -> None:
+    """Record requests under the claim; unrecorded ones are sent as well."""
+    claims = ReservedTokenClaims(
+        context.world.claims, boot_time_s, lambda: True
+    )
+    recording = asyncio.run(
+        claims.record_resumes('orders', context.claim, frozenset())
+    )
+    assert recording is LeadRecording.unknown, recording
+
+
 @then('the promoted member is {name}')
 def check_promoted(context: Any, name: str) -> None:
     """Compare the members in the promotion calls, other than p."""
--- a/mimosapond/failover/claim_port.py
+++ b/mimosapond/failover/claim_port.py
@@ -138,9 +138,15 @@
         """
 
     async def record_resumes(
-        self, group: str, processes: frozenset[MemberProcess]
+        self, group: str, claim: DutyClaim, processes: frozenset[MemberProcess]
     ) -> LeadRecording:
-        """Record requests to resume processes, before they are sent."""
+        """Record requests to resume processes, before they are sent.
+
+        Parameters
+        ----------
+        claim
+            The claim under which they are sent.
+        """
 
     async def forget_resumes(
         self, group: str, processes: frozenset[MemberProcess]
--- a/mimosapond/failover/replica_resumer.py
+++ b/mimosapond/failover/replica_resumer.py
@@ -1,6 +1,5 @@
 """Ends the pauses of replicas after a change of primary."""
 
-import math
 from collections.abc import Collection, Iterable
 from typing import Final, final
 
@@ -47,34 +46,37 @@
         paused = await _find_paused(members, claim.token)
         if not paused:
             return
-        expires_s = await self._renew(group, claim)
+        held = await self._renew(group, claim)
         processes = frozenset(member.record.process for member in paused)
-        if expires_s == -math.inf or not await self._record(group, processes):
+        if held is None or not await self._record(group, held, processes):
             return
         unanswered = await resume_all(
             paused,
             claim.token,
-            lambda: expires_s - self._now() > CONTROL_TIMEOUT_S,
+            lambda: held.expires_s - self._now() > CONTROL_TIMEOUT_S,
         )
         answered = processes - {each.record.process for each in unanswered}
         if answered:
             await self._claims.forget_resumes(group.name, answered)
 
-    async def _renew(self, group: Group, claim: DutyClaim) -> float:
-        """Return when the claim expires; minus infinity if it is lost."""
+    async def _renew(self, group: Group, claim: DutyClaim) -> DutyClaim | None:
+        """Return a claim that covers the requests; None without one."""
         if claim.expires_s - self._now() >= _RESUME_TIMEOUT_S:
-            return claim.expires_s
+            return claim
         renewed = await self._claims.claim(group.name)
         logger.bind(group=group.name, outcome=str(renewed)).info('duty_renewed')
-        return (
-            renewed.expires_s if isinstance(renewed, DutyClaim) else -math.inf
-        )
+        return renewed if isinstance(renewed, DutyClaim) else None
 
     async def _record(
-        self, group: Group, processes: frozenset[MemberProcess]
+        self,
+        group: Group,
+        claim: DutyClaim,
+        processes: frozenset[MemberProcess],
     ) -> bool:
         """Return whether the requests may be sent; see ``LeadRecorder``."""
-        recording = await self._claims.record_resumes(group.name, processes)
+        recording = await self._claims.record_resumes(
+            group.name, claim, processes
+        )
         if recording is not LeadRecording.recorded:
             logger.bind(group=group.name, outcome=recording.value).warning(
                 'resumes_not_recorded'
--- a/mimosapond/failover/reserved_token_claims.py
+++ b/mimosapond/failover/reserved_token_claims.py
@@ -135,10 +135,12 @@
         return await self._store.settle_lead(group, known, lead)
 
     async def record_resumes(
-        self, group: str, processes: frozenset[MemberProcess]
+        self, group: str, claim: DutyClaim, processes: frozenset[MemberProcess]
     ) -> LeadRecording:
-        """Record requests at the store."""
-        return await self._store.record_resumes(group, processes)
+        """Record requests, unless the claim was made without the store."""
+        if isinstance(claim.lead, LeadUnknown):
+            return LeadRecording.unknown
+        return await self._store.record_resumes(group, claim, processes)
 
     async def forget_resumes(
         self, group: str, processes: frozenset[MemberProcess]
--- a/mimosapond/platform/store_claims.py
+++ b/mimosapond/platform/store_claims.py
@@ -153,9 +153,10 @@
         return await self._replace(row, stored.with_record(settled))
 
     async def record_resumes(
-        self, group: str, processes: frozenset[MemberProcess]
+        self, group: str, claim: DutyClaim, processes: frozenset[MemberProcess]
     ) -> LeadRecording:
         """Record requests in the row of a claim that this host holds."""
+        self._resumes.pop(group, None)
         found = await self._read(group)
         if isinstance(found, Unavailable):
             return LeadRecording.unknown
@@ -187,7 +188,9 @@
             return
         stored = decode_claim(row)
         answered = {
-            each for each in self._resumes[group] if each.process in processes
+            each
+            for each in self._resumes.pop(group, ())
+            if each.process in processes
         }
         pending = tuple(
             each for each in stored.resume_requests if each not in answered
