--- a/soak/primary_change_series.py
+++ b/soak/primary_change_series.py
@@ -105,13 +105,7 @@
     group = start.group()
     late_s = start.rng.uniform(_ESTABLISHED_S - 2, _ESTABLISHED_S)
     yield _late_promotions(start, late_s, late_s + _CLAIM_S)
-    yield _member_fault(
-        group,
-        start.after_s(0.1, 0.3),
-        MemberChoice.primary,
-        _CRASH,
-        start.rng.uniform(2, 3),
-    )
+    yield _crash_primary(start, group)
     yield _member_fault(
         group,
         start.at_s + late_s - 1,
@@ -138,13 +132,7 @@
             manner='late_resume',
             ratio=late_s,
         )
-    yield _member_fault(
-        group,
-        start.after_s(0.1, 0.3),
-        MemberChoice.primary,
-        _CRASH,
-        start.rng.uniform(2, 3),
-    )
+    yield _crash_primary(start, group)
     for number in range(3):
         at_s = start.after_s(3, 4) + late_s * number
         yield from _lose_primary(start, group, at_s)
@@ -213,6 +201,17 @@
         yield from kind(start)
 
 
+def _crash_primary(start: SeriesStart, group: int) -> Fault:
+    """Crash a primary for long enough that a change of it begins."""
+    return _member_fault(
+        group,
+        start.after_s(0.1, 0.3),
+        MemberChoice.primary,
+        _CRASH,
+        start.rng.uniform(2, 3),
+    )
+
+
 def _crash_replicas(
     start: SeriesStart,
     group: int,
